Build, checks, schema generator and checked settings reader

Cause: an empty checkout. Conclusion: skeleton for the parts; interfaces to outside systems are in docs/interfaces.md.

--- /dev/null
+++ b/src/daemon/goldcrestctl.cc
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/error.cc
@@ -0,0 +1,13 @@
+#include "goldcrestwood/error.h"
+
+namespace goldcrestwood {
+
+std::string toString(const Finding& finding)
+{
+    const auto& [file, line, column] = finding.place;
+    if (line == 0)
+        return file + ": " + finding.message;
+    return file + ":" + std::to_string(line) + ":" + std::to_string(column) + ": " + finding.message;
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/support/test.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Builds with warnings as errors and runs every test; with CI=true also under sanitizers.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build_and_test() {
+  local dir=$1
+  shift
+  cmake -S . -B "$dir" -G Ninja "$@" >/dev/null
+  cmake --build "$dir"
+  ctest --test-dir "$dir" --output-on-failure -j "$(nproc)"
+}
+if [ "${CI:-}" = true ]; then
+  build_and_test build-asan -DCMAKE_BUILD_TYPE=Debug -DGOLDCRESTWOOD_PROGRAMS=OFF -DGOLDCRESTWOOD_SANITIZE=address,undefined
+fi
+build_and_test build
