--- a/src/daemon/table_reader.cc
+++ b/src/daemon/table_reader.cc
@@ -70,7 +70,8 @@
 void TableReader::report(const toml::node& node, std::string message)
 {
     const auto& [begin, end, path] = node.source();
-    this->findings.push_back({ { this->file, begin.line, begin.column }, std::move(message) });
+    const auto name = path ? *path : this->file;
+    this->findings.push_back({ { name, begin.line, begin.column }, std::move(message) });
 }
 
 const toml::node* TableReader::find(const char* key, Presence presence)
