--- /dev/null
+++ b/src/daemon/http_server.cc
@@ -0,0 +1,201 @@
+#include "daemon/http_server.h"
+
+#include <algorithm>
+#include <array>
+
+#include <civetweb.h>
+#include <nlohmann/json.hpp>
+
+namespace goldcrestwood {
+
+namespace {
+
+constexpr std::size_t readChunkSize = 16 * 1024;
+
+const char* toString(Executed executed)
+{
+    switch (executed) {
+    case Executed::No:
+        return "no";
+    case Executed::Unknown:
+        return "unknown";
+    case Executed::Yes:
+        return "yes";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+HttpResponse problemResponse(const Problem& problem)
+{
+    nlohmann::json body = {
+        { "type", "about:blank" },
+        { "title", problem.title },
+        { "status", problem.status },
+        { "detail", problem.detail },
+        { "executed", toString(problem.executed) },
+    };
+    HttpResponse response { problem.status, "application/problem+json", "", {} };
+    if (problem.retryAfter > Duration(0)) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(problem.retryAfter).count();
+        body["retry_after_seconds"] = seconds;
+        response.headers.push_back({ "Retry-After", std::to_string(seconds) });
+    }
+    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    return response;
+}
+
+HttpExchange::HttpExchange(mg_connection* peer)
+    : connection(peer)
+{
+}
+
+std::string_view HttpExchange::method() const
+{
+    return mg_get_request_info(this->connection)->request_method;
+}
+
+std::string_view HttpExchange::path() const
+{
+    return mg_get_request_info(this->connection)->local_uri;
+}
+
+std::string HttpExchange::query(const char* name) const
+{
+    const auto* text = mg_get_request_info(this->connection)->query_string;
+    if (!text)
+        return {};
+    std::array<char, 1024> value {};
+    const std::string_view all(text);
+    const auto length = mg_get_var(all.data(), all.size(), name, value.data(), value.size());
+    return length > 0 ? std::string(value.data(), static_cast<std::size_t>(length)) : std::string();
+}
+
+std::string_view HttpExchange::header(const char* name) const
+{
+    const auto* value = mg_get_header(this->connection, name);
+    return value ? value : std::string_view();
+}
+
+tl::expected<std::string, Problem> HttpExchange::readBody(std::uint64_t limit)
+{
+    const auto announced = mg_get_request_info(this->connection)->content_length;
+    const Problem tooLarge { 413, "Body too large", "the body may have at most " + std::to_string(limit) + " bytes" };
+    if (announced > 0 && static_cast<std::uint64_t>(announced) > limit)
+        return tl::unexpected(tooLarge);
+    std::string body;
+    std::array<char, readChunkSize> chunk {};
+    while (true) {
+        const auto count = mg_read(this->connection, chunk.data(), chunk.size());
+        if (count <= 0)
+            break;
+        if (body.size() + static_cast<std::size_t>(count) > limit)
+            return tl::unexpected(tooLarge);
+        body.append(chunk.data(), static_cast<std::size_t>(count));
+    }
+    if (announced > 0 && body.size() < static_cast<std::size_t>(announced))
+        return tl::unexpected(Problem { 400, "Body incomplete", "the connection ended or stalled within the body" });
+    return body;
+}
+
+void HttpExchange::respond(const HttpResponse& response)
+{
+    this->status = response.status;
+    mg_response_header_start(this->connection, response.status);
+    mg_response_header_add(this->connection, "Content-Type", response.contentType.c_str(), -1);
+    mg_response_header_add(this->connection, "Content-Length", std::to_string(response.body.size()).c_str(), -1);
+    for (const auto& [name, value] : response.headers)
+        mg_response_header_add(this->connection, name.c_str(), value.c_str(), -1);
+    mg_response_header_send(this->connection);
+    mg_write(this->connection, response.body.data(), response.body.size());
+}
+
+void HttpExchange::beginEvents()
+{
+    this->status = 200;
+    mg_response_header_start(this->connection, 200);
+    mg_response_header_add(this->connection, "Content-Type", "text/event-stream", -1);
+    mg_response_header_add(this->connection, "Cache-Control", "no-store", -1);
+    mg_response_header_add(this->connection, "Transfer-Encoding", "chunked", -1);
+    mg_response_header_send(this->connection);
+}
+
+bool HttpExchange::writeChunk(std::string_view text)
+{
+    return mg_send_chunk(this->connection, text.data(), static_cast<unsigned>(text.size())) > 0;
+}
+
+void HttpExchange::endEvents()
+{
+    mg_send_chunk(this->connection, "", 0);
+}
+
+struct HttpServer::State {
+    HttpHandler handler;
+    mg_context* context = nullptr;
+
+    ~State()
+    {
+        if (this->context)
+            mg_stop(this->context);
+    }
+};
+
+namespace {
+
+template <typename State>
+int handleRequest(mg_connection* connection)
+{
+    auto* state = static_cast<State*>(mg_get_user_data(mg_get_context(connection)));
+    HttpExchange exchange(connection);
+    try {
+        state->handler(exchange);
+    } catch (const std::exception& error) {
+        if (exchange.sentStatus() == 0)
+            exchange.respond(problemResponse({ 500, "Internal error", error.what(), Executed::Unknown }));
+    }
+    return exchange.sentStatus() == 0 ? 500 : exchange.sentStatus();
+}
+
+int handleError(mg_connection* connection, int status, const char* message)
+{
+    HttpExchange exchange(connection);
+    exchange.respond(problemResponse({ status, mg_get_response_code_text(connection, status), message }));
+    return 0;
+}
+
+} // namespace
+
+HttpServer::HttpServer(std::unique_ptr<State> running)
+    : state(std::move(running))
+{
+}
+
+HttpServer::HttpServer(HttpServer&&) noexcept = default;
+HttpServer& HttpServer::operator=(HttpServer&&) noexcept = default;
+HttpServer::~HttpServer() = default;
+
+tl::expected<HttpServer, std::string> HttpServer::start(const HttpServerSettings& settings, HttpHandler handler)
+{
+    auto state = std::make_unique<State>();
+    state->handler = std::move(handler);
+    const auto threads = std::to_string(settings.threads);
+    const auto headerSize = std::to_string(settings.maxHeaderSize);
+    const auto timeout = std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(settings.receiveTimeout).count());
+    const std::array<const char*, 13> options {
+        "listening_ports", settings.address.c_str(), "num_threads", threads.c_str(),
+        "max_request_size", headerSize.c_str(), "request_timeout_ms", timeout.c_str(),
+        "enable_keep_alive", "yes", "tcp_nodelay", "1", nullptr
+    };
+    mg_callbacks callbacks {};
+    callbacks.begin_request = handleRequest<State>;
+    callbacks.http_error = handleError;
+    callbacks.log_message = [](const mg_connection*, const char*) { return 1; };
+    state->context = mg_start(&callbacks, state.get(), const_cast<const char**>(options.data()));
+    if (!state->context)
+        return tl::unexpected("cannot listen on " + settings.address);
+    return HttpServer(std::move(state));
+}
+
+} // namespace goldcrestwood
