--- a/src/daemon/http_client.cc
+++ b/src/daemon/http_client.cc
@@ -6,52 +6,52 @@
 
 namespace {
 
-httplib::Client makeClient(const std::string& address, Duration timeout)
-{
-    const auto [host, port] = splitAddress(address);
-    httplib::Client client(host, port);
-    client.set_connection_timeout(timeout);
-    client.set_read_timeout(timeout);
-    client.set_write_timeout(timeout);
-    client.set_tcp_nodelay(true);
-    return client;
-}
+    httplib::Client makeClient(const std::string& address, Duration timeout)
+    {
+        const auto [host, port] = splitAddress(address);
+        httplib::Client client(host, port);
+        client.set_connection_timeout(timeout);
+        client.set_read_timeout(timeout);
+        client.set_write_timeout(timeout);
+        client.set_tcp_nodelay(true);
+        return client;
+    }
 
-httplib::Request makeRequest(const HttpCall& call)
-{
-    httplib::Request request;
-    request.method = call.method;
-    request.path = call.path;
-    request.body = call.body;
-    if (!call.body.empty() || call.method != "GET")
-        request.set_header("Content-Type", call.contentType);
-    for (const auto& [name, value] : call.headers)
-        request.set_header(name, value);
-    return request;
-}
+    httplib::Request makeRequest(const HttpCall& call)
+    {
+        httplib::Request request;
+        request.method = call.method;
+        request.path = call.path;
+        request.body = call.body;
+        if (!call.body.empty() || call.method != "GET")
+            request.set_header("Content-Type", call.contentType);
+        for (const auto& [name, value] : call.headers)
+            request.set_header(name, value);
+        return request;
+    }
 
-HttpFailure failureOf(httplib::Error error)
-{
-    switch (error) {
-    case httplib::Error::Connection:
-    case httplib::Error::BindIPAddress:
-    case httplib::Error::ConnectionTimeout:
-        return HttpFailure::NotSent;
-    default:
-        return HttpFailure::NoAnswer;
+    HttpFailure failureOf(httplib::Error error)
+    {
+        switch (error) {
+        case httplib::Error::Connection:
+        case httplib::Error::BindIPAddress:
+        case httplib::Error::ConnectionTimeout:
+            return HttpFailure::NotSent;
+        default:
+            return HttpFailure::NoAnswer;
+        }
     }
-}
 
-HttpResult send(httplib::Client& client, const HttpCall& call)
-{
-    const auto result = client.send(makeRequest(call));
-    if (!result)
-        return tl::unexpected(failureOf(result.error()));
-    HttpResponse response { result->status, result->get_header_value("Content-Type"), result->body, {} };
-    for (const auto& [name, value] : result->headers)
-        response.headers.push_back({ name, value });
-    return response;
-}
+    HttpResult send(httplib::Client& client, const HttpCall& call)
+    {
+        const auto result = client.send(makeRequest(call));
+        if (!result)
+            return tl::unexpected(failureOf(result.error()));
+        HttpResponse response { result->status, result->get_header_value("Content-Type"), result->body, {} };
+        for (const auto& [name, value] : result->headers)
+            response.headers.push_back({ name, value });
+        return response;
+    }
 
 } // namespace
 
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -10,20 +10,20 @@
 
 namespace {
 
-constexpr std::size_t readChunkSize = 16 * 1024;
+    constexpr std::size_t readChunkSize = 16 * 1024;
 
-const char* toString(Executed executed)
-{
-    switch (executed) {
-    case Executed::No:
-        return "no";
-    case Executed::Unknown:
+    const char* toString(Executed executed)
+    {
+        switch (executed) {
+        case Executed::No:
+            return "no";
+        case Executed::Unknown:
+            return "unknown";
+        case Executed::Yes:
+            return "yes";
+        }
         return "unknown";
-    case Executed::Yes:
-        return "yes";
     }
-    return "unknown";
-}
 
 } // namespace
 
@@ -144,26 +144,26 @@
 
 namespace {
 
-template <typename State>
-int handleRequest(mg_connection* connection)
-{
-    auto* state = static_cast<State*>(mg_get_user_data(mg_get_context(connection)));
-    HttpExchange exchange(connection);
-    try {
-        state->handler(exchange);
-    } catch (const std::exception& error) {
-        if (exchange.sentStatus() == 0)
-            exchange.respond(problemResponse({ 500, "Internal error", error.what(), Executed::Unknown }));
+    template <typename State>
+    int handleRequest(mg_connection* connection)
+    {
+        auto* state = static_cast<State*>(mg_get_user_data(mg_get_context(connection)));
+        HttpExchange exchange(connection);
+        try {
+            state->handler(exchange);
+        } catch (const std::exception& error) {
+            if (exchange.sentStatus() == 0)
+                exchange.respond(problemResponse({ 500, "Internal error", error.what(), Executed::Unknown }));
+        }
+        return exchange.sentStatus() == 0 ? 500 : exchange.sentStatus();
     }
-    return exchange.sentStatus() == 0 ? 500 : exchange.sentStatus();
-}
 
-int handleError(mg_connection* connection, int status, const char* message)
-{
-    HttpExchange exchange(connection);
-    exchange.respond(problemResponse({ status, mg_get_response_code_text(connection, status), message }));
-    return 0;
-}
+    int handleError(mg_connection* connection, int status, const char* message)
+    {
+        HttpExchange exchange(connection);
+        exchange.respond(problemResponse({ status, mg_get_response_code_text(connection, status), message }));
+        return 0;
+    }
 
 } // namespace
 
--- a/src/daemon/json_log.cc
+++ b/src/daemon/json_log.cc
@@ -10,54 +10,54 @@
 
 namespace {
 
-/// Marks a message that is already the inside of a JSON object.
-constexpr char structuredMark = '\x1e';
+    /// Marks a message that is already the inside of a JSON object.
+    constexpr char structuredMark = '\x1e';
 
-std::string utcTime(const google::LogMessageTime& time)
-{
-    const auto seconds = static_cast<std::time_t>(time.timestamp());
-    std::tm parts {};
-    gmtime_r(&seconds, &parts);
-    char text[40];
-    const auto length = std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
-    char result[64];
-    std::snprintf(result, sizeof(result), "%.*s.%06dZ", static_cast<int>(length), text, static_cast<int>(time.usec()));
-    return result;
-}
-
-class JsonLinesSink : public google::LogSink {
-public:
-    explicit JsonLinesSink(std::string instanceName)
-        : instance(std::move(instanceName))
+    std::string utcTime(const google::LogMessageTime& time)
     {
+        const auto seconds = static_cast<std::time_t>(time.timestamp());
+        std::tm parts {};
+        gmtime_r(&seconds, &parts);
+        char text[40];
+        const auto length = std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
+        char result[64];
+        std::snprintf(result, sizeof(result), "%.*s.%06dZ", static_cast<int>(length), text, static_cast<int>(time.usec()));
+        return result;
     }
 
-    void send(google::LogSeverity severity, const char*, const char* file, int line,
-        const google::LogMessageTime& time, const char* message, std::size_t length) override
-    {
-        const std::string_view text(message, length);
-        nlohmann::json record = { { "time", utcTime(time) }, { "level", google::GetLogSeverityName(severity) }, { "instance", this->instance } };
-        if (!text.empty() && text.front() == structuredMark) {
-            record.update(nlohmann::json::parse(text.substr(1), nullptr, false));
-        } else {
-            record["message"] = text;
-            record["source"] = std::string(file) + ":" + std::to_string(line);
+    class JsonLinesSink : public google::LogSink {
+    public:
+        explicit JsonLinesSink(std::string instanceName)
+            : instance(std::move(instanceName))
+        {
         }
-        const auto out = record.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
-        std::fwrite(out.data(), 1, out.size(), stderr);
-    }
 
-private:
-    std::string instance;
-};
+        void send(google::LogSeverity severity, const char*, const char* file, int line,
+            const google::LogMessageTime& time, const char* message, std::size_t length) override
+        {
+            const std::string_view text(message, length);
+            nlohmann::json record = { { "time", utcTime(time) }, { "level", google::GetLogSeverityName(severity) }, { "instance", this->instance } };
+            if (!text.empty() && text.front() == structuredMark) {
+                record.update(nlohmann::json::parse(text.substr(1), nullptr, false));
+            } else {
+                record["message"] = text;
+                record["source"] = std::string(file) + ":" + std::to_string(line);
+            }
+            const auto out = record.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+            std::fwrite(out.data(), 1, out.size(), stderr);
+        }
 
-std::string structured(std::string_view event, std::initializer_list<LogField> fields)
-{
-    nlohmann::json record = { { "event", event } };
-    for (const auto& [name, value] : fields)
-        record[std::string(name)] = value;
-    return structuredMark + record.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
+    private:
+        std::string instance;
+    };
+
+    std::string structured(std::string_view event, std::initializer_list<LogField> fields)
+    {
+        nlohmann::json record = { { "event", event } };
+        for (const auto& [name, value] : fields)
+            record[std::string(name)] = value;
+        return structuredMark + record.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
 
 } // namespace
 
--- /dev/null
+++ b/test/daemon/peer_transport_test.cc
@@ -0,0 +1,67 @@
+/// @file
+/// Exchange between daemons over loopback: replies, refusals, and peers that go silent.
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <vector>
+
+#include "daemon/peer_transport.h"
+
+using namespace goldcrestwood;
+
+namespace {
+
+constexpr Duration patience = std::chrono::seconds(10);
+constexpr Duration shortTimeout = std::chrono::milliseconds(50);
+const std::string serverAddress = "127.0.0.1:47311";
+const std::string clientAddress = "127.0.0.1:47312";
+
+PeerTransport startIdle(const std::string& address)
+{
+    auto transport = PeerTransport::start(address, [](const PeerMessage&, const PeerReply&) {});
+    REQUIRE(transport);
+    return std::move(*transport);
+}
+
+} // namespace
+
+TEST_CASE("a peer answers a request and refuses an unknown kind")
+{
+    const auto server = PeerTransport::start(serverAddress, [](const PeerMessage& message, const PeerReply& reply) {
+        reply(message.kind == "Echo" ? message : PeerMessage {});
+    });
+    REQUIRE(server);
+    auto client = startIdle(clientAddress);
+    CHECK(client.call(serverAddress, { "Echo", "payload" }, patience) == PeerResult(PeerMessage { "Echo", "payload" }));
+    CHECK(client.call(serverAddress, { "Other", "" }, patience) == PeerResult(tl::unexpected(PeerError::Refused)));
+}
+
+TEST_CASE("after one missed deadline a new connection is used")
+{
+    std::atomic<int> requests = 0;
+    std::mutex mutex;
+    std::vector<PeerReply> unanswered;
+    const auto server = PeerTransport::start(serverAddress, [&](const PeerMessage& message, const PeerReply& reply) {
+        if (++requests == 1) {
+            const std::lock_guard lock(mutex);
+            unanswered.push_back(reply);
+            return;
+        }
+        reply(message);
+    });
+    REQUIRE(server);
+    auto client = startIdle(clientAddress);
+    CHECK(client.call(serverAddress, { "Echo", "" }, shortTimeout) == PeerResult(tl::unexpected(PeerError::Timeout)));
+    CHECK(client.call(serverAddress, { "Echo", "again" }, patience));
+    CHECK(client.traffic().timeouts == 1);
+}
+
+TEST_CASE("a peer that is not there is an error at once or within the deadline")
+{
+    auto client = startIdle(clientAddress);
+    const auto result = client.call("127.0.0.1:47313", { "Echo", "" }, patience);
+    REQUIRE_FALSE(result);
+    CHECK((result.error() == PeerError::Closed || result.error() == PeerError::Unreachable));
+}
