--- /dev/null
+++ b/src/daemon/platform_client.cc
@@ -0,0 +1,113 @@
+#include "daemon/platform_client.h"
+
+#include <sstream>
+#include <tuple>
+
+#include <msgpack.hpp>
+#include <nlohmann/json.hpp>
+
+namespace goldcrestwood {
+
+namespace {
+
+    constexpr int readLimit = 2000;
+    const std::string msgpackType = "application/msgpack";
+
+    std::string recordsPath(const std::string& stream)
+    {
+        return "/v1/streams/" + stream + "/records";
+    }
+
+    std::string packBins(const std::vector<std::string>& records)
+    {
+        msgpack::sbuffer buffer;
+        msgpack::packer packer(buffer);
+        packer.pack_array(static_cast<std::uint32_t>(records.size()));
+        for (const auto& record : records) {
+            packer.pack_bin(static_cast<std::uint32_t>(record.size()));
+            packer.pack_bin_body(record.data(), static_cast<std::uint32_t>(record.size()));
+        }
+        return { buffer.data(), buffer.size() };
+    }
+
+    RecordRange parseRange(const std::string& body)
+    {
+        const auto handle = msgpack::unpack(body.data(), body.size());
+        using Wire = std::tuple<std::uint64_t, std::uint64_t, std::vector<std::tuple<std::uint64_t, std::string>>>;
+        auto [firstRetained, next, records] = handle.get().as<Wire>();
+        RecordRange range { firstRetained, next, {} };
+        range.records.reserve(records.size());
+        for (auto& [offset, bytes] : records)
+            range.records.push_back({ offset, std::move(bytes) });
+        return range;
+    }
+
+} // namespace
+
+LogClient::LogClient(std::string logAddress, Duration exchangeTimeout, Duration readWait)
+    : address(std::move(logAddress))
+    , timeout(exchangeTimeout)
+    , wait(readWait)
+    , reader(this->address, exchangeTimeout + readWait)
+{
+}
+
+tl::expected<std::uint64_t, AppendFailure> LogClient::append(const std::string& stream, const std::vector<std::string>& records)
+{
+    const HttpCall call { "POST", recordsPath(stream), packBins(records), msgpackType, {} };
+    const auto result = httpCall(this->address, call, this->timeout);
+    if (!result) {
+        const bool neverSent = result.error() == HttpFailure::NotSent;
+        return tl::unexpected(neverSent ? AppendFailure::NotAppended : AppendFailure::Unknown);
+    }
+    constexpr int tooManyRequests = 429;
+    constexpr int unavailable = 503;
+    if (result->status == tooManyRequests || result->status == unavailable)
+        return tl::unexpected(AppendFailure::NotAppended);
+    if (result->status != 200)
+        return tl::unexpected(AppendFailure::Unknown);
+    try {
+        const auto handle = msgpack::unpack(result->body.data(), result->body.size());
+        return std::get<0>(handle.get().as<std::tuple<std::uint64_t, std::uint64_t>>());
+    } catch (const std::exception&) {
+        return tl::unexpected(AppendFailure::Unknown);
+    }
+}
+
+tl::expected<RecordRange, HttpFailure> LogClient::read(const std::string& stream, std::uint64_t offset)
+{
+    const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(this->wait).count();
+    std::ostringstream path;
+    path << recordsPath(stream) << "?from=" << offset << "&limit=" << readLimit << "&wait_ms=" << waitMs;
+    const auto result = this->reader.call({ "GET", path.str(), "", msgpackType, {} });
+    if (!result)
+        return tl::unexpected(result.error());
+    if (result->status != 200)
+        return tl::unexpected(HttpFailure::NoAnswer);
+    try {
+        return parseRange(result->body);
+    } catch (const std::exception&) {
+        return tl::unexpected(HttpFailure::NoAnswer);
+    }
+}
+
+tl::expected<std::vector<ListedInstance>, HttpFailure> listInstances(const std::string& address, Duration timeout)
+{
+    const auto result = httpCall(address, { "GET", "/v1/instances", "", "application/json", {} }, timeout);
+    if (!result)
+        return tl::unexpected(result.error());
+    if (result->status != 200)
+        return tl::unexpected(HttpFailure::NoAnswer);
+    try {
+        std::vector<ListedInstance> instances;
+        for (const auto& entry : nlohmann::json::parse(result->body).at("instances")) {
+            instances.push_back({ InstanceId(entry.at("id").get<std::string>()), entry.at("address").get<std::string>(),
+                FailureDomain(entry.at("domain").get<std::string>()), entry.at("state").get<std::string>() == "leaving" });
+        }
+        return instances;
+    } catch (const nlohmann::json::exception&) {
+        return tl::unexpected(HttpFailure::NoAnswer);
+    }
+}
+
+} // namespace goldcrestwood
