Peer transport: calls with a callback

Cause: gossip sends to several peers each round and must not hold a thread for each. Change: one table of waiting calls a connection, swept every 20 ms; the blocking call is built on it.

--- a/src/daemon/peer_transport.cc
+++ b/src/daemon/peer_transport.cc
@@ -26,6 +26,7 @@
     constexpr std::uint32_t maxFrameSize = 64U << 20;
     constexpr std::size_t maxQueuedBytes = 64U << 20;
     constexpr std::size_t transportThreads = 2;
+    constexpr Duration sweepInterval = std::chrono::milliseconds(20);
     constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 
     struct Counters {
@@ -218,11 +219,16 @@
 }
 
 struct PeerTransport::State {
+    struct Waiting {
+        PeerCallback callback;
+        std::chrono::steady_clock::time_point deadline;
+    };
+
     /// A connection to a peer and the calls that wait on it.
     struct Link {
         std::shared_ptr<Session> session;
         std::mutex mutex;
-        std::map<std::uint64_t, std::promise<PeerResult>> waiting;
+        std::map<std::uint64_t, Waiting> waiting;
         bool closed = false;
     };
 
@@ -278,26 +284,82 @@
     {
         if (!link || !frame.isReply)
             return;
-        const std::lock_guard lock(link->mutex);
-        const auto found = link->waiting.find(frame.requestId);
-        if (found == link->waiting.end())
+        auto callback = takeCallback(*link, frame.requestId);
+        if (!callback)
             return;
         if (frame.kind.empty())
-            found->second.set_value(tl::unexpected(PeerError::Refused));
+            callback(tl::unexpected(PeerError::Refused));
         else
-            found->second.set_value(PeerMessage { std::move(frame.kind), std::move(frame.payload) });
-        link->waiting.erase(found);
+            callback(PeerMessage { std::move(frame.kind), std::move(frame.payload) });
+    }
+
+    static PeerCallback takeCallback(Link& link, std::uint64_t id)
+    {
+        const std::lock_guard lock(link.mutex);
+        const auto found = link.waiting.find(id);
+        if (found == link.waiting.end())
+            return {};
+        auto callback = std::move(found->second.callback);
+        link.waiting.erase(found);
+        return callback;
     }
 
     static void failAll(const std::shared_ptr<Link>& link)
     {
         if (!link)
             return;
-        const std::lock_guard lock(link->mutex);
-        link->closed = true;
-        for (auto& [id, promise] : link->waiting)
-            promise.set_value(tl::unexpected(PeerError::Closed));
-        link->waiting.clear();
+        std::map<std::uint64_t, Waiting> waiting;
+        {
+            const std::lock_guard lock(link->mutex);
+            link->closed = true;
+            waiting.swap(link->waiting);
+        }
+        for (auto& [id, call] : waiting)
+            call.callback(tl::unexpected(PeerError::Closed));
+    }
+
+    void sweep()
+    {
+        this->sweepTimer.expires_after(sweepInterval);
+        this->sweepTimer.async_wait([this](ErrorCode error) {
+            if (error)
+                return;
+            this->expireCalls(std::chrono::steady_clock::now());
+            this->sweep();
+        });
+    }
+
+    void expireCalls(std::chrono::steady_clock::time_point now)
+    {
+        std::map<std::string, std::shared_ptr<Link>> open;
+        {
+            const std::lock_guard lock(this->linksMutex);
+            open = this->links;
+        }
+        for (const auto& [address, link] : open) {
+            const auto late = takeLate(*link, now);
+            if (late.empty())
+                continue;
+            this->counters.timeouts += late.size();
+            this->drop(address, link);
+            for (const auto& callback : late)
+                callback(tl::unexpected(PeerError::Timeout));
+        }
+    }
+
+    static std::vector<PeerCallback> takeLate(Link& link, std::chrono::steady_clock::time_point now)
+    {
+        const std::lock_guard lock(link.mutex);
+        std::vector<PeerCallback> late;
+        for (auto call = link.waiting.begin(); call != link.waiting.end();) {
+            if (call->second.deadline > now) {
+                ++call;
+                continue;
+            }
+            late.push_back(std::move(call->second.callback));
+            call = link.waiting.erase(call);
+        }
+        return late;
     }
 
     void drop(const std::string& address, const std::shared_ptr<Link>& link)
@@ -310,6 +372,7 @@
 
     asio::io_context context;
     Tcp::acceptor acceptor { this->context };
+    asio::steady_timer sweepTimer { this->context };
     PeerHandler handler;
     Counters counters;
     std::atomic<std::uint64_t> nextId = 1;
@@ -344,34 +407,40 @@
     if (error)
         return tl::unexpected("cannot listen on " + address + ": " + error.message());
     state->accept();
+    state->sweep();
     for (std::size_t i = 0; i < transportThreads; ++i)
         state->threads.emplace_back([context = &state->context] { context->run(); });
     return PeerTransport(std::move(state));
 }
 
 PeerResult PeerTransport::call(const std::string& address, const PeerMessage& request, Duration timeout)
+{
+    const auto promise = std::make_shared<std::promise<PeerResult>>();
+    auto future = promise->get_future();
+    this->callAsync(address, request, timeout, [promise](PeerResult result) { promise->set_value(std::move(result)); });
+    // The sweep answers a little after the deadline; a stopped transport never does.
+    if (future.wait_for(timeout + 10 * sweepInterval) != std::future_status::ready)
+        return tl::unexpected(PeerError::Timeout);
+    return future.get();
+}
+
+void PeerTransport::callAsync(const std::string& address, const PeerMessage& request, Duration timeout, PeerCallback callback)
 {
     const auto link = this->state->linkTo(address);
     const auto id = this->state->nextId++;
-    std::future<PeerResult> future;
     {
-        const std::lock_guard lock(link->mutex);
-        if (link->closed)
-            return tl::unexpected(PeerError::Unreachable);
-        future = link->waiting[id].get_future();
-    }
-    const bool queued = link->session->send({ id, false, request.kind, request.payload });
-    if (queued && future.wait_for(timeout) == std::future_status::ready)
-        return future.get();
-    {
-        const std::lock_guard lock(link->mutex);
-        link->waiting.erase(id);
+        std::unique_lock lock(link->mutex);
+        if (link->closed) {
+            lock.unlock();
+            callback(tl::unexpected(PeerError::Unreachable));
+            return;
+        }
+        link->waiting[id] = { std::move(callback), std::chrono::steady_clock::now() + timeout };
     }
-    if (!queued)
-        return tl::unexpected(PeerError::Overloaded);
-    this->state->counters.timeouts += 1;
-    this->state->drop(address, link);
-    return tl::unexpected(PeerError::Timeout);
+    if (link->session->send({ id, false, request.kind, request.payload }))
+        return;
+    if (const auto waiting = State::takeCallback(*link, id))
+        waiting(tl::unexpected(PeerError::Overloaded));
 }
 
 void PeerTransport::post(const std::string& address, const PeerMessage& message)
--- a/src/daemon/peer_transport.h
+++ b/src/daemon/peer_transport.h
@@ -38,6 +38,8 @@
 using PeerReply = std::function<void(PeerMessage)>;
 /// Handles a message on a transport thread; must not block. An empty kind in the reply refuses it.
 using PeerHandler = std::function<void(PeerMessage, const PeerReply&)>;
+/// Takes the result of a call, once, on a transport thread; must not block.
+using PeerCallback = std::function<void(PeerResult)>;
 
 /// Bytes and frames that the transport has carried.
 struct PeerTraffic {
@@ -62,6 +64,8 @@
 
     /// Sends a request and waits for the reply; not from a transport thread.
     PeerResult call(const std::string& address, const PeerMessage& request, Duration timeout);
+    /// Sends a request; @p callback gets the reply or the error.
+    void callAsync(const std::string& address, const PeerMessage& request, Duration timeout, PeerCallback callback);
     /// Sends a message that wants no reply; lost silently when the peer cannot be reached.
     void post(const std::string& address, const PeerMessage& message);
 
