--- /dev/null
+++ b/include/goldcrestwood/router.h
@@ -0,0 +1,325 @@
+#pragma once
+
+/// @file
+/// Chooses the upstream for a prompt by expected time to first token.
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "goldcrestwood/chain.h"
+#include "goldcrestwood/prefix_messages.h"
+#include "goldcrestwood/random.h"
+#include "goldcrestwood/sampled_map.h"
+#include "goldcrestwood/time.h"
+
+namespace goldcrestwood {
+
+struct RouterSettings {
+    /// Tokens a second that a replica computes, before anything was observed.
+    double initialPrefillRate = 8000;
+    /// Time to first token beside queue, import and prefill, before anything was observed.
+    Duration initialOverhead = std::chrono::milliseconds(20);
+    /// Weight of a new observation in a moving average.
+    double learningWeight = 0.1;
+    /// Upstreams drawn at random for each decision.
+    std::size_t randomPicks = 3;
+    /// Upstreams drawn by the hash of the prompt, so that daemons without a view agree.
+    std::size_t hashedPicks = 2;
+    /// Candidates that are weighed at most.
+    std::size_t maxCandidates = 12;
+    /// Draws at most, when many candidates are refused.
+    std::size_t maxDraws = 24;
+    /// Cost of a second of accelerator time for the requests behind, in seconds.
+    double recomputeWeight = 0.5;
+    /// Cost of a second of link time for the other users of the link, in seconds.
+    double linkWeight = 0.25;
+    /// Largest relative noise on a cost; keeps daemons with the same view apart.
+    double noise = 0.05;
+    /// Relative advantage that another upstream needs over the last choice for the prompt.
+    double hysteresis = 0.1;
+    /// Last choices remembered.
+    std::size_t maxLastChoices = 16384;
+    /// Time in which a load report loses most of its weight.
+    Duration loadHalfLife = std::chrono::seconds(2);
+    /// Time before the first imported block arrives.
+    Duration importSetup = std::chrono::milliseconds(5);
+    /// How much slower a block comes from a store's disk than over the link alone.
+    double diskFactor = 2.0;
+    /// Alternatives in a decision.
+    std::size_t runnerUps = 2;
+    /// Decisions awaiting their outcome that are remembered.
+    std::size_t maxOutstanding = 8192;
+};
+
+/// What the router has to know of an upstream.
+struct RouteTarget {
+    UpstreamId id;
+    FailureDomain domain;
+    /// The version that it reports to run.
+    VersionName version;
+
+    bool operator==(const RouteTarget&) const = default;
+};
+
+/// Why an upstream may not be used.
+enum class Refusal : std::uint8_t {
+    None, ///< It may be used.
+    DomainOut, ///< Its failure domain takes no new work.
+    Leaving, ///< It is leaving.
+    NoPermit, ///< It bears no more now.
+    OtherVersion, ///< It runs another version.
+    Unhealthy, ///< It failed a moment ago.
+};
+
+/// What other parts say about an upstream.
+struct Admission {
+    Refusal refusal = Refusal::None;
+    /// Added to the cost, for example while it is slow, cold or on trial.
+    Duration penalty = Duration(0);
+
+    bool operator==(const Admission&) const = default;
+};
+
+/// Load as an upstream or its owner reports it, with a lag.
+struct LoadReport {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    /// Prefill that other daemons have sent there and that is not done, where known.
+    std::optional<Duration> peersPrefill;
+    /// How old the report was when it came.
+    Duration age = Duration(0);
+
+    bool operator==(const LoadReport&) const = default;
+};
+
+/// What a store's link gives this daemon now.
+struct LinkEstimate {
+    /// This daemon's share; 0 where the link can't be used.
+    double bytesPerSecond = 0;
+    /// Bytes that are promised and not yet moved.
+    double backlogBytes = 0;
+
+    bool operator==(const LinkEstimate&) const = default;
+};
+
+/// Decides whether an upstream may take a request.
+template <typename T>
+concept AdmissionCheck = requires(const T& check, const RouteTarget& target)
+{
+    {
+        check(target)
+        } -> std::same_as<Admission>;
+};
+
+/// Gives the state of a store's link.
+template <typename T>
+concept LinkView = requires(const T& links, const UpstreamId& store)
+{
+    {
+        links(store)
+        } -> std::same_as<LinkEstimate>;
+};
+
+/// Identifies a decision until its outcome is known.
+struct RouteTicket {
+    std::uint64_t value = 0;
+
+    auto operator<=>(const RouteTicket&) const = default;
+};
+
+/// One prompt to place.
+struct RouteRequest {
+    ServiceName service;
+    VersionName version;
+    PromptChain chain;
+    ChainCoverage coverage;
+    /// Size of a block on a link.
+    std::uint64_t blockBytes = 0;
+};
+
+/// A run of blocks to bring from a store.
+struct ImportRun {
+    UpstreamId store;
+    Tier tier = Tier::StoreMemory;
+    /// Index of the first block in the chain.
+    std::uint32_t firstBlock = 0;
+    std::uint32_t blocks = 0;
+
+    bool operator==(const ImportRun&) const = default;
+};
+
+/// What to bring to the upstream before it computes the rest.
+struct ImportPlan {
+    std::vector<ImportRun> runs;
+    std::uint32_t blocks = 0;
+    std::uint64_t bytes = 0;
+    /// Expected time until the last block is there.
+    Duration duration = Duration(0);
+
+    bool operator==(const ImportPlan&) const = default;
+};
+
+/// Where a prompt goes and why.
+struct RouteDecision {
+    RouteTicket ticket;
+    UpstreamId upstream;
+    FailureDomain domain;
+    VersionName version;
+    /// Blocks that the upstream is expected to hold already.
+    std::uint32_t blocksCovered = 0;
+    ImportPlan import;
+    /// Tokens that it is expected to compute.
+    std::uint32_t recomputeTokens = 0;
+    Duration expectedQueue = Duration(0);
+    Duration expectedFirstToken = Duration(0);
+    /// Where to retry, those in other failure domains first.
+    std::vector<UpstreamId> runnerUps;
+
+    bool operator==(const RouteDecision&) const = default;
+};
+
+/// No upstream may take the request now.
+struct RouteError {
+    /// The refusal met most often, or None where the service has no upstream.
+    Refusal refusal = Refusal::None;
+    std::size_t refused = 0;
+
+    bool operator==(const RouteError&) const = default;
+};
+
+/// What was seen of a request that a decision placed.
+struct FirstTokenSeen {
+    /// From dispatch to first token.
+    Duration duration = Duration(0);
+    /// Tokens found in the cache, where the engine said so.
+    std::optional<std::uint32_t> cachedTokens;
+};
+
+/// One daemon's router. The cost of a decision does not grow with the number of upstreams.
+class Router {
+public:
+    explicit Router(const RouterSettings& settings = {});
+
+    /// Replaces the upstreams of a service; call it when the list or the configuration changes.
+    void setTargets(const ServiceName& service, std::vector<RouteTarget> targets);
+
+    /// Notes that an upstream now reports another version; it starts unlearned.
+    void setVersion(const UpstreamId& upstream, const VersionName& version);
+
+    /// Takes a lagged load report.
+    void reportLoad(const UpstreamId& upstream, const LoadReport& report, TimePoint now);
+
+    /// @param allowed Is asked only for the few candidates.
+    /// @return The cheapest candidate, or why there is none.
+    template <AdmissionCheck Allowed, LinkView Links>
+    tl::expected<RouteDecision, RouteError> choose(
+        const RouteRequest& request, const Allowed& allowed, const Links& links, TimePoint now, Random& random)
+    {
+        Candidates candidates;
+        for (const auto* target : this->draw(request, random)) {
+            if (candidates.targets.size() >= this->settings.maxCandidates)
+                break;
+            candidates.add(*target, target->version == request.version ? allowed(*target) : Admission { Refusal::OtherVersion, {} });
+        }
+        std::vector<LinkEstimate> estimates;
+        for (const auto& run : request.coverage.stores)
+            estimates.push_back(links(run.store));
+        return this->decide(request, candidates, estimates, now, random);
+    }
+
+    /// The first token came: learns from it.
+    void firstToken(RouteTicket ticket, const FirstTokenSeen& seen, TimePoint now);
+
+    /// The request ended, was cancelled or was never sent.
+    void finish(RouteTicket ticket);
+
+    /// @return Prefill that this daemon has sent to @p upstream and that is not done.
+    Duration outstandingPrefill(const UpstreamId& upstream) const;
+
+    /// @return Tokens a second that @p upstream is believed to compute.
+    double prefillRate(const UpstreamId& upstream) const;
+
+    /// @return Estimated bytes of memory.
+    std::size_t memoryBytes() const;
+
+private:
+    struct Upstream {
+        RouteTarget target;
+        double prefillRate = 0;
+        double overhead = 0;
+        double meanPrefill = 0;
+        double outstanding = 0;
+        std::uint32_t unanswered = 0;
+        LoadReport load;
+        TimePoint loadTime;
+        double outstandingAtLoad = 0;
+        bool loadKnown = false;
+    };
+
+    struct RingPoint {
+        std::uint64_t hash = 0;
+        std::uint32_t index = 0;
+    };
+
+    struct Service {
+        std::vector<UpstreamId> upstreams;
+        std::vector<RingPoint> ring;
+    };
+
+    struct Candidates {
+        std::vector<RouteTarget> targets;
+        std::vector<Duration> penalties;
+        std::vector<Refusal> refusals;
+
+        void add(const RouteTarget& target, const Admission& admission);
+    };
+
+    struct Outstanding {
+        UpstreamId upstream;
+        double prefill = 0;
+        double queue = 0;
+        double import = 0;
+        std::uint32_t tokens = 0;
+        std::uint32_t recomputeTokens = 0;
+        std::uint64_t order = 0;
+        bool answered = false;
+
+        std::uint64_t usefulness() const { return this->order; }
+    };
+
+    struct LastChoice {
+        UpstreamId upstream;
+        TimePoint at;
+
+        TimePoint usefulness() const { return this->at; }
+    };
+
+    struct Weighed {
+        std::size_t index = 0;
+        double cost = 0;
+        RouteDecision decision;
+    };
+
+    std::vector<const RouteTarget*> draw(const RouteRequest& request, Random& random) const;
+    tl::expected<RouteDecision, RouteError> decide(const RouteRequest& request, const Candidates& candidates,
+        const std::vector<LinkEstimate>& links, TimePoint now, Random& random);
+    Weighed weigh(const RouteRequest& request, const RouteTarget& target, Duration penalty,
+        const std::vector<LinkEstimate>& links, TimePoint now) const;
+    double queueSeconds(const Upstream& upstream, TimePoint now) const;
+    void remember(const RouteRequest& request, const RouteDecision& decision, TimePoint now);
+    Upstream* findUpstream(const UpstreamId& id);
+    const Upstream* findUpstream(const UpstreamId& id) const;
+
+    RouterSettings settings;
+    std::unordered_map<UpstreamId, Upstream> upstreams;
+    std::unordered_map<ServiceName, Service> services;
+    SampledMap<ChainHash, LastChoice> lastChoices;
+    SampledMap<std::uint64_t, Outstanding> outstanding;
+    std::uint64_t nextTicket = 1;
+};
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/include/goldcrestwood/sampled_map.h
@@ -0,0 +1,106 @@
+#pragma once
+
+/// @file
+/// A hash map of bounded size that evicts the least useful of a few sampled entries.
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace goldcrestwood {
+
+/// When full, an insertion looks at a few entries, going round, and drops the least useful.
+/// @tparam Value Has `usefulness()`, which yields something ordered.
+template <typename Key, typename Value>
+class SampledMap {
+public:
+    /// Entries that an eviction compares.
+    static constexpr std::size_t sampleSize = 8;
+
+    explicit SampledMap(std::size_t capacity)
+        : capacity(capacity)
+    {
+    }
+
+    std::size_t size() const { return this->entries.size(); }
+    std::uint64_t evictions() const { return this->evicted; }
+
+    /// @return The value of @p key, or null. Valid until the next insertion or removal.
+    Value* find(const Key& key)
+    {
+        const auto found = this->places.find(key);
+        return found == this->places.end() ? nullptr : &this->entries[found->second].second;
+    }
+
+    const Value* find(const Key& key) const
+    {
+        const auto found = this->places.find(key);
+        return found == this->places.end() ? nullptr : &this->entries[found->second].second;
+    }
+
+    /// @return The value of @p key, made if absent.
+    Value& at(const Key& key)
+    {
+        if (auto* value = this->find(key))
+            return *value;
+        if (this->entries.size() >= this->capacity)
+            this->evictOne();
+        this->places.emplace(key, this->entries.size());
+        return this->entries.emplace_back(key, Value {}).second;
+    }
+
+    void erase(const Key& key)
+    {
+        if (const auto found = this->places.find(key); found != this->places.end())
+            this->removeAt(found->second);
+    }
+
+    /// Calls @p visit with the key and value of the next @p count entries, going round.
+    template <typename Visit>
+    void visitSome(std::size_t count, Visit visit)
+    {
+        for (std::size_t i = 0; i < count && i < this->entries.size(); ++i) {
+            auto& [key, value] = this->entries[this->advance()];
+            visit(key, value);
+        }
+    }
+
+private:
+    std::size_t advance()
+    {
+        this->cursor = (this->cursor + 1) % this->entries.size();
+        return this->cursor;
+    }
+
+    void evictOne()
+    {
+        auto worst = this->advance();
+        for (std::size_t i = 1; i < sampleSize; ++i) {
+            const auto place = this->advance();
+            if (this->entries[place].second.usefulness() < this->entries[worst].second.usefulness())
+                worst = place;
+        }
+        this->removeAt(worst);
+        ++this->evicted;
+    }
+
+    void removeAt(std::size_t place)
+    {
+        this->places.erase(this->entries[place].first);
+        if (place + 1 != this->entries.size()) {
+            this->entries[place] = std::move(this->entries.back());
+            this->places[this->entries[place].first] = place;
+        }
+        this->entries.pop_back();
+    }
+
+    std::size_t capacity;
+    std::size_t cursor = 0;
+    std::uint64_t evicted = 0;
+    std::vector<std::pair<Key, Value>> entries;
+    std::unordered_map<Key, std::size_t> places;
+};
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/include/goldcrestwood/transfers.h
@@ -0,0 +1,177 @@
+#pragma once
+
+/// @file
+/// Shares a store's limited link among daemons and orders one daemon's transfers on it.
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "goldcrestwood/names.h"
+#include "goldcrestwood/prefix_messages.h"
+#include "goldcrestwood/router.h"
+#include "goldcrestwood/time.h"
+
+namespace goldcrestwood {
+
+/// What a transfer is for; earlier classes go first.
+enum class TransferClass : std::uint8_t {
+    FirstToken, ///< A request waits for it.
+    Prefetch, ///< A prompt is due to return.
+    Export, ///< Blocks are kept for later.
+};
+
+constexpr std::size_t transferClasses = 3;
+
+/// Identifies a transfer within a daemon.
+struct TransferId {
+    std::uint64_t value = 0;
+
+    auto operator<=>(const TransferId&) const = default;
+};
+
+/// A move of blocks between an engine and a store.
+struct Transfer {
+    TransferId id;
+    UpstreamId store;
+    TransferClass kind = TransferClass::FirstToken;
+    std::uint64_t bytes = 0;
+    /// After this it is of no use.
+    TimePoint deadline;
+
+    bool operator==(const Transfer&) const = default;
+};
+
+/// Start the transfer now.
+struct StartTransfer {
+    TransferId id;
+    bool operator==(const StartTransfer&) const = default;
+};
+
+/// Give the transfer up: it can't arrive in time, or the queue is full.
+struct DropTransfer {
+    TransferId id;
+    bool operator==(const DropTransfer&) const = default;
+};
+
+/// What the daemon has to do with its transfers.
+struct TransferActions {
+    std::vector<StartTransfer> start;
+    std::vector<DropTransfer> drop;
+
+    bool operator==(const TransferActions&) const = default;
+};
+
+struct TransferSettings {
+    /// Share of a link that is kept for daemons without a grant.
+    double floorShare = 0.1;
+    /// How long a grant holds.
+    Duration grantLifetime = std::chrono::seconds(3);
+    /// Time over which demand is averaged.
+    Duration demandWindow = std::chrono::seconds(2);
+    /// Link time that may be moved in one burst.
+    Duration burst = std::chrono::milliseconds(250);
+    /// Waiting transfers of one link and class.
+    std::size_t maxWaiting = 256;
+    /// Share of the grant that prefetches and exports together may use while requests wait.
+    double backgroundShare = 0.1;
+};
+
+/// The owner's side: splits one link by demand, classes in order, evenly within a class.
+class LinkBroker {
+public:
+    /// @param capacity Bytes a second of the link.
+    /// @param daemons Daemons that may use it; the floor is split among them.
+    /// @param startsAt When the grants of an earlier owner have lapsed for certain.
+    LinkBroker(const TransferSettings& settings, double capacity, std::size_t daemons, TimePoint startsAt);
+
+    /// Takes a daemon's demand.
+    /// @return Its share; just the floor while grants of an earlier owner may be in use.
+    LinkShare demand(const InstanceId& daemon, const LinkDemand& demand, TimePoint now);
+
+    /// @return Bytes a second that grants in force add up to, floors included.
+    double granted(TimePoint now) const;
+
+private:
+    struct Grant {
+        std::array<double, transferClasses> demand {};
+        double share = 0;
+        TimePoint until;
+    };
+
+    void dropLapsed(TimePoint now);
+    double fairShare(const InstanceId& daemon, double free) const;
+
+    TransferSettings settings;
+    double capacity;
+    double floor;
+    TimePoint startsAt;
+    std::map<InstanceId, Grant> grants;
+};
+
+/// A daemon's side of all links.
+class TransferQueue {
+public:
+    explicit TransferQueue(const TransferSettings& settings = {});
+
+    /// Announces a link.
+    /// @param floor Bytes a second that this daemon may use without a grant.
+    void setLink(const UpstreamId& store, double floor, TimePoint now);
+
+    /// Takes the owner's grant.
+    void grant(const LinkShare& share, TimePoint now);
+
+    /// Queues a transfer; it is dropped at once where it can't arrive in time.
+    TransferActions submit(const Transfer& transfer, TimePoint now);
+
+    /// Starts what the budget allows and drops what is late. Call it each few milliseconds while
+    /// anything waits, or at `nextStart`.
+    TransferActions tick(TimePoint now);
+
+    /// The transfer ended, well or not, or nobody wants it any more.
+    /// @param movedBytes Bytes that used the link.
+    void finish(TransferId id, std::uint64_t movedBytes, TimePoint now);
+
+    /// @return What the router needs to price an import from @p store.
+    LinkEstimate estimate(const UpstreamId& store, TimePoint now) const;
+
+    /// @return Demand to report to the link's owner.
+    LinkDemand demand(const UpstreamId& store, TimePoint now) const;
+
+    /// @return When `tick` may start something, if anything waits.
+    std::optional<TimePoint> nextStart(TimePoint now) const;
+
+private:
+    struct Link {
+        double floor = 0;
+        double share = 0;
+        TimePoint shareUntil;
+        double tokens = 0;
+        TimePoint refilledAt;
+        std::array<std::vector<Transfer>, transferClasses> waiting;
+        std::array<double, transferClasses> demand {};
+        TimePoint demandAt;
+        double runningBytes = 0;
+    };
+
+    struct Running {
+        UpstreamId store;
+        std::uint64_t bytes = 0;
+    };
+
+    double rate(const Link& link, TimePoint now) const;
+    void refill(Link& link, TimePoint now) const;
+    void noteDemand(Link& link, const Transfer& transfer, TimePoint now) const;
+    bool arrivesInTime(const Link& link, const Transfer& transfer, TimePoint now) const;
+    void startAllowed(Link& link, TimePoint now, TransferActions& actions);
+    void dropLate(Link& link, TimePoint now, TransferActions& actions) const;
+
+    TransferSettings settings;
+    std::unordered_map<UpstreamId, Link> links;
+    std::map<TransferId, Running> running;
+};
+
+} // namespace goldcrestwood
