--- /dev/null
+++ b/include/goldcrestwood/accounts.h
@@ -0,0 +1,192 @@
+#pragma once
+
+/// @file
+/// Admission of requests: rate limits of accounts, a fair bounded queue, early refusal.
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "goldcrestwood/configuration.h"
+#include "goldcrestwood/fair_queue.h"
+#include "goldcrestwood/names.h"
+#include "goldcrestwood/rate_limit.h"
+#include "goldcrestwood/time.h"
+
+namespace goldcrestwood {
+
+/// Bounds of the queue and of what the priorities may use.
+struct AdmissionSettings {
+    /// Requests that may wait for one service.
+    std::size_t queueBound = 1000;
+    /// Part of a service's capacity that Normal and Batch requests may use together.
+    double normalCapacity = 0.9;
+    /// Part of a service's capacity that Batch requests may use.
+    double batchCapacity = 0.7;
+    /// Shortest time that a refused caller is told to wait.
+    Duration shortestRetryAfter = std::chrono::seconds(1);
+    /// Longest time that a refused caller is told to wait.
+    Duration longestRetryAfter = std::chrono::minutes(2);
+    /// Expected length of a request before one has ended.
+    Duration firstServiceTime = std::chrono::milliseconds(500);
+    FairQueueSettings queue;
+    RateSettings rate;
+
+    bool operator==(const AdmissionSettings&) const = default;
+};
+
+/// A request that asks to be admitted.
+struct AdmissionRequest {
+    ClientAccount account;
+    ServiceName service;
+    /// Expected use of the upstream relative to other requests, 1 for a usual one.
+    double cost = 1;
+    /// When it must be admitted at the latest to be of use to the caller.
+    TimePoint deadline;
+
+    bool operator==(const AdmissionRequest&) const = default;
+};
+
+/// The request may go on now; `release` it when it has ended.
+struct Admitted {
+    AdmissionId id = 0;
+
+    bool operator==(const Admitted&) const = default;
+};
+
+/// The request waits; `poll` tells what becomes of it.
+struct Queued {
+    AdmissionId id = 0;
+    /// Estimated wait.
+    Duration wait = Duration(0);
+
+    bool operator==(const Queued&) const = default;
+};
+
+/// Why a request is refused. None of these has run.
+enum class AdmissionRefusal : std::uint8_t {
+    UnknownAccount, ///< No such client account.
+    RateLimited, ///< The account's own limit.
+    QueueFull, ///< The queue holds as many as it may, and this account has its part.
+    TooLate, ///< It would not be admitted before its deadline.
+};
+
+const char* toString(AdmissionRefusal refusal);
+
+/// The final answer to a request that is given up on; to be sent at once.
+struct Refused {
+    AdmissionId id = 0;
+    AdmissionRefusal reason = AdmissionRefusal::TooLate;
+    /// When asking again is worth while, by the present queue.
+    Duration retryAfter = Duration(0);
+
+    bool operator==(const Refused&) const = default;
+};
+
+using AdmissionDecision = std::variant<Admitted, Queued, Refused>;
+
+/// What has become of queued requests.
+struct AdmissionOutcome {
+    std::vector<AdmissionId> admitted;
+    std::vector<Refused> refused;
+
+    bool empty() const { return this->admitted.empty() && this->refused.empty(); }
+    bool operator==(const AdmissionOutcome&) const = default;
+};
+
+/// A demand for an account's rate, to be sent to the account's owner.
+using RateDemands = std::vector<RateDemand>;
+
+/// Admission at one daemon.
+class Admission {
+public:
+    Admission(InstanceId self, AdmissionSettings settings = {});
+
+    /// Takes over accounts and forgets those that are gone; requests that wait stay.
+    void configure(const std::vector<AccountEntry>& accounts, std::size_t daemons, TimePoint now);
+
+    /// @param requests Requests that this daemon may have in flight for the service now: those it has, and free permits.
+    void setCapacity(const ServiceName& service, std::uint32_t requests, TimePoint now);
+
+    AdmissionDecision offer(const AdmissionRequest& request, TimePoint now);
+
+    /// An admitted request has ended.
+    void release(AdmissionId id, TimePoint now);
+
+    /// The caller of a queued request has gone.
+    void withdraw(AdmissionId id);
+
+    /// @return Queued requests that are admitted or refused now. Call after `release`, `setCapacity` and at `wakeAt`.
+    AdmissionOutcome poll(TimePoint now);
+
+    /// @return The earliest time at which `poll` has something to refuse.
+    std::optional<TimePoint> wakeAt() const;
+
+    /// @return Demands that are due, at most @p most of them. Call about once a second.
+    RateDemands demands(TimePoint now, std::size_t most);
+
+    void onShare(const RateShare& share, TimePoint now);
+
+    /// @return Requests that wait for the service.
+    std::size_t waiting(const ServiceName& service) const;
+
+    /// @return Requests of the service that are admitted and have not ended.
+    std::uint32_t inFlight(const ServiceName& service) const;
+
+    /// @return Estimated wait of a new request.
+    Duration estimatedWait(const ServiceName& service, const ClientAccount& account, double cost) const;
+
+private:
+    struct Account {
+        Priority priority = Priority::Normal;
+        double weight = 1;
+        AccountBucket bucket;
+        bool demanding = false;
+    };
+
+    struct Running {
+        ServiceName service;
+        std::size_t rank = 0;
+        double cost = 1;
+        TimePoint since;
+    };
+
+    struct Service {
+        FairQueue queue;
+        std::uint32_t capacity = 0;
+        std::array<std::uint32_t, priorityCount> running {};
+        std::array<double, priorityCount> admitRate {};
+        std::array<TimePoint, priorityCount> admitAt {};
+        double serviceSeconds = 0;
+        bool recheck = false;
+
+        std::uint32_t inFlight() const;
+    };
+
+    Service& serviceOf(const ServiceName& name);
+    bool mayRun(const Service& service, std::size_t rank) const;
+    std::array<bool, priorityCount> allowed(const Service& service) const;
+    void start(Service& service, const ServiceName& name, AdmissionId id, std::size_t rank, double cost, TimePoint now);
+    double waitSeconds(const Service& service, const Account& account, const ClientAccount& name, double cost) const;
+    double drainRate(const Service& service, std::size_t rank) const;
+    Refused refuse(AdmissionId id, AdmissionRefusal reason, double waitSeconds, Duration budget) const;
+    std::optional<Refused> makeRoom(Service& service, const Account& account, const ClientAccount& name, TimePoint now);
+    void refuseLate(Service& service, std::vector<Refused>& out, TimePoint now);
+    void recheckAll(Service& service, std::vector<Refused>& out, TimePoint now);
+
+    InstanceId self;
+    AdmissionSettings settings;
+    std::unordered_map<ClientAccount, Account> accounts;
+    std::unordered_map<ServiceName, Service> services;
+    std::unordered_map<AdmissionId, Running> running;
+    std::unordered_map<AdmissionId, ServiceName> queuedAt;
+    std::vector<ClientAccount> demanding;
+    std::vector<Refused> pushedOut;
+    std::size_t daemons = 1;
+    AdmissionId lastId = 0;
+};
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/include/goldcrestwood/fair_queue.h
@@ -0,0 +1,135 @@
+#pragma once
+
+/// @file
+/// Weighted fair queue over client accounts within priorities.
+
+#include <array>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "goldcrestwood/configuration.h"
+#include "goldcrestwood/names.h"
+#include "goldcrestwood/time.h"
+
+namespace goldcrestwood {
+
+/// Identifies a queued or running request within one daemon.
+using AdmissionId = std::uint64_t;
+
+/// Number of priorities.
+constexpr std::size_t priorityCount = 3;
+
+/// @return 0 for the priority that is served first.
+std::size_t serviceRank(Priority priority);
+
+/// A request that waits.
+struct QueuedRequest {
+    AdmissionId id = 0;
+    ClientAccount account;
+    Priority priority = Priority::Normal;
+    /// Share among accounts of the priority.
+    double weight = 1;
+    /// Expected use of the upstream relative to other requests, for example its prompt length.
+    double cost = 1;
+    /// When it must be admitted at the latest.
+    TimePoint deadline;
+
+    bool operator==(const QueuedRequest&) const = default;
+};
+
+/// Turns that lower priorities get while higher ones have requests waiting.
+struct FairQueueSettings {
+    /// One turn in so many goes to Normal.
+    std::uint32_t normalEvery = 8;
+    /// One turn in so many goes to Batch.
+    std::uint32_t batchEvery = 32;
+
+    bool operator==(const FairQueueSettings&) const = default;
+};
+
+/// Start-time fair queueing by account within each priority. Each operation costs O(log n) in the number of accounts
+/// and requests that wait.
+class FairQueue {
+public:
+    explicit FairQueue(FairQueueSettings settings = {});
+
+    void push(const QueuedRequest& request);
+
+    /// @param allowed For each service rank, whether it may be served now.
+    /// @return The next request to serve.
+    std::optional<QueuedRequest> pop(const std::array<bool, priorityCount>& allowed);
+
+    /// @return The removed request, or nothing if it does not wait.
+    std::optional<QueuedRequest> remove(AdmissionId id);
+
+    /// @return The newest request of the account that waits with the most cost by weight, in the lowest priority
+    /// that is not above @p priority.
+    const QueuedRequest* longest(Priority priority) const;
+
+    /// @return A request whose deadline has passed.
+    std::optional<AdmissionId> overdue(TimePoint now) const;
+
+    /// @return The earliest deadline of all that wait.
+    std::optional<TimePoint> nextDeadline() const;
+
+    /// @return Cost that would be served before a new request of the account within its own priority.
+    double costAhead(const ClientAccount& account, Priority priority, double weight) const;
+
+    /// @return Cost by weight that the account has waiting in the priority.
+    double backlog(const ClientAccount& account, Priority priority) const;
+
+    /// @return Cost that waits in a service rank.
+    double costWaiting(std::size_t rank) const { return this->classes[rank].cost; }
+
+    std::size_t size() const { return this->requests.size(); }
+    std::size_t size(std::size_t rank) const { return this->classes[rank].count; }
+
+    /// @return Ids of all that wait, in no stated order.
+    std::vector<AdmissionId> ids() const;
+
+private:
+    struct Flow {
+        std::list<QueuedRequest> requests;
+        double start = 0;
+        double cost = 0;
+        double weight = 1;
+    };
+
+    struct Class {
+        std::unordered_map<ClientAccount, Flow> flows;
+        std::set<std::pair<double, ClientAccount>> byStart;
+        std::set<std::pair<double, ClientAccount>> byBacklog;
+        /// Finish tags of accounts that had been served ahead of the others when they ran empty.
+        std::map<ClientAccount, double> ahead;
+        std::set<std::pair<double, ClientAccount>> aheadByTag;
+        double virtualTime = 0;
+        double cost = 0;
+        double activeWeight = 0;
+        std::size_t count = 0;
+    };
+
+    struct Place {
+        std::size_t rank = 0;
+        ClientAccount account;
+        std::list<QueuedRequest>::iterator position;
+    };
+
+    std::size_t pickRank(const std::array<bool, priorityCount>& allowed);
+    QueuedRequest take(std::size_t rank, const ClientAccount& account, std::list<QueuedRequest>::iterator position, bool served);
+    static void reindex(Class& queue, const ClientAccount& account, Flow& flow, double start, double cost);
+    static void forgetPast(Class& queue);
+
+    FairQueueSettings settings;
+    std::array<Class, priorityCount> classes;
+    std::unordered_map<AdmissionId, Place> requests;
+    std::set<std::pair<TimePoint, AdmissionId>> byDeadline;
+    std::uint32_t sinceNormal = 0;
+    std::uint32_t sinceBatch = 0;
+};
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/include/goldcrestwood/silence.h
@@ -0,0 +1,80 @@
+#pragma once
+
+/// @file
+/// Abandons the pooled connections to an address after one missed deadline.
+
+#include <cstdint>
+#include <optional>
+
+#include "goldcrestwood/time.h"
+
+namespace goldcrestwood {
+
+/// Bounds of a connection to one address.
+struct SilenceSettings {
+    /// Longest wait for the first byte of an answer.
+    Duration answerDeadline = std::chrono::milliseconds(500);
+    /// Fresh connections in a row that may stay silent before the address counts as unreachable.
+    std::uint32_t unreachableAfter = 2;
+    /// Wait between trials of an address that counts as unreachable.
+    Duration trialInterval = std::chrono::seconds(1);
+
+    bool operator==(const SilenceSettings&) const = default;
+};
+
+/// Whether an address answers.
+enum class Reachability : std::uint8_t {
+    Answering, ///< The newest generation has answered, or nothing was missed yet.
+    Doubtful, ///< The last generation went silent; the new one has not answered yet.
+    Unreachable, ///< Fresh connections go unanswered too.
+};
+
+/// One exchange on a pooled connection.
+struct Exchange {
+    /// Generation of the connection that carries it.
+    std::uint64_t generation = 0;
+    /// When it counts as missed.
+    TimePoint deadline;
+
+    bool operator==(const Exchange&) const = default;
+};
+
+/// The connections to one peer or upstream address. All connections opened in one generation are abandoned
+/// together: whatever lost track of one of them has most likely lost the others too.
+class ConnectionGenerations {
+public:
+    explicit ConnectionGenerations(SilenceSettings settings = {});
+
+    /// @return The exchange to send now on a connection of its generation, or nothing while the address is
+    /// unreachable and its next trial is not due.
+    std::optional<Exchange> begin(TimePoint now);
+
+    /// An answer came in time or late; a late one on an abandoned connection changes nothing.
+    void answered(const Exchange& exchange);
+
+    /// The connection closed or could not be opened before it answered.
+    /// @return True if the caller must close all connections of that generation and older ones.
+    bool failed(const Exchange& exchange, TimePoint now);
+
+    /// @return True if the deadline of @p exchange has passed and its generation is to be abandoned; the caller closes
+    /// the connections of that generation and older ones and waits on none of them.
+    bool missed(const Exchange& exchange, TimePoint now);
+
+    /// @return Whether a pooled connection of @p generation may carry new work.
+    bool usable(std::uint64_t generation) const { return generation == this->current; }
+
+    /// @return The generation that new connections belong to.
+    std::uint64_t generation() const { return this->current; }
+
+    Reachability reachability() const;
+
+private:
+    bool abandon(std::uint64_t generation, TimePoint now);
+
+    SilenceSettings settings;
+    std::uint64_t current = 1;
+    std::uint32_t silentGenerations = 0;
+    TimePoint nextTrial;
+};
+
+} // namespace goldcrestwood
