--- /dev/null
+++ b/include/goldcrestwood/gossip.h
@@ -0,0 +1,203 @@
+#pragma once
+
+/// @file
+/// Spreads versioned cells, latches and notes among daemons under a byte budget.
+
+#include <array>
+#include <compare>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "goldcrestwood/membership_messages.h"
+#include "goldcrestwood/names.h"
+#include "goldcrestwood/random.h"
+#include "goldcrestwood/time.h"
+
+namespace goldcrestwood {
+
+struct GossipSettings {
+    /// Time between two rounds.
+    Duration round = std::chrono::seconds(1);
+    /// Peers that a round reaches; with no more peers than fullMesh it reaches all.
+    std::size_t fanOut = 3;
+    /// Largest number of peers that are all reached in each round.
+    std::size_t fullMesh = 8;
+    /// Bytes of cells in one message.
+    std::size_t exchangeBudget = 2048;
+    /// Bytes a second of cells in all messages; up to two seconds' worth are saved.
+    std::size_t bytesPerSecond = 3072;
+    /// Bytes of latches in one message.
+    std::size_t latchBudget = 1024;
+    /// Owners in one digest; more are cut into slices that take turns.
+    std::size_t digestOwners = 96;
+    /// Messages a second that a region's daemons together send to other regions.
+    double remoteRate = 2;
+    /// Rounds in which a daemon that learned of a latch or an urgent cell passes it on.
+    std::uint32_t relayRounds = 2;
+    /// Cells of a dead owner are kept for this long.
+    Duration deadCellLifetime = std::chrono::seconds(30);
+    /// Removed cells are remembered for this long.
+    Duration removedLifetime = std::chrono::minutes(2);
+    /// Latches older than this are dropped.
+    Duration latchLifetime = std::chrono::hours(24);
+    /// Latches that are held at most.
+    std::size_t maxLatches = 512;
+    /// Notes that wait for one peer at most.
+    std::size_t maxNotes = 256;
+};
+
+/// A peer that messages can be sent to. A seed whose id is not known yet has an empty id.
+struct GossipPeer {
+    InstanceId id;
+    std::string address;
+    Region region;
+
+    bool operator==(const GossipPeer&) const = default;
+};
+
+/// A message to send; an answer comes back on the same connection.
+struct OutgoingGossip {
+    InstanceId peer;
+    std::string address;
+    GossipMessage message;
+
+    bool operator==(const OutgoingGossip&) const = default;
+};
+
+/// A cell of a peer that changed.
+struct ChangedCell {
+    InstanceId owner;
+    std::uint64_t incarnation = 0;
+    GossipCell cell;
+
+    bool operator==(const ChangedCell&) const = default;
+};
+
+/// What a message brought.
+struct GossipResult {
+    /// To be sent back to the sender.
+    std::optional<GossipMessage> reply;
+    std::vector<ChangedCell> changed;
+    /// Latches that are new here or newly retired.
+    std::vector<GossipLatch> latches;
+    std::vector<GossipNote> notes;
+};
+
+/// @return Whether the topic's values are latches.
+bool isLatch(Topic topic);
+/// @return Whether the topic's values are notes to one peer.
+bool isNote(Topic topic);
+/// @return Whether changes of the topic are passed on at once.
+bool isUrgent(Topic topic);
+/// @return The lane of a topic of cells.
+Lane laneOf(Topic topic);
+
+struct GossipCounters {
+    std::uint64_t sentBytes = 0;
+    std::uint64_t receivedBytes = 0;
+    std::uint64_t droppedCells = 0;
+    std::uint64_t droppedLatches = 0;
+    std::uint64_t droppedNotes = 0;
+    std::uint64_t staleDeltas = 0;
+
+    bool operator==(const GossipCounters&) const = default;
+};
+
+/// Anti-entropy with a digest per lane: each owner numbers its writes, a peer asks for what follows the
+/// number that it has reached, and a message that was lost is made good by the next exchange.
+class Gossip {
+public:
+    Gossip(GossipSettings settings, InstanceId self, std::uint64_t incarnation, Region region, TimePoint now);
+
+    /// Sets who can be reached; the order does not matter. Peers of other regions get latches and summaries only.
+    void setPeers(std::vector<GossipPeer> peers);
+
+    /// Writes an own cell, or sets a latch. Writing the same payload again changes nothing.
+    void set(Topic topic, const std::string& key, const std::string& payload, TimePoint now);
+    /// Removes an own cell.
+    void remove(Topic topic, const std::string& key, TimePoint now);
+    /// Ends a latch once the log has taken over; wins over any copy that is still set.
+    void retire(Topic topic, const std::string& key, TimePoint now);
+    /// Queues a note for one peer; a later one with the same topic and key replaces it.
+    void post(const InstanceId& peer, Topic topic, const std::string& key, const std::string& payload);
+
+    /// @return Messages that are due; call a few times a second and after each set of a latch.
+    std::vector<OutgoingGossip> poll(TimePoint now, Random& random);
+    /// Takes a message of a peer. Messages may be lost, late, doubled or out of order.
+    GossipResult onMessage(const GossipMessage& message, TimePoint now);
+
+    /// An owner is dead: its cells expire soon, latches that it set stay.
+    void onDead(const InstanceId& owner, TimePoint now);
+    /// An owner that was dead is heard again.
+    void onAlive(const InstanceId& owner);
+    /// Forgets all of an owner.
+    void forget(const InstanceId& owner);
+
+    /// @return Cells of a topic, own ones included, without removed ones.
+    std::vector<ChangedCell> cells(Topic topic) const;
+    /// @return Latches of a topic that are set and not retired.
+    std::vector<GossipLatch> latches(Topic topic, TimePoint now) const;
+    const GossipCounters& counters() const { return this->counts; }
+    /// @return Approximate bytes of state.
+    std::size_t memoryBytes() const;
+
+private:
+    struct CellId {
+        Topic topic = Topic::Membership;
+        std::string key;
+        auto operator<=>(const CellId&) const = default;
+    };
+    struct HeldCell {
+        GossipCell cell;
+        TimePoint since;
+    };
+    struct LaneState {
+        std::uint64_t reached = 0;
+        std::map<CellId, HeldCell> cells;
+        std::map<std::uint64_t, CellId> bySequence;
+    };
+    struct Owner {
+        std::uint64_t incarnation = 0;
+        std::uint64_t previousIncarnation = 0;
+        std::uint32_t sliceHash = 0;
+        std::optional<TimePoint> deadSince;
+        bool expired = false;
+        std::array<LaneState, 3> lanes;
+    };
+    struct HeldLatch {
+        GossipLatch latch;
+        TimePoint setAt;
+    };
+    struct Relay {
+        InstanceId owner;
+        Lane lane = Lane::Control;
+        CellId id;
+        std::uint32_t rounds = 0;
+    };
+
+    GossipSettings settings;
+    InstanceId selfId;
+    std::uint64_t incarnation;
+    Region region;
+    std::vector<GossipPeer> localPeers;
+    std::vector<GossipPeer> remotePeers;
+    std::size_t nextLocal = 0;
+    std::map<InstanceId, Owner> owners;
+    std::map<CellId, HeldLatch> latchSet;
+    std::map<InstanceId, std::map<CellId, std::string>> notesFor;
+    std::deque<Relay> relays;
+    std::array<std::uint64_t, 3> pushed {};
+    TimePoint nextRound;
+    TimePoint lastRefill;
+    double tokens;
+    std::uint32_t urgentRounds = 0;
+    std::uint64_t roundCount = 0;
+    GossipCounters counts;
+};
+
+} // namespace goldcrestwood
