--- /dev/null
+++ b/include/goldcrestwood/daemon_messages.h
@@ -0,0 +1,74 @@
+#pragma once
+
+/// @file
+/// Messages between daemons that no single part owns.
+/// Generated from schema/daemon_messages.toml by support/generate.py; edit the schema instead.
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "goldcrestwood/codec.h"
+#include "goldcrestwood/names.h"
+#include "goldcrestwood/time.h"
+
+namespace goldcrestwood {
+
+/// Asks a peer for the state of a stream's folds, while the log is down.
+struct StateRequest {
+    /// Name of the stream.
+    std::string stream;
+    /// Offset that the asker has; only a state that is ahead helps.
+    std::uint64_t next = 0;
+
+    bool operator==(const StateRequest&) const = default;
+};
+
+/// Revision of the configuration that is in force on a daemon.
+struct ConfigRevisionInfo {
+    /// The revision.
+    std::uint64_t revision = 0;
+
+    bool operator==(const ConfigRevisionInfo&) const = default;
+};
+
+/// Load of an upstream as its owner last read it.
+struct UpstreamLoadReport {
+    /// The upstream.
+    UpstreamId upstream;
+    /// Epoch of its process.
+    std::uint64_t epoch = 0;
+    /// Requests that run.
+    std::uint32_t running = 0;
+    /// Requests that wait.
+    std::uint32_t waiting = 0;
+    /// Version that it reports.
+    VersionName version;
+    /// Time since it was read.
+    Duration age = Duration(0);
+
+    bool operator==(const UpstreamLoadReport&) const = default;
+};
+
+template <>
+std::string encode(const StateRequest& message);
+template <>
+tl::expected<StateRequest, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const StateRequest& message);
+template <>
+std::string encode(const ConfigRevisionInfo& message);
+template <>
+tl::expected<ConfigRevisionInfo, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const ConfigRevisionInfo& message);
+template <>
+std::string encode(const UpstreamLoadReport& message);
+template <>
+tl::expected<UpstreamLoadReport, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const UpstreamLoadReport& message);
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/daemon/control_plane.h
@@ -0,0 +1,50 @@
+#pragma once
+
+/// @file
+/// The control stream: configuration, drain orders and leases, as all daemons fold them.
+
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "daemon/journal_driver.h"
+#include "goldcrestwood/catalog.h"
+#include "goldcrestwood/journal_messages.h"
+#include "goldcrestwood/lease.h"
+
+namespace goldcrestwood {
+
+/// What the fold made of an edit, by the id of its record.
+struct DecidedEdit {
+    RecordId id;
+    EditResult result;
+};
+
+/// Fold of the control stream.
+class ControlFold {
+public:
+    ControlFold();
+
+    static std::set<std::string> kinds();
+    void apply(const AppliedRecord& record);
+    void restore(const std::vector<FoldPart>& parts);
+    std::vector<FoldPart> parts() const;
+
+    const Catalog& catalog() const { return *this->configuration; }
+    Catalog& catalog() { return *this->configuration; }
+    const LeaseTable& leases() const { return this->leaseTable; }
+
+    /// @return What became of the edit with that record, if it was folded a short while ago.
+    const EditResult* resultOf(const RecordId& id) const;
+
+private:
+    std::unique_ptr<Catalog> configuration;
+    LeaseTable leaseTable;
+    std::deque<DecidedEdit> decided;
+};
+
+using ControlJournal = JournalDriver<ControlFold>;
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/daemon/peer_mesh.h
@@ -0,0 +1,127 @@
+#pragma once
+
+/// @file
+/// Membership, gossip and ownership of one daemon, driven by one thread.
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "daemon/metrics.h"
+#include "daemon/peer_transport.h"
+#include "goldcrestwood/gossip.h"
+#include "goldcrestwood/isolation.h"
+#include "goldcrestwood/membership.h"
+#include "goldcrestwood/ownership.h"
+#include "goldcrestwood/resolver.h"
+#include "goldcrestwood/settings.h"
+#include "goldcrestwood/view_quorum.h"
+
+namespace goldcrestwood {
+
+/// What the state dump shows of the mesh.
+struct MeshStatus {
+    Member self;
+    std::vector<Member> peers;
+    GossipCounters gossip;
+    bool isolated = false;
+    std::size_t memoryBytes = 0;
+};
+
+/// Tells others of changes; the calls come without the mesh's lock held.
+struct MeshListener {
+    std::function<void(const ChangedCell&)> onCell;
+    std::function<void(const GossipLatch&)> onLatch;
+    std::function<void(const std::vector<OwnershipChange>&)> onOwnership;
+};
+
+class PeerMesh {
+public:
+    /// @param metrics Must outlive the mesh.
+    PeerMesh(const Settings& settings, std::uint64_t incarnation, Metrics& metrics);
+    ~PeerMesh();
+
+    /// @param transport Must outlive the mesh's thread.
+    void start(PeerTransport& transport, MeshListener listener);
+    void stop();
+
+    /// Handles a frame of kind GossipMessage or ViewReport.
+    void onMessage(const PeerMessage& message, const PeerReply& reply);
+    /// The log was read up to its end.
+    void onLogRead(TimePoint when);
+
+    void setPhase(MemberPhase phase);
+    void setCell(Topic topic, const std::string& key, const std::string& payload);
+    void removeCell(Topic topic, const std::string& key);
+    void retireLatch(Topic topic, const std::string& key);
+    std::vector<ChangedCell> cells(Topic topic);
+    std::vector<GossipLatch> latches(Topic topic);
+
+    std::vector<OwnershipChange> setThings(const std::vector<OwnedThing>& things);
+    Owners ownersOf(std::uint64_t key);
+    Owners rank(const OwnedThing& thing);
+    /// @return The peer address of a daemon; nothing where it is unknown.
+    std::optional<std::string> addressOf(const InstanceId& id);
+
+    bool isIsolated();
+    /// @return Live daemons of the own region, this one included.
+    std::vector<InstanceId> regionMembers();
+    /// @return Until when a majority of the region supports this daemon's view.
+    TimePoint supportedUntil();
+    /// @param isDomainOut Tells whether a failure domain takes no new work.
+    ResolverAnswer resolve(const ResolverSettings& settings, const std::function<bool(const FailureDomain&)>& isDomainOut,
+        const std::optional<FailureDomain>& hint);
+    MeshStatus status();
+
+    const InstanceId& self() const { return this->selfId; }
+    std::uint64_t incarnation() const { return this->startNumber; }
+
+private:
+    /// What a step found out, told after the lock is released.
+    struct News {
+        std::vector<ChangedCell> cells;
+        std::vector<GossipLatch> latches;
+        std::vector<OwnershipChange> ownership;
+    };
+
+    void run();
+    void step();
+    void refreshInstances();
+    void applyActions(const std::vector<MembershipAction>& actions, TimePoint now, News& news);
+    void applyMember(const Member& member, TimePoint now, News& news);
+    void applyCells(const std::vector<ChangedCell>& cells, TimePoint now);
+    void updatePeers();
+    void send(const OutgoingGossip& outgoing);
+    void sendViewReports(TimePoint now);
+    std::optional<GossipMessage> take(const GossipMessage& message);
+    void tell(const News& news);
+
+    Settings settings;
+    InstanceId selfId;
+    std::uint64_t startNumber;
+    Metrics& metrics;
+    PeerTransport* transport = nullptr;
+    MeshListener listener;
+
+    std::mutex mutex;
+    std::condition_variable wake;
+    Membership membership;
+    Gossip gossip;
+    Isolation isolation;
+    Ownership ownership;
+    ViewQuorum quorum;
+    Random random;
+    std::size_t listedInRegion = 0;
+    TimePoint nextInstances;
+    TimePoint nextViewReport;
+    bool urgent = false;
+    bool stopping = false;
+    std::thread thread;
+};
+
+} // namespace goldcrestwood
--- a/src/daemon/platform_client.cc
+++ b/src/daemon/platform_client.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-    constexpr int readLimit = 2000;
     const std::string msgpackType = "application/msgpack";
 
     std::string recordsPath(const std::string& stream)
@@ -30,12 +29,12 @@
         return { buffer.data(), buffer.size() };
     }
 
-    RecordRange parseRange(const std::string& body)
+    LogRecords parseRange(const std::string& body)
     {
         const auto handle = msgpack::unpack(body.data(), body.size());
         using Wire = std::tuple<std::uint64_t, std::uint64_t, std::vector<std::tuple<std::uint64_t, std::string>>>;
         auto [firstRetained, next, records] = handle.get().as<Wire>();
-        RecordRange range { firstRetained, next, {} };
+        LogRecords range { firstRetained, next, {} };
         range.records.reserve(records.size());
         for (auto& [offset, bytes] : records)
             range.records.push_back({ offset, std::move(bytes) });
@@ -52,33 +51,33 @@
 {
 }
 
-tl::expected<std::uint64_t, AppendFailure> LogClient::append(const std::string& stream, const std::vector<std::string>& records)
+AppendResult LogClient::append(const std::string& stream, const std::vector<std::string>& records)
 {
     const HttpCall call { "POST", recordsPath(stream), packBins(records), msgpackType, {} };
     const auto result = httpCall(this->address, call, this->timeout);
-    if (!result) {
-        const bool neverSent = result.error() == HttpFailure::NotSent;
-        return tl::unexpected(neverSent ? AppendFailure::NotAppended : AppendFailure::Unknown);
-    }
+    if (!result && result.error() == HttpFailure::NotSent)
+        return AppendRejected {};
+    if (!result)
+        return AppendUnknown {};
     constexpr int tooManyRequests = 429;
     constexpr int unavailable = 503;
     if (result->status == tooManyRequests || result->status == unavailable)
-        return tl::unexpected(AppendFailure::NotAppended);
+        return AppendRejected {};
     if (result->status != 200)
-        return tl::unexpected(AppendFailure::Unknown);
+        return AppendUnknown {};
     try {
         const auto handle = msgpack::unpack(result->body.data(), result->body.size());
-        return std::get<0>(handle.get().as<std::tuple<std::uint64_t, std::uint64_t>>());
+        return AppendOk { std::get<0>(handle.get().as<std::tuple<std::uint64_t, std::uint64_t>>()) };
     } catch (const std::exception&) {
-        return tl::unexpected(AppendFailure::Unknown);
+        return AppendUnknown {};
     }
 }
 
-tl::expected<RecordRange, HttpFailure> LogClient::read(const std::string& stream, std::uint64_t offset)
+tl::expected<LogRecords, HttpFailure> LogClient::read(const std::string& stream, std::uint64_t offset, std::uint32_t limit)
 {
     const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(this->wait).count();
     std::ostringstream path;
-    path << recordsPath(stream) << "?from=" << offset << "&limit=" << readLimit << "&wait_ms=" << waitMs;
+    path << recordsPath(stream) << "?from=" << offset << "&limit=" << limit << "&wait_ms=" << waitMs;
     const auto result = this->reader.call({ "GET", path.str(), "", msgpackType, {} });
     if (!result)
         return tl::unexpected(result.error());
@@ -102,7 +101,7 @@
         std::vector<ListedInstance> instances;
         for (const auto& entry : nlohmann::json::parse(result->body).at("instances")) {
             instances.push_back({ InstanceId(entry.at("id").get<std::string>()), entry.at("address").get<std::string>(),
-                FailureDomain(entry.at("domain").get<std::string>()), entry.at("state").get<std::string>() == "leaving" });
+                FailureDomain(entry.at("domain").get<std::string>()), Region(entry.value("region", "")), entry.at("state").get<std::string>() == "leaving" });
         }
         return instances;
     } catch (const nlohmann::json::exception&) {
