--- a/src/daemon/journal_driver.h
+++ b/src/daemon/journal_driver.h
@@ -17,6 +17,7 @@
 
 #include "daemon/clock.h"
 #include "daemon/platform_client.h"
+#include "goldcrestwood/hash.h"
 #include "goldcrestwood/journal.h"
 #include "goldcrestwood/settings.h"
 #include "goldcrestwood/snapshot.h"
--- /dev/null
+++ b/src/daemon/peer_directory.h
@@ -0,0 +1,99 @@
+#pragma once
+
+/// @file
+/// Sends messages to the daemon that owns a thing, itself included.
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "daemon/peer_mesh.h"
+#include "daemon/peer_transport.h"
+#include "goldcrestwood/codec.h"
+#include "goldcrestwood/hash.h"
+
+namespace goldcrestwood {
+
+/// @return The key by which an upstream's or a store's owner is chosen.
+inline std::uint64_t upstreamKey(const UpstreamId& upstream)
+{
+    return stableHash("upstream\n" + upstream.value);
+}
+
+/// @return The key by which the owner of a claim stream is chosen.
+inline std::uint64_t claimStreamKey(std::uint32_t shard)
+{
+    return stableHash("claims\n" + std::to_string(shard));
+}
+
+/// Answers a message of one kind.
+using PeerKindHandler = std::function<void(const PeerMessage&, const PeerReply&)>;
+
+/// Handlers of peer messages by kind, and sending by instance. Register all handlers before the transport starts.
+class PeerDirectory {
+public:
+    /// @param peerMesh Must outlive the directory.
+    explicit PeerDirectory(PeerMesh& peerMesh)
+        : mesh(peerMesh)
+    {
+    }
+
+    void setTransport(PeerTransport& peerTransport) { this->transport = &peerTransport; }
+    void handle(const std::string& kind, PeerKindHandler handler) { this->handlers[kind] = std::move(handler); }
+
+    /// Registers a handler that gets the decoded message and answers nothing.
+    template <typename Message, typename Handler>
+    void handlePosted(const std::string& kind, Handler handler)
+    {
+        this->handle(kind, [handler](const PeerMessage& message, const PeerReply&) {
+            if (const auto decoded = decode<Message>(message.payload))
+                handler(*decoded);
+        });
+    }
+
+    /// Passes a received message to its handler; an unknown kind is refused.
+    void dispatch(const PeerMessage& message, const PeerReply& reply) const
+    {
+        const auto found = this->handlers.find(message.kind);
+        if (found == this->handlers.end())
+            reply({});
+        else
+            found->second(message, reply);
+    }
+
+    /// Sends a message without a reply; one to this daemon itself is handled at once.
+    template <typename Message>
+    void post(const InstanceId& to, const char* kind, const Message& message) const
+    {
+        const PeerMessage frame { kind, encode(message) };
+        if (to == this->mesh.self()) {
+            this->dispatch(frame, [](const PeerMessage&) {});
+            return;
+        }
+        if (const auto address = this->mesh.addressOf(to))
+            this->transport->post(*address, frame);
+    }
+
+    /// Calls a daemon other than this one.
+    template <typename Reply, typename Message>
+    tl::expected<Reply, PeerError> call(const InstanceId& to, const char* kind, const Message& message, Duration timeout) const
+    {
+        const auto address = this->mesh.addressOf(to);
+        if (!address)
+            return tl::unexpected(PeerError::Unreachable);
+        const auto result = this->transport->call(*address, { kind, encode(message) }, timeout);
+        if (!result)
+            return tl::unexpected(result.error());
+        auto reply = decode<Reply>(result->payload);
+        if (!reply)
+            return tl::unexpected(PeerError::Refused);
+        return std::move(*reply);
+    }
+
+private:
+    PeerMesh& mesh;
+    PeerTransport* transport = nullptr;
+    std::map<std::string, PeerKindHandler> handlers;
+};
+
+} // namespace goldcrestwood
--- a/src/daemon/peer_mesh.cc
+++ b/src/daemon/peer_mesh.cc
@@ -112,8 +112,12 @@
     }
     const std::lock_guard lock(this->mutex);
     this->membership.onInstances(instances, monotonicNow());
-    if (listed)
-        this->listedInRegion = listed->size();
+    if (listed) {
+        const auto inRegion = [this](const ListedInstance& instance) {
+            return instance.region.empty() || instance.region == this->settings.instance.region;
+        };
+        this->listedInRegion = static_cast<std::size_t>(std::count_if(listed->begin(), listed->end(), inRegion));
+    }
     this->updatePeers();
 }
 
