--- /dev/null
+++ b/support/standin/engine_model.h
@@ -0,0 +1,208 @@
+#pragma once
+
+/// @file
+/// Model of an engine with continuous batching and a bounded prefix cache.
+
+#include <chrono>
+#include <condition_variable>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "cache_events.h"
+
+#include "goldcrestwood/random.h"
+
+namespace goldcrestwood::standin {
+
+struct EngineOptions {
+    std::string service = "model";
+    std::string version = "v1";
+    std::string tokenizer = "default";
+    std::string role = "both";
+    std::size_t blockTokens = 1024;
+    std::size_t bytesPerToken = 1024;
+    std::size_t cacheBlocks = 64;
+    double prefillTokensPerSecond = 20000;
+    double decodeTokensPerSecond = 200;
+    std::size_t maxRunning = 32;
+    std::size_t maxWaiting = 64;
+    /// Runs that a cold engine bears at once.
+    std::size_t coldRunning = 2;
+    /// Finished runs after which it is warm; 0 starts warm.
+    std::size_t coldRuns = 8;
+    std::chrono::milliseconds fallOver { 2000 };
+    std::chrono::milliseconds eventLag { 300 };
+    std::chrono::milliseconds loadLag { 500 };
+    bool checksFencing = false;
+    /// Address of the platform that holds the weights; empty for a fixed load time.
+    std::string weightsFrom;
+    std::chrono::milliseconds loadTime { 200 };
+};
+
+struct EngineFaults {
+    /// Each increase turns the engine cold without warning; its cache is lost.
+    int coldTurns = 0;
+    /// Factor on the time of prefill and decode.
+    double slowdown = 1;
+    /// Factor on the time of a load.
+    double loadSlowdown = 1;
+    double dropEventShare = 0;
+    /// Version that is bad; empty for none.
+    std::string badVersion;
+    /// "fail" or "slow".
+    std::string badMode = "fail";
+    /// Bad only after this many runs on the version.
+    int badAfterRuns = 0;
+    /// Bad only while this many runs are open.
+    int badFromRunning = 0;
+    /// Bad only for this route; empty for all.
+    std::string badRoute;
+};
+
+void to_json(nlohmann::json& out, const EngineFaults& faults);
+void from_json(const nlohmann::json& in, EngineFaults& faults);
+
+/// What a completion asks for.
+struct RunRequest {
+    std::string requestId;
+    std::string runId;
+    std::string prompt;
+    std::string account;
+    std::string version;
+    std::string route;
+    int priority = 0;
+    std::size_t maxTokens = 16;
+    std::size_t startToken = 0;
+    std::uint64_t seed = 0;
+};
+
+enum class RunState {
+    Waiting,
+    Running,
+    Finished,
+    Cancelled,
+};
+
+/// A sealed block of a prompt; its hash follows from the previous one and the text.
+struct SealedBlock {
+    std::uint64_t hash = 0;
+    std::uint64_t previous = 0;
+    std::string account;
+    std::string version;
+    std::string text;
+
+    /// @return The block as it travels between engine and store.
+    std::string pack() const;
+    /// @return The block in @p bytes, with hash 0 when they are damaged.
+    static SealedBlock unpack(const std::string& bytes);
+};
+
+/// @return The chain of whole blocks of @p prompt; a block's text is its words with one space between.
+std::vector<SealedBlock> cutBlocks(const EngineOptions& options, const RunRequest& request);
+
+/// @return Token @p index of the answer: CRC-32 of `prompt \n version \n seed \n index`, hexadecimal.
+std::string tokenAt(const RunRequest& request, std::size_t index);
+
+struct Run {
+    RunRequest request;
+    RunState state = RunState::Waiting;
+    std::vector<SealedBlock> blocks;
+    std::size_t promptTokens = 0;
+    std::size_t cachedTokens = 0;
+    double prefillLeft = 0;
+    double decodeCredit = 0;
+    bool isSlow = false;
+    std::vector<std::string> tokens;
+    std::uint64_t arrival = 0;
+    std::chrono::steady_clock::time_point started;
+};
+
+/// What a stream writes next.
+struct StreamPiece {
+    std::vector<std::string> tokens;
+    RunState state = RunState::Waiting;
+    std::size_t cachedTokens = 0;
+    std::size_t allTokens = 0;
+};
+
+/// Thread-safe; `advance` is called by one thread.
+class Engine {
+public:
+    Engine(const EngineOptions& engineOptions, std::uint64_t seed);
+
+    /// @return The HTTP status: 200, or 409 and 503 when the run is refused.
+    int submit(const RunRequest& request);
+    /// Waits for tokens from @p from on. @return False when the run is unknown.
+    bool waitForTokens(const std::string& runId, std::size_t from, StreamPiece& piece);
+    bool knows(const std::string& runId) const;
+    std::string requestIdOf(const std::string& runId) const;
+    bool cancel(const std::string& runId);
+
+    /// Works for @p passed.
+    void advance(std::chrono::duration<double> passed, const EngineFaults& faults);
+
+    nlohmann::json eventsAfter(std::uint64_t sequence) { return this->events.after(sequence); }
+    nlohmann::json lastLoadReport() const;
+
+    /// @return Whether the fence is not older than the newest; always true without checks.
+    bool acceptFence(std::uint64_t fence);
+    /// @return False while another load is running.
+    bool beginLoad();
+    void finishLoad(const std::string& version);
+    std::string version() const;
+    void setRole(const std::string& newRole);
+    void setAdapter(const std::string& newAdapter);
+
+    std::vector<SealedBlock> cached(const std::vector<std::uint64_t>& hashes) const;
+    void insert(const SealedBlock& block);
+
+private:
+    using RunPointer = std::shared_ptr<Run>;
+
+    std::size_t openRuns() const;
+    bool isBad(const RunRequest& request) const;
+    void admit();
+    void start(Run& run);
+    void prefill(double tokens);
+    void decode(Run& run, double tokens);
+    void finish(Run& run, RunState state);
+    void insertLocked(const SealedBlock& block);
+    bool evictOldest();
+    void recordEvent(const char* kind, const SealedBlock& block);
+    bool isPinned(std::uint64_t hash) const;
+    void turnCold();
+    void forgetOldRuns();
+    nlohmann::json loadReport() const;
+
+    EngineOptions options;
+    mutable std::mutex lock;
+    std::condition_variable progress;
+    EngineFaults faults;
+    CacheEvents events;
+    std::map<std::string, RunPointer> runs;
+    std::list<std::string> finishedRuns;
+    std::vector<RunPointer> waiting;
+    std::vector<RunPointer> running;
+    std::map<std::uint64_t, SealedBlock> blocks;
+    std::list<std::uint64_t> order;
+    std::map<std::string, int> runsOfVersion;
+    std::string loadedVersion;
+    std::string adapter;
+    std::string role;
+    std::uint64_t newestFence = 0;
+    std::uint64_t arrivals = 0;
+    bool isLoading = false;
+    bool isCold = false;
+    std::size_t runsWhileCold = 0;
+    std::chrono::steady_clock::time_point fallenUntil;
+    double firstTokenMs = 0;
+    std::chrono::steady_clock::time_point reported;
+    nlohmann::json report;
+    Random random;
+};
+
+} // namespace goldcrestwood::standin
