--- a/include/goldcrestwood/daemon_messages.h
+++ b/include/goldcrestwood/daemon_messages.h
@@ -15,6 +15,7 @@
 
 #include "goldcrestwood/codec.h"
 #include "goldcrestwood/names.h"
+#include "goldcrestwood/prefix_messages.h"
 #include "goldcrestwood/time.h"
 
 namespace goldcrestwood {
@@ -55,6 +56,34 @@
     bool operator==(const UpstreamLoadReport&) const = default;
 };
 
+/// A daemon's demand for a store's link, sent to the link's owner.
+struct AddressedLinkDemand {
+    /// The daemon that asks.
+    InstanceId from;
+    /// What it asks for.
+    LinkDemand demand;
+
+    bool operator==(const AddressedLinkDemand&) const = default;
+};
+
+/// The version that an upstream reports.
+struct UpstreamVersion {
+    /// The upstream.
+    UpstreamId upstream;
+    /// Its version; empty while it loads.
+    VersionName version;
+
+    bool operator==(const UpstreamVersion&) const = default;
+};
+
+/// The versions of the upstreams that a daemon owns; a gossip cell.
+struct OwnedVersions {
+    /// The upstreams, by name.
+    std::vector<UpstreamVersion> upstreams;
+
+    bool operator==(const OwnedVersions&) const = default;
+};
+
 template <>
 std::string encode(const StateRequest& message);
 template <>
@@ -70,5 +99,20 @@
 template <>
 tl::expected<UpstreamLoadReport, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const UpstreamLoadReport& message);
+template <>
+std::string encode(const AddressedLinkDemand& message);
+template <>
+tl::expected<AddressedLinkDemand, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const AddressedLinkDemand& message);
+template <>
+std::string encode(const UpstreamVersion& message);
+template <>
+tl::expected<UpstreamVersion, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const UpstreamVersion& message);
+template <>
+std::string encode(const OwnedVersions& message);
+template <>
+tl::expected<OwnedVersions, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const OwnedVersions& message);
 
 } // namespace goldcrestwood
--- a/src/daemon/permit_service.cc
+++ b/src/daemon/permit_service.cc
@@ -238,9 +238,21 @@
     for (auto& [id, entry] : this->entries) {
         if (entry.holder)
             entry.holder->setFloor(floorShare(id, this->floorMembers, this->mesh.self(), entry.limits.cold, this->settings), now);
+        if (entry.issuer)
+            entry.issuer->setFloors(this->floorsOf(entry));
     }
 }
 
+std::vector<std::pair<InstanceId, std::uint32_t>> PermitService::floorsOf(const Entry& entry) const
+{
+    std::vector<std::pair<InstanceId, std::uint32_t>> floors;
+    for (const auto& member : this->floorMembers) {
+        if (const auto share = floorShare(entry.id, this->floorMembers, member, entry.limits.cold, this->settings); share > 0)
+            floors.emplace_back(member, share);
+    }
+    return floors;
+}
+
 void PermitService::tick()
 {
     this->refreshFloors();
@@ -270,12 +282,7 @@
         entry.issuer.reset();
         if (owner == this->mesh.self()) {
             entry.issuer.emplace(entry.id, entry.limits, this->settings, now);
-            std::vector<std::pair<InstanceId, std::uint32_t>> floors;
-            for (const auto& member : this->floorMembers) {
-                if (const auto share = floorShare(entry.id, this->floorMembers, member, entry.limits.cold, this->settings); share > 0)
-                    floors.emplace_back(member, share);
-            }
-            entry.issuer->setFloors(std::move(floors));
+            entry.issuer->setFloors(this->floorsOf(entry));
         }
     }
     if (entry.issuer) {
--- a/src/daemon/permit_service.h
+++ b/src/daemon/permit_service.h
@@ -89,6 +89,7 @@
     void run();
     void tick();
     void refreshFloors();
+    std::vector<std::pair<InstanceId, std::uint32_t>> floorsOf(const Entry& entry) const;
     void pollEntry(Entry& entry, TimePoint now, Outbox& outbox);
     void onRequest(const PermitRequest& request);
     void deliver(const Outbox& outbox);
--- /dev/null
+++ b/src/daemon/transfer_service.cc
@@ -0,0 +1,222 @@
+#include "daemon/transfer_service.h"
+
+#include <algorithm>
+
+#include "daemon/clock.h"
+#include "daemon/upstream_client.h"
+#include "goldcrestwood/daemon_messages.h"
+
+namespace goldcrestwood {
+
+namespace {
+
+constexpr Duration tickInterval = std::chrono::milliseconds(5);
+constexpr Duration demandInterval = std::chrono::seconds(1);
+constexpr std::size_t backgroundThreads = 2;
+
+const char* labelOf(TransferClass kind)
+{
+    switch (kind) {
+    case TransferClass::FirstToken:
+        return "class=\"import\"";
+    case TransferClass::Prefetch:
+        return "class=\"prefetch\"";
+    case TransferClass::Export:
+        return "class=\"export\"";
+    }
+    return "";
+}
+
+} // namespace
+
+TransferService::TransferService(PeerMesh& peerMesh, PeerDirectory& peerDirectory, Metrics& processMetrics)
+    : mesh(peerMesh)
+    , directory(peerDirectory)
+    , metrics(processMetrics)
+{
+    this->directory.handlePosted<AddressedLinkDemand>("LinkDemand",
+        [this](const AddressedLinkDemand& demand) { this->onDemand(demand.from, demand.demand); });
+    this->directory.handlePosted<LinkShare>("LinkShare", [this](const LinkShare& share) {
+        const std::lock_guard lock(this->mutex);
+        this->transfers.grant(share, monotonicNow());
+    });
+}
+
+TransferService::~TransferService()
+{
+    this->stop();
+}
+
+void TransferService::start()
+{
+    this->threads.emplace_back([this] { this->runTicks(); });
+    for (std::size_t i = 0; i < backgroundThreads; ++i)
+        this->threads.emplace_back([this] { this->runExports(); });
+}
+
+void TransferService::stop()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->stopping = true;
+    }
+    this->changed.notify_all();
+    for (auto& thread : this->threads)
+        thread.join();
+    this->threads.clear();
+}
+
+void TransferService::configure(std::shared_ptr<const CatalogView> view)
+{
+    const auto daemons = std::max<std::size_t>(1, this->mesh.regionMembers().size());
+    const std::lock_guard lock(this->mutex);
+    view->stores.forEach([&](const auto& row) {
+        const auto capacity = static_cast<double>(row.entry.linkBytesPerSecond);
+        this->capacities[row.entry.id] = capacity;
+        this->transfers.setLink(row.entry.id, capacity, daemons, monotonicNow());
+    });
+}
+
+LinkEstimate TransferService::estimate(const UpstreamId& store)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->transfers.estimate(store, monotonicNow());
+}
+
+TransferId TransferService::submit(const BlockMove& move, bool background)
+{
+    const TransferId id { ++this->lastId };
+    this->jobs[id] = { move, Stage::Waiting, background };
+    const auto now = monotonicNow();
+    this->apply(this->transfers.submit({ id, move.store, move.kind, move.bytes, now + move.within }, now));
+    return id;
+}
+
+void TransferService::apply(const TransferActions& actions)
+{
+    for (const auto& [id] : actions.start) {
+        auto& job = this->jobs[id];
+        job.stage = Stage::Started;
+        if (job.background)
+            this->ready.push_back(id);
+    }
+    for (const auto& [id] : actions.drop) {
+        auto& job = this->jobs[id];
+        job.stage = Stage::Dropped;
+        this->metrics.count("goldcrestwood_transfers_dropped_total", labelOf(job.move.kind));
+        if (job.background)
+            this->jobs.erase(id);
+    }
+    if (!actions.start.empty() || !actions.drop.empty())
+        this->changed.notify_all();
+}
+
+std::optional<std::vector<std::uint64_t>> TransferService::import(const BlockMove& move)
+{
+    std::unique_lock lock(this->mutex);
+    const auto id = this->submit(move, false);
+    const auto settled = [&] { return this->stopping || this->jobs[id].stage != Stage::Waiting; };
+    this->changed.wait_for(lock, move.within, settled);
+    const auto stage = this->jobs[id].stage;
+    this->jobs.erase(id);
+    if (stage != Stage::Started) {
+        this->transfers.finish(id, 0, monotonicNow());
+        return std::nullopt;
+    }
+    lock.unlock();
+    return this->carryOut(id, move);
+}
+
+std::optional<std::vector<std::uint64_t>> TransferService::carryOut(TransferId id, const BlockMove& move)
+{
+    const bool isExport = move.kind == TransferClass::Export;
+    const auto moved = isExport
+        ? exportBlocks(move.engineAddress, move.hashes, move.storeAddress, move.within)
+        : importBlocks(move.engineAddress, move.hashes, move.storeAddress, move.within);
+    const auto blocks = std::max<std::size_t>(1, move.hashes.size());
+    const auto bytes = moved ? move.bytes * moved->size() / blocks : move.bytes;
+    this->metrics.count("goldcrestwood_transfer_bytes_total", labelOf(move.kind), bytes);
+    {
+        const std::lock_guard lock(this->mutex);
+        this->transfers.finish(id, bytes, monotonicNow());
+    }
+    if (!moved)
+        return std::nullopt;
+    return *moved;
+}
+
+void TransferService::queue(const BlockMove& move)
+{
+    const std::lock_guard lock(this->mutex);
+    this->submit(move, true);
+}
+
+void TransferService::runTicks()
+{
+    while (true) {
+        {
+            std::unique_lock lock(this->mutex);
+            if (this->changed.wait_for(lock, tickInterval, [this] { return this->stopping; }))
+                return;
+            if (!this->jobs.empty())
+                this->apply(this->transfers.tick(monotonicNow()));
+        }
+        this->reportDemands();
+    }
+}
+
+void TransferService::runExports()
+{
+    std::unique_lock lock(this->mutex);
+    while (true) {
+        this->changed.wait(lock, [this] { return this->stopping || !this->ready.empty(); });
+        if (this->stopping)
+            return;
+        const auto id = this->ready.front();
+        this->ready.pop_front();
+        const auto move = this->jobs[id].move;
+        this->jobs.erase(id);
+        lock.unlock();
+        this->carryOut(id, move);
+        lock.lock();
+    }
+}
+
+void TransferService::reportDemands()
+{
+    const auto now = monotonicNow();
+    if (now < this->nextDemands)
+        return;
+    this->nextDemands = now + demandInterval;
+    std::vector<LinkDemand> demands;
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const auto& [store, capacity] : this->capacities)
+            demands.push_back(this->transfers.demand(store, now));
+    }
+    for (const auto& demand : demands) {
+        const auto owner = this->mesh.ownersOf(upstreamKey(demand.store)).owner;
+        const bool idle = demand.firstToken == 0 && demand.prefetches == 0 && demand.exports == 0;
+        if (!owner.empty() && !idle)
+            this->directory.post(owner, "LinkDemand", AddressedLinkDemand { this->mesh.self(), demand });
+    }
+}
+
+void TransferService::onDemand(const InstanceId& daemon, const LinkDemand& demand)
+{
+    const auto daemons = std::max<std::size_t>(1, this->mesh.regionMembers().size());
+    LinkShare share;
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto capacity = this->capacities.find(demand.store);
+        if (capacity == this->capacities.end())
+            return;
+        const auto now = monotonicNow();
+        const TransferSettings settings;
+        auto& broker = this->brokers.try_emplace(demand.store, settings, capacity->second, daemons, now + settings.grantLifetime).first->second;
+        share = broker.demand(daemon, demand, now);
+    }
+    this->directory.post(daemon, "LinkShare", share);
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/daemon/transfer_service.h
@@ -0,0 +1,91 @@
+#pragma once
+
+/// @file
+/// Moves blocks between engines and stores within the shares of the stores' links.
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <vector>
+
+#include "daemon/metrics.h"
+#include "daemon/peer_directory.h"
+#include "daemon/peer_mesh.h"
+#include "goldcrestwood/catalog.h"
+#include "goldcrestwood/transfers.h"
+
+namespace goldcrestwood {
+
+/// Blocks to move between an engine and a store.
+struct BlockMove {
+    UpstreamId store;
+    std::string storeAddress;
+    std::string engineAddress;
+    TransferClass kind = TransferClass::FirstToken;
+    std::vector<std::uint64_t> hashes;
+    std::uint64_t bytes = 0;
+    Duration within = Duration(0);
+};
+
+class TransferService {
+public:
+    /// @param mesh, directory, metrics Must outlive the service.
+    TransferService(PeerMesh& mesh, PeerDirectory& directory, Metrics& metrics);
+    ~TransferService();
+
+    void start();
+    void stop();
+    void configure(std::shared_ptr<const CatalogView> view);
+
+    /// Imports blocks and waits for them, at most for `move.within`.
+    /// @return The blocks that arrived, or nothing where the transfer was dropped.
+    std::optional<std::vector<std::uint64_t>> import(const BlockMove& move);
+    /// Queues an export or a prefetch; it may be dropped.
+    void queue(const BlockMove& move);
+    /// @return What the router needs to price an import.
+    LinkEstimate estimate(const UpstreamId& store);
+
+private:
+    enum class Stage : std::uint8_t {
+        Waiting,
+        Started,
+        Dropped,
+    };
+
+    struct Job {
+        BlockMove move;
+        Stage stage = Stage::Waiting;
+        bool background = false;
+    };
+
+    TransferId submit(const BlockMove& move, bool background);
+    void apply(const TransferActions& actions);
+    std::optional<std::vector<std::uint64_t>> carryOut(TransferId id, const BlockMove& move);
+    void runTicks();
+    void runExports();
+    void reportDemands();
+    void onDemand(const InstanceId& daemon, const LinkDemand& demand);
+
+    PeerMesh& mesh;
+    PeerDirectory& directory;
+    Metrics& metrics;
+    std::mutex mutex;
+    std::condition_variable changed;
+    TransferQueue transfers;
+    std::map<UpstreamId, double> capacities;
+    std::map<UpstreamId, LinkBroker> brokers;
+    std::map<TransferId, Job> jobs;
+    std::deque<TransferId> ready;
+    std::uint64_t lastId = 0;
+    TimePoint nextDemands;
+    bool stopping = false;
+    std::vector<std::thread> threads;
+};
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/daemon/upstream_monitor.cc
@@ -0,0 +1,188 @@
+#include "daemon/upstream_monitor.h"
+
+#include <algorithm>
+
+#include "daemon/clock.h"
+
+namespace goldcrestwood {
+
+namespace {
+
+constexpr std::size_t monitorThreads = 4;
+constexpr Duration pollInterval = std::chrono::milliseconds(300);
+constexpr Duration idleWait = std::chrono::milliseconds(50);
+constexpr Duration exchangeTimeout = std::chrono::milliseconds(500);
+
+HolderEvents toHolderEvents(const UpstreamId& holder, std::uint64_t after, bool isStore, const CacheEvents& read)
+{
+    HolderEvents events;
+    events.holder = holder;
+    events.epoch = read.epoch;
+    events.after = after;
+    events.last = read.last;
+    for (const auto& event : read.events) {
+        const auto tier = isStore ? (event.onDisk ? Tier::StoreDisk : Tier::StoreMemory) : Tier::EngineMemory;
+        events.events.push_back({ event.sequence, event.stored ? HolderEventKind::Stored : HolderEventKind::Evicted, tier, event.hash });
+    }
+    return events;
+}
+
+} // namespace
+
+UpstreamMonitor::UpstreamMonitor(PeerMesh& peerMesh, PeerDirectory& peerDirectory, PermitService& permitService,
+    PrefixService& prefixService, Metrics& processMetrics)
+    : mesh(peerMesh)
+    , directory(peerDirectory)
+    , permits(permitService)
+    , prefixes(prefixService)
+    , metrics(processMetrics)
+{
+    this->directory.handlePosted<ChainPlaced>("ChainKnown", [this](const ChainPlaced& placed) {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->watched.find(placed.upstream);
+        if (found != this->watched.end() && found->second.feed)
+            found->second.feed->place(chainHashes(placed.hashes), monotonicNow());
+    });
+}
+
+UpstreamMonitor::~UpstreamMonitor()
+{
+    this->stop();
+}
+
+void UpstreamMonitor::start()
+{
+    for (std::size_t i = 0; i < monitorThreads; ++i)
+        this->threads.emplace_back([this] { this->run(); });
+}
+
+void UpstreamMonitor::stop()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->stopping = true;
+    }
+    this->wake.notify_all();
+    for (auto& thread : this->threads)
+        thread.join();
+    this->threads.clear();
+}
+
+void UpstreamMonitor::configure(std::shared_ptr<const CatalogView> view)
+{
+    const std::lock_guard lock(this->mutex);
+    std::map<UpstreamId, Watched> next;
+    const auto add = [&](Watched entry) {
+        const auto known = this->watched.find(entry.id);
+        if (known != this->watched.end() && known->second.address == entry.address)
+            entry = known->second;
+        else if (entry.hasCache)
+            entry.feed = std::make_shared<HolderFeed>(entry.id);
+        next.emplace(entry.id, std::move(entry));
+    };
+    view->upstreams.forEach([&](const auto& row) {
+        const auto* service = view->service(row.entry.service);
+        if (service && service->kind == ServiceKind::Model)
+            add({ row.entry.id, row.entry.address, upstreamKey(row.entry.id), false, true });
+    });
+    view->stores.forEach([&](const auto& row) { add({ row.entry.id, row.entry.address, upstreamKey(row.entry.id), true, true }); });
+    this->watched = std::move(next);
+}
+
+std::map<UpstreamId, UpstreamMonitor::Watched>::iterator UpstreamMonitor::nextDue(TimePoint now)
+{
+    return std::find_if(this->watched.begin(), this->watched.end(), [&](const auto& item) {
+        const auto& entry = item.second;
+        return !entry.busy && entry.dueAt <= now && this->mesh.ownersOf(entry.key).owner == this->mesh.self();
+    });
+}
+
+void UpstreamMonitor::run()
+{
+    std::unique_lock lock(this->mutex);
+    while (!this->stopping) {
+        const auto due = this->nextDue(monotonicNow());
+        if (due == this->watched.end()) {
+            this->wake.wait_for(lock, idleWait);
+            continue;
+        }
+        due->second.busy = true;
+        const auto entry = due->second;
+        lock.unlock();
+        this->poll(entry);
+        lock.lock();
+        if (const auto found = this->watched.find(entry.id); found != this->watched.end()) {
+            found->second.busy = false;
+            found->second.dueAt = monotonicNow() + pollInterval;
+        }
+    }
+}
+
+void UpstreamMonitor::poll(const Watched& entry)
+{
+    this->pollEvents(entry);
+    if (!entry.isStore)
+        this->pollLoad(entry);
+}
+
+void UpstreamMonitor::pollEvents(const Watched& entry)
+{
+    std::uint64_t after = 0;
+    {
+        const std::lock_guard lock(this->mutex);
+        after = entry.feed->nextAfter();
+    }
+    const auto read = readCacheEvents(entry.address, after, exchangeTimeout);
+    if (!read) {
+        this->metrics.count("goldcrestwood_event_read_failures_total");
+        return;
+    }
+    std::vector<AddressedEvents> batches;
+    {
+        const std::lock_guard lock(this->mutex);
+        batches = entry.feed->poll(toHolderEvents(entry.id, after, entry.isStore, *read),
+            [this](ChainHash firstBlock) { return this->prefixes.ownerOf(firstBlock); });
+    }
+    for (const auto& [to, events] : batches)
+        this->directory.post(to, "HolderEvents", events);
+}
+
+void UpstreamMonitor::pollLoad(const Watched& entry)
+{
+    const auto load = readLoad(entry.address, exchangeTimeout);
+    if (!load) {
+        this->metrics.count("goldcrestwood_load_read_failures_total");
+        return;
+    }
+    this->permits.onLoad(entry.id, load->epoch, load->running + load->waiting);
+    const UpstreamLoadReport report { entry.id, load->epoch, load->running, load->waiting, load->version, Duration(0) };
+    for (const auto& daemon : this->permits.interested(entry.id))
+        this->directory.post(daemon, "UpstreamLoadReport", report);
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->watched.find(entry.id);
+        if (found != this->watched.end())
+            found->second.version = load->version;
+    }
+    this->publishVersions();
+}
+
+void UpstreamMonitor::publishVersions()
+{
+    OwnedVersions versions;
+    std::string encoded;
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const auto& [id, entry] : this->watched) {
+            if (!entry.version.empty() && this->mesh.ownersOf(entry.key).owner == this->mesh.self())
+                versions.upstreams.push_back({ id, entry.version });
+        }
+        encoded = encode(versions);
+        if (encoded == this->publishedVersions)
+            return;
+        this->publishedVersions = encoded;
+    }
+    this->mesh.setCell(Topic::UpstreamLoad, "versions", encoded);
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/daemon/upstream_monitor.h
@@ -0,0 +1,72 @@
+#pragma once
+
+/// @file
+/// Reads load and cache events of the upstreams and stores that this daemon owns.
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "daemon/metrics.h"
+#include "daemon/peer_directory.h"
+#include "daemon/permit_service.h"
+#include "daemon/prefix_service.h"
+#include "daemon/upstream_client.h"
+#include "goldcrestwood/catalog.h"
+#include "goldcrestwood/daemon_messages.h"
+#include "goldcrestwood/holder_feed.h"
+
+namespace goldcrestwood {
+
+class UpstreamMonitor {
+public:
+    /// @param mesh, directory, permits, prefixes, metrics Must outlive the monitor.
+    UpstreamMonitor(PeerMesh& mesh, PeerDirectory& directory, PermitService& permits, PrefixService& prefixes, Metrics& metrics);
+    ~UpstreamMonitor();
+
+    void start();
+    void stop();
+    void configure(std::shared_ptr<const CatalogView> view);
+
+private:
+    /// An engine or store that this daemon may own.
+    struct Watched {
+        UpstreamId id;
+        std::string address;
+        std::uint64_t key = 0;
+        bool isStore = false;
+        bool hasCache = false;
+        bool busy = false;
+        TimePoint dueAt;
+        VersionName version;
+        std::shared_ptr<HolderFeed> feed;
+    };
+
+    void run();
+    void poll(const Watched& watched);
+    void pollEvents(const Watched& watched);
+    void pollLoad(const Watched& watched);
+    void publishVersions();
+    std::map<UpstreamId, Watched>::iterator nextDue(TimePoint now);
+
+    PeerMesh& mesh;
+    PeerDirectory& directory;
+    PermitService& permits;
+    PrefixService& prefixes;
+    Metrics& metrics;
+    std::mutex mutex;
+    std::condition_variable wake;
+    std::map<UpstreamId, Watched> watched;
+    std::string publishedVersions;
+    bool stopping = false;
+    std::vector<std::thread> threads;
+};
+
+} // namespace goldcrestwood
