--- a/include/goldcrestwood/catalog.h
+++ b/include/goldcrestwood/catalog.h
@@ -91,6 +91,12 @@
     bool operator==(const DrainStatus&) const = default;
 };
 
+/// How often entries name services and failure domains, and which addresses they have.
+struct EntryReferences {
+    std::map<EntryRef, std::int64_t> uses;
+    std::map<std::string, std::int64_t> addresses;
+};
+
 /// Fold of ConfigurationEdit and DrainOrder records. Nothing but a later record changes an accepted edit.
 class Catalog {
 public:
@@ -124,13 +130,11 @@
 private:
     std::vector<EditConflict> findConflicts(const ConfigurationEdit& edit) const;
     void publish(CatalogView next);
-    void remember(const EntryRef& entry, Revision revision);
+    void rememberRemoval(const EntryRef& entry, Revision revision);
 
     CatalogSettings settings;
     std::shared_ptr<const CatalogView> current;
-    std::map<std::string, EntryRef> addresses;
-    std::map<std::string, std::uint32_t> serviceUses;
-    std::map<std::string, std::uint32_t> domainUses;
+    EntryReferences references;
     std::deque<EntryRevision> removals;
     std::map<EntryRef, Revision> removedAt;
     Revision forgottenRemovals = 0;
--- a/include/goldcrestwood/claim_owner.h
+++ b/include/goldcrestwood/claim_owner.h
@@ -5,6 +5,10 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "goldcrestwood/claims.h"
@@ -16,6 +20,8 @@
 struct ClaimOwnerSettings {
     /// Requests that wait for a verdict at most; further ones are refused.
     std::size_t pending = 4096;
+    /// What claimants are told when the shard has no room for further keys.
+    Duration fullRetryAfter = std::chrono::minutes(1);
 };
 
 /// A reply and the daemon that it goes to.
@@ -73,12 +79,12 @@
         ClaimId id;
         std::uint64_t bodyHash = 0;
         Asked asked = Asked::Claim;
-        RecordId record;
     };
 
     template <typename Record>
     std::vector<AddressedReply> submit(Pending pending, const Record& record, Journal& journal, TimePoint now);
-    ClaimReply verdict(const Pending& pending) const;
+    AddressedReply refusal(const Pending& pending, Duration retryAfter) const;
+    std::optional<Pending> take(const RecordId& record);
 
     ClaimTableSettings tableSettings;
     ClaimOwnerSettings settings;
--- a/include/goldcrestwood/claimant.h
+++ b/include/goldcrestwood/claimant.h
@@ -33,7 +33,7 @@
 /// What 'not run' is certain of.
 enum class NotRunScope : std::uint8_t {
     Request, ///< This request was not and will not be run; what became of earlier requests with the key is not known here.
-    Key, ///< Besides, no request with this key had run by the time of the answer.
+    Key, ///< Besides, no request with this key had run when this one was given up.
 };
 
 /// The call was refused and not run.
@@ -95,6 +95,12 @@
 using ClaimantAction = std::variant<SendToOwner, Dispatch, AnswerCaller, AskHolder>;
 using ClaimantActions = std::vector<ClaimantAction>;
 
+/// What a claimant makes of a query.
+struct QueryAnswer {
+    std::optional<ClaimReply> reply;
+    ClaimantActions actions;
+};
+
 /// The upstream answered; the outcome may be built by makeOutcome().
 struct DispatchAnswered {
     ClaimOutcome outcome;
@@ -113,8 +119,8 @@
 public:
     Claimant(const ClaimantSettings& settings, InstanceId self, std::uint64_t incarnation);
 
-    /// Takes a call in hand.
-    /// @param request The caller's own number for it.
+    /// Takes a call in hand. Each call gets one AnswerCaller, at the deadline at the latest.
+    /// @param request The embedding program's own number for it.
     /// @param deadline When the caller needs its answer.
     ClaimantActions begin(std::uint64_t request, const ClaimKey& key, std::uint64_t bodyHash, TimePoint deadline, TimePoint now, Random& random);
 
@@ -125,12 +131,12 @@
     ClaimantActions onDispatchResult(const ClaimId& id, const DispatchResult& result, TimePoint now, Random& random);
 
     /// Another daemon asks about a claim of this one. A claim that this process has given up is withdrawn now.
-    /// @return What is sent to owners.
-    ClaimantActions onQuery(const ClaimQuery& query, TimePoint now, Random& random);
+    /// @return The reply, which the asker passes to onReply(), and what is sent to owners.
+    QueryAnswer onQuery(const ClaimQuery& query);
 
     /// The service's status query, where it declares one, says that the key's call ran.
     /// @param holder The claim that holds the key.
-    ClaimantActions onStatusFound(const ClaimId& holder, const ClaimOutcome& outcome, TimePoint now, Random& random);
+    ClaimantActions onStatusFound(const ClaimId& holder, const ClaimOutcome& outcome);
 
     /// Call when nextWake() has come.
     ClaimantActions poll(TimePoint now, Random& random);
@@ -143,11 +149,11 @@
 
 private:
     enum class Stage : std::uint8_t {
-        Claiming, ///< Waiting for a verdict.
-        Waiting, ///< Another claim holds the key.
+        Claiming, ///< Waiting for a verdict, or for the outcome of the claim that holds the key.
         Dispatched, ///< Sent to the service.
         Withdrawing, ///< Decided not to dispatch.
         Recording, ///< Ended; the outcome goes into the log.
+        Ended, ///< To be forgotten.
     };
 
     struct Call {
@@ -157,32 +163,31 @@
         std::uint64_t bodyHash = 0;
         TimePoint deadline;
         Stage stage = Stage::Claiming;
-        std::uint32_t handoffs = 0;
+        std::uint32_t messages = 0;
         TimePoint sendAt;
         TimePoint giveUpAt;
-        bool wasHolder = false;
+        bool isHeldByOther = false;
         std::optional<ClaimId> askedHolder;
         std::optional<ClaimOutcome> outcome;
     };
 
-    using Calls = std::map<std::uint64_t, Call>;
-
     ClaimId idOf(std::uint64_t number) const;
     ClaimMessage messageOf(std::uint64_t number, const Call& call) const;
     void send(std::uint64_t number, Call& call, TimePoint now, Random& random, ClaimantActions& actions);
     void answer(Call& call, ClaimAnswer what, ClaimantActions& actions);
-    void withdraw(std::uint64_t number, Call& call, TimePoint now, Random& random, ClaimantActions& actions);
+    void enter(std::uint64_t number, Call& call, Stage stage, TimePoint now, Random& random, ClaimantActions& actions);
     void onClaimingReply(std::uint64_t number, Call& call, const ClaimReply& reply, TimePoint now, Random& random, ClaimantActions& actions);
+    void onRefused(std::uint64_t number, Call& call, const ClaimReply& reply, TimePoint now, Random& random, ClaimantActions& actions);
     void onWithdrawingReply(Call& call, const ClaimReply& reply, ClaimantActions& actions);
     void onDue(std::uint64_t number, Call& call, TimePoint now, Random& random, ClaimantActions& actions);
     TimePoint wakeOf(const Call& call) const;
-    void forgetEnded();
 
     ClaimantSettings settings;
     InstanceId self;
     std::uint64_t incarnation;
     std::uint64_t nextNumber = 1;
-    Calls calls;
+    bool gaveUpRecording = false;
+    std::map<std::uint64_t, Call> calls;
 };
 
 } // namespace goldcrestwood
--- a/include/goldcrestwood/journal.h
+++ b/include/goldcrestwood/journal.h
@@ -214,7 +214,7 @@
     void onReadFailed(std::uint64_t exchange, TimePoint now, Random& random);
 
     /// Replaces position and writers by those of a snapshot or of a peer that is ahead. The caller sees to it that the
-    /// folds take the state of the same offset.
+    /// folds take the state of the same offset; a read starts there at once.
     /// @return Completions of own records that @p state decides.
     std::vector<Completion> adopt(const JournalState& state, TimePoint now);
 
@@ -263,6 +263,7 @@
     struct Backoff {
         std::uint32_t failures = 0;
         TimePoint failingSince;
+        TimePoint lastFailure;
         TimePoint until;
     };
 
@@ -272,11 +273,10 @@
     void startRead(TimePoint now, std::vector<JournalAction>& actions);
     AppendAction makeBatch();
     AppendAction makeFence();
-    std::vector<Completion> lose(TimePoint now, Random& random);
-    void putBack(TimePoint now);
+    std::vector<Completion> lose(TimePoint now);
+    void putBack();
     void applyRecord(const StoredRecord& stored, JournalUpdate& update);
     void resolve(const RecordId& seen, std::uint64_t offset, bool counts, std::vector<Completion>& completions);
-    bool isOwn(const RecordId& id) const;
 
     JournalSettings settings;
     InstanceId self;
@@ -289,6 +289,7 @@
     bool missingState = true;
     bool everRead = false;
     bool superseded = false;
+    TimePoint readStarted;
     TimePoint confirmedEnd;
     std::uint64_t skippedRecords = 0;
     std::uint64_t droppedRecords = 0;
--- a/include/goldcrestwood/journal_messages.h
+++ b/include/goldcrestwood/journal_messages.h
@@ -359,6 +359,8 @@
     ClaimKey key;
     /// The claim that holds the key.
     ClaimId id;
+    /// The claim that waits; the reply names it.
+    ClaimId asker;
 
     bool operator==(const ClaimQuery&) const = default;
 };
--- a/include/goldcrestwood/lease.h
+++ b/include/goldcrestwood/lease.h
@@ -83,7 +83,7 @@
     /// @return Whether the lease is held and has not lapsed by this daemon's clock.
     bool isHeld(TimePoint now) const;
 
-    /// Gives the lease up; call when no order is in flight. A record to submit comes with the next poll().
+    /// Gives the lease up and claims it no more; call when no order is in flight. A record to submit comes with the next poll().
     void release();
 
     /// @return Latest time for the next poll().
@@ -96,7 +96,7 @@
     };
 
     bool isOwn(const LeaseState& lease) const;
-    void onWon(const LeaseState& lease, TimePoint now);
+    void onOwn(const LeaseState& lease, TimePoint now);
     void onOther(const LeaseState& lease, TimePoint now, Random& random);
     std::uint64_t startAttempt(TimePoint now);
 
@@ -112,6 +112,7 @@
     TimePoint claimAt;
     TimePoint sendAt;
     bool releasing = false;
+    bool retired = false;
     std::uint64_t nextAttempt = 1;
     std::vector<Attempt> attempts;
 };
--- /dev/null
+++ b/src/claimant.cc
@@ -0,0 +1,323 @@
+#include "goldcrestwood/claimant.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace goldcrestwood {
+
+namespace {
+
+    /// Every third message goes to the standby.
+    constexpr std::uint32_t standbyEvery = 3;
+    /// Messages after which the wait between them grows no more.
+    constexpr std::uint32_t longestWaitAfter = 4;
+
+    ClaimAnswer answerOf(const ClaimOutcome& outcome, bool isRepeated, Duration retryAfter)
+    {
+        if (outcome.kind == OutcomeKind::Unknown)
+            return AnswerUnknown { retryAfter };
+        return AnswerOutcome { outcome, isRepeated };
+    }
+
+} // namespace
+
+Claimant::Claimant(const ClaimantSettings& bounds, InstanceId instance, std::uint64_t ownIncarnation)
+    : settings(bounds)
+    , self(std::move(instance))
+    , incarnation(ownIncarnation)
+{
+}
+
+ClaimId Claimant::idOf(std::uint64_t number) const
+{
+    return { this->self, this->incarnation, number };
+}
+
+ClaimMessage Claimant::messageOf(std::uint64_t number, const Call& call) const
+{
+    if (call.stage == Stage::Withdrawing)
+        return ClaimWithdrawal { call.key, this->idOf(number), {} };
+    if (call.outcome)
+        return *call.outcome;
+    return ClaimRecord { call.key, this->idOf(number), call.bodyHash, {} };
+}
+
+void Claimant::send(std::uint64_t number, Call& call, TimePoint now, Random& random, ClaimantActions& actions)
+{
+    ++call.messages;
+    const std::uint32_t rank = call.messages % standbyEvery == 0 ? 1 : 0;
+    const auto doublings = std::min(call.messages - 1, longestWaitAfter);
+    const auto wait = toSeconds(this->settings.retryEvery) * (1U << doublings) * (0.75 + 0.5 * uniform(random));
+    call.sendAt = now + fromSeconds(wait);
+    actions.emplace_back(SendToOwner { rank, this->messageOf(number, call) });
+}
+
+void Claimant::answer(Call& call, ClaimAnswer what, ClaimantActions& actions)
+{
+    if (!std::exchange(call.answered, true))
+        actions.emplace_back(AnswerCaller { call.request, std::move(what) });
+}
+
+void Claimant::enter(std::uint64_t number, Call& call, Stage stage, TimePoint now, Random& random, ClaimantActions& actions)
+{
+    call.stage = stage;
+    call.messages = 0;
+    call.giveUpAt = now + this->settings.recordLimit;
+    this->send(number, call, now, random, actions);
+}
+
+ClaimantActions Claimant::begin(std::uint64_t request, const ClaimKey& key, std::uint64_t bodyHash,
+    TimePoint deadline, TimePoint now, Random& random)
+{
+    ClaimantActions actions;
+    if (this->calls.size() >= this->settings.calls) {
+        actions.emplace_back(AnswerCaller { request, AnswerNotRun { NotRunScope::Request, this->settings.retryAfter } });
+        return actions;
+    }
+    const auto number = this->nextNumber++;
+    auto& call = this->calls[number];
+    call.request = request;
+    call.key = key;
+    call.bodyHash = bodyHash;
+    call.deadline = deadline;
+    this->send(number, call, now, random, actions);
+    return actions;
+}
+
+ClaimantActions Claimant::onReply(const ClaimReply& reply, TimePoint now, Random& random)
+{
+    ClaimantActions actions;
+    const auto place = this->calls.find(reply.id.number);
+    if (place == this->calls.end() || reply.id != this->idOf(reply.id.number))
+        return actions;
+    auto& [number, call] = *place;
+    switch (call.stage) {
+    case Stage::Claiming:
+        this->onClaimingReply(number, call, reply, now, random, actions);
+        break;
+    case Stage::Withdrawing:
+        this->onWithdrawingReply(call, reply, actions);
+        break;
+    case Stage::Recording:
+        if (reply.verdict == ClaimVerdict::Recorded || reply.verdict == ClaimVerdict::Withdrawn)
+            call.stage = Stage::Ended;
+        break;
+    case Stage::Dispatched:
+    case Stage::Ended:
+        break;
+    }
+    if (call.stage == Stage::Ended)
+        this->calls.erase(place);
+    return actions;
+}
+
+void Claimant::onClaimingReply(std::uint64_t number, Call& call, const ClaimReply& reply, TimePoint now, Random& random,
+    ClaimantActions& actions)
+{
+    switch (reply.verdict) {
+    case ClaimVerdict::Unknown:
+        return;
+    case ClaimVerdict::Won:
+        if (now >= call.deadline) {
+            this->answer(call, AnswerNotRun { NotRunScope::Key, this->settings.retryAfter }, actions);
+            this->enter(number, call, Stage::Withdrawing, now, random, actions);
+            return;
+        }
+        call.stage = Stage::Dispatched;
+        actions.emplace_back(Dispatch { this->idOf(number), call.deadline });
+        return;
+    case ClaimVerdict::Held:
+        call.isHeldByOther = true;
+        if (std::exchange(call.askedHolder, reply.holder) != reply.holder)
+            actions.emplace_back(AskHolder { reply.holder.claimant, { call.key, reply.holder, this->idOf(number) } });
+        return;
+    case ClaimVerdict::Mismatch:
+        this->answer(call, AnswerMismatch(), actions);
+        call.stage = Stage::Ended;
+        return;
+    case ClaimVerdict::Recorded:
+        this->answer(call, answerOf(reply.outcome.value_or(ClaimOutcome()), true, this->settings.retryAfter), actions);
+        call.stage = Stage::Ended;
+        return;
+    case ClaimVerdict::Withdrawn:
+    case ClaimVerdict::NotAppended:
+        this->onRefused(number, call, reply, now, random, actions);
+        return;
+    }
+}
+
+void Claimant::onRefused(std::uint64_t number, Call& call, const ClaimReply& reply, TimePoint now, Random& random,
+    ClaimantActions& actions)
+{
+    const auto retryAfter = std::max(reply.retryAfter, this->settings.retryAfter);
+    if (call.isHeldByOther)
+        this->answer(call, AnswerUnknown { retryAfter }, actions);
+    else
+        this->answer(call, AnswerNotRun { NotRunScope::Request, retryAfter }, actions);
+    // An owner that was asked earlier may have appended the claim.
+    if (call.messages > 1)
+        this->enter(number, call, Stage::Withdrawing, now, random, actions);
+    else
+        call.stage = Stage::Ended;
+}
+
+void Claimant::onWithdrawingReply(Call& call, const ClaimReply& reply, ClaimantActions& actions)
+{
+    const auto retryAfter = std::max(reply.retryAfter, this->settings.retryAfter);
+    switch (reply.verdict) {
+    case ClaimVerdict::Unknown:
+    case ClaimVerdict::Won:
+        return;
+    case ClaimVerdict::Withdrawn:
+        if (reply.holder == ClaimId())
+            this->answer(call, AnswerNotRun { NotRunScope::Key, retryAfter }, actions);
+        break;
+    case ClaimVerdict::NotAppended:
+        if (!call.isHeldByOther)
+            this->answer(call, AnswerNotRun { NotRunScope::Request, retryAfter }, actions);
+        break;
+    case ClaimVerdict::Mismatch:
+        this->answer(call, AnswerMismatch(), actions);
+        break;
+    case ClaimVerdict::Recorded:
+        this->answer(call, answerOf(reply.outcome.value_or(ClaimOutcome()), true, retryAfter), actions);
+        break;
+    case ClaimVerdict::Held:
+        break;
+    }
+    this->answer(call, AnswerUnknown { retryAfter }, actions);
+    call.stage = Stage::Ended;
+}
+
+ClaimantActions Claimant::onDispatchResult(
+    const ClaimId& id, const DispatchResult& result, TimePoint now, Random& random)
+{
+    ClaimantActions actions;
+    const auto place = this->calls.find(id.number);
+    if (place == this->calls.end() || id != this->idOf(id.number) || place->second.stage != Stage::Dispatched)
+        return actions;
+    auto& [number, call] = *place;
+    if (std::holds_alternative<DispatchNotSent>(result)) {
+        this->answer(call, AnswerNotRun { NotRunScope::Key, this->settings.retryAfter }, actions);
+        this->enter(number, call, Stage::Withdrawing, now, random, actions);
+        return actions;
+    }
+    const auto* answered = std::get_if<DispatchAnswered>(&result);
+    call.outcome = answered ? answered->outcome : ClaimOutcome();
+    call.outcome->key = call.key;
+    call.outcome->id = id;
+    call.outcome->kind = answered ? OutcomeKind::Answered : OutcomeKind::Unknown;
+    this->answer(call, answerOf(*call.outcome, false, this->settings.retryAfter), actions);
+    this->enter(number, call, Stage::Recording, now, random, actions);
+    return actions;
+}
+
+QueryAnswer Claimant::onQuery(const ClaimQuery& query)
+{
+    QueryAnswer result;
+    if (query.id != this->idOf(query.id.number))
+        return result;
+    const auto place = this->calls.find(query.id.number);
+    if (place == this->calls.end()) {
+        // What was dispatched is in hand until its outcome is recorded, and a recorded outcome stands.
+        const bool isOld = query.id.number < this->nextNumber;
+        if (isOld && !this->gaveUpRecording)
+            result.actions.emplace_back(SendToOwner { 0, ClaimWithdrawal { query.key, query.id, {} } });
+        return result;
+    }
+    const auto& call = place->second;
+    result.reply = ClaimReply { query.key, query.asker, ClaimVerdict::Held, query.id, call.outcome, {} };
+    if (call.outcome)
+        result.reply->verdict = ClaimVerdict::Recorded;
+    return result;
+}
+
+ClaimantActions Claimant::onStatusFound(const ClaimId& holder, const ClaimOutcome& outcome)
+{
+    ClaimantActions actions;
+    auto found = outcome;
+    found.id = holder;
+    found.kind = OutcomeKind::Answered;
+    actions.emplace_back(SendToOwner { 0, found });
+    for (auto place = this->calls.begin(); place != this->calls.end();) {
+        auto& call = place->second;
+        const bool isWaiting = call.key == outcome.key && call.stage == Stage::Claiming && call.isHeldByOther;
+        if (isWaiting)
+            this->answer(call, AnswerOutcome { found, true }, actions);
+        place = isWaiting ? this->calls.erase(place) : std::next(place);
+    }
+    return actions;
+}
+
+void Claimant::onDue(std::uint64_t number, Call& call, TimePoint now, Random& random, ClaimantActions& actions)
+{
+    const bool isLate = now >= call.deadline;
+    switch (call.stage) {
+    case Stage::Claiming:
+        // A claim that lost is not withdrawn: it is dead unless the key came free, and then a query withdraws it.
+        if (call.isHeldByOther && isLate) {
+            this->answer(call, AnswerUnknown { this->settings.retryAfter }, actions);
+            call.stage = Stage::Ended;
+        } else if (!call.isHeldByOther && now >= call.deadline - this->settings.withdrawalGrace) {
+            this->enter(number, call, Stage::Withdrawing, now, random, actions);
+        } else if (now >= call.sendAt) {
+            this->send(number, call, now, random, actions);
+        }
+        return;
+    case Stage::Dispatched:
+        if (isLate)
+            this->answer(call, AnswerUnknown { this->settings.retryAfter }, actions);
+        return;
+    case Stage::Withdrawing:
+    case Stage::Recording:
+        if (isLate)
+            this->answer(call, AnswerUnknown { this->settings.retryAfter }, actions);
+        if (now >= call.giveUpAt) {
+            this->gaveUpRecording = this->gaveUpRecording || call.stage == Stage::Recording;
+            call.stage = Stage::Ended;
+        } else if (now >= call.sendAt) {
+            this->send(number, call, now, random, actions);
+        }
+        return;
+    case Stage::Ended:
+        return;
+    }
+}
+
+ClaimantActions Claimant::poll(TimePoint now, Random& random)
+{
+    ClaimantActions actions;
+    for (auto& [number, call] : this->calls) {
+        if (now >= this->wakeOf(call))
+            this->onDue(number, call, now, random, actions);
+    }
+    std::erase_if(this->calls, [](const auto& item) { return item.second.stage == Stage::Ended; });
+    return actions;
+}
+
+TimePoint Claimant::wakeOf(const Call& call) const
+{
+    const auto answerBy = call.answered ? TimePoint::max() : call.deadline;
+    switch (call.stage) {
+    case Stage::Claiming:
+        return std::min(call.sendAt, call.isHeldByOther ? call.deadline : call.deadline - this->settings.withdrawalGrace);
+    case Stage::Dispatched:
+        return answerBy;
+    case Stage::Withdrawing:
+    case Stage::Recording:
+        return std::min({ answerBy, call.sendAt, call.giveUpAt });
+    case Stage::Ended:
+        break;
+    }
+    return TimePoint::min();
+}
+
+TimePoint Claimant::nextWake() const
+{
+    auto wake = TimePoint::max();
+    for (const auto& [number, call] : this->calls)
+        wake = std::min(wake, this->wakeOf(call));
+    return wake;
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/claims.cc
@@ -0,0 +1,206 @@
+#include "goldcrestwood/claims.h"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+#include <openssl/sha.h>
+
+#include "goldcrestwood/hash.h"
+
+namespace goldcrestwood {
+
+namespace {
+
+    using Digest = std::array<unsigned char, SHA256_DIGEST_LENGTH>;
+
+    Digest sha256(std::string_view bytes)
+    {
+        Digest digest {};
+        SHA256(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(), digest.data());
+        return digest;
+    }
+
+    std::uint64_t word(const Digest& digest, std::size_t index)
+    {
+        std::uint64_t value = 0;
+        for (std::size_t byte = 0; byte < sizeof value; ++byte)
+            value = value << 8 | digest[index * sizeof value + byte];
+        return value;
+    }
+
+    std::string hexadecimal(const Digest& digest)
+    {
+        constexpr std::string_view digits = "0123456789abcdef";
+        std::string text;
+        for (const auto byte : digest) {
+            text += digits[byte >> 4];
+            text += digits[byte & 15];
+        }
+        return text;
+    }
+
+    /// A length before each part keeps ("a", "bc") apart from ("ab", "c").
+    void addPart(std::string& scope, std::string_view part)
+    {
+        scope += std::to_string(part.size());
+        scope += ':';
+        scope += part;
+    }
+
+} // namespace
+
+ClaimKey claimKey(const ClientAccount& account, const ServiceName& service, std::string_view idempotencyKey)
+{
+    std::string scope;
+    addPart(scope, account.value);
+    addPart(scope, service.value);
+    addPart(scope, idempotencyKey);
+    const auto digest = sha256(scope);
+    return { word(digest, 0), word(digest, 1) };
+}
+
+std::uint64_t claimBodyHash(std::string_view body)
+{
+    return word(sha256(body), 0);
+}
+
+std::uint32_t claimShard(const ClaimKey& key, std::uint32_t shards)
+{
+    return static_cast<std::uint32_t>(key.high % shards);
+}
+
+std::string claimStream(std::uint32_t shard)
+{
+    return "claims-" + std::to_string(shard);
+}
+
+ClaimOutcome makeOutcome(const ClaimKey& key, const ClaimId& id, std::uint32_t status, std::string contentType,
+    std::string body, const ClaimTableSettings& settings)
+{
+    ClaimOutcome outcome { key, id, OutcomeKind::Answered, status, std::move(contentType), {}, body.size(), {}, {} };
+    outcome.bodyDigest = hexadecimal(sha256(body));
+    if (body.size() <= settings.outcomeBody)
+        outcome.body = std::move(body);
+    return outcome;
+}
+
+std::size_t ClaimTable::IdHash::operator()(const ClaimId& id) const
+{
+    return stableHash(id.claimant.value, id.incarnation * 31 + id.number);
+}
+
+ClaimTable::ClaimTable(const ClaimTableSettings& bounds)
+    : settings(bounds)
+{
+}
+
+ClaimTable::ClaimTable(const ClaimTableSettings& bounds, const ClaimTableState& state)
+    : settings(bounds)
+    , time(state.time)
+    , withdrawn(state.withdrawn.begin(), state.withdrawn.end())
+{
+    for (const auto& entry : state.entries) {
+        auto outcome = entry.outcome ? std::make_unique<ClaimOutcome>(*entry.outcome) : nullptr;
+        this->entries[entry.key] = { entry.holder, entry.bodyHash, entry.since, std::move(outcome) };
+        this->ages.push_back({ entry.since, entry.key });
+    }
+    for (const auto& mark : this->withdrawn)
+        this->withdrawnIds.insert(mark.id);
+}
+
+void ClaimTable::advance(Duration at)
+{
+    const auto step = this->settings.clockStep;
+    this->time = this->time == Duration(0) ? at : std::clamp(at, this->time - step, this->time + step);
+    const auto expired = this->time - this->settings.keyWindow;
+    while (!this->ages.empty() && this->ages.front().since < expired) {
+        const auto entry = this->entries.find(this->ages.front().key);
+        if (entry != this->entries.end() && entry->second.since == this->ages.front().since)
+            this->entries.erase(entry);
+        this->ages.pop_front();
+    }
+    while (!this->withdrawn.empty()
+        && (this->withdrawn.front().since < expired || this->withdrawn.size() > this->settings.withdrawn)) {
+        this->withdrawnIds.erase(this->withdrawn.front().id);
+        this->withdrawn.pop_front();
+    }
+}
+
+void ClaimTable::apply(const ClaimRecord& claim)
+{
+    this->advance(claim.at);
+    const bool isDead = this->withdrawnIds.contains(claim.id) || this->entries.contains(claim.key) || this->isFull();
+    if (isDead)
+        return;
+    this->entries[claim.key] = { claim.id, claim.bodyHash, this->time, nullptr };
+    this->ages.push_back({ this->time, claim.key });
+}
+
+void ClaimTable::apply(const ClaimWithdrawal& withdrawal)
+{
+    this->advance(withdrawal.at);
+    const auto entry = this->entries.find(withdrawal.key);
+    const bool isHolder = entry != this->entries.end() && entry->second.holder == withdrawal.id;
+    if (isHolder && entry->second.outcome)
+        return;
+    if (isHolder)
+        this->entries.erase(entry);
+    if (this->withdrawnIds.insert(withdrawal.id).second)
+        this->withdrawn.push_back({ withdrawal.id, this->time });
+}
+
+void ClaimTable::apply(const ClaimOutcome& outcome)
+{
+    this->advance(outcome.at);
+    const auto entry = this->entries.find(outcome.key);
+    if (entry == this->entries.end() || entry->second.holder != outcome.id)
+        return;
+    auto& known = entry->second.outcome;
+    if (known && known->kind == OutcomeKind::Answered)
+        return;
+    known = std::make_unique<ClaimOutcome>(outcome);
+    if (known->body.size() > this->settings.outcomeBody)
+        known->body.clear();
+}
+
+std::optional<ClaimReply> ClaimTable::reply(const ClaimKey& key, const ClaimId& id, std::uint64_t bodyHash) const
+{
+    const auto place = this->entries.find(key);
+    const auto* entry = place == this->entries.end() ? nullptr : &place->second;
+    const bool isWithdrawn = this->withdrawnIds.contains(id);
+    if (!entry && !isWithdrawn)
+        return std::nullopt;
+    ClaimReply reply { key, id, ClaimVerdict::Withdrawn, {}, {}, {} };
+    if (!entry)
+        return reply;
+    reply.holder = entry->holder;
+    if (entry->outcome)
+        reply.outcome = *entry->outcome;
+    const bool isOther = entry->holder != id;
+    if (isOther && entry->bodyHash != bodyHash)
+        reply.verdict = ClaimVerdict::Mismatch;
+    else if (entry->outcome)
+        reply.verdict = ClaimVerdict::Recorded;
+    else if (!isWithdrawn)
+        reply.verdict = isOther ? ClaimVerdict::Held : ClaimVerdict::Won;
+    if (reply.verdict == ClaimVerdict::Mismatch)
+        reply.outcome.reset();
+    return reply;
+}
+
+ClaimTableState ClaimTable::state() const
+{
+    ClaimTableState state { this->time, {}, { this->withdrawn.begin(), this->withdrawn.end() } };
+    for (const auto& [since, key] : this->ages) {
+        const auto place = this->entries.find(key);
+        if (place == this->entries.end() || place->second.since != since)
+            continue;
+        const auto& entry = place->second;
+        const auto outcome = entry.outcome ? std::optional(*entry.outcome) : std::nullopt;
+        state.entries.push_back({ key, entry.holder, entry.bodyHash, since, outcome });
+    }
+    return state;
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/journal.cc
@@ -0,0 +1,399 @@
+#include "goldcrestwood/journal.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace goldcrestwood {
+
+namespace {
+
+    constexpr std::string_view fenceKind = "FenceRecord";
+    constexpr std::string_view snapshotKind = "SnapshotChunk";
+    /// Sequences in between are left for fences.
+    constexpr std::uint64_t sequenceStep = 2;
+    constexpr std::uint32_t backoffDoublings = 16;
+
+    std::string encodeRecord(const RecordId& id, std::string_view kind, std::string payload)
+    {
+        return encode(LogRecord { 1, id, std::string(kind), std::move(payload) });
+    }
+
+} // namespace
+
+WriterTable::WriterTable(std::size_t writers)
+    : limit(writers)
+{
+}
+
+WriterTable::WriterTable(std::size_t writers, const std::vector<WriterMark>& marks)
+    : limit(writers)
+{
+    for (const auto& mark : marks) {
+        this->byInstance[mark.id.instance] = mark;
+        this->byOffset[mark.offset] = mark.id.instance;
+    }
+}
+
+bool WriterTable::accept(const RecordId& id, std::uint64_t offset)
+{
+    auto [place, isNew] = this->byInstance.try_emplace(id.instance);
+    auto& mark = place->second;
+    if (!isNew) {
+        if (id <= mark.id)
+            return false;
+        this->byOffset.erase(mark.offset);
+    }
+    mark = { id, offset };
+    this->byOffset[offset] = id.instance;
+    this->forgetOldest();
+    return true;
+}
+
+void WriterTable::forgetOldest()
+{
+    if (this->byInstance.size() <= this->limit)
+        return;
+    const auto oldest = this->byOffset.begin();
+    this->byInstance.erase(oldest->second);
+    this->byOffset.erase(oldest);
+}
+
+const WriterMark* WriterTable::find(const InstanceId& instance) const
+{
+    const auto place = this->byInstance.find(instance);
+    return place == this->byInstance.end() ? nullptr : &place->second;
+}
+
+std::vector<WriterMark> WriterTable::marks() const
+{
+    std::vector<WriterMark> marks;
+    marks.reserve(this->byInstance.size());
+    for (const auto& [instance, mark] : this->byInstance)
+        marks.push_back(mark);
+    return marks;
+}
+
+Journal::Journal(
+    const JournalSettings& bounds, InstanceId instance, std::uint64_t ownIncarnation, std::set<std::string> kinds)
+    : settings(bounds)
+    , self(std::move(instance))
+    , incarnation(ownIncarnation)
+    , knownKinds(std::move(kinds))
+    , writers(bounds.writers)
+{
+}
+
+tl::expected<RecordId, SubmitError> Journal::submit(std::string_view kind, std::string payload, TimePoint now)
+{
+    if (this->superseded)
+        return tl::unexpected(SubmitError::Superseded);
+    const RecordId id { this->self, this->incarnation, this->nextSequence };
+    auto bytes = encodeRecord(id, kind, std::move(payload));
+    if (bytes.size() > this->settings.batchBytes)
+        return tl::unexpected(SubmitError::TooLarge);
+    const bool isFull = this->queue.size() >= this->settings.queueRecords
+        || this->queuedBytes + bytes.size() > this->settings.queueBytes;
+    if (isFull)
+        return tl::unexpected(SubmitError::QueueFull);
+    this->nextSequence += sequenceStep;
+    this->queuedBytes += bytes.size();
+    this->queue.push_back({ id, std::move(bytes), now });
+    return id;
+}
+
+bool Journal::cancel(const RecordId& id)
+{
+    const auto place = std::find_if(
+        this->queue.begin(), this->queue.end(), [&](const Queued& queued) { return queued.id == id; });
+    if (place == this->queue.end())
+        return false;
+    this->queuedBytes -= place->bytes.size();
+    this->queue.erase(place);
+    return true;
+}
+
+JournalPoll Journal::poll(TimePoint now, Random& random)
+{
+    JournalPoll result;
+    if (this->append && now >= this->append->deadline)
+        result.completions = this->onAppendResult(this->append->exchange, AppendUnknown(), now, random);
+    if (this->read && now >= this->read->deadline)
+        this->onReadFailed(this->read->exchange, now, random);
+    this->expireQueue(now, result.completions);
+    this->startAppend(now, result.actions);
+    this->startRead(now, result.actions);
+    return result;
+}
+
+void Journal::expireQueue(TimePoint now, std::vector<Completion>& completions)
+{
+    while (!this->queue.empty()) {
+        const auto& oldest = this->queue.front();
+        if (!this->superseded && now - oldest.since < this->settings.queueLimit)
+            return;
+        completions.push_back({ oldest.id, RecordFate::NotAppended, 0 });
+        this->queuedBytes -= oldest.bytes.size();
+        this->queue.pop_front();
+    }
+}
+
+void Journal::startAppend(TimePoint now, std::vector<JournalAction>& actions)
+{
+    if (this->append || this->superseded || now < this->appendBackoff.until)
+        return;
+    const bool isLost = this->lostThrough != 0;
+    if (isLost ? now < this->fenceAt : this->queue.empty())
+        return;
+    this->appendingFence = isLost;
+    this->append = isLost ? this->makeFence() : this->makeBatch();
+    this->append->exchange = this->nextExchange++;
+    this->append->deadline = now + this->settings.appendDeadline;
+    actions.emplace_back(*this->append);
+}
+
+AppendAction Journal::makeBatch()
+{
+    AppendAction batch;
+    std::size_t bytes = 0;
+    this->appending.clear();
+    while (!this->queue.empty() && batch.records.size() < this->settings.batchRecords) {
+        auto& next = this->queue.front();
+        bytes += next.bytes.size();
+        if (bytes > this->settings.batchBytes)
+            break;
+        this->queuedBytes -= next.bytes.size();
+        batch.records.push_back(next.bytes);
+        this->unresolved.push_back(next.id);
+        this->appending.push_back(std::move(next));
+        this->queue.pop_front();
+    }
+    return batch;
+}
+
+AppendAction Journal::makeFence()
+{
+    AppendAction batch;
+    const RecordId id { this->self, this->incarnation, this->lostThrough + 1 };
+    batch.records.push_back(encodeRecord(id, fenceKind, encode(FenceRecord { this->unresolved.front().sequence })));
+    return batch;
+}
+
+void Journal::startRead(TimePoint now, std::vector<JournalAction>& actions)
+{
+    if (this->read || now < this->readBackoff.until)
+        return;
+    this->readStarted = now;
+    this->read = ReadAction { this->nextExchange++, this->position, this->settings.readRecords,
+        this->settings.readWait, now + this->settings.readDeadline };
+    actions.emplace_back(*this->read);
+}
+
+void Journal::fail(Backoff& backoff, TimePoint now, Random& random, std::optional<Duration> atLeast)
+{
+    if (backoff.failures == 0)
+        backoff.failingSince = now;
+    const auto doublings = std::min(backoff.failures, backoffDoublings);
+    const Duration grown = this->settings.backoffFloor * (1LL << doublings);
+    const auto full = std::min(this->settings.backoffCeiling, grown);
+    const auto wait = fromSeconds(toSeconds(full) * (0.5 + 0.5 * uniform(random)));
+    ++backoff.failures;
+    backoff.lastFailure = now;
+    backoff.until = now + std::max(wait, std::min(atLeast.value_or(Duration(0)), this->settings.backoffCeiling));
+}
+
+std::vector<Completion> Journal::onAppendResult(
+    std::uint64_t exchange, const AppendResult& result, TimePoint now, Random& random)
+{
+    if (!this->append || this->append->exchange != exchange)
+        return {};
+    this->append.reset();
+    if (std::holds_alternative<AppendOk>(result)) {
+        this->appendBackoff = {};
+        this->appending.clear();
+        if (this->appendingFence)
+            this->fenceAt = now + this->settings.appendDeadline;
+        return {};
+    }
+    if (const auto* rejected = std::get_if<AppendRejected>(&result)) {
+        this->fail(this->appendBackoff, now, random, rejected->retryAfter);
+        this->putBack();
+        return {};
+    }
+    this->fail(this->appendBackoff, now, random, std::nullopt);
+    return this->lose(now);
+}
+
+void Journal::putBack()
+{
+    // What was read back meanwhile is in the log, whatever the answer says.
+    for (auto place = this->appending.rbegin(); place != this->appending.rend(); ++place) {
+        if (this->unresolved.empty() || this->unresolved.back() != place->id)
+            continue;
+        this->unresolved.pop_back();
+        this->queuedBytes += place->bytes.size();
+        this->queue.push_front(std::move(*place));
+    }
+    this->appending.clear();
+}
+
+std::vector<Completion> Journal::lose(TimePoint now)
+{
+    std::vector<Completion> completions;
+    this->fenceAt = now + this->settings.fenceDelay;
+    if (this->appendingFence || this->unresolved.empty())
+        return completions;
+    const auto first = std::find_if(this->unresolved.begin(), this->unresolved.end(),
+        [&](const RecordId& id) { return id >= this->appending.front().id; });
+    for (auto place = first; place != this->unresolved.end(); ++place)
+        completions.push_back({ *place, RecordFate::Unknown, 0 });
+    this->lostThrough = completions.empty() ? 0 : this->unresolved.back().sequence;
+    this->appending.clear();
+    return completions;
+}
+
+JournalUpdate Journal::onRecords(std::uint64_t exchange, const LogRecords& answer, TimePoint now)
+{
+    JournalUpdate update;
+    if (!this->read || this->read->exchange != exchange)
+        return update;
+    this->read.reset();
+    this->readBackoff = {};
+    if (!this->everRead)
+        this->missingState = this->position < answer.firstRetained;
+    this->everRead = true;
+    if (this->position < answer.firstRetained) {
+        this->missingState = true;
+        this->position = answer.firstRetained;
+    }
+    for (const auto& stored : answer.records) {
+        if (stored.offset < this->position)
+            continue;
+        this->applyRecord(stored, update);
+        this->position = stored.offset + 1;
+    }
+    this->end = std::max(this->position, answer.next);
+    if (this->position == this->end)
+        this->confirmedEnd = std::min(now, this->readStarted);
+    return update;
+}
+
+void Journal::applyRecord(const StoredRecord& stored, JournalUpdate& update)
+{
+    auto record = decode<LogRecord>(stored.bytes);
+    if (!record) {
+        ++this->skippedRecords;
+        return;
+    }
+    const bool isChunk = record->kind == snapshotKind;
+    if (this->missingState && !isChunk)
+        return;
+    const bool counts = this->missingState || this->writers.accept(record->id, stored.offset);
+    if (!this->missingState && record->id.instance == this->self)
+        this->resolve(record->id, stored.offset, counts, update.completions);
+    if (!counts) {
+        ++this->droppedRecords;
+        return;
+    }
+    if (record->kind == fenceKind)
+        return;
+    if (!this->knownKinds.contains(record->kind) && !isChunk) {
+        ++this->skippedRecords;
+        return;
+    }
+    update.applied.push_back(
+        { stored.offset, std::move(record->id), std::move(record->kind), std::move(record->payload) });
+}
+
+void Journal::resolve(
+    const RecordId& seen, std::uint64_t offset, bool counts, std::vector<Completion>& completions)
+{
+    if (seen.incarnation > this->incarnation)
+        this->superseded = true;
+    // Every daemon drops what lands after a higher id of the same writer.
+    while (!this->unresolved.empty() && this->unresolved.front() < seen) {
+        completions.push_back({ this->unresolved.front(), RecordFate::NotAppended, 0 });
+        this->unresolved.pop_front();
+    }
+    if (!this->unresolved.empty() && this->unresolved.front() == seen) {
+        completions.push_back({ seen, counts ? RecordFate::Committed : RecordFate::NotAppended, offset });
+        this->unresolved.pop_front();
+    }
+    if (this->unresolved.empty() || this->unresolved.front().sequence > this->lostThrough)
+        this->lostThrough = 0;
+}
+
+void Journal::onReadFailed(std::uint64_t exchange, TimePoint now, Random& random)
+{
+    if (!this->read || this->read->exchange != exchange)
+        return;
+    this->read.reset();
+    this->fail(this->readBackoff, now, random, std::nullopt);
+}
+
+std::vector<Completion> Journal::adopt(const JournalState& state, TimePoint now)
+{
+    std::vector<Completion> completions;
+    this->position = state.next;
+    this->end = std::max(this->end, state.next);
+    this->writers = WriterTable(this->settings.writers, state.writers);
+    this->missingState = false;
+    this->everRead = true;
+    this->read.reset();
+    this->readBackoff.until = now;
+    const auto* mark = this->writers.find(this->self);
+    if (!mark)
+        return completions;
+    this->superseded = mark->id.incarnation > this->incarnation;
+    // The state does not tell which of these counted and which a fence voided.
+    while (!this->unresolved.empty() && this->unresolved.front() <= mark->id) {
+        completions.push_back({ this->unresolved.front(), RecordFate::Unknown, 0 });
+        this->unresolved.pop_front();
+    }
+    if (this->unresolved.empty() || this->unresolved.front().sequence > this->lostThrough)
+        this->lostThrough = 0;
+    return completions;
+}
+
+JournalState Journal::state() const
+{
+    return { this->position, this->writers.marks() };
+}
+
+bool Journal::isOutage(TimePoint now) const
+{
+    const auto& [appendFailures, appendFailingSince, lastAppendFailure, appendUntil] = this->appendBackoff;
+    const bool appendsFail = appendFailures > 0 && lastAppendFailure - appendFailingSince >= this->settings.outageAfter;
+    if (appendsFail && (this->append || now < appendUntil))
+        return true;
+    return this->readBackoff.failures > 0 && now - this->readBackoff.failingSince >= this->settings.outageAfter;
+}
+
+Duration Journal::retryAfter(TimePoint now) const
+{
+    const auto until = std::max(this->appendBackoff.until, this->readBackoff.until);
+    return std::max(this->settings.outageAfter, until - now);
+}
+
+std::uint64_t Journal::lag() const
+{
+    return this->end - this->position;
+}
+
+Duration Journal::staleness(TimePoint now) const
+{
+    return now - this->confirmedEnd;
+}
+
+TimePoint Journal::nextWake() const
+{
+    auto wake = this->read ? this->read->deadline : this->readBackoff.until;
+    if (!this->queue.empty())
+        wake = std::min(wake, this->queue.front().since + this->settings.queueLimit);
+    if (this->append)
+        return std::min(wake, this->append->deadline);
+    if (this->lostThrough != 0)
+        return std::min(wake, std::max(this->fenceAt, this->appendBackoff.until));
+    return this->queue.empty() ? wake : std::min(wake, this->appendBackoff.until);
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/lease.cc
@@ -0,0 +1,189 @@
+#include "goldcrestwood/lease.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace goldcrestwood {
+
+namespace {
+
+    /// Attempts whose results may still be read back.
+    constexpr std::size_t rememberedAttempts = 16;
+
+    Duration share(Duration whole, Random& random)
+    {
+        return fromSeconds(toSeconds(whole) * uniform(random));
+    }
+
+} // namespace
+
+LeaseTable::LeaseTable(const LeaseTableState& state)
+{
+    for (const auto& lease : state.leases)
+        this->leases[lease.name] = lease;
+}
+
+bool LeaseTable::apply(std::uint64_t offset, const RecordId& id, const LeaseClaim& claim)
+{
+    const auto* seen = this->find(claim.name);
+    const bool isCurrent = claim.replaces == (seen ? seen->fence : 0) && claim.lastRenewal == (seen ? seen->renewal : 0);
+    if (!isCurrent)
+        return false;
+    this->leases[claim.name] = { claim.name, id.instance, id.incarnation, offset + 1, claim.term, claim.attempt, offset };
+    return true;
+}
+
+LeaseState* LeaseTable::held(const RecordId& id, std::string_view name, std::uint64_t fence)
+{
+    const auto place = this->leases.find(name);
+    if (place == this->leases.end())
+        return nullptr;
+    auto& lease = place->second;
+    const bool isHolder = lease.holder == id.instance && lease.incarnation == id.incarnation && lease.fence == fence;
+    return isHolder ? &lease : nullptr;
+}
+
+bool LeaseTable::apply(std::uint64_t offset, const RecordId& id, const LeaseRenewal& renewal)
+{
+    auto* lease = this->held(id, renewal.name, renewal.fence);
+    if (!lease)
+        return false;
+    lease->renewal = renewal.attempt;
+    lease->changed = offset;
+    return true;
+}
+
+bool LeaseTable::apply(std::uint64_t offset, const RecordId& id, const LeaseRelease& release)
+{
+    auto* lease = this->held(id, release.name, release.fence);
+    if (!lease)
+        return false;
+    lease->holder = InstanceId();
+    lease->changed = offset;
+    return true;
+}
+
+const LeaseState* LeaseTable::find(std::string_view name) const
+{
+    const auto place = this->leases.find(name);
+    return place == this->leases.end() ? nullptr : &place->second;
+}
+
+LeaseTableState LeaseTable::state() const
+{
+    LeaseTableState state;
+    for (const auto& [key, lease] : this->leases)
+        state.leases.push_back(lease);
+    return state;
+}
+
+LeaseHolder::LeaseHolder(
+    const LeaseSettings& terms, std::string lease, InstanceId instance, std::uint64_t ownIncarnation)
+    : settings(terms)
+    , name(std::move(lease))
+    , self(std::move(instance))
+    , incarnation(ownIncarnation)
+{
+}
+
+bool LeaseHolder::isOwn(const LeaseState& lease) const
+{
+    return lease.holder == this->self && lease.incarnation == this->incarnation;
+}
+
+void LeaseHolder::observe(const LeaseTable& table, TimePoint now, Random& random)
+{
+    const auto* found = table.find(this->name);
+    const auto lease = found ? *found : LeaseState();
+    if (this->observed && lease == this->seen)
+        return;
+    if (this->isOwn(lease) && !this->retired)
+        this->onOwn(lease, now);
+    else
+        this->onOther(lease, now, random);
+    this->seen = lease;
+    this->observed = true;
+}
+
+void LeaseHolder::onOwn(const LeaseState& lease, TimePoint now)
+{
+    const bool isNew = this->fence != lease.fence;
+    if (isNew) {
+        const bool isFirst = this->observed && this->seen.fence == 0;
+        this->fence = lease.fence;
+        this->validUntil = now;
+        this->quietUntil = isFirst ? now : now + this->settings.longestOrder;
+    }
+    const auto attempt = std::find_if(this->attempts.begin(), this->attempts.end(),
+        [&](const Attempt& sent) { return sent.number == lease.renewal; });
+    if (attempt == this->attempts.end())
+        return;
+    this->validUntil = std::max(this->validUntil, attempt->sent + lease.term - this->settings.margin);
+    this->sendAt = attempt->sent + this->settings.renewEvery;
+}
+
+void LeaseHolder::onOther(const LeaseState& lease, TimePoint now, Random& random)
+{
+    // A renewal is read after it was sent, so this wait ends after the holder's own.
+    const bool isVacant = lease.holder.empty();
+    this->fence.reset();
+    this->claimAt = now + (isVacant ? Duration(0) : lease.term) + share(this->settings.claimSpread, random);
+}
+
+std::uint64_t LeaseHolder::startAttempt(TimePoint now)
+{
+    if (this->attempts.size() >= rememberedAttempts)
+        this->attempts.erase(this->attempts.begin());
+    this->attempts.push_back({ this->nextAttempt, now });
+    return this->nextAttempt++;
+}
+
+std::optional<LeaseRecord> LeaseHolder::poll(TimePoint now)
+{
+    if (this->releasing) {
+        this->releasing = false;
+        if (const auto held = std::exchange(this->fence, std::nullopt))
+            return LeaseRelease { this->name, *held };
+    }
+    if (!this->observed || this->retired)
+        return std::nullopt;
+    if (this->fence) {
+        if (now < this->sendAt)
+            return std::nullopt;
+        this->sendAt = now + this->settings.retryEvery;
+        return LeaseRenewal { this->name, *this->fence, this->startAttempt(now) };
+    }
+    if (now < this->claimAt)
+        return std::nullopt;
+    this->claimAt = now + this->settings.retryEvery;
+    return LeaseClaim { this->name, this->seen.fence, this->seen.renewal, this->settings.term, this->startAttempt(now) };
+}
+
+bool LeaseHolder::isHeld(TimePoint now) const
+{
+    return this->fence && !this->releasing && now < this->validUntil;
+}
+
+std::optional<std::uint64_t> LeaseHolder::fenceForOrder(TimePoint now, bool checksFencing) const
+{
+    if (!this->isHeld(now) || (!checksFencing && now < this->quietUntil))
+        return std::nullopt;
+    return this->fence;
+}
+
+void LeaseHolder::release()
+{
+    this->releasing = true;
+    this->retired = true;
+}
+
+TimePoint LeaseHolder::nextWake() const
+{
+    if (this->releasing)
+        return TimePoint::min();
+    if (!this->observed || this->retired)
+        return TimePoint::max();
+    return this->fence ? this->sendAt : this->claimAt;
+}
+
+} // namespace goldcrestwood
