--- a/include/goldcrestwood/daemon_messages.h
+++ b/include/goldcrestwood/daemon_messages.h
@@ -84,6 +84,14 @@
     bool operator==(const OwnedVersions&) const = default;
 };
 
+/// Tells the daemon that began a run that the run's caller is back.
+struct RunResumed {
+    /// The run.
+    std::string run;
+
+    bool operator==(const RunResumed&) const = default;
+};
+
 template <>
 std::string encode(const StateRequest& message);
 template <>
@@ -114,5 +122,10 @@
 template <>
 tl::expected<OwnedVersions, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const OwnedVersions& message);
+template <>
+std::string encode(const RunResumed& message);
+template <>
+tl::expected<RunResumed, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const RunResumed& message);
 
 } // namespace goldcrestwood
--- /dev/null
+++ b/src/daemon/completion_run.cc
@@ -0,0 +1,376 @@
+#include "daemon/completion_run.h"
+
+#include <algorithm>
+
+#include "daemon/json_log.h"
+#include "goldcrestwood/export_policy.h"
+
+namespace goldcrestwood {
+
+namespace {
+
+/// Wait for a permit at the chosen upstream before another is chosen.
+constexpr Duration permitPatience = std::chrono::milliseconds(200);
+/// Time by which an import may exceed its expected length.
+constexpr Duration importSlack = std::chrono::milliseconds(100);
+/// An export that has not started by then is dropped.
+constexpr Duration exportLimit = std::chrono::seconds(5);
+constexpr Duration shortestExpectation = std::chrono::milliseconds(1);
+constexpr int statusOk = 200;
+
+RelaySettings relaySettings(const Serving& serving, const ServiceEntry& service)
+{
+    RelaySettings settings;
+    settings.stallLimit = service.stallLimit;
+    settings.resumeWindow = serving.settings.serving.resumeWindow;
+    return settings;
+}
+
+int enginePriority(const CatalogView& view, const ClientAccount& account)
+{
+    const auto* entry = view.account(account);
+    if (!entry || entry->priority == Priority::Normal)
+        return 1;
+    return entry->priority == Priority::Important ? 0 : 2;
+}
+
+} // namespace
+
+CompletionRun::CompletionRun(const Serving& parts, CompletionTask request, RetryCheck retryCheck, HttpExchange& caller)
+    : serving(parts)
+    , task(std::move(request))
+    , mayRetry(std::move(retryCheck))
+    , exchange(caller)
+    , relay(this->task.request, this->task.run, StreamTraits(), relaySettings(parts, this->task.service), this->task.nextToken, monotonicNow())
+    , startedAt(monotonicNow())
+{
+}
+
+void CompletionRun::serve()
+{
+    Step first;
+    first.run = this->task.run;
+    first.fromToken = this->task.nextToken;
+    first.resume = !this->task.resumeAt.empty();
+    first.newUpstream = true;
+    this->loop(first);
+}
+
+void CompletionRun::loop(Step step)
+{
+    while (true) {
+        if (step.newUpstream && !(step.resume ? this->beginResumed() : this->beginAttempt())) {
+            if (step.resume)
+                this->apply(this->relay.onUpstreamGone(step.connection, monotonicNow()));
+            else
+                this->apply(this->relay.onRetryRefused());
+        } else {
+            this->afterStream(this->perform(step), step);
+        }
+        if (this->callerGone) {
+            this->keepForCaller();
+            return;
+        }
+        if (this->relay.ended() || !this->next) {
+            this->endAttempt(PermitEnd::Succeeded);
+            return;
+        }
+        step = *this->next;
+        this->next.reset();
+    }
+}
+
+VersionName CompletionRun::version()
+{
+    if (this->pinnedVersion.empty())
+        this->pinnedVersion = this->serving.routes.reportedVersion(this->task.service.name);
+    return this->pinnedVersion;
+}
+
+bool CompletionRun::beginAttempt()
+{
+    ++this->attempts;
+    const auto limit = std::min(this->serving.settings.serving.requestTimeout, 4 * this->task.service.firstTokenTarget);
+    const auto deadline = monotonicNow() + limit;
+    while (monotonicNow() < deadline) {
+        if (this->beginPlaced(deadline))
+            return true;
+        if (!this->next && this->relay.ended())
+            return false;
+    }
+    return false;
+}
+
+bool CompletionRun::beginPlaced(TimePoint deadline)
+{
+    const PlaceRequest request { this->task.account, this->task.service.name, this->version(), this->task.call.prompt, this->failed };
+    auto placement = this->serving.routes.place(request);
+    const auto view = this->serving.view.load();
+    if (!placement) {
+        this->serving.metrics.count("goldcrestwood_route_failures_total");
+        // A failed upstream is better than none once all have failed.
+        this->failed.clear();
+        std::this_thread::sleep_for(std::min<Duration>(permitPatience, deadline - monotonicNow()));
+        return false;
+    }
+    const auto* upstream = view->upstream(placement->decision.upstream);
+    const auto permit = upstream ? this->serving.permits.acquire(upstream->id, permitPatience) : std::nullopt;
+    if (!permit) {
+        this->serving.routes.finish(this->task.service.name, placement->decision.ticket);
+        return false;
+    }
+    this->attempt = Attempt { *upstream, std::move(*placement), *permit, monotonicNow(), true, false };
+    this->importBlocks(*this->attempt);
+    this->serving.prefixes.announcePlaced(upstream->id, upstreamKey(upstream->id), this->attempt->placement.chain);
+    this->attempt->sentAt = monotonicNow();
+    return true;
+}
+
+bool CompletionRun::beginResumed()
+{
+    const auto view = this->serving.view.load();
+    const auto* upstream = view->upstream(this->task.resumeAt);
+    if (!upstream)
+        return false;
+    const auto permit = this->serving.permits.acquire(upstream->id, this->task.service.firstTokenTarget);
+    if (!permit)
+        return false;
+    this->attempt = Attempt { *upstream, {}, *permit, monotonicNow(), false, false };
+    const auto keeper = this->task.run.value.substr(0, this->task.run.value.find('~'));
+    this->serving.reaper.onResumed(InstanceId(keeper), this->task.run.value);
+    return true;
+}
+
+void CompletionRun::importBlocks(const Attempt& target)
+{
+    const auto view = this->serving.view.load();
+    const auto& plan = target.placement.decision.import;
+    for (const auto& run : plan.runs) {
+        const auto* store = view->store(run.store);
+        if (!store)
+            continue;
+        BlockMove move { store->id, store->address, target.upstream.address, TransferClass::FirstToken, {}, 0, {} };
+        for (std::uint32_t i = 0; i < run.blocks; ++i)
+            move.hashes.push_back(target.placement.chain.blocks.at(run.firstBlock + i).value);
+        move.bytes = plan.blocks == 0 ? 0 : plan.bytes * run.blocks / plan.blocks;
+        move.within = 2 * plan.duration + importSlack;
+        const auto moved = this->serving.transfers.import(move);
+        if (!moved)
+            return;
+        ChainUsed used { target.upstream.id, hashValues(target.placement.chain.blocks), store->id, {} };
+        for (const auto hash : move.hashes) {
+            if (std::find(moved->begin(), moved->end(), hash) == moved->end())
+                used.absent.push_back(hash);
+        }
+        if (!used.absent.empty())
+            this->serving.prefixes.announceUsed(target.placement.chain, used);
+    }
+}
+
+void CompletionRun::endAttempt(PermitEnd end)
+{
+    if (!this->attempt)
+        return;
+    this->serving.permits.release(this->attempt->upstream.id, this->attempt->permit, end);
+    if (this->attempt->placed)
+        this->serving.routes.finish(this->task.service.name, this->attempt->placement.decision.ticket);
+    this->attempt.reset();
+}
+
+Duration CompletionRun::waitLimit() const
+{
+    const auto expected = this->attempt->placed ? this->attempt->placement.decision.expectedFirstToken : Duration(0);
+    return this->attempt->answered ? this->task.service.stallLimit : this->task.service.stallLimit + 2 * expected;
+}
+
+StreamEnd CompletionRun::perform(const Step& step)
+{
+    const auto& target = *this->attempt;
+    const auto onPiece = [&](const EnginePiece& piece) { return this->onPiece(piece, step); };
+    if (step.resume)
+        return resumeRun(target.upstream.address, step.run.value, step.fromToken, this->waitLimit(), onPiece);
+    EngineRequest request;
+    request.requestId = this->task.request.value;
+    request.runId = step.run.value;
+    request.prompt = this->task.call.prompt;
+    request.maxTokens = this->task.call.maxTokens;
+    request.seed = this->task.call.seed;
+    request.priority = enginePriority(*this->serving.view.load(), this->task.account);
+    request.account = this->task.account;
+    request.version = target.placement.decision.version;
+    request.startToken = step.fromToken;
+    return startRun(target.upstream.address, request, this->waitLimit(), onPiece);
+}
+
+bool CompletionRun::onPiece(const EnginePiece& piece, const Step& step)
+{
+    const auto now = monotonicNow();
+    if (piece.finished) {
+        this->cachedTokens = std::max(this->cachedTokens, piece.cachedTokens);
+        this->apply(this->relay.onFinish({ RequestId(piece.requestId), RunId(piece.runId), piece.tokenCount }, now));
+    } else {
+        this->apply(this->relay.onPiece({ RequestId(piece.requestId), RunId(piece.runId), piece.index, piece.token }, now));
+    }
+    const bool goesOn = !this->relay.ended() && !this->next && !this->callerGone;
+    return goesOn && this->relay.connection() == step.connection;
+}
+
+void CompletionRun::onFirstToken()
+{
+    auto& target = *this->attempt;
+    target.answered = true;
+    const auto duration = monotonicNow() - target.sentAt;
+    if (!target.placed)
+        return;
+    const auto& decision = target.placement.decision;
+    this->serving.routes.firstToken(this->task.service.name, decision.ticket, { duration, std::nullopt });
+    const auto unloaded = std::max(decision.expectedFirstToken - decision.expectedQueue, shortestExpectation);
+    this->serving.permits.onFirstToken(target.upstream.id, toSeconds(duration) / toSeconds(unloaded));
+    this->serving.metrics.observe("goldcrestwood_first_token_seconds", "service=\"" + this->task.service.name.value + "\"", monotonicNow() - this->startedAt);
+}
+
+void CompletionRun::apply(const RelayActions& actions)
+{
+    for (const auto& action : actions) {
+        if (const auto* token = std::get_if<ForwardToken>(&action)) {
+            this->forward(*token);
+        } else if (const auto* reconnect = std::get_if<Reconnect>(&action)) {
+            this->next = Step { reconnect->run, reconnect->fromToken, reconnect->connection, true, false };
+        } else if (const auto* elsewhere = std::get_if<RunElsewhere>(&action)) {
+            this->next = Step { elsewhere->run, elsewhere->startToken, elsewhere->connection, false, true };
+        } else if (const auto* restart = std::get_if<Restart>(&action)) {
+            this->next = Step { restart->run, 0, restart->connection, false, true };
+        } else if (const auto* cancel = std::get_if<CancelRun>(&action)) {
+            if (this->attempt)
+                cancelRun(this->attempt->upstream.address, cancel->run.value, permitPatience);
+        } else if (std::holds_alternative<FinishStream>(action)) {
+            this->finish();
+        } else if (const auto* failure = std::get_if<FailStream>(&action)) {
+            this->fail(failure->error);
+        }
+    }
+}
+
+void CompletionRun::afterStream(const StreamEnd& end, const Step& step)
+{
+    const auto now = monotonicNow();
+    if (this->callerGone || this->relay.ended())
+        return;
+    if (!this->next) {
+        const bool refused = end.status != 0 && end.status != statusOk;
+        const bool gone = refused || !end.sent;
+        this->apply(gone ? this->relay.onUpstreamGone(step.connection, now) : this->relay.onConnectionLost(step.connection, now));
+    }
+    if (!this->next || !this->next->newUpstream)
+        return;
+    this->serving.metrics.count("goldcrestwood_reruns_total");
+    if (this->attempt) {
+        this->failed.insert(this->attempt->upstream.id);
+        this->endAttempt(PermitEnd::Failed);
+    }
+    const FailedAttempt failure { this->attempts, true, this->tokensSent > 0, true };
+    if (!this->mayRetry(failure)) {
+        this->next.reset();
+        this->apply(this->relay.onRetryRefused());
+    }
+}
+
+void CompletionRun::forward(const ForwardToken& token)
+{
+    if (this->attempt && !this->attempt->answered)
+        this->onFirstToken();
+    ++this->tokensSent;
+    this->serving.metrics.count("goldcrestwood_tokens_total");
+    if (!this->task.call.stream) {
+        this->text += (this->text.empty() ? "" : " ") + token.token;
+        return;
+    }
+    if (!this->eventsBegun) {
+        this->exchange.beginEvents();
+        this->eventsBegun = true;
+    }
+    Ticket ticket;
+    ticket.request = this->task.request.value;
+    ticket.account = this->task.account;
+    ticket.service = this->task.service.name;
+    ticket.upstream = this->attempt ? this->attempt->upstream.id : UpstreamId();
+    ticket.run = this->relay.run().value;
+    ticket.nextToken = token.index + 1;
+    const auto expiry = wallClock() + this->serving.settings.serving.resumeWindow + this->serving.settings.serving.requestTimeout;
+    ticket.expires = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(expiry).count());
+    const auto spaced = token.index == 0 ? token.token : " " + token.token;
+    if (!this->exchange.writeChunk(tokenEvent(this->task.call, this->task.request.value, spaced, this->serving.tickets.sign(ticket)))) {
+        this->callerGone = true;
+        this->relay.onCallerGone(monotonicNow());
+    }
+}
+
+void CompletionRun::finish()
+{
+    this->serving.metrics.count("goldcrestwood_completions_total", "result=\"whole\"");
+    this->exportBlocks();
+    const auto promptTokens = this->attempt ? this->attempt->placement.chain.tokens : 0;
+    this->serving.metrics.count("goldcrestwood_prompt_tokens_total", "", promptTokens);
+    this->serving.metrics.count("goldcrestwood_cached_tokens_total", "", this->cachedTokens);
+    if (!this->task.call.stream) {
+        this->exchange.respond(wholeAnswer(this->task.call, this->task.request.value, this->text, { promptTokens, this->tokensSent, this->cachedTokens }));
+        return;
+    }
+    if (!this->eventsBegun)
+        this->exchange.beginEvents();
+    this->exchange.writeChunk(endEvents(this->task.call, this->task.request.value));
+    this->exchange.endEvents();
+}
+
+void CompletionRun::fail(StreamError error)
+{
+    this->serving.metrics.count("goldcrestwood_completions_total", "result=\"failed\"");
+    logWarning("stream_failed", { { "request", this->task.request.value }, { "reason", toString(error) } });
+    const auto executed = this->tokensSent > 0 ? Executed::Yes : Executed::Unknown;
+    const Problem problem { 503, "Upstream unavailable", toString(error), executed, std::chrono::seconds(1) };
+    if (this->eventsBegun) {
+        this->exchange.writeChunk(errorEvent(problem));
+        this->exchange.endEvents();
+        return;
+    }
+    this->exchange.respond(problemResponse(problem));
+}
+
+void CompletionRun::keepForCaller()
+{
+    this->serving.metrics.count("goldcrestwood_completions_total", "result=\"caller_gone\"");
+    if (!this->attempt)
+        return;
+    const auto& target = *this->attempt;
+    this->serving.reaper.keep({ this->relay.run().value, target.upstream.id, target.upstream.address, target.permit },
+        this->serving.settings.serving.resumeWindow);
+    if (target.placed)
+        this->serving.routes.finish(this->task.service.name, target.placement.decision.ticket);
+    this->attempt.reset();
+}
+
+void CompletionRun::exportBlocks()
+{
+    if (!this->attempt || !this->attempt->placed)
+        return;
+    const auto view = this->serving.view.load();
+    const auto& [upstream, placement, permit, sentAt, placed, answered] = *this->attempt;
+    std::vector<ExportTarget> targets;
+    view->stores.forEach([&](const auto& row) {
+        if (row.entry.service == this->task.service.name)
+            targets.push_back({ row.entry.id, row.entry.domain, this->serving.transfers.estimate(row.entry.id), 0 });
+    });
+    ChainUsed used { upstream.id, hashValues(placement.chain.blocks), {}, {} };
+    this->serving.prefixes.announceUsed(placement.chain, used);
+    const auto blockBytes = std::uint64_t { this->task.service.blockTokens } * this->task.service.bytesPerToken;
+    for (const auto& order : planExports(ExportSettings(), placement.chain.blocks, placement.coverage, targets)) {
+        const auto* store = view->store(order.store);
+        BlockMove move { order.store, store->address, upstream.address, TransferClass::Export, {}, blockBytes * order.blocks.size(), exportLimit };
+        for (const auto block : order.blocks)
+            move.hashes.push_back(placement.chain.blocks.at(block).value);
+        this->serving.prefixes.announceKnown(order.store, upstreamKey(order.store), placement.chain);
+        this->serving.transfers.queue(move);
+    }
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/daemon/completion_run.h
@@ -0,0 +1,99 @@
+#pragma once
+
+/// @file
+/// One prompt on its way: the runs at upstreams and the answer to the caller.
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "daemon/completion_call.h"
+#include "daemon/serving.h"
+#include "daemon/upstream_client.h"
+#include "goldcrestwood/relay.h"
+#include "goldcrestwood/retry_budget.h"
+
+namespace goldcrestwood {
+
+/// Decides whether a failed attempt may be made again; waits for its backoff.
+using RetryCheck = std::function<bool(const FailedAttempt&)>;
+
+/// A caller's request with what authentication and routing need.
+struct CompletionTask {
+    CompletionCall call;
+    ClientAccount account;
+    ServiceEntry service;
+    RequestId request;
+    RunId run;
+    /// First token that the caller lacks; with the upstream that runs it, where a ticket resumes a stream.
+    std::uint64_t nextToken = 0;
+    UpstreamId resumeAt;
+};
+
+/// Runs a task to its end and answers on the exchange. Not thread-safe; one request, one thread.
+class CompletionRun {
+public:
+    CompletionRun(const Serving& serving, CompletionTask task, RetryCheck mayRetry, HttpExchange& exchange);
+
+    /// Places the prompt, relays the stream and sends the answer.
+    void serve();
+
+private:
+    /// An upstream that the request is at.
+    struct Attempt {
+        UpstreamEntry upstream;
+        Placement placement;
+        Permit permit;
+        TimePoint sentAt;
+        bool placed = false;
+        bool answered = false;
+    };
+
+    /// What to do at the upstream next.
+    struct Step {
+        RunId run;
+        std::uint64_t fromToken = 0;
+        std::uint64_t connection = 1;
+        bool resume = false;
+        bool newUpstream = false;
+    };
+
+    void loop(Step step);
+    bool beginAttempt();
+    bool beginPlaced(TimePoint deadline);
+    bool beginResumed();
+    void importBlocks(const Attempt& target);
+    void endAttempt(PermitEnd end);
+    StreamEnd perform(const Step& step);
+    bool onPiece(const EnginePiece& piece, const Step& step);
+    void onFirstToken();
+    void apply(const RelayActions& actions);
+    void afterStream(const StreamEnd& end, const Step& step);
+    void forward(const ForwardToken& token);
+    void finish();
+    void fail(StreamError error);
+    void keepForCaller();
+    void exportBlocks();
+    Duration waitLimit() const;
+    VersionName version();
+
+    Serving serving;
+    CompletionTask task;
+    RetryCheck mayRetry;
+    HttpExchange& exchange;
+    Relay relay;
+    std::optional<Attempt> attempt;
+    std::optional<Step> next;
+    std::set<UpstreamId> failed;
+    VersionName pinnedVersion;
+    std::string text;
+    std::uint32_t attempts = 0;
+    std::uint64_t cachedTokens = 0;
+    std::uint64_t tokensSent = 0;
+    bool eventsBegun = false;
+    bool callerGone = false;
+    TimePoint startedAt;
+};
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/daemon/run_reaper.cc
@@ -0,0 +1,98 @@
+#include "daemon/run_reaper.h"
+
+#include <utility>
+#include <vector>
+
+#include "daemon/clock.h"
+#include "daemon/upstream_client.h"
+#include "goldcrestwood/daemon_messages.h"
+
+namespace goldcrestwood {
+
+namespace {
+
+constexpr Duration cancelTimeout = std::chrono::milliseconds(500);
+constexpr Duration idleWait = std::chrono::seconds(1);
+
+} // namespace
+
+RunReaper::RunReaper(PermitService& permitService, PeerDirectory& peerDirectory)
+    : permits(permitService)
+    , directory(peerDirectory)
+{
+    this->directory.handlePosted<RunResumed>("RunResumed", [this](const RunResumed& resumed) { this->release(resumed.run); });
+}
+
+RunReaper::~RunReaper()
+{
+    this->stop();
+}
+
+void RunReaper::start()
+{
+    this->thread = std::thread([this] { this->reap(); });
+}
+
+void RunReaper::stop()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->stopping = true;
+    }
+    this->wake.notify_all();
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+void RunReaper::keep(const KeptRun& run, Duration window)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->kept[run.run] = run;
+        this->due.emplace(monotonicNow() + window, run.run);
+    }
+    this->wake.notify_all();
+}
+
+void RunReaper::onResumed(const InstanceId& keeper, const std::string& run)
+{
+    this->directory.post(keeper, "RunResumed", RunResumed { run });
+}
+
+void RunReaper::release(const std::string& run)
+{
+    std::optional<KeptRun> found;
+    {
+        const std::lock_guard lock(this->mutex);
+        if (const auto entry = this->kept.find(run); entry != this->kept.end()) {
+            found = entry->second;
+            this->kept.erase(entry);
+        }
+    }
+    if (found)
+        this->permits.release(found->upstream, found->permit, PermitEnd::Cancelled);
+}
+
+void RunReaper::reap()
+{
+    std::unique_lock lock(this->mutex);
+    while (!this->stopping) {
+        const auto now = monotonicNow();
+        if (this->due.empty() || this->due.begin()->first > now) {
+            const auto until = this->due.empty() ? now + idleWait : this->due.begin()->first;
+            this->wake.wait_until(lock, until);
+            continue;
+        }
+        const auto entry = this->kept.find(this->due.begin()->second);
+        this->due.erase(this->due.begin());
+        if (entry == this->kept.end())
+            continue;
+        const auto run = entry->second;
+        lock.unlock();
+        cancelRun(run.address, run.run, cancelTimeout);
+        this->release(run.run);
+        lock.lock();
+    }
+}
+
+} // namespace goldcrestwood
