--- a/include/goldcrestwood/block_read.h
+++ b/include/goldcrestwood/block_read.h
@@ -12,6 +12,9 @@
 
 namespace goldcrestwood {
 
+/// A block that claims to be larger is refused.
+constexpr std::uint64_t maxBlockBytes = std::uint64_t { 1 } << 30;
+
 /// What a holder says of a block, before or after it gives the bytes.
 struct BlockHeader {
     ChainHash hash;
@@ -57,9 +60,9 @@
         Recompute, ///< The bytes must not be used.
     };
 
-    /// @param hash The block that is wanted.
-    /// @param scope The scope of the request.
-    BlockRead(ChainHash hash, ChainHash scope);
+    /// @param wanted The block.
+    /// @param requestScope The scope of the request.
+    BlockRead(ChainHash wanted, ChainHash requestScope);
 
     /// Takes the header before the read; nothing where the holder has no such block.
     State begin(const std::optional<BlockHeader>& header);
--- a/include/goldcrestwood/chain.h
+++ b/include/goldcrestwood/chain.h
@@ -106,5 +106,5 @@
 
 template <>
 struct std::hash<goldcrestwood::ChainHash> {
-    std::size_t operator()(goldcrestwood::ChainHash hash) const noexcept { return hash.value; }
+    std::size_t operator()(goldcrestwood::ChainHash key) const noexcept { return key.value; }
 };
--- a/include/goldcrestwood/export_policy.h
+++ b/include/goldcrestwood/export_policy.h
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "goldcrestwood/prefix_messages.h"
-#include "goldcrestwood/random.h"
 #include "goldcrestwood/router.h"
 #include "goldcrestwood/time.h"
 
@@ -18,14 +17,12 @@
     std::uint16_t minimumTouches = 2;
     /// Return chance from which a block is kept at its first touch.
     double minimumReturnChance = 0.35;
-    /// Stores that hold a copy of a block at most.
-    std::size_t copies = 1;
-    /// Touches from which a block gets one more copy in another failure domain.
+    /// Touches from which a block gets a second copy, in another failure domain.
     std::uint16_t copyTouches = 8;
     /// Link backlog beyond which nothing is exported.
     Duration maxBacklog = std::chrono::seconds(2);
-    /// Time in which an export has to arrive.
-    Duration deadline = std::chrono::seconds(20);
+    /// Fill of a store beyond which it takes no second copies.
+    double maxCopyFill = 0.8;
 };
 
 /// A store instance that may take blocks.
@@ -50,10 +47,9 @@
 
 /// @param chain The prompt's blocks, all sealed at the engine.
 /// @param coverage Who held them when the prompt was routed; holds touches and the return chance.
-/// @param domain Failure domain of the engine that holds them now.
 /// @param targets The service's stores that may take blocks.
 /// @return Exports that are worth their link time; none where a tier holds the blocks already.
 std::vector<ExportOrder> planExports(const ExportSettings& settings, const std::vector<ChainHash>& chain,
-    const ChainCoverage& coverage, const FailureDomain& domain, const std::vector<ExportTarget>& targets);
+    const ChainCoverage& coverage, const std::vector<ExportTarget>& targets);
 
 } // namespace goldcrestwood
--- a/include/goldcrestwood/prefix_index.h
+++ b/include/goldcrestwood/prefix_index.h
@@ -50,19 +50,19 @@
 /// The cost of each operation depends on the chain's length, never on the number of upstreams.
 class PrefixIndex {
 public:
-    explicit PrefixIndex(const PrefixIndexSettings& settings = {});
+    explicit PrefixIndex(const PrefixIndexSettings& initialSettings = {});
 
     /// Takes a batch of a holder's changes. Old epochs and doubled changes are dropped; a hole in
     /// the sequence or a new epoch makes all earlier entries of the holder doubtful.
     void apply(const HolderEvents& batch, TimePoint now);
 
-    /// Confirms the listed blocks of a holder; its others of the tier stay doubtful.
+    /// Confirms the listed blocks of a holder; its others are taken as gone, most likely.
     void apply(const HolderSnapshot& snapshot, TimePoint now);
 
     /// Takes a route decision as a promise that the upstream will hold the chain.
     void expect(const ChainPlaced& placed, TimePoint now);
 
-    /// Corrects the index by what an engine found in its cache.
+    /// Takes what was seen when an engine answered.
     void observe(const ChainUsed& used, TimePoint now);
 
     /// Forgets what a holder holds, for example once it has left.
@@ -105,6 +105,7 @@
         std::uint32_t epochGeneration = 1;
         /// Entries of earlier generations belong to a holder that was forgotten.
         std::uint32_t firstGeneration = 1;
+        bool epochKnown = false;
         bool sequenceKnown = false;
     };
 
@@ -114,6 +115,7 @@
     double confidence(const Holding& holding) const;
     void put(ChainHash hash, const Holding& holding, TimePoint now);
     void remove(ChainHash hash, Slot slot, Tier tier);
+    void touch(const std::vector<ChainHash>& chain, TimePoint now);
     void addEngines(const std::vector<const Block*>& found, ChainCoverage& coverage) const;
     void addStores(const std::vector<const Block*>& found, ChainCoverage& coverage) const;
 
--- a/include/goldcrestwood/prefix_messages.h
+++ b/include/goldcrestwood/prefix_messages.h
@@ -120,14 +120,26 @@
     UpstreamId holder;
     /// Start number of the holder; grows.
     std::uint64_t epoch = 0;
+    /// The batch holds all that concerns the receiver with a later sequence, up to last.
+    std::uint64_t after = 0;
+    /// Sequence up to which the batch is complete.
+    std::uint64_t last = 0;
     /// Changes in order of sequence.
     std::vector<HolderEvent> events;
-    /// Changes were lost before this batch.
-    bool doubtful = false;
 
     bool operator==(const HolderEvents&) const = default;
 };
 
+/// A block in one tier of a holder.
+struct HeldBlock {
+    /// Where.
+    Tier tier = Tier::EngineMemory;
+    /// The block.
+    std::uint64_t hash = 0;
+
+    bool operator==(const HeldBlock&) const = default;
+};
+
 /// All blocks of a holder that concern the receiver; ends its doubt.
 struct HolderSnapshot {
     /// Engine or store instance.
@@ -136,10 +148,8 @@
     std::uint64_t epoch = 0;
     /// The last change that the snapshot contains.
     std::uint64_t sequence = 0;
-    /// Where the blocks are.
-    Tier tier = Tier::EngineMemory;
     /// The blocks.
-    std::vector<std::uint64_t> hashes;
+    std::vector<HeldBlock> blocks;
 
     bool operator==(const HolderSnapshot&) const = default;
 };
@@ -154,16 +164,16 @@
     bool operator==(const ChainPlaced&) const = default;
 };
 
-/// Tells the owner of a chain what an engine found in its cache for it.
+/// Tells the owner of a chain that an engine answered its prompt, and which hints were wrong.
 struct ChainUsed {
     /// The engine that answered.
     UpstreamId upstream;
     /// Block hashes of the chain in order.
     std::vector<std::uint64_t> hashes;
-    /// Blocks that the route decision counted on, own and imported.
-    std::uint32_t expectedBlocks = 0;
-    /// Blocks that the engine did not have to compute.
-    std::uint32_t cachedBlocks = 0;
+    /// The store that blocks were to come from; empty without an import.
+    UpstreamId store;
+    /// Blocks that this store turned out not to have.
+    std::vector<std::uint64_t> absent;
 
     bool operator==(const ChainUsed&) const = default;
 };
@@ -186,8 +196,10 @@
 struct LinkShare {
     /// The store instance.
     UpstreamId store;
-    /// The share.
+    /// What the daemon may move on average.
     std::uint64_t bytesPerSecond = 0;
+    /// Bytes a second that one transfer is likely to get, with what others leave free.
+    std::uint64_t speed = 0;
     /// How long it holds from receipt.
     Duration lifetime = Duration(0);
 
@@ -230,6 +242,11 @@
 tl::expected<HolderEvents, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const HolderEvents& message);
 template <>
+std::string encode(const HeldBlock& message);
+template <>
+tl::expected<HeldBlock, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const HeldBlock& message);
+template <>
 std::string encode(const HolderSnapshot& message);
 template <>
 tl::expected<HolderSnapshot, DecodeError> decode(std::string_view bytes);
--- a/include/goldcrestwood/return_history.h
+++ b/include/goldcrestwood/return_history.h
@@ -42,7 +42,7 @@
 public:
     static constexpr std::size_t gapBuckets = 24;
 
-    explicit ReturnHistory(const ReturnHistorySettings& settings = {});
+    explicit ReturnHistory(const ReturnHistorySettings& initialSettings = {});
 
     /// Notes a prompt.
     /// @return The return, where the prompt continues or repeats a remembered one.
--- a/include/goldcrestwood/router.h
+++ b/include/goldcrestwood/router.h
@@ -4,6 +4,7 @@
 /// Chooses the upstream for a prompt by expected time to first token.
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -23,6 +24,8 @@
     double initialPrefillRate = 8000;
     /// Time to first token beside queue, import and prefill, before anything was observed.
     Duration initialOverhead = std::chrono::milliseconds(20);
+    /// Tokens that a waiting request is taken to need, before anything was observed.
+    double initialMeanTokens = 1600;
     /// Weight of a new observation in a moving average.
     double learningWeight = 0.1;
     /// Upstreams drawn at random for each decision.
@@ -137,6 +140,8 @@
     VersionName version;
     PromptChain chain;
     ChainCoverage coverage;
+    /// False where the chain's owner did not answer; the hash of the prompt then decides among a few.
+    bool coverageKnown = true;
     /// Size of a block on a link.
     std::uint64_t blockBytes = 0;
 };
@@ -202,7 +207,7 @@
 /// One daemon's router. The cost of a decision does not grow with the number of upstreams.
 class Router {
 public:
-    explicit Router(const RouterSettings& settings = {});
+    explicit Router(const RouterSettings& initialSettings = {});
 
     /// Replaces the upstreams of a service; call it when the list or the configuration changes.
     void setTargets(const ServiceName& service, std::vector<RouteTarget> targets);
@@ -220,10 +225,11 @@
         const RouteRequest& request, const Allowed& allowed, const Links& links, TimePoint now, Random& random)
     {
         Candidates candidates;
-        for (const auto* target : this->draw(request, random)) {
-            if (candidates.targets.size() >= this->settings.maxCandidates)
-                break;
-            candidates.add(*target, target->version == request.version ? allowed(*target) : Admission { Refusal::OtherVersion, {} });
+        for (const auto& pick : this->draw(request, random)) {
+            if (candidates.enough(pick, this->settings))
+                continue;
+            const auto sameVersion = pick.target->version == request.version;
+            candidates.add(pick, sameVersion ? allowed(*pick.target) : Admission { Refusal::OtherVersion, {} });
         }
         std::vector<LinkEstimate> estimates;
         for (const auto& run : request.coverage.stores)
@@ -232,7 +238,7 @@
     }
 
     /// The first token came: learns from it.
-    void firstToken(RouteTicket ticket, const FirstTokenSeen& seen, TimePoint now);
+    void firstToken(RouteTicket ticket, const FirstTokenSeen& seen);
 
     /// The request ended, was cancelled or was never sent.
     void finish(RouteTicket ticket);
@@ -256,7 +262,7 @@
         std::uint32_t unanswered = 0;
         LoadReport load;
         TimePoint loadTime;
-        double outstandingAtLoad = 0;
+        std::uint32_t unansweredAtLoad = 0;
         bool loadKnown = false;
     };
 
@@ -270,12 +276,23 @@
         std::vector<RingPoint> ring;
     };
 
+    struct Pick {
+        const RouteTarget* target = nullptr;
+        bool random = false;
+    };
+
+    struct Candidate {
+        const RouteTarget* target = nullptr;
+        Duration penalty = Duration(0);
+    };
+
     struct Candidates {
-        std::vector<RouteTarget> targets;
-        std::vector<Duration> penalties;
+        std::vector<Candidate> kept;
         std::vector<Refusal> refusals;
+        std::size_t randomKept = 0;
 
-        void add(const RouteTarget& target, const Admission& admission);
+        bool enough(const Pick& pick, const RouterSettings& settings) const;
+        void add(const Pick& pick, const Admission& admission);
     };
 
     struct Outstanding {
@@ -285,10 +302,7 @@
         double import = 0;
         std::uint32_t tokens = 0;
         std::uint32_t recomputeTokens = 0;
-        std::uint64_t order = 0;
         bool answered = false;
-
-        std::uint64_t usefulness() const { return this->order; }
     };
 
     struct LastChoice {
@@ -299,18 +313,22 @@
     };
 
     struct Weighed {
-        std::size_t index = 0;
         double cost = 0;
         RouteDecision decision;
     };
 
-    std::vector<const RouteTarget*> draw(const RouteRequest& request, Random& random) const;
+    std::vector<Pick> draw(const RouteRequest& request, Random& random) const;
+    std::vector<UpstreamId> hashedPicks(const RouteRequest& request) const;
+    double ownBlocks(const RouteRequest& request, const UpstreamId& id) const;
     tl::expected<RouteDecision, RouteError> decide(const RouteRequest& request, const Candidates& candidates,
         const std::vector<LinkEstimate>& links, TimePoint now, Random& random);
-    Weighed weigh(const RouteRequest& request, const RouteTarget& target, Duration penalty,
-        const std::vector<LinkEstimate>& links, TimePoint now) const;
+    Weighed weigh(const RouteRequest& request, const Candidate& candidate, const std::vector<LinkEstimate>& links,
+        TimePoint now) const;
+    void resetEstimates(Upstream& upstream) const;
     double queueSeconds(const Upstream& upstream, TimePoint now) const;
-    void remember(const RouteRequest& request, const RouteDecision& decision, TimePoint now);
+    void remember(const RouteRequest& request, RouteDecision& decision, TimePoint now);
+    void release(Outstanding& entry);
+    void learn(Upstream& upstream, const Outstanding& entry, const FirstTokenSeen& seen) const;
     Upstream* findUpstream(const UpstreamId& id);
     const Upstream* findUpstream(const UpstreamId& id) const;
 
@@ -318,7 +336,7 @@
     std::unordered_map<UpstreamId, Upstream> upstreams;
     std::unordered_map<ServiceName, Service> services;
     SampledMap<ChainHash, LastChoice> lastChoices;
-    SampledMap<std::uint64_t, Outstanding> outstanding;
+    std::map<RouteTicket, Outstanding> outstanding;
     std::uint64_t nextTicket = 1;
 };
 
--- a/include/goldcrestwood/sampled_map.h
+++ b/include/goldcrestwood/sampled_map.h
@@ -19,8 +19,8 @@
     /// Entries that an eviction compares.
     static constexpr std::size_t sampleSize = 8;
 
-    explicit SampledMap(std::size_t capacity)
-        : capacity(capacity)
+    explicit SampledMap(std::size_t maxEntries)
+        : capacity(maxEntries)
     {
     }
 
@@ -45,7 +45,7 @@
     {
         if (auto* value = this->find(key))
             return *value;
-        if (this->entries.size() >= this->capacity)
+        if (this->entries.size() >= this->capacity && !this->entries.empty())
             this->evictOne();
         this->places.emplace(key, this->entries.size());
         return this->entries.emplace_back(key, Value {}).second;
--- a/include/goldcrestwood/transfers.h
+++ b/include/goldcrestwood/transfers.h
@@ -72,21 +72,23 @@
     Duration grantLifetime = std::chrono::seconds(3);
     /// Time over which demand is averaged.
     Duration demandWindow = std::chrono::seconds(2);
-    /// Link time that may be moved in one burst.
-    Duration burst = std::chrono::milliseconds(250);
+    /// Time at the link's full capacity that a daemon may use in one burst.
+    Duration burst = std::chrono::milliseconds(500);
     /// Waiting transfers of one link and class.
     std::size_t maxWaiting = 256;
-    /// Share of the grant that prefetches and exports together may use while requests wait.
-    double backgroundShare = 0.1;
+    /// What a grant holds above the demand, so that demand can show that it grows.
+    double headroom = 1.25;
+    /// Share of a link's capacity that a transfer is taken to get while there is no grant.
+    double ungrantedSpeed = 0.25;
 };
 
 /// The owner's side: splits one link by demand, classes in order, evenly within a class.
 class LinkBroker {
 public:
-    /// @param capacity Bytes a second of the link.
+    /// @param linkCapacity Bytes a second of the link.
     /// @param daemons Daemons that may use it; the floor is split among them.
-    /// @param startsAt When the grants of an earlier owner have lapsed for certain.
-    LinkBroker(const TransferSettings& settings, double capacity, std::size_t daemons, TimePoint startsAt);
+    /// @param start When the grants of an earlier owner have lapsed for certain.
+    LinkBroker(const TransferSettings& initialSettings, double linkCapacity, std::size_t daemons, TimePoint start);
 
     /// Takes a daemon's demand.
     /// @return Its share; just the floor while grants of an earlier owner may be in use.
@@ -96,18 +98,27 @@
     double granted(TimePoint now) const;
 
 private:
+    using ClassBytes = std::array<double, transferClasses>;
+
     struct Grant {
-        std::array<double, transferClasses> demand {};
+        ClassBytes demand {};
         double share = 0;
         TimePoint until;
+        /// An earlier, larger share, which the daemon may still use if the later grant was lost.
+        double earlierShare = 0;
+        TimePoint earlierUntil;
+
+        double inForce(TimePoint now) const;
     };
 
     void dropLapsed(TimePoint now);
-    double fairShare(const InstanceId& daemon, double free) const;
+    double fairShare(const InstanceId& daemon, double left) const;
+    double totalDemand() const;
 
     TransferSettings settings;
     double capacity;
     double floor;
+    std::size_t daemonCount;
     TimePoint startsAt;
     std::map<InstanceId, Grant> grants;
 };
@@ -115,11 +126,12 @@
 /// A daemon's side of all links.
 class TransferQueue {
 public:
-    explicit TransferQueue(const TransferSettings& settings = {});
+    explicit TransferQueue(const TransferSettings& initialSettings = {});
 
     /// Announces a link.
-    /// @param floor Bytes a second that this daemon may use without a grant.
-    void setLink(const UpstreamId& store, double floor, TimePoint now);
+    /// @param capacity Bytes a second of the link.
+    /// @param daemons Daemons that may use it.
+    void setLink(const UpstreamId& store, double capacity, std::size_t daemons, TimePoint now);
 
     /// Takes the owner's grant.
     void grant(const LinkShare& share, TimePoint now);
@@ -133,7 +145,7 @@
 
     /// The transfer ended, well or not, or nobody wants it any more.
     /// @param movedBytes Bytes that used the link.
-    void finish(TransferId id, std::uint64_t movedBytes, TimePoint now);
+    void finish(TransferId id, std::uint64_t movedBytes);
 
     /// @return What the router needs to price an import from @p store.
     LinkEstimate estimate(const UpstreamId& store, TimePoint now) const;
@@ -146,15 +158,16 @@
 
 private:
     struct Link {
+        double capacity = 0;
         double floor = 0;
-        double share = 0;
+        LinkShare share;
         TimePoint shareUntil;
-        double tokens = 0;
+        /// Bytes that may be started; below zero after a large transfer.
+        double allowance = 0;
         TimePoint refilledAt;
         std::array<std::vector<Transfer>, transferClasses> waiting;
         std::array<double, transferClasses> demand {};
         TimePoint demandAt;
-        double runningBytes = 0;
     };
 
     struct Running {
@@ -162,10 +175,11 @@
         std::uint64_t bytes = 0;
     };
 
-    double rate(const Link& link, TimePoint now) const;
-    void refill(Link& link, TimePoint now) const;
-    void noteDemand(Link& link, const Transfer& transfer, TimePoint now) const;
-    bool arrivesInTime(const Link& link, const Transfer& transfer, TimePoint now) const;
+    static double rate(const Link& link, TimePoint now);
+    double speed(const Link& link, TimePoint now) const;
+    double allowance(const Link& link, TimePoint now) const;
+    double decay(const Link& link, TimePoint now) const;
+    bool arrivesInTime(const Link& link, const Transfer& transfer, double bytesAhead, TimePoint now) const;
     void startAllowed(Link& link, TimePoint now, TransferActions& actions);
     void dropLate(Link& link, TimePoint now, TransferActions& actions) const;
 
--- /dev/null
+++ b/src/export_policy.cc
@@ -0,0 +1,83 @@
+#include "goldcrestwood/export_policy.h"
+
+#include <algorithm>
+#include <map>
+
+namespace goldcrestwood {
+
+namespace {
+
+    constexpr double minStoredConfidence = 0.5;
+
+    std::vector<UpstreamId> storesOf(const ChainCoverage& coverage, std::uint32_t block)
+    {
+        std::vector<UpstreamId> stores;
+        for (const auto& run : coverage.stores) {
+            const auto covers = run.firstBlock <= block && block < run.firstBlock + run.blocks;
+            if (covers && run.confidence >= minStoredConfidence)
+                stores.push_back(run.store);
+        }
+        return stores;
+    }
+
+    bool hasRoom(const ExportSettings& settings, const ExportTarget& target)
+    {
+        const auto backlog = target.link.bytesPerSecond > 0 ? target.link.backlogBytes / target.link.bytesPerSecond : 0;
+        return target.link.bytesPerSecond > 0 && backlog <= toSeconds(settings.maxBacklog);
+    }
+
+    /// @return The target for a further copy in a domain that has none, by the chain's hash, or null.
+    const ExportTarget* chooseTarget(const std::vector<const ExportTarget*>& targets, ChainHash firstBlock,
+        const std::vector<FailureDomain>& taken)
+    {
+        const ExportTarget* best = nullptr;
+        auto score = [&](const ExportTarget& target) { return stableHash(target.store.value, firstBlock.value); };
+        for (const auto* target : targets) {
+            if (std::find(taken.begin(), taken.end(), target->domain) != taken.end())
+                continue;
+            if (!best || score(*target) > score(*best))
+                best = target;
+        }
+        return best;
+    }
+
+} // namespace
+
+std::vector<ExportOrder> planExports(const ExportSettings& settings, const std::vector<ChainHash>& chain,
+    const ChainCoverage& coverage, const std::vector<ExportTarget>& targets)
+{
+    std::map<UpstreamId, FailureDomain> domains;
+    std::vector<const ExportTarget*> usable;
+    for (const auto& target : targets) {
+        domains[target.store] = target.domain;
+        if (hasRoom(settings, target))
+            usable.push_back(&target);
+    }
+    std::map<UpstreamId, std::vector<std::uint32_t>> orders;
+    for (std::uint32_t block = 0; block < chain.size(); ++block) {
+        const auto touches = block < coverage.touches.size() ? coverage.touches[block] + 1 : 1;
+        const auto stores = storesOf(coverage, block);
+        const auto worthKeeping = touches >= settings.minimumTouches || coverage.returnChance >= settings.minimumReturnChance;
+        const std::size_t wanted = touches >= settings.copyTouches ? 2 : 1;
+        if (stores.size() >= wanted)
+            continue;
+        // Without this block the later ones are of no use.
+        if (!worthKeeping)
+            break;
+        std::vector<FailureDomain> taken;
+        for (const auto& store : stores)
+            taken.push_back(domains[store]);
+        const auto* target = chooseTarget(usable, chain.front(), taken);
+        const auto secondCopy = !stores.empty();
+        if (target && !(secondCopy && target->fill > settings.maxCopyFill))
+            orders[target->store].push_back(block);
+        else if (!secondCopy)
+            break;
+    }
+    std::vector<ExportOrder> result;
+    for (auto& [store, blocks] : orders)
+        result.push_back({ store, std::move(blocks) });
+    return result;
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/prefix_index.cc
@@ -0,0 +1,324 @@
+#include "goldcrestwood/prefix_index.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace goldcrestwood {
+
+namespace {
+
+    constexpr std::uint16_t maxTouches = std::numeric_limits<std::uint16_t>::max();
+    /// Touches beyond this add nothing to a block's usefulness.
+    constexpr std::uint16_t countedTouches = 6;
+
+} // namespace
+
+std::vector<std::uint64_t> hashValues(const std::vector<ChainHash>& chain)
+{
+    std::vector<std::uint64_t> values;
+    values.reserve(chain.size());
+    for (const auto hash : chain)
+        values.push_back(hash.value);
+    return values;
+}
+
+std::vector<ChainHash> chainHashes(const std::vector<std::uint64_t>& values)
+{
+    std::vector<ChainHash> chain;
+    chain.reserve(values.size());
+    for (const auto value : values)
+        chain.push_back(ChainHash { value });
+    return chain;
+}
+
+PrefixIndex::PrefixIndex(const PrefixIndexSettings& initialSettings)
+    : settings(initialSettings)
+    , entries(initialSettings.maxBlocks)
+{
+}
+
+PrefixIndex::Slot PrefixIndex::slotOf(const UpstreamId& id)
+{
+    if (const auto found = this->slots.find(id); found != this->slots.end())
+        return found->second;
+    auto slot = static_cast<Slot>(this->holders.size());
+    if (this->freeSlots.empty()) {
+        this->holders.emplace_back();
+    } else {
+        slot = this->freeSlots.back();
+        this->freeSlots.pop_back();
+    }
+    // A reused slot keeps its generations, so that entries of its former holder stay dead.
+    this->holders[slot].id = id;
+    this->slots.emplace(id, slot);
+    return slot;
+}
+
+void PrefixIndex::raiseDoubt(Holder& holder)
+{
+    ++holder.generation;
+    ++this->total.gaps;
+}
+
+bool PrefixIndex::enterEpoch(Holder& holder, std::uint64_t epoch)
+{
+    if (!holder.epochKnown) {
+        holder.epochKnown = true;
+        holder.epoch = epoch;
+        return true;
+    }
+    if (epoch < holder.epoch)
+        return false;
+    if (epoch > holder.epoch) {
+        holder.epoch = epoch;
+        holder.lastSequence = 0;
+        holder.sequenceKnown = false;
+        holder.epochGeneration = ++holder.generation;
+        ++this->total.restarts;
+    }
+    return true;
+}
+
+void PrefixIndex::apply(const HolderEvents& batch, TimePoint now)
+{
+    const auto slot = this->slotOf(batch.holder);
+    auto& holder = this->holders[slot];
+    if (!this->enterEpoch(holder, batch.epoch) || (holder.sequenceKnown && batch.last <= holder.lastSequence)) {
+        this->total.staleEvents += batch.events.size();
+        return;
+    }
+    if (holder.sequenceKnown && batch.after > holder.lastSequence)
+        this->raiseDoubt(holder);
+    for (const auto& event : batch.events) {
+        if (holder.sequenceKnown && event.sequence <= holder.lastSequence) {
+            ++this->total.staleEvents;
+            continue;
+        }
+        ++this->total.events;
+        if (event.kind == HolderEventKind::Stored)
+            this->put(ChainHash { event.hash }, { slot, holder.generation, event.tier, false }, now);
+        else
+            this->remove(ChainHash { event.hash }, slot, event.tier);
+    }
+    holder.lastSequence = batch.last;
+    holder.sequenceKnown = true;
+}
+
+void PrefixIndex::apply(const HolderSnapshot& snapshot, TimePoint now)
+{
+    const auto slot = this->slotOf(snapshot.holder);
+    auto& holder = this->holders[slot];
+    if (!this->enterEpoch(holder, snapshot.epoch))
+        return;
+    if (holder.sequenceKnown && snapshot.sequence < holder.lastSequence)
+        return;
+    // What the snapshot lacks is most likely gone.
+    holder.epochGeneration = ++holder.generation;
+    for (const auto& block : snapshot.blocks)
+        this->put(ChainHash { block.hash }, { slot, holder.generation, block.tier, false }, now);
+    holder.lastSequence = snapshot.sequence;
+    holder.sequenceKnown = true;
+}
+
+void PrefixIndex::expect(const ChainPlaced& placed, TimePoint now)
+{
+    const auto slot = this->slotOf(placed.upstream);
+    const auto generation = this->holders[slot].generation;
+    for (const auto hash : placed.hashes)
+        this->put(ChainHash { hash }, { slot, generation, Tier::EngineMemory, true }, now);
+}
+
+void PrefixIndex::observe(const ChainUsed& used, TimePoint now)
+{
+    const auto slot = this->slotOf(used.upstream);
+    const auto generation = this->holders[slot].generation;
+    // Once it has answered, the engine holds the whole chain, whether found or computed.
+    for (const auto hash : used.hashes)
+        this->put(ChainHash { hash }, { slot, generation, Tier::EngineMemory, false }, now);
+    const auto store = this->slots.find(used.store);
+    if (store == this->slots.end())
+        return;
+    for (const auto hash : used.absent) {
+        this->remove(ChainHash { hash }, store->second, Tier::StoreMemory);
+        this->remove(ChainHash { hash }, store->second, Tier::StoreDisk);
+    }
+}
+
+void PrefixIndex::forget(const UpstreamId& id)
+{
+    const auto found = this->slots.find(id);
+    if (found == this->slots.end())
+        return;
+    auto& holder = this->holders[found->second];
+    const auto next = holder.generation + 1;
+    holder = Holder {};
+    holder.generation = holder.epochGeneration = holder.firstGeneration = next;
+    this->freeSlots.push_back(found->second);
+    this->slots.erase(found);
+}
+
+double PrefixIndex::confidence(const Holding& holding) const
+{
+    const auto& holder = this->holders[holding.slot];
+    if (holding.generation < holder.firstGeneration)
+        return 0;
+    if (holding.generation < holder.epochGeneration)
+        return holding.tier == Tier::StoreDisk ? this->settings.diskRestartConfidence : this->settings.restartConfidence;
+    const auto known = holding.expected ? this->settings.expectedConfidence : 1.0;
+    return holding.generation < holder.generation ? known * this->settings.gapConfidence : known;
+}
+
+void PrefixIndex::put(ChainHash hash, const Holding& holding, TimePoint now)
+{
+    auto* block = this->entries.find(hash);
+    if (!block) {
+        block = &this->entries.at(hash);
+        block->lastTouch = now;
+    }
+    auto& holdings = block->holdings;
+    auto same = [&](const Holding& other) { return other.slot == holding.slot && other.tier == holding.tier; };
+    if (const auto found = std::find_if(holdings.begin(), holdings.end(), same); found != holdings.end()) {
+        const auto promiseOnly = holding.expected && !found->expected && found->generation == holding.generation;
+        if (!promiseOnly)
+            *found = holding;
+        return;
+    }
+    if (holdings.size() < this->settings.maxHoldersPerBlock) {
+        holdings.push_back(holding);
+        return;
+    }
+    auto surer = [this](const Holding& left, const Holding& right) { return this->confidence(left) < this->confidence(right); };
+    if (const auto least = std::min_element(holdings.begin(), holdings.end(), surer); this->confidence(*least) < this->confidence(holding))
+        *least = holding;
+}
+
+void PrefixIndex::remove(ChainHash hash, Slot slot, Tier tier)
+{
+    auto* block = this->entries.find(hash);
+    if (!block)
+        return;
+    std::erase_if(block->holdings, [&](const Holding& holding) {
+        return (holding.slot == slot && holding.tier == tier) || this->confidence(holding) == 0;
+    });
+}
+
+ChainCoverage PrefixIndex::lookUp(const std::vector<ChainHash>& chain, TimePoint now)
+{
+    ChainCoverage coverage;
+    std::vector<const Block*> found;
+    found.reserve(chain.size());
+    coverage.touches.reserve(chain.size());
+    for (const auto hash : chain) {
+        found.push_back(this->entries.find(hash));
+        coverage.touches.push_back(found.back() ? found.back()->touches : std::uint16_t { 0 });
+    }
+    this->addEngines(found, coverage);
+    this->addStores(found, coverage);
+    this->touch(chain, now);
+    return coverage;
+}
+
+void PrefixIndex::touch(const std::vector<ChainHash>& chain, TimePoint now)
+{
+    auto at = now;
+    for (const auto hash : chain) {
+        auto& block = this->entries.at(hash);
+        // A later block is of no use without the earlier ones, so it has to go before them.
+        block.lastTouch = at;
+        at -= Duration(1);
+        block.touches = static_cast<std::uint16_t>(std::min(block.touches + 1, int { maxTouches }));
+        const auto counted = std::min<int>(block.touches - 1, countedTouches);
+        block.bonus = counted * this->settings.touchBonus;
+    }
+}
+
+void PrefixIndex::addEngines(const std::vector<const Block*>& found, ChainCoverage& coverage) const
+{
+    struct Run {
+        Slot slot = 0;
+        std::uint32_t blocks = 0;
+        double confidence = 0;
+    };
+    std::vector<Run> runs;
+    std::uint32_t depth = 0;
+    for (const auto* block : found) {
+        auto extended = false;
+        if (!block)
+            break;
+        for (const auto& holding : block->holdings) {
+            const auto sure = this->confidence(holding);
+            if (holding.tier != Tier::EngineMemory || sure == 0)
+                continue;
+            auto run = std::find_if(runs.begin(), runs.end(), [&](const Run& other) { return other.slot == holding.slot; });
+            if (run == runs.end() && depth == 0)
+                run = runs.insert(run, Run { holding.slot, 0, 0 });
+            if (run == runs.end() || run->blocks != depth)
+                continue;
+            ++run->blocks;
+            run->confidence += sure;
+            extended = true;
+        }
+        if (!extended)
+            break;
+        ++depth;
+    }
+    std::sort(runs.begin(), runs.end(), [](const Run& left, const Run& right) { return left.confidence > right.confidence; });
+    for (const auto& run : runs) {
+        if (coverage.engines.size() >= this->settings.maxEngines)
+            break;
+        coverage.engines.push_back({ this->holders[run.slot].id, run.blocks, run.confidence / run.blocks });
+    }
+}
+
+void PrefixIndex::addStores(const std::vector<const Block*>& found, ChainCoverage& coverage) const
+{
+    struct Run {
+        Slot slot = 0;
+        Tier tier = Tier::StoreMemory;
+        std::uint32_t first = 0;
+        std::uint32_t blocks = 0;
+        double confidence = 0;
+    };
+    std::vector<Run> runs;
+    for (std::uint32_t i = 0; i < found.size(); ++i) {
+        if (!found[i])
+            continue;
+        for (const auto& holding : found[i]->holdings) {
+            const auto sure = this->confidence(holding);
+            if (holding.tier == Tier::EngineMemory || sure == 0)
+                continue;
+            auto continues = [&](const Run& run) {
+                return run.slot == holding.slot && run.tier == holding.tier && run.first + run.blocks == i;
+            };
+            auto run = std::find_if(runs.begin(), runs.end(), continues);
+            if (run == runs.end())
+                run = runs.insert(run, Run { holding.slot, holding.tier, i, 0, 0 });
+            ++run->blocks;
+            run->confidence += sure;
+        }
+    }
+    if (runs.size() > this->settings.maxStoreRuns) {
+        std::stable_sort(runs.begin(), runs.end(), [](const Run& left, const Run& right) { return left.blocks > right.blocks; });
+        runs.resize(this->settings.maxStoreRuns);
+    }
+    std::stable_sort(runs.begin(), runs.end(), [](const Run& left, const Run& right) { return left.first < right.first; });
+    for (const auto& run : runs)
+        coverage.stores.push_back({ this->holders[run.slot].id, run.tier, run.first, run.blocks, run.confidence / run.blocks });
+}
+
+PrefixIndexCounts PrefixIndex::counts() const
+{
+    auto counts = this->total;
+    counts.evictions = this->entries.evictions();
+    return counts;
+}
+
+std::size_t PrefixIndex::memoryBytes() const
+{
+    // A map node, its bucket, the entry and room for two holdings.
+    constexpr auto blockBytes = sizeof(ChainHash) + sizeof(Block) + 2 * sizeof(Holding) + 48;
+    constexpr auto holderBytes = sizeof(Holder) + sizeof(Slot) + 96;
+    return this->entries.size() * blockBytes + this->holders.size() * holderBytes;
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/transfers.cc
@@ -0,0 +1,308 @@
+#include "goldcrestwood/transfers.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace goldcrestwood {
+
+namespace {
+
+    double sumOf(const std::array<double, transferClasses>& values)
+    {
+        auto sum = 0.0;
+        for (const auto value : values)
+            sum += value;
+        return sum;
+    }
+
+    /// @return What one of several demands gets of @p left when all are served evenly.
+    double evenShare(std::vector<double> demands, double own, double left)
+    {
+        std::sort(demands.begin(), demands.end());
+        for (std::size_t i = 0; i < demands.size(); ++i) {
+            const auto even = left / static_cast<double>(demands.size() - i);
+            if (demands[i] >= even)
+                return std::min(own, even);
+            if (demands[i] >= own)
+                return own;
+            left -= demands[i];
+        }
+        return own;
+    }
+
+    std::size_t index(TransferClass kind) { return static_cast<std::size_t>(kind); }
+
+    double bytesOf(const std::vector<Transfer>& transfers)
+    {
+        auto bytes = 0.0;
+        for (const auto& transfer : transfers)
+            bytes += static_cast<double>(transfer.bytes);
+        return bytes;
+    }
+
+} // namespace
+
+double LinkBroker::Grant::inForce(TimePoint now) const
+{
+    const auto current = now < this->until ? this->share : 0;
+    return now < this->earlierUntil ? std::max(current, this->earlierShare) : current;
+}
+
+LinkBroker::LinkBroker(const TransferSettings& initialSettings, double linkCapacity, std::size_t daemons, TimePoint start)
+    : settings(initialSettings)
+    , capacity(linkCapacity)
+    , floor(linkCapacity * initialSettings.floorShare / static_cast<double>(std::max<std::size_t>(daemons, 1)))
+    , daemonCount(std::max<std::size_t>(daemons, 1))
+    , startsAt(start)
+{
+}
+
+void LinkBroker::dropLapsed(TimePoint now)
+{
+    std::erase_if(this->grants, [&](const auto& item) { return item.second.until <= now && item.second.earlierUntil <= now; });
+}
+
+double LinkBroker::totalDemand() const
+{
+    auto total = 0.0;
+    for (const auto& [daemon, grant] : this->grants)
+        total += sumOf(grant.demand);
+    return total;
+}
+
+double LinkBroker::fairShare(const InstanceId& daemon, double left) const
+{
+    const auto& own = this->grants.at(daemon);
+    auto share = 0.0;
+    for (std::size_t kind = 0; kind < transferClasses; ++kind) {
+        std::vector<double> demands;
+        for (const auto& [other, grant] : this->grants)
+            demands.push_back(grant.demand[kind]);
+        share += evenShare(demands, own.demand[kind], left);
+        for (const auto demand : demands)
+            left -= demand;
+        if (left <= 0)
+            break;
+    }
+    return share;
+}
+
+LinkShare LinkBroker::demand(const InstanceId& daemon, const LinkDemand& demand, TimePoint now)
+{
+    this->dropLapsed(now);
+    const auto floorBytes = static_cast<std::uint64_t>(this->floor);
+    if (now < this->startsAt)
+        return { demand.store, floorBytes, floorBytes, this->settings.grantLifetime };
+
+    auto& grant = this->grants[daemon];
+    const auto headroom = this->settings.headroom;
+    grant.demand = { headroom * static_cast<double>(demand.firstToken), headroom * static_cast<double>(demand.prefetches),
+        headroom * static_cast<double>(demand.exports) };
+    const auto all = this->capacity - this->floor * static_cast<double>(this->daemonCount);
+    const auto unused = std::max(0.0, all - this->totalDemand());
+    auto taken = 0.0;
+    for (const auto& [other, held] : this->grants)
+        taken += other == daemon ? 0 : held.inForce(now);
+    const auto wanted = this->fairShare(daemon, all) + unused / static_cast<double>(this->daemonCount);
+    const auto share = std::clamp(wanted, 0.0, std::max(0.0, all - taken));
+
+    if (const auto held = grant.inForce(now); held > share) {
+        grant.earlierUntil = std::max(grant.until, grant.earlierUntil);
+        grant.earlierShare = held;
+    }
+    grant.share = share;
+    grant.until = now + this->settings.grantLifetime;
+    const auto speed = std::min(this->capacity, this->floor + share + unused);
+    return { demand.store, static_cast<std::uint64_t>(this->floor + share), static_cast<std::uint64_t>(speed),
+        this->settings.grantLifetime };
+}
+
+double LinkBroker::granted(TimePoint now) const
+{
+    auto sum = this->floor * static_cast<double>(this->daemonCount);
+    for (const auto& [daemon, grant] : this->grants)
+        sum += grant.inForce(now);
+    return sum;
+}
+
+TransferQueue::TransferQueue(const TransferSettings& initialSettings)
+    : settings(initialSettings)
+{
+}
+
+void TransferQueue::setLink(const UpstreamId& store, double capacity, std::size_t daemons, TimePoint now)
+{
+    auto& link = this->links[store];
+    link.capacity = capacity;
+    link.floor = capacity * this->settings.floorShare / static_cast<double>(std::max<std::size_t>(daemons, 1));
+    link.refilledAt = now;
+    link.demandAt = now;
+}
+
+void TransferQueue::grant(const LinkShare& share, TimePoint now)
+{
+    const auto found = this->links.find(share.store);
+    if (found == this->links.end())
+        return;
+    auto& link = found->second;
+    link.allowance = this->allowance(link, now);
+    link.refilledAt = now;
+    link.share = share;
+    link.shareUntil = now + share.lifetime;
+}
+
+double TransferQueue::rate(const Link& link, TimePoint now)
+{
+    return now < link.shareUntil ? std::max(link.floor, static_cast<double>(link.share.bytesPerSecond)) : link.floor;
+}
+
+double TransferQueue::speed(const Link& link, TimePoint now) const
+{
+    return now < link.shareUntil ? static_cast<double>(link.share.speed) : this->settings.ungrantedSpeed * link.capacity;
+}
+
+double TransferQueue::allowance(const Link& link, TimePoint now) const
+{
+    const auto seconds = std::max(0.0, toSeconds(now - link.refilledAt));
+    return std::min(link.allowance + rate(link, now) * seconds, link.capacity * toSeconds(this->settings.burst));
+}
+
+double TransferQueue::decay(const Link& link, TimePoint now) const
+{
+    return std::exp(-toSeconds(now - link.demandAt) / toSeconds(this->settings.demandWindow));
+}
+
+bool TransferQueue::arrivesInTime(const Link& link, const Transfer& transfer, double bytesAhead, TimePoint now) const
+{
+    const auto missing = std::max(0.0, bytesAhead - this->allowance(link, now));
+    const auto seconds = missing / rate(link, now) + static_cast<double>(transfer.bytes) / std::max(1.0, this->speed(link, now));
+    return now + fromSeconds(seconds) <= transfer.deadline;
+}
+
+TransferActions TransferQueue::submit(const Transfer& transfer, TimePoint now)
+{
+    TransferActions actions;
+    const auto found = this->links.find(transfer.store);
+    if (found == this->links.end()) {
+        actions.drop.push_back({ transfer.id });
+        return actions;
+    }
+    auto& link = found->second;
+    const auto kind = index(transfer.kind);
+    const auto faded = this->decay(link, now);
+    for (auto& bytes : link.demand)
+        bytes *= faded;
+    link.demandAt = now;
+    link.demand[kind] += static_cast<double>(transfer.bytes);
+
+    auto& queue = link.waiting[kind];
+    if (queue.size() >= this->settings.maxWaiting) {
+        actions.drop.push_back({ transfer.id });
+        return actions;
+    }
+    auto before = [](const Transfer& left, const Transfer& right) { return left.deadline < right.deadline; };
+    queue.insert(std::upper_bound(queue.begin(), queue.end(), transfer, before), transfer);
+    this->dropLate(link, now, actions);
+    this->startAllowed(link, now, actions);
+    return actions;
+}
+
+TransferActions TransferQueue::tick(TimePoint now)
+{
+    TransferActions actions;
+    for (auto& [store, link] : this->links) {
+        this->dropLate(link, now, actions);
+        this->startAllowed(link, now, actions);
+    }
+    return actions;
+}
+
+void TransferQueue::dropLate(Link& link, TimePoint now, TransferActions& actions) const
+{
+    auto ahead = 0.0;
+    for (auto& queue : link.waiting) {
+        std::erase_if(queue, [&](const Transfer& transfer) {
+            const auto late = !this->arrivesInTime(link, transfer, ahead, now);
+            if (late)
+                actions.drop.push_back({ transfer.id });
+            else
+                ahead += static_cast<double>(transfer.bytes);
+            return late;
+        });
+    }
+}
+
+void TransferQueue::startAllowed(Link& link, TimePoint now, TransferActions& actions)
+{
+    link.allowance = this->allowance(link, now);
+    link.refilledAt = now;
+    for (auto& queue : link.waiting) {
+        auto next = queue.begin();
+        for (; next != queue.end() && link.allowance > 0; ++next) {
+            link.allowance -= static_cast<double>(next->bytes);
+            this->running[next->id] = { next->store, next->bytes };
+            actions.start.push_back({ next->id });
+        }
+        queue.erase(queue.begin(), next);
+        if (!queue.empty())
+            return;
+    }
+}
+
+void TransferQueue::finish(TransferId id, std::uint64_t movedBytes)
+{
+    if (const auto found = this->running.find(id); found != this->running.end()) {
+        const auto unused = found->second.bytes - std::min(movedBytes, found->second.bytes);
+        if (const auto link = this->links.find(found->second.store); link != this->links.end())
+            link->second.allowance += static_cast<double>(unused);
+        this->running.erase(found);
+        return;
+    }
+    for (auto& [store, link] : this->links) {
+        for (auto& queue : link.waiting)
+            std::erase_if(queue, [&](const Transfer& transfer) { return transfer.id == id; });
+    }
+}
+
+LinkEstimate TransferQueue::estimate(const UpstreamId& store, TimePoint now) const
+{
+    const auto found = this->links.find(store);
+    if (found == this->links.end())
+        return {};
+    const auto& link = found->second;
+    const auto speed = this->speed(link, now);
+    const auto missing = std::max(0.0, bytesOf(link.waiting[index(TransferClass::FirstToken)]) - this->allowance(link, now));
+    // A backlog drains at the granted rate, a started transfer moves at full speed.
+    return { speed, missing * speed / rate(link, now) };
+}
+
+LinkDemand TransferQueue::demand(const UpstreamId& store, TimePoint now) const
+{
+    LinkDemand demand { store, 0, 0, 0 };
+    const auto found = this->links.find(store);
+    if (found == this->links.end())
+        return demand;
+    const auto& link = found->second;
+    const auto perSecond = this->decay(link, now) / toSeconds(this->settings.demandWindow);
+    auto of = [&](TransferClass kind) { return static_cast<std::uint64_t>(link.demand[index(kind)] * perSecond); };
+    demand.firstToken = of(TransferClass::FirstToken);
+    demand.prefetches = of(TransferClass::Prefetch);
+    demand.exports = of(TransferClass::Export);
+    return demand;
+}
+
+std::optional<TimePoint> TransferQueue::nextStart(TimePoint now) const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto& [store, link] : this->links) {
+        auto waits = [](const std::vector<Transfer>& queue) { return !queue.empty(); };
+        if (std::none_of(link.waiting.begin(), link.waiting.end(), waits))
+            continue;
+        const auto missing = std::max(0.0, -this->allowance(link, now));
+        const auto at = now + fromSeconds(missing / rate(link, now)) + Duration(1);
+        earliest = earliest ? std::min(*earliest, at) : at;
+    }
+    return earliest;
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/test/prefix_index_test.cc
@@ -0,0 +1,225 @@
+/// @file
+/// The index under late, lost, doubled and reordered events, restarts and bounded memory.
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "goldcrestwood/holder_feed.h"
+#include "goldcrestwood/prefix_index.h"
+#include "goldcrestwood/random.h"
+
+using namespace goldcrestwood;
+
+namespace {
+
+const UpstreamId engine("kiln-voice-1");
+const UpstreamId store("glaze-memory");
+const TimePoint start { std::chrono::seconds(1000) };
+constexpr auto stored = HolderEventKind::Stored;
+constexpr auto evicted = HolderEventKind::Evicted;
+constexpr auto inEngine = Tier::EngineMemory;
+
+HolderEvents batch(const UpstreamId& holder, std::uint64_t epoch, std::uint64_t after, std::vector<HolderEvent> events)
+{
+    const auto last = events.empty() ? after : events.back().sequence;
+    return { holder, epoch, after, last, std::move(events) };
+}
+
+std::vector<ChainHash> chainOf(std::uint64_t first, std::size_t blocks)
+{
+    std::vector<ChainHash> chain;
+    for (std::size_t i = 0; i < blocks; ++i)
+        chain.push_back({ first * 1000 + i });
+    return chain;
+}
+
+double coveredBy(PrefixIndex& index, const std::vector<ChainHash>& chain, const UpstreamId& holder)
+{
+    const auto coverage = index.lookUp(chain, start);
+    for (const auto& entry : coverage.engines) {
+        if (entry.upstream == holder)
+            return entry.blocks * entry.confidence;
+    }
+    return 0;
+}
+
+/// An engine that counts its events densely and loses some of them on the way out.
+struct FakeEngine {
+    std::uint64_t epoch = 1;
+    std::uint64_t sequence = 0;
+    std::set<std::uint64_t> blocks;
+    std::vector<HolderEvent> published;
+
+    void change(HolderEventKind kind, std::uint64_t hash)
+    {
+        if (kind == stored ? !this->blocks.insert(hash).second : this->blocks.erase(hash) == 0)
+            return;
+        this->published.push_back({ ++this->sequence, kind, inEngine, hash });
+    }
+
+    void restart()
+    {
+        ++this->epoch;
+        this->sequence = 0;
+        this->blocks.clear();
+        this->published.clear();
+    }
+
+    HolderEvents answer(std::uint64_t after) const
+    {
+        HolderEvents result { engine, this->epoch, after, this->sequence, {} };
+        for (const auto& event : this->published) {
+            if (event.sequence > after)
+                result.events.push_back(event);
+        }
+        return result;
+    }
+};
+
+} // namespace
+
+TEST_CASE("doubled, late and old events change nothing")
+{
+    PrefixIndex index;
+    const auto chain = chainOf(1, 2);
+    index.apply(batch(engine, 5, 0, { { 1, stored, inEngine, 1000 }, { 2, stored, inEngine, 1001 } }), start);
+    index.apply(batch(engine, 5, 2, { { 3, evicted, inEngine, 1001 } }), start);
+    CHECK(coveredBy(index, chain, engine) == 1);
+
+    index.apply(batch(engine, 5, 0, { { 1, stored, inEngine, 1000 }, { 2, stored, inEngine, 1001 } }), start);
+    index.apply(batch(engine, 4, 0, { { 9, evicted, inEngine, 1000 } }), start);
+    CHECK(coveredBy(index, chain, engine) == 1);
+    CHECK(index.counts().staleEvents == 3);
+    CHECK(index.counts().gaps == 0);
+}
+
+TEST_CASE("a gap and a restart make a holder doubtful until a resync")
+{
+    PrefixIndex index;
+    const PrefixIndexSettings settings;
+    const auto chain = chainOf(1, 1);
+    index.apply(batch(engine, 1, 0, { { 1, stored, inEngine, 1000 } }), start);
+    index.apply(batch(store, 1, 0, { { 1, stored, Tier::StoreDisk, 1000 } }), start);
+    index.apply(batch(engine, 1, 7, { { 8, stored, inEngine, 2000 } }), start);
+    CHECK(coveredBy(index, chain, engine) == Approx(settings.gapConfidence));
+    CHECK(coveredBy(index, chainOf(2, 1), engine) == 1);
+
+    index.apply(HolderSnapshot { engine, 1, 8, { { inEngine, 1000 } } }, start);
+    CHECK(coveredBy(index, chain, engine) == 1);
+    CHECK(coveredBy(index, chainOf(2, 1), engine) == Approx(settings.restartConfidence));
+
+    index.apply(batch(engine, 2, 0, {}), start);
+    index.apply(batch(store, 2, 0, {}), start);
+    CHECK(coveredBy(index, chain, engine) == Approx(settings.restartConfidence));
+    CHECK(index.lookUp(chain, start).stores.at(0).confidence == Approx(settings.diskRestartConfidence));
+    CHECK(index.counts().restarts == 2);
+}
+
+TEST_CASE("a forgotten holder does not come back under its successor's name")
+{
+    PrefixIndex index;
+    index.expect({ engine, { 1000 } }, start);
+    index.forget(engine);
+    index.expect({ UpstreamId("kiln-voice-2"), { 2000 } }, start);
+    CHECK(index.lookUp(chainOf(1, 1), start).engines.empty());
+    CHECK(index.lookUp(chainOf(2, 1), start).engines.size() == 1);
+}
+
+TEST_CASE("coverage counts engines from the start and stores in runs")
+{
+    PrefixIndex index;
+    index.apply(batch(engine, 1, 0, { { 1, stored, inEngine, 1000 }, { 2, stored, inEngine, 1002 } }), start);
+    index.apply(HolderSnapshot { store, 1, 1,
+                    { { Tier::StoreMemory, 1001 }, { Tier::StoreMemory, 1002 }, { Tier::StoreDisk, 1003 } } },
+        start);
+    const auto coverage = index.lookUp(chainOf(1, 4), start);
+    REQUIRE(coverage.engines.size() == 1);
+    CHECK(coverage.engines[0].blocks == 1);
+    REQUIRE(coverage.stores.size() == 2);
+    CHECK(coverage.stores[0] == StoreCoverage { store, Tier::StoreMemory, 1, 2, 1 });
+    CHECK(coverage.stores[1] == StoreCoverage { store, Tier::StoreDisk, 3, 1, 1 });
+    CHECK(index.lookUp(chainOf(1, 4), start).touches == std::vector<std::uint16_t> { 1, 1, 1, 1 });
+
+    index.observe({ engine, {}, store, { 1003 } }, start);
+    CHECK(index.lookUp(chainOf(1, 4), start).stores.size() == 1);
+}
+
+TEST_CASE("one-off prompts do not push out a prompt that returned")
+{
+    PrefixIndexSettings settings;
+    settings.maxBlocks = 512;
+    PrefixIndex index(settings);
+    const auto returning = chainOf(1, 8);
+    for (int i = 0; i < 3; ++i)
+        index.lookUp(returning, start);
+    index.expect({ engine, hashValues(returning) }, start);
+    for (std::uint64_t i = 0; i < 1000; ++i)
+        index.lookUp(chainOf(10 + i, 4), start + std::chrono::milliseconds(i));
+    CHECK(index.blocks() == settings.maxBlocks);
+    CHECK(index.lookUp(returning, start).engines.at(0).blocks == 8);
+    CHECK(index.memoryBytes() < 256 * settings.maxBlocks);
+}
+
+TEST_CASE("full confidence is never wrong once all has arrived")
+{
+    // Events are forwarded to two owners over links that lose, double and reorder batches. What an
+    // index vouches for in full must be at the engine whenever its last batch came through.
+    const auto seed = GENERATE(range(1, 60));
+    INFO("seed " << seed);
+    Random random(static_cast<std::uint64_t>(seed));
+    FakeEngine fake;
+    HolderFeed feed(engine);
+    std::map<InstanceId, PrefixIndex> owners;
+    const InstanceId names[] = { InstanceId("a"), InstanceId("b") };
+    for (const auto& name : names)
+        owners.try_emplace(name);
+    auto ownerOf = [&](ChainHash first) { return names[first.value / 1000 % 2]; };
+    for (std::uint64_t i = 0; i < 6; ++i)
+        feed.place(chainOf(i, 3), start);
+
+    std::vector<AddressedEvents> onTheWay;
+    auto deliver = [&](std::size_t place) { owners.at(onTheWay[place].to).apply(onTheWay[place].events, start); };
+    for (int step = 0; step < 200; ++step) {
+        const auto hash = random() % 6 * 1000 + random() % 3;
+        fake.change(random() % 3 ? stored : evicted, hash);
+        if (random() % 40 == 0)
+            fake.restart();
+        if (random() % 20 == 0)
+            fake.published.clear();
+        for (auto& message : feed.poll(fake.answer(feed.nextAfter()), ownerOf))
+            onTheWay.push_back(std::move(message));
+        while (!onTheWay.empty() && random() % 3) {
+            const auto place = random() % onTheWay.size();
+            if (random() % 4)
+                deliver(place);
+            if (random() % 4)
+                onTheWay.erase(onTheWay.begin() + static_cast<std::ptrdiff_t>(place));
+        }
+    }
+    // A last round reaches everyone in order.
+    for (std::uint64_t i = 0; i < 6; ++i) {
+        fake.change(evicted, i * 1000 + 2);
+        fake.change(stored, i * 1000 + 2);
+    }
+    for (const auto& message : feed.poll(fake.answer(feed.nextAfter()), ownerOf))
+        owners.at(message.to).apply(message.events, start);
+    for (std::uint64_t i = 0; i < 6; ++i) {
+        auto& index = owners.at(ownerOf({ i * 1000 }));
+        const auto coverage = index.lookUp(chainOf(i, 3), start);
+        for (const auto& entry : coverage.engines) {
+            for (std::uint64_t block = 0; entry.confidence == 1 && block < entry.blocks; ++block)
+                CHECK(fake.blocks.count(i * 1000 + block) == 1);
+        }
+    }
+}
+
+TEST_CASE("messages about prefixes survive encoding")
+{
+    const PrefixAnswer answer { true, { { { engine, 3, 0.5 } }, { { store, Tier::StoreDisk, 1, 2, 1 } }, { 1, 2 }, 0.25 } };
+    CHECK(decode<PrefixAnswer>(encode(answer)) == answer);
+    const HolderEvents events = batch(engine, 1, 4, { { 5, evicted, inEngine, ~std::uint64_t { 0 } } });
+    CHECK(decode<HolderEvents>(encode(events)) == events);
+}
