--- a/include/goldcrestwood/router.h
+++ b/include/goldcrestwood/router.h
@@ -79,12 +79,12 @@
 };
 
 /// What other parts say about an upstream.
-struct Admission {
+struct UpstreamCheck {
     Refusal refusal = Refusal::None;
     /// Added to the cost, for example while it is slow, cold or on trial.
     Duration penalty = Duration(0);
 
-    bool operator==(const Admission&) const = default;
+    bool operator==(const UpstreamCheck&) const = default;
 };
 
 /// Load as an upstream or its owner reports it, with a lag.
@@ -111,11 +111,11 @@
 
 /// Decides whether an upstream may take a request.
 template <typename T>
-concept AdmissionCheck = requires(const T& check, const RouteTarget& target)
+concept UpstreamChecker = requires(const T& check, const RouteTarget& target)
 {
     {
         check(target)
-        } -> std::same_as<Admission>;
+        } -> std::same_as<UpstreamCheck>;
 };
 
 /// Gives the state of a store's link.
@@ -220,7 +220,7 @@
 
     /// @param allowed Is asked only for the few candidates.
     /// @return The cheapest candidate, or why there is none.
-    template <AdmissionCheck Allowed, LinkView Links>
+    template <UpstreamChecker Allowed, LinkView Links>
     tl::expected<RouteDecision, RouteError> choose(
         const RouteRequest& request, const Allowed& allowed, const Links& links, TimePoint now, Random& random)
     {
@@ -229,7 +229,7 @@
             if (candidates.enough(pick, this->settings))
                 continue;
             const auto sameVersion = pick.target->version == request.version;
-            candidates.add(pick, sameVersion ? allowed(*pick.target) : Admission { Refusal::OtherVersion, {} });
+            candidates.add(pick, sameVersion ? allowed(*pick.target) : UpstreamCheck { Refusal::OtherVersion, {} });
         }
         std::vector<LinkEstimate> estimates;
         for (const auto& run : request.coverage.stores)
@@ -292,7 +292,7 @@
         std::size_t randomKept = 0;
 
         bool enough(const Pick& pick, const RouterSettings& settings) const;
-        void add(const Pick& pick, const Admission& admission);
+        void add(const Pick& pick, const UpstreamCheck& admission);
     };
 
     struct Outstanding {
--- a/src/daemon/completion_call.cc
+++ b/src/daemon/completion_call.cc
@@ -8,58 +8,58 @@
 
 namespace {
 
-using nlohmann::json;
+    using nlohmann::json;
 
-constexpr std::uint32_t defaultMaxTokens = 128;
-constexpr std::uint32_t largestMaxTokens = 65536;
+    constexpr std::uint32_t defaultMaxTokens = 128;
+    constexpr std::uint32_t largestMaxTokens = 65536;
 
-tl::unexpected<Problem> badRequest(const std::string& detail)
-{
-    return tl::unexpected(Problem { 400, "Bad request", detail });
-}
+    tl::unexpected<Problem> badRequest(const std::string& detail)
+    {
+        return tl::unexpected(Problem { 400, "Bad request", detail });
+    }
 
-/// @return The text of a chat message list, or nothing if it is not one.
-std::string joinMessages(const json& messages)
-{
-    std::string prompt;
-    for (const auto& message : messages) {
-        if (!message.is_object() || !message.contains("content") || !message["content"].is_string())
-            return {};
-        prompt += message.value("role", "user") + ": " + message["content"].get<std::string>() + "\n";
+    /// @return The text of a chat message list, or nothing if it is not one.
+    std::string joinMessages(const json& messages)
+    {
+        std::string prompt;
+        for (const auto& message : messages) {
+            if (!message.is_object() || !message.contains("content") || !message["content"].is_string())
+                return {};
+            prompt += message.value("role", "user") + ": " + message["content"].get<std::string>() + "\n";
+        }
+        return prompt;
     }
-    return prompt;
-}
 
-tl::expected<std::uint64_t, Problem> readCount(const json& body, const char* key, std::uint64_t otherwise, std::uint64_t largest)
-{
-    if (!body.contains(key))
-        return otherwise;
-    const auto& value = body[key];
-    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > largest)
-        return tl::unexpected(Problem { 400, "Bad request", std::string(key) + " must be a whole number from 0 to " + std::to_string(largest) });
-    return value.get<std::uint64_t>();
-}
+    tl::expected<std::uint64_t, Problem> readCount(const json& body, const char* key, std::uint64_t otherwise, std::uint64_t largest)
+    {
+        if (!body.contains(key))
+            return otherwise;
+        const auto& value = body[key];
+        if (!value.is_number_unsigned() || value.get<std::uint64_t>() > largest)
+            return tl::unexpected(Problem { 400, "Bad request", std::string(key) + " must be a whole number from 0 to " + std::to_string(largest) });
+        return value.get<std::uint64_t>();
+    }
 
-std::string dumped(const json& data)
-{
-    return data.dump(-1, ' ', false, json::error_handler_t::replace);
-}
+    std::string dumped(const json& data)
+    {
+        return data.dump(-1, ' ', false, json::error_handler_t::replace);
+    }
 
-json choiceOf(const CompletionCall& call, const std::string& text, bool whole)
-{
-    json choice = { { "index", 0 } };
-    if (call.shape == CompletionShape::Text)
-        choice["text"] = text;
-    else
-        choice[whole ? "message" : "delta"] = { { "role", "assistant" }, { "content", text } };
-    return choice;
-}
+    json choiceOf(const CompletionCall& call, const std::string& text, bool whole)
+    {
+        json choice = { { "index", 0 } };
+        if (call.shape == CompletionShape::Text)
+            choice["text"] = text;
+        else
+            choice[whole ? "message" : "delta"] = { { "role", "assistant" }, { "content", text } };
+        return choice;
+    }
 
-json envelope(const CompletionCall& call, const std::string& requestId)
-{
-    const auto* object = call.shape == CompletionShape::Text ? "text_completion" : (call.stream ? "chat.completion.chunk" : "chat.completion");
-    return { { "id", requestId }, { "object", object }, { "model", call.service.value } };
-}
+    json envelope(const CompletionCall& call, const std::string& requestId)
+    {
+        const auto* object = call.shape == CompletionShape::Text ? "text_completion" : (call.stream ? "chat.completion.chunk" : "chat.completion");
+        return { { "id", requestId }, { "object", object }, { "model", call.service.value } };
+    }
 
 } // namespace
 
--- a/src/daemon/completion_handler.cc
+++ b/src/daemon/completion_handler.cc
@@ -8,10 +8,10 @@
 
 namespace {
 
-std::uint64_t unixSeconds()
-{
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(wallClock()).count());
-}
+    std::uint64_t unixSeconds()
+    {
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(wallClock()).count());
+    }
 
 } // namespace
 
--- a/src/daemon/completion_run.cc
+++ b/src/daemon/completion_run.cc
@@ -9,30 +9,30 @@
 
 namespace {
 
-/// Wait for a permit at the chosen upstream before another is chosen.
-constexpr Duration permitPatience = std::chrono::milliseconds(200);
-/// Time by which an import may exceed its expected length.
-constexpr Duration importSlack = std::chrono::milliseconds(100);
-/// An export that has not started by then is dropped.
-constexpr Duration exportLimit = std::chrono::seconds(5);
-constexpr Duration shortestExpectation = std::chrono::milliseconds(1);
-constexpr int statusOk = 200;
+    /// Wait for a permit at the chosen upstream before another is chosen.
+    constexpr Duration permitPatience = std::chrono::milliseconds(200);
+    /// Time by which an import may exceed its expected length.
+    constexpr Duration importSlack = std::chrono::milliseconds(100);
+    /// An export that has not started by then is dropped.
+    constexpr Duration exportLimit = std::chrono::seconds(5);
+    constexpr Duration shortestExpectation = std::chrono::milliseconds(1);
+    constexpr int statusOk = 200;
 
-RelaySettings relaySettings(const Serving& serving, const ServiceEntry& service)
-{
-    RelaySettings settings;
-    settings.stallLimit = service.stallLimit;
-    settings.resumeWindow = serving.settings.serving.resumeWindow;
-    return settings;
-}
+    RelaySettings relaySettings(const Serving& serving, const ServiceEntry& service)
+    {
+        RelaySettings settings;
+        settings.stallLimit = service.stallLimit;
+        settings.resumeWindow = serving.settings.serving.resumeWindow;
+        return settings;
+    }
 
-int enginePriority(const CatalogView& view, const ClientAccount& account)
-{
-    const auto* entry = view.account(account);
-    if (!entry || entry->priority == Priority::Normal)
-        return 1;
-    return entry->priority == Priority::Important ? 0 : 2;
-}
+    int enginePriority(const CatalogView& view, const ClientAccount& account)
+    {
+        const auto* entry = view.account(account);
+        if (!entry || entry->priority == Priority::Normal)
+            return 1;
+        return entry->priority == Priority::Important ? 0 : 2;
+    }
 
 } // namespace
 
--- a/src/daemon/journal_driver.h
+++ b/src/daemon/journal_driver.h
@@ -77,8 +77,8 @@
 
     ~JournalDriver() { this->stop(); }
 
-    /// @param callback Called under the stream's lock after each read; must not call the driver.
-    void onUpdate(std::function<void(const Fold&)> callback) { this->updated = std::move(callback); }
+    /// @param callback Called under the stream's lock after each change; must not call the driver.
+    void onUpdate(std::function<void(Fold&)> callback) { this->updated = std::move(callback); }
 
     void start()
     {
@@ -139,6 +139,16 @@
         return use(this->fold);
     }
 
+    /// Calls @p use with the fold and the journal under the stream's lock, then carries out what the journal wants.
+    template <typename Use>
+    auto withJournal(const Use& use)
+    {
+        const std::lock_guard lock(this->mutex);
+        auto result = use(this->fold, this->journal);
+        this->changed.notify_all();
+        return result;
+    }
+
     /// Waits until @p condition holds for the fold or @p patience has passed.
     /// @return Whether it holds.
     template <typename Condition>
@@ -270,11 +280,13 @@
     void complete(const std::vector<Completion>& completions)
     {
         for (const auto& completion : completions) {
+            if constexpr (requires { this->fold.onCompletion(completion, Duration()); })
+                this->fold.onCompletion(completion, this->journal.retryAfter(monotonicNow()));
             if (const auto found = this->waited.find(completion.id); found != this->waited.end())
                 found->second = completion;
         }
         if (!completions.empty())
-            this->completed.notify_all();
+            this->notifyUpdate();
     }
 
     void runAppends()
@@ -373,7 +385,7 @@
     std::optional<AppendAction> pendingAppend;
     std::optional<ReadAction> pendingRead;
     std::map<RecordId, std::optional<Completion>> waited;
-    std::function<void(const Fold&)> updated;
+    std::function<void(Fold&)> updated;
     std::uint64_t snapshotCount = 0;
     bool stopping = false;
     std::thread appendThread;
--- /dev/null
+++ b/src/daemon/operator_api.h
@@ -0,0 +1,38 @@
+#pragma once
+
+/// @file
+/// The operators' HTTP interface: status, state dump, configuration, drain orders.
+
+#include <string>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "daemon/claim_service.h"
+#include "daemon/serving.h"
+#include "goldcrestwood/shutdown.h"
+
+namespace goldcrestwood {
+
+class OperatorApi {
+public:
+    /// @param control, claims Must outlive the interface.
+    OperatorApi(const Serving& serving, ControlJournal& control, ClaimService& claims);
+
+    void serve(HttpExchange& exchange);
+
+    /// @return All state that helps to understand what the process does; no secrets.
+    nlohmann::json stateDump();
+
+private:
+    HttpResponse apply(HttpExchange& exchange);
+    HttpResponse status();
+    HttpResponse drain(DrainTarget target, const std::string& name, DomainState state);
+    HttpResponse configuration();
+
+    Serving serving;
+    ControlJournal& control;
+    ClaimService& claims;
+    std::atomic<std::uint64_t> orders = 0;
+};
+
+} // namespace goldcrestwood
--- a/src/daemon/peer_directory.h
+++ b/src/daemon/peer_directory.h
@@ -74,6 +74,21 @@
             this->transport->post(*address, frame);
     }
 
+    /// Calls a daemon other than this one; @p callback gets the decoded reply on a transport thread.
+    template <typename Reply, typename Message, typename Callback>
+    void callAsync(const InstanceId& to, const char* kind, const Message& message, Duration timeout, Callback callback) const
+    {
+        const auto address = this->mesh.addressOf(to);
+        if (!address)
+            return;
+        this->transport->callAsync(*address, { kind, encode(message) }, timeout, [callback](const PeerResult& result) {
+            if (!result)
+                return;
+            if (const auto reply = decode<Reply>(result->payload))
+                callback(*reply);
+        });
+    }
+
     /// Calls a daemon other than this one.
     template <typename Reply, typename Message>
     tl::expected<Reply, PeerError> call(const InstanceId& to, const char* kind, const Message& message, Duration timeout) const
--- a/src/daemon/route_service.cc
+++ b/src/daemon/route_service.cc
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Cost of an upstream at which a permit has to be asked for first.
-constexpr Duration permitPenalty = std::chrono::milliseconds(30);
+    /// Cost of an upstream at which a permit has to be asked for first.
+    constexpr Duration permitPenalty = std::chrono::milliseconds(30);
 
 } // namespace
 
--- a/src/daemon/run_reaper.cc
+++ b/src/daemon/run_reaper.cc
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr Duration cancelTimeout = std::chrono::milliseconds(500);
-constexpr Duration idleWait = std::chrono::seconds(1);
+    constexpr Duration cancelTimeout = std::chrono::milliseconds(500);
+    constexpr Duration idleWait = std::chrono::seconds(1);
 
 } // namespace
 
--- a/src/daemon/transfer_service.cc
+++ b/src/daemon/transfer_service.cc
@@ -10,22 +10,22 @@
 
 namespace {
 
-constexpr Duration tickInterval = std::chrono::milliseconds(5);
-constexpr Duration demandInterval = std::chrono::seconds(1);
-constexpr std::size_t backgroundThreads = 2;
+    constexpr Duration tickInterval = std::chrono::milliseconds(5);
+    constexpr Duration demandInterval = std::chrono::seconds(1);
+    constexpr std::size_t backgroundThreads = 2;
 
-const char* labelOf(TransferClass kind)
-{
-    switch (kind) {
-    case TransferClass::FirstToken:
-        return "class=\"import\"";
-    case TransferClass::Prefetch:
-        return "class=\"prefetch\"";
-    case TransferClass::Export:
-        return "class=\"export\"";
+    const char* labelOf(TransferClass kind)
+    {
+        switch (kind) {
+        case TransferClass::FirstToken:
+            return "class=\"import\"";
+        case TransferClass::Prefetch:
+            return "class=\"prefetch\"";
+        case TransferClass::Export:
+            return "class=\"export\"";
+        }
+        return "";
     }
-    return "";
-}
 
 } // namespace
 
@@ -120,7 +120,7 @@
     const auto stage = this->jobs[id].stage;
     this->jobs.erase(id);
     if (stage != Stage::Started) {
-        this->transfers.finish(id, 0, monotonicNow());
+        this->transfers.finish(id, 0);
         return std::nullopt;
     }
     lock.unlock();
@@ -138,7 +138,7 @@
     this->metrics.count("goldcrestwood_transfer_bytes_total", labelOf(move.kind), bytes);
     {
         const std::lock_guard lock(this->mutex);
-        this->transfers.finish(id, bytes, monotonicNow());
+        this->transfers.finish(id, bytes);
     }
     if (!moved)
         return std::nullopt;
--- a/src/daemon/upstream_monitor.cc
+++ b/src/daemon/upstream_monitor.cc
@@ -8,24 +8,25 @@
 
 namespace {
 
-constexpr std::size_t monitorThreads = 4;
-constexpr Duration pollInterval = std::chrono::milliseconds(300);
-constexpr Duration idleWait = std::chrono::milliseconds(50);
-constexpr Duration exchangeTimeout = std::chrono::milliseconds(500);
+    constexpr std::size_t monitorThreads = 4;
+    constexpr Duration pollInterval = std::chrono::milliseconds(300);
+    constexpr Duration refreshInterval = std::chrono::milliseconds(500);
+    constexpr Duration idleWait = std::chrono::milliseconds(50);
+    constexpr Duration exchangeTimeout = std::chrono::milliseconds(500);
 
-HolderEvents toHolderEvents(const UpstreamId& holder, std::uint64_t after, bool isStore, const CacheEvents& read)
-{
-    HolderEvents events;
-    events.holder = holder;
-    events.epoch = read.epoch;
-    events.after = after;
-    events.last = read.last;
-    for (const auto& event : read.events) {
-        const auto tier = isStore ? (event.onDisk ? Tier::StoreDisk : Tier::StoreMemory) : Tier::EngineMemory;
-        events.events.push_back({ event.sequence, event.stored ? HolderEventKind::Stored : HolderEventKind::Evicted, tier, event.hash });
+    HolderEvents toHolderEvents(const UpstreamId& holder, std::uint64_t after, bool isStore, const CacheEvents& read)
+    {
+        HolderEvents events;
+        events.holder = holder;
+        events.epoch = read.epoch;
+        events.after = after;
+        events.last = read.last;
+        for (const auto& event : read.events) {
+            const auto tier = isStore ? (event.onDisk ? Tier::StoreDisk : Tier::StoreMemory) : Tier::EngineMemory;
+            events.events.push_back({ event.sequence, event.stored ? HolderEventKind::Stored : HolderEventKind::Evicted, tier, event.hash });
+        }
+        return events;
     }
-    return events;
-}
 
 } // namespace
 
@@ -72,29 +73,50 @@
 {
     const std::lock_guard lock(this->mutex);
     std::map<UpstreamId, Watched> next;
-    const auto add = [&](Watched entry) {
+    const auto add = [&](const UpstreamId& id, const std::string& address, bool isStore) {
+        Watched entry;
+        entry.id = id;
+        entry.address = address;
+        entry.key = upstreamKey(id);
+        entry.isStore = isStore;
         const auto known = this->watched.find(entry.id);
         if (known != this->watched.end() && known->second.address == entry.address)
             entry = known->second;
-        else if (entry.hasCache)
+        else
             entry.feed = std::make_shared<HolderFeed>(entry.id);
         next.emplace(entry.id, std::move(entry));
     };
     view->upstreams.forEach([&](const auto& row) {
         const auto* service = view->service(row.entry.service);
         if (service && service->kind == ServiceKind::Model)
-            add({ row.entry.id, row.entry.address, upstreamKey(row.entry.id), false, true });
+            add(row.entry.id, row.entry.address, false);
     });
-    view->stores.forEach([&](const auto& row) { add({ row.entry.id, row.entry.address, upstreamKey(row.entry.id), true, true }); });
+    view->stores.forEach([&](const auto& row) { add(row.entry.id, row.entry.address, true); });
     this->watched = std::move(next);
+    this->nextRefresh = TimePoint();
 }
 
 std::map<UpstreamId, UpstreamMonitor::Watched>::iterator UpstreamMonitor::nextDue(TimePoint now)
 {
-    return std::find_if(this->watched.begin(), this->watched.end(), [&](const auto& item) {
-        const auto& entry = item.second;
-        return !entry.busy && entry.dueAt <= now && this->mesh.ownersOf(entry.key).owner == this->mesh.self();
-    });
+    if (now >= this->nextRefresh) {
+        this->nextRefresh = now + refreshInterval;
+        this->refreshOwned();
+    }
+    const auto isDue = [&](const UpstreamId& id) {
+        const auto found = this->watched.find(id);
+        return found != this->watched.end() && !found->second.busy && found->second.dueAt <= now;
+    };
+    const auto due = std::find_if(this->owned.begin(), this->owned.end(), isDue);
+    return due == this->owned.end() ? this->watched.end() : this->watched.find(*due);
+}
+
+void UpstreamMonitor::refreshOwned()
+{
+    this->owned.clear();
+    for (const auto& [id, entry] : this->watched) {
+        if (this->mesh.ownersOf(entry.key).owner == this->mesh.self())
+            this->owned.push_back(id);
+    }
 }
 
 void UpstreamMonitor::run()
@@ -173,9 +195,10 @@
     std::string encoded;
     {
         const std::lock_guard lock(this->mutex);
-        for (const auto& [id, entry] : this->watched) {
-            if (!entry.version.empty() && this->mesh.ownersOf(entry.key).owner == this->mesh.self())
-                versions.upstreams.push_back({ id, entry.version });
+        for (const auto& id : this->owned) {
+            const auto entry = this->watched.find(id);
+            if (entry != this->watched.end() && !entry->second.version.empty())
+                versions.upstreams.push_back({ id, entry->second.version });
         }
         encoded = encode(versions);
         if (encoded == this->publishedVersions)
--- a/src/daemon/upstream_monitor.h
+++ b/src/daemon/upstream_monitor.h
@@ -42,7 +42,6 @@
         std::string address;
         std::uint64_t key = 0;
         bool isStore = false;
-        bool hasCache = false;
         bool busy = false;
         TimePoint dueAt;
         VersionName version;
@@ -50,9 +49,10 @@
     };
 
     void run();
-    void poll(const Watched& watched);
-    void pollEvents(const Watched& watched);
-    void pollLoad(const Watched& watched);
+    void refreshOwned();
+    void poll(const Watched& entry);
+    void pollEvents(const Watched& entry);
+    void pollLoad(const Watched& entry);
     void publishVersions();
     std::map<UpstreamId, Watched>::iterator nextDue(TimePoint now);
 
@@ -64,6 +64,8 @@
     std::mutex mutex;
     std::condition_variable wake;
     std::map<UpstreamId, Watched> watched;
+    std::vector<UpstreamId> owned;
+    TimePoint nextRefresh;
     std::string publishedVersions;
     bool stopping = false;
     std::vector<std::thread> threads;
--- a/src/router.cc
+++ b/src/router.cc
@@ -154,7 +154,7 @@
     return this->kept.size() >= settings.maxCandidates || (pick.random && this->randomKept >= settings.randomPicks);
 }
 
-void Router::Candidates::add(const Pick& pick, const Admission& admission)
+void Router::Candidates::add(const Pick& pick, const UpstreamCheck& admission)
 {
     if (admission.refusal != Refusal::None) {
         this->refusals.push_back(admission.refusal);
