--- a/src/daemon/completion_run.cc
+++ b/src/daemon/completion_run.cc
@@ -205,6 +205,10 @@
 bool CompletionRun::onPiece(const EnginePiece& piece, const Step& step)
 {
     const auto now = monotonicNow();
+    if (this->serving.cutStreams) {
+        this->apply(this->relay.onRetryRefused());
+        return false;
+    }
     if (piece.finished) {
         this->cachedTokens = std::max(this->cachedTokens, piece.cachedTokens);
         this->apply(this->relay.onFinish({ RequestId(piece.requestId), RunId(piece.runId), piece.tokenCount }, now));
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -54,6 +54,17 @@
         return list;
     }
 
+    /// @return The configuration of a request body: a msgpack message, or else TOML.
+    tl::expected<Configuration, Findings> readConfiguration(const std::string& body, std::string_view contentType)
+    {
+        if (contentType != "application/msgpack")
+            return parseConfiguration({ "configuration", body }, {});
+        auto configuration = decode<Configuration>(body);
+        if (!configuration)
+            return tl::unexpected(Findings { { { "configuration", 0, 0 }, configuration.error().message } });
+        return std::move(*configuration);
+    }
+
 } // namespace
 
 OperatorApi::OperatorApi(const Serving& parts, ControlJournal& controlJournal, ClaimService& claimService)
@@ -97,7 +108,7 @@
     const auto body = exchange.readBody(largestConfiguration);
     if (!body)
         return problemResponse(body.error());
-    const auto wanted = parseConfiguration({ "configuration", *body }, {});
+    const auto wanted = readConfiguration(*body, exchange.header("Content-Type"));
     auto findings = wanted ? validate(*wanted) : wanted.error();
     if (!findings.empty()) {
         json list = json::array();
--- a/src/daemon/serving.h
+++ b/src/daemon/serving.h
@@ -41,6 +41,8 @@
     const TicketSigner& tickets;
     /// The configuration in force.
     std::atomic<std::shared_ptr<const CatalogView>>& view;
+    /// Set when a planned stop has run out of time: streams end with an error event.
+    std::atomic<bool>& cutStreams;
 };
 
 /// @return The account of the caller, or a 401 problem.
