--- a/include/goldcrestwood/journal.h
+++ b/include/goldcrestwood/journal.h
@@ -240,8 +240,9 @@
     /// @return Whether a later incarnation of this instance has written to the stream.
     bool isSuperseded() const { return this->superseded; }
 
-    /// @return Offset of the first record that is not folded in.
-    std::uint64_t next() const { return this->position; }
+    /// @return Offset of the first record that is not folded in; while needsState(), the lowest that a state may have
+    /// so that the records after it can still be read.
+    std::uint64_t next() const { return this->missingState ? this->firstRetained : this->position; }
 
     /// @return Records of unknown kinds and undecodable ones, skipped so far.
     std::uint64_t skipped() const { return this->skippedRecords; }
@@ -285,6 +286,7 @@
     WriterTable writers;
 
     std::uint64_t position = 0;
+    std::uint64_t firstRetained = 0;
     std::uint64_t end = 0;
     bool missingState = true;
     bool everRead = false;
--- a/include/goldcrestwood/snapshot.h
+++ b/include/goldcrestwood/snapshot.h
@@ -72,7 +72,7 @@
 public:
     /// Considers a state from the log or a peer.
     /// @param candidate Its next offset.
-    /// @param current Next offset of the own folds.
+    /// @param current Journal::next().
     /// @param needsState Whether the own folds lack a base (Journal::needsState()).
     /// @return Whether to take it: never one that is not ahead of what this daemon has held.
     bool mayAdopt(std::uint64_t candidate, std::uint64_t current, bool needsState);
--- a/src/journal.cc
+++ b/src/journal.cc
@@ -261,6 +261,7 @@
     if (!this->everRead)
         this->missingState = this->position < answer.firstRetained;
     this->everRead = true;
+    this->firstRetained = answer.firstRetained;
     if (this->position < answer.firstRetained) {
         this->missingState = true;
         this->position = answer.firstRetained;
--- a/src/snapshot.cc
+++ b/src/snapshot.cc
@@ -58,7 +58,8 @@
 
 bool StateGate::mayAdopt(std::uint64_t candidate, std::uint64_t current, bool needsState)
 {
-    if (candidate < this->highest || (!needsState && candidate <= current))
+    const bool isOld = candidate < this->highest || candidate < current;
+    if (isOld || (!needsState && candidate == current))
         return false;
     this->highest = candidate;
     this->based = true;
--- /dev/null
+++ b/test/journal_test.cc
@@ -0,0 +1,254 @@
+/// @file
+/// The journal under lost answers, late appends, outages, expiry, pauses and crashes; snapshots and the choice of state.
+
+#include <memory>
+
+#include <catch2/catch.hpp>
+
+#include "goldcrestwood/hash.h"
+#include "simulation.h"
+
+using namespace goldcrestwood;
+using namespace goldcrestwood::simulation;
+
+namespace {
+
+/// What all daemons of a run report, to compare them.
+struct Ledger {
+    std::map<std::uint64_t, std::uint64_t> hashAt;
+    std::map<RecordId, std::uint64_t> counted;
+    std::map<RecordId, RecordFate> told;
+    std::set<RecordId> notes;
+};
+
+/// A fold that hashes the history, so that equal hashes mean equal histories.
+class HistoryFold {
+public:
+    explicit HistoryFold(Ledger& all)
+        : ledger(all)
+    {
+    }
+
+    static std::set<std::string> kinds() { return { "Note", "SnapshotChunk" }; }
+
+    void apply(const AppliedRecord& record)
+    {
+        this->hash = stableHash(encode(record.id), this->hash);
+        const auto [place, isNew] = this->ledger.counted.try_emplace(record.id, record.offset);
+        CHECK(place->second == record.offset);
+    }
+
+    std::vector<FoldPart> parts() const { return { { "hash", std::to_string(this->hash) } }; }
+    void restore(const std::vector<FoldPart>& parts) { this->hash = std::stoull(parts.at(0).state); }
+
+    void complete(const Completion& completion)
+    {
+        const auto [place, isNew] = this->ledger.told.try_emplace(completion.id, completion.fate);
+        const bool wasOpen = isNew || place->second == RecordFate::Unknown;
+        CHECK(wasOpen);
+        place->second = completion.fate;
+        if (completion.fate == RecordFate::Committed && this->ledger.notes.contains(completion.id))
+            CHECK(this->ledger.counted.at(completion.id) == completion.offset);
+    }
+
+    void afterRead(std::uint64_t next)
+    {
+        CHECK(next >= this->highest);
+        this->highest = next;
+        CHECK(this->ledger.hashAt.try_emplace(next, this->hash).first->second == this->hash);
+    }
+
+private:
+    Ledger& ledger;
+    std::uint64_t hash = 0;
+    std::uint64_t highest = 0;
+};
+
+/// A daemon that writes notes.
+class Writer {
+public:
+    Writer(World& world, FakeLog& stream, Ledger& all, std::string name)
+        : process(world)
+        , instance(std::move(name))
+        , log(stream)
+        , ledger(all)
+    {
+        this->start();
+    }
+
+    void start()
+    {
+        JournalSettings settings;
+        settings.batchRecords = 8;
+        settings.queueRecords = 64;
+        settings.readRecords = 32;
+        this->fold = std::make_unique<HistoryFold>(this->ledger);
+        this->runner = std::make_unique<StreamRunner<HistoryFold>>(this->process, this->log, *this->fold, settings, this->instance);
+        this->runner->keepGoing();
+        this->write();
+    }
+
+    void restart()
+    {
+        this->process.crash();
+        this->start();
+    }
+
+    void write()
+    {
+        this->process.after(this->process.world.upTo(100ms), [this] {
+            const auto* kind = this->process.world.chance(0.05) ? "Strange" : "Note";
+            const auto id = this->runner->journal.submit(kind, "text", this->process.world.now);
+            if (id && std::string_view(kind) == "Note")
+                this->ledger.notes.insert(*id);
+            if (this->isWriting)
+                this->write();
+        });
+    }
+
+    Process process;
+    InstanceId instance;
+    FakeLog& log;
+    Ledger& ledger;
+    std::unique_ptr<HistoryFold> fold;
+    std::unique_ptr<StreamRunner<HistoryFold>> runner;
+    bool isWriting = true;
+};
+
+void disturb(World& world, FakeLog& log, std::vector<std::unique_ptr<Writer>>& writers)
+{
+    auto& writer = *writers[world.below(writers.size())];
+    if (world.chance(0.2))
+        writer.restart();
+    if (world.chance(0.3))
+        writer.process.pause(world.upTo(5s));
+    log.faults.isOut = world.chance(0.2);
+    auto& snapshotter = *writers[world.below(writers.size())]->runner;
+    if (!snapshotter.journal.needsState())
+        snapshotter.writeSnapshot(world.chance(0.3));
+    if (world.chance(0.3) && log.next() > 400)
+        log.expire(log.next() - 400);
+    for (const auto& other : writers) {
+        if (world.chance(0.2) && !other->runner->journal.needsState() && other->runner->gate.isReady())
+            writer.runner->adopt(other->runner->state());
+    }
+}
+
+} // namespace
+
+TEST_CASE("what the journal says of a record is true, and equal offsets mean equal folds")
+{
+    const auto seed = GENERATE(range(1, 13));
+    INFO("seed " << seed);
+    World world(seed);
+    FakeLog log(world);
+    Ledger ledger;
+    std::vector<std::unique_ptr<Writer>> writers;
+    for (const auto* name : { "a", "b", "c" })
+        writers.push_back(std::make_unique<Writer>(world, log, ledger, name));
+    for (int round = 0; round < 60; ++round) {
+        disturb(world, log, writers);
+        world.runFor(world.upTo(2s));
+    }
+
+    log.faults = LogFaults::none();
+    for (const auto& writer : writers)
+        writer->isWriting = false;
+    world.runFor(20s);
+    for (const auto& writer : writers) {
+        if (writer->runner->journal.needsState())
+            writer->runner->adopt(writers[0]->runner->journal.needsState() ? writers[1]->runner->state() : writers[0]->runner->state());
+    }
+    world.runFor(5s);
+    std::map<RecordFate, int> fates;
+    for (const auto& [id, fate] : ledger.told) {
+        ++fates[fate];
+        if (fate == RecordFate::NotAppended)
+            CHECK_FALSE(ledger.counted.contains(id));
+    }
+    CHECK(fates[RecordFate::Committed] > 100);
+    CHECK(fates[RecordFate::NotAppended] > 0);
+    for (const auto& writer : writers) {
+        INFO("needs state: " << writer->runner->journal.needsState());
+        CHECK(writer->runner->journal.next() == log.next());
+        CHECK(writer->runner->journal.lag() == 0);
+    }
+}
+
+TEST_CASE("one append is in flight, and what waits goes into the next one within its bounds")
+{
+    Random random(1);
+    JournalSettings settings;
+    settings.batchRecords = 3;
+    settings.queueRecords = 5;
+    Journal journal(settings, InstanceId("a"), 1, { "Note" });
+    const TimePoint start(1h);
+    REQUIRE(journal.submit("Note", "1", start));
+    const auto first = journal.poll(start, random);
+    CHECK(first.actions.size() == 2);
+    for (int note = 0; note < 5; ++note)
+        REQUIRE(journal.submit("Note", "2", start));
+    CHECK(journal.submit("Note", "3", start) == tl::unexpected(SubmitError::QueueFull));
+    CHECK(journal.poll(start, random).actions.empty());
+    const auto exchange = std::get<AppendAction>(first.actions[0]).exchange;
+    journal.onAppendResult(exchange, AppendOk { 0 }, start, random);
+    const auto second = journal.poll(start, random);
+    REQUIRE(second.actions.size() == 1);
+    CHECK(std::get<AppendAction>(second.actions[0]).records.size() == 3);
+}
+
+TEST_CASE("in an outage waiting records are given up for certain and the journal says so")
+{
+    Random random(1);
+    Journal journal(JournalSettings(), InstanceId("a"), 1, { "Note" });
+    TimePoint now(1h);
+    const auto id = journal.submit("Note", "1", now);
+    std::vector<Completion> completions;
+    std::size_t appends = 0;
+    for (; completions.empty() && now < TimePoint(1h + 10s); now = std::max(journal.nextWake(), now + 1ms)) {
+        auto poll = journal.poll(now, random);
+        completions = poll.completions;
+        for (const auto& action : poll.actions) {
+            if (const auto* append = std::get_if<AppendAction>(&action)) {
+                ++appends;
+                journal.onAppendResult(append->exchange, AppendRejected {}, now, random);
+            }
+        }
+    }
+    REQUIRE(completions == std::vector<Completion> { { *id, RecordFate::NotAppended, 0 } });
+    CHECK(appends > 3);
+    CHECK(appends < 15);
+    CHECK(journal.isOutage(now));
+}
+
+TEST_CASE("a damaged or older snapshot is never taken")
+{
+    FoldState state { "control", 50, {}, { { "hash", std::string(3000, 'x') } } };
+    SnapshotSettings settings;
+    settings.chunkBytes = 1000;
+    auto chunks = makeChunks(state, { InstanceId("a"), 1, 1 }, settings);
+    REQUIRE(chunks.size() == 4);
+    SnapshotAssembler assembler(settings);
+    auto damaged = chunks;
+    damaged[1].bytes[5] = 'y';
+    for (auto& chunk : damaged) {
+        chunk.writer.sequence = 2;
+        CHECK_FALSE(assembler.add(chunk));
+    }
+    CHECK(assembler.damaged() == 1);
+    CHECK_FALSE(assembler.add(chunks[3]));
+    CHECK_FALSE(assembler.add(chunks[0]));
+    CHECK_FALSE(assembler.add(chunks[2]));
+    CHECK(assembler.add(chunks[1]) == state);
+
+    StateGate gate;
+    CHECK_FALSE(gate.isReady());
+    CHECK(gate.mayAdopt(50, 0, true));
+    CHECK_FALSE(gate.isReady());
+    gate.onFolded(80);
+    gate.onCaughtUp();
+    CHECK(gate.isReady());
+    CHECK_FALSE(gate.mayAdopt(60, 0, true));
+    CHECK_FALSE(gate.mayAdopt(80, 80, false));
+    CHECK(gate.mayAdopt(90, 80, false));
+}
