--- a/include/goldcrestwood/claim_owner.h
+++ b/include/goldcrestwood/claim_owner.h
@@ -83,6 +83,7 @@
 
     template <typename Record>
     std::vector<AddressedReply> submit(Pending pending, const Record& record, Journal& journal, TimePoint now);
+    std::vector<AddressedReply> refuse(const Pending& pending, const Journal& journal, TimePoint now) const;
     AddressedReply refusal(const Pending& pending, Duration retryAfter) const;
     std::optional<Pending> take(const RecordId& record);
 
--- a/include/goldcrestwood/claimant.h
+++ b/include/goldcrestwood/claimant.h
@@ -144,6 +144,9 @@
     /// @return Latest time for the next poll(), or the far future.
     TimePoint nextWake() const;
 
+    /// @return The request that @p id was made for, while the call is in hand.
+    std::optional<std::uint64_t> requestOf(const ClaimId& id) const;
+
     /// @return Calls in hand, among them those whose outcome is not yet recorded.
     std::size_t size() const { return this->calls.size(); }
 
--- a/include/goldcrestwood/journal.h
+++ b/include/goldcrestwood/journal.h
@@ -48,6 +48,8 @@
     Duration backoffFloor = std::chrono::milliseconds(20);
     /// Longest wait after a failed exchange.
     Duration backoffCeiling = std::chrono::seconds(2);
+    /// A fold that had reached the end of the log this long ago counts as current; above twice readWait.
+    Duration freshness = std::chrono::seconds(5);
     /// The log counts as down when an exchange has been failing for this long.
     Duration outageAfter = std::chrono::seconds(1);
     /// Writers that the fold remembers; the one silent for longest is forgotten first.
@@ -237,6 +239,9 @@
     /// @return Time since a read last confirmed the end of the log; what happened since is not known here.
     Duration staleness(TimePoint now) const;
 
+    /// @return Whether the fold had reached the end of the log when the reads began to fail, or just now if they do not.
+    bool isCurrent(TimePoint now) const;
+
     /// @return Whether a later incarnation of this instance has written to the stream.
     bool isSuperseded() const { return this->superseded; }
 
@@ -292,6 +297,7 @@
     bool everRead = false;
     bool superseded = false;
     TimePoint readStarted;
+    TimePoint failedReadStarted;
     TimePoint confirmedEnd;
     std::uint64_t skippedRecords = 0;
     std::uint64_t droppedRecords = 0;
--- a/src/claim_owner.cc
+++ b/src/claim_owner.cc
@@ -46,7 +46,7 @@
         return { { from, std::move(*known) } };
     const bool isRefused = journal.needsState() || journal.isOutage(now) || this->claims.isFull();
     if (isRefused && !this->recordByAsked.contains({ claim.id, Asked::Claim }))
-        return { this->refusal(pending, journal.retryAfter(now)) };
+        return this->refuse(pending, journal, now);
     claim.at = wallTime;
     return this->submit(pending, claim, journal, now);
 }
@@ -62,7 +62,7 @@
     if (claim != this->recordByAsked.end() && journal.cancel(claim->second)) {
         this->pendingByRecord.erase(claim->second);
         this->recordByAsked.erase(claim);
-        return { this->refusal(pending, journal.retryAfter(now)) };
+        return this->refuse(pending, journal, now);
     }
     withdrawal.at = wallTime;
     return this->submit(pending, withdrawal, journal, now);
@@ -93,15 +93,21 @@
     const bool isRoom = this->pendingByRecord.size() < this->settings.pending;
     const auto id = isRoom ? journal.submit(kindOf<Record>, encode(record), now)
                            : tl::unexpected(SubmitError::QueueFull);
-    if (!id && pending.asked == Asked::Claim)
-        return { this->refusal(pending, journal.retryAfter(now)) };
     if (!id)
-        return {};
+        return pending.asked == Asked::Claim ? this->refuse(pending, journal, now) : std::vector<AddressedReply>();
     this->recordByAsked[asked] = *id;
     this->pendingByRecord.emplace(*id, std::move(pending));
     return {};
 }
 
+std::vector<AddressedReply> ClaimOwner::refuse(const Pending& pending, const Journal& journal, TimePoint now) const
+{
+    // A fold that is behind cannot tell whether the key has run; the claimant asks the standby.
+    if (!journal.isCurrent(now))
+        return {};
+    return { this->refusal(pending, journal.retryAfter(now)) };
+}
+
 AddressedReply ClaimOwner::refusal(const Pending& pending, Duration retryAfter) const
 {
     return { pending.from, { pending.key, pending.id, ClaimVerdict::NotAppended, {}, {}, retryAfter } };
@@ -142,6 +148,8 @@
     const auto pending = this->take(completion.id);
     if (!pending || pending->asked != Asked::Claim)
         return {};
+    if (auto known = this->claims.reply(pending->key, pending->id, pending->bodyHash))
+        return { { pending->from, std::move(*known) } };
     return { this->refusal(*pending, retryAfter) };
 }
 
--- a/src/claimant.cc
+++ b/src/claimant.cc
@@ -295,6 +295,14 @@
     return actions;
 }
 
+std::optional<std::uint64_t> Claimant::requestOf(const ClaimId& id) const
+{
+    const auto place = this->calls.find(id.number);
+    if (place == this->calls.end() || id != this->idOf(id.number))
+        return std::nullopt;
+    return place->second.request;
+}
+
 TimePoint Claimant::wakeOf(const Call& call) const
 {
     const auto answerBy = call.answered ? TimePoint::max() : call.deadline;
--- a/src/journal.cc
+++ b/src/journal.cc
@@ -328,6 +328,8 @@
     if (!this->read || this->read->exchange != exchange)
         return;
     this->read.reset();
+    if (this->readBackoff.failures == 0)
+        this->failedReadStarted = this->readStarted;
     this->fail(this->readBackoff, now, random, std::nullopt);
 }
 
@@ -385,6 +387,12 @@
     return now - this->confirmedEnd;
 }
 
+bool Journal::isCurrent(TimePoint now) const
+{
+    const auto known = this->readBackoff.failures > 0 ? this->failedReadStarted : now;
+    return this->everRead && !this->missingState && known - this->confirmedEnd <= this->settings.freshness;
+}
+
 TimePoint Journal::nextWake() const
 {
     auto wake = this->read ? this->read->deadline : this->readBackoff.until;
