--- a/support/standin/engine_model.cc
+++ b/support/standin/engine_model.cc
@@ -43,28 +43,6 @@
 
 } // namespace
 
-void to_json(nlohmann::json& out, const EngineFaults& faults)
-{
-    out = { { "cold_turns", faults.coldTurns }, { "slowdown", faults.slowdown },
-        { "load_slowdown", faults.loadSlowdown }, { "drop_event_share", faults.dropEventShare },
-        { "bad_version", faults.badVersion }, { "bad_mode", faults.badMode },
-        { "bad_after_runs", faults.badAfterRuns }, { "bad_from_running", faults.badFromRunning },
-        { "bad_route", faults.badRoute } };
-}
-
-void from_json(const nlohmann::json& in, EngineFaults& faults)
-{
-    in.at("cold_turns").get_to(faults.coldTurns);
-    in.at("slowdown").get_to(faults.slowdown);
-    in.at("load_slowdown").get_to(faults.loadSlowdown);
-    in.at("drop_event_share").get_to(faults.dropEventShare);
-    in.at("bad_version").get_to(faults.badVersion);
-    in.at("bad_mode").get_to(faults.badMode);
-    in.at("bad_after_runs").get_to(faults.badAfterRuns);
-    in.at("bad_from_running").get_to(faults.badFromRunning);
-    in.at("bad_route").get_to(faults.badRoute);
-}
-
 std::string SealedBlock::pack() const
 {
     return this->account + "\n" + this->version + "\n" + toHex(this->previous) + "\n" + this->text;
@@ -225,6 +203,13 @@
     return this->report;
 }
 
+nlohmann::json Engine::counts() const
+{
+    const std::lock_guard guard(this->lock);
+    return { { "runs", this->startedRuns }, { "prompt_tokens", this->promptTokens },
+        { "cached_tokens", this->cachedTokens } };
+}
+
 bool Engine::acceptFence(std::uint64_t fence)
 {
     const std::lock_guard guard(this->lock);
@@ -315,6 +300,9 @@
         this->order.push_front(block.hash);
         run.cachedTokens += this->options.blockTokens;
     }
+    ++this->startedRuns;
+    this->promptTokens += run.promptTokens;
+    this->cachedTokens += run.cachedTokens;
     const auto all = run.promptTokens + run.request.startToken;
     run.prefillLeft = static_cast<double>(std::max<std::size_t>(1, all - std::min(all, run.cachedTokens)));
 }
--- a/support/standin/engine_model.h
+++ b/support/standin/engine_model.h
@@ -63,8 +63,18 @@
     std::string badRoute;
 };
 
-void to_json(nlohmann::json& out, const EngineFaults& faults);
-void from_json(const nlohmann::json& in, EngineFaults& faults);
+void visitFields(EngineFaults& faults, const auto& visit)
+{
+    visit("cold_turns", faults.coldTurns);
+    visit("slowdown", faults.slowdown);
+    visit("load_slowdown", faults.loadSlowdown);
+    visit("drop_event_share", faults.dropEventShare);
+    visit("bad_version", faults.badVersion);
+    visit("bad_mode", faults.badMode);
+    visit("bad_after_runs", faults.badAfterRuns);
+    visit("bad_from_running", faults.badFromRunning);
+    visit("bad_route", faults.badRoute);
+}
 
 /// What a completion asks for.
 struct RunRequest {
@@ -147,6 +157,8 @@
 
     nlohmann::json eventsAfter(std::uint64_t sequence) { return this->events.after(sequence); }
     nlohmann::json lastLoadReport() const;
+    /// @return Runs, prompt tokens and cached tokens of all runs that started.
+    nlohmann::json counts() const;
 
     /// @return Whether the fence is not older than the newest; always true without checks.
     bool acceptFence(std::uint64_t fence);
@@ -195,6 +207,9 @@
     std::string role;
     std::uint64_t newestFence = 0;
     std::uint64_t arrivals = 0;
+    std::size_t startedRuns = 0;
+    std::size_t promptTokens = 0;
+    std::size_t cachedTokens = 0;
     bool isLoading = false;
     bool isCold = false;
     std::size_t runsWhileCold = 0;
--- a/support/standin/engine_standin.cc
+++ b/support/standin/engine_standin.cc
@@ -154,7 +154,7 @@
         return 409;
     else
         std::thread([&process, version = order.value] { load(process, version); }).detach();
-    return order.kind == "load" ? 202 : 200;
+    return 200;
 }
 
 void orders(EngineProcess& process, const httplib::Request& request, httplib::Response& response)
@@ -264,6 +264,7 @@
     server.Get("/v1/load", process.faults.guarded([&](const auto&, auto& response) {
         answerJson(response, process.engine.lastLoadReport());
     }));
+    server.Get("/counts", [&](const auto&, auto& response) { answerJson(response, process.engine.counts()); });
     server.Get("/v1/orders",
         [&](const auto&, auto& response) { answerJson(response, process.orders.toJson()); });
     server.Post("/v1/orders", process.faults.guarded([&](const auto& request, auto& response) {
--- a/support/standin/plain_standin.cc
+++ b/support/standin/plain_standin.cc
@@ -22,9 +22,10 @@
     int answerStatus = 0;
 };
 
-void to_json(nlohmann::json& out, const PlainFaults& faults) { out = { { "answer_status", faults.answerStatus } }; }
-
-void from_json(const nlohmann::json& in, PlainFaults& faults) { in.at("answer_status").get_to(faults.answerStatus); }
+void visitFields(PlainFaults& faults, const auto& visit)
+{
+    visit("answer_status", faults.answerStatus);
+}
 
 struct CallOutcome {
     int runs = 0;
--- a/support/standin/platform_standin.cc
+++ b/support/standin/platform_standin.cc
@@ -39,18 +39,12 @@
     double weightsSlowdown = 1;
 };
 
-void to_json(nlohmann::json& out, const PlatformFaults& faults)
+void visitFields(PlatformFaults& faults, const auto& visit)
 {
-    out = { { "log_outage", faults.logOutage }, { "append_delay_ms", faults.appendDelayMs },
-        { "freeze_list", faults.freezeList }, { "weights_slowdown", faults.weightsSlowdown } };
-}
-
-void from_json(const nlohmann::json& in, PlatformFaults& faults)
-{
-    in.at("log_outage").get_to(faults.logOutage);
-    in.at("append_delay_ms").get_to(faults.appendDelayMs);
-    in.at("freeze_list").get_to(faults.freezeList);
-    in.at("weights_slowdown").get_to(faults.weightsSlowdown);
+    visit("log_outage", faults.logOutage);
+    visit("append_delay_ms", faults.appendDelayMs);
+    visit("freeze_list", faults.freezeList);
+    visit("weights_slowdown", faults.weightsSlowdown);
 }
 
 struct StoredRecord {
--- a/support/standin/standin.cc
+++ b/support/standin/standin.cc
@@ -1,5 +1,6 @@
 #include "standin.h"
 
+#include <array>
 #include <atomic>
 #include <cstdio>
 #include <cstdlib>
@@ -39,26 +40,6 @@
 
 } // namespace
 
-void to_json(nlohmann::json& out, const CommonFaults& faults)
-{
-    out = {
-        { "delay_ms", faults.delayMs },
-        { "error_share", faults.errorShare },
-        { "outage", faults.outage },
-        { "lose_answers_share", faults.loseAnswersShare },
-        { "lost_answer_ms", faults.lostAnswerMs },
-    };
-}
-
-void from_json(const nlohmann::json& in, CommonFaults& faults)
-{
-    in.at("delay_ms").get_to(faults.delayMs);
-    in.at("error_share").get_to(faults.errorShare);
-    in.at("outage").get_to(faults.outage);
-    in.at("lose_answers_share").get_to(faults.loseAnswersShare);
-    in.at("lost_answer_ms").get_to(faults.lostAnswerMs);
-}
-
 CommonOptions parseCommandLine(int argc, char** argv, boost::program_options::options_description options)
 {
     namespace po = boost::program_options;
--- a/support/standin/standin.h
+++ b/support/standin/standin.h
@@ -39,8 +39,15 @@
     int lostAnswerMs = 30000;
 };
 
-void to_json(nlohmann::json& out, const CommonFaults& faults);
-void from_json(const nlohmann::json& in, CommonFaults& faults);
+/// Names each field of a fault type; every stand-in has such a function for its own.
+void visitFields(CommonFaults& faults, const auto& visit)
+{
+    visit("delay_ms", faults.delayMs);
+    visit("error_share", faults.errorShare);
+    visit("outage", faults.outage);
+    visit("lose_answers_share", faults.loseAnswersShare);
+    visit("lost_answer_ms", faults.lostAnswerMs);
+}
 
 /// Parses the command line; prints help or errors and ends the process where it must.
 /// @param options The stand-in's own options; the common ones are added.
@@ -121,8 +128,12 @@
 private:
     nlohmann::json toJson() const
     {
-        nlohmann::json all = this->common();
-        all.update(nlohmann::json(this->own()));
+        auto all = nlohmann::json::object();
+        auto common = this->common();
+        auto own = this->own();
+        const auto add = [&all](const char* name, const auto& value) { all[name] = value; };
+        visitFields(common, add);
+        visitFields(own, add);
         return all;
     }
 
@@ -142,15 +153,20 @@
             all[name] = value;
         }
         try {
-            this->set(all.template get<CommonFaults>(), all.template get<Own>());
+            this->set(all);
         } catch (const nlohmann::json::exception& error) {
             return answerJson(response, { { "error", error.what() } }, 400);
         }
         answerJson(response, this->toJson());
     }
 
-    void set(const CommonFaults& common, const Own& own)
+    void set(const nlohmann::json& all)
     {
+        CommonFaults common;
+        Own own;
+        const auto take = [&all](const char* name, auto& value) { all.at(name).get_to(value); };
+        visitFields(common, take);
+        visitFields(own, take);
         const std::lock_guard guard(this->lock);
         this->commonFaults = common;
         this->ownFaults = own;
--- a/support/standin/store_standin.cc
+++ b/support/standin/store_standin.cc
@@ -38,19 +38,13 @@
     double dropEventShare = 0;
 };
 
-void to_json(nlohmann::json& out, const StoreFaults& faults)
+void visitFields(StoreFaults& faults, const auto& visit)
 {
-    out = { { "link_slowdown", faults.linkSlowdown }, { "full", faults.full }, { "damage_share", faults.damageShare },
-        { "replace_share", faults.replaceShare }, { "drop_event_share", faults.dropEventShare } };
-}
-
-void from_json(const nlohmann::json& in, StoreFaults& faults)
-{
-    in.at("link_slowdown").get_to(faults.linkSlowdown);
-    in.at("full").get_to(faults.full);
-    in.at("damage_share").get_to(faults.damageShare);
-    in.at("replace_share").get_to(faults.replaceShare);
-    in.at("drop_event_share").get_to(faults.dropEventShare);
+    visit("link_slowdown", faults.linkSlowdown);
+    visit("full", faults.full);
+    visit("damage_share", faults.damageShare);
+    visit("replace_share", faults.replaceShare);
+    visit("drop_event_share", faults.dropEventShare);
 }
 
 /// A link that carries one transfer after the other.
--- a/test/process/standin_test.py
+++ b/test/process/standin_test.py
@@ -1,34 +1,11 @@
 """Checks that the stand-ins speak the protocols of docs/interfaces.md."""
 
 import json
-import os
-import pathlib
 import socket
 import subprocess
-import time
 import unittest
-import urllib.error
-import urllib.request
-import zlib
 
-BUILD = pathlib.Path(os.environ.get("GOLDCREST_BUILD", "build")).resolve()
-START_SECONDS = 20
-
-
-def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return "127.0.0.1:%d" % probe.getsockname()[1]
-
-
-def call(address, method, path, body=None, headers=None, timeout=10):
-    data = body if isinstance(body, (bytes, type(None))) else json.dumps(body).encode()
-    request = urllib.request.Request(f"http://{address}{path}", data, headers or {}, method=method)
-    try:
-        with urllib.request.urlopen(request, timeout=timeout) as answer:
-            return answer.status, answer.read()
-    except urllib.error.HTTPError as error:
-        return error.code, error.read()
+from harness import BUILD, call, expected_tokens, free_address, wait_until
 
 
 def events(content):
@@ -36,24 +13,14 @@
     return [json.loads(line[len("data: "):]) for line in lines if line.startswith("data: ")]
 
 
-def expected_tokens(prompt, version, seed, count):
-    return ["%08x" % zlib.crc32(f"{prompt}\n{version}\n{seed}\n{index}".encode()) for index in range(count)]
-
-
 class StandinTest(unittest.TestCase):
     def start(self, name, *flags):
         address = free_address()
         process = subprocess.Popen([BUILD / name, "--listen", address, *flags])
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
-        deadline = time.monotonic() + START_SECONDS
-        while time.monotonic() < deadline:
-            try:
-                call(address, "GET", "/faults")
-                return address
-            except OSError:
-                time.sleep(0.02)
-        self.fail(f"{name} did not start")
+        wait_until(lambda: call(address, "GET", "/faults"), name)
+        return address
 
     def run_prompt(self, engine, run, prompt, **more):
         body = {"request_id": "q", "run_id": run, "prompt": prompt, "version": "v1", "max_tokens": 8, "account": "a"}
@@ -84,7 +51,7 @@
         for flags, late in ((["--checks-fencing"], 412), ([], 200)):
             engine = self.start("engine_standin", "--load-ms", "10", *flags)
             order = {"kind": "load", "value": "v2", "fence": 7}
-            self.assertEqual(call(engine, "POST", "/v1/orders", order)[0], 202)
+            self.assertEqual(call(engine, "POST", "/v1/orders", order)[0], 200)
             order = {"kind": "role", "value": "prefill", "fence": 6}
             self.assertEqual(call(engine, "POST", "/v1/orders", order)[0], late)
 
