--- a/support/harness.py
+++ b/support/harness.py
@@ -346,7 +346,7 @@
         try:
             connection.request("POST", "/v1/completions", json.dumps(body), headers)
             response = connection.getresponse()
-            answer.status = response.status
+            answer.status, answer.problem = response.status, None
             if response.status != 200:
                 answer.problem = json.loads(response.read() or b"null")
                 retry = response.getheader("Retry-After")
@@ -360,7 +360,7 @@
             pass
         finally:
             connection.close()
-        return answer.finished
+        return answer.finished or answer.problem is not None
 
     @staticmethod
     def take_event(event_id, data, answer, started, on_token):
--- a/support/standin/engine_model.cc
+++ b/support/standin/engine_model.cc
@@ -37,7 +37,7 @@
     bool comesBefore(const Run& left, const Run& right)
     {
         if (left.request.priority != right.request.priority)
-            return left.request.priority > right.request.priority;
+            return left.request.priority < right.request.priority;
         return left.arrival < right.arrival;
     }
 
