Command-line tool; link the HTTP library with the definitions it was built with

Cause: daemons ended with bad_array_new_length in the first read of the instance list. The Debian build of the HTTP library has TLS and compression on, which changes the layout of its classes; our objects were compiled without these definitions. Ruled out: the expected type (a program with one call corrupted its heap as well). Change: take the definitions from pkg-config; hold parsed JSON while it is iterated.

--- a/src/daemon/admission_gate.cc
+++ b/src/daemon/admission_gate.cc
@@ -126,7 +126,7 @@
         const auto now = monotonicNow();
         for (const auto& [service, requests] : capacities) {
             this->capacity[service] = requests;
-            this->admission.setCapacity(service, requests, now);
+            this->admission.setCapacity(service, requests);
             waiting.emplace_back(service, static_cast<std::uint32_t>(this->admission.waiting(service)));
         }
         this->settle(now);
--- a/src/daemon/completion_run.cc
+++ b/src/daemon/completion_run.cc
@@ -211,9 +211,9 @@
     }
     if (piece.finished) {
         this->cachedTokens = std::max(this->cachedTokens, piece.cachedTokens);
-        this->apply(this->relay.onFinish({ RequestId(piece.requestId), RunId(piece.runId), piece.tokenCount }, now));
+        this->apply(this->relay.onFinish(step.connection, { RequestId(piece.requestId), RunId(piece.runId), piece.tokenCount }, now));
     } else {
-        this->apply(this->relay.onPiece({ RequestId(piece.requestId), RunId(piece.runId), piece.index, piece.token }, now));
+        this->apply(this->relay.onPiece(step.connection, { RequestId(piece.requestId), RunId(piece.runId), piece.index, piece.token }, now));
     }
     const bool goesOn = !this->relay.ended() && !this->next && !this->callerGone;
     return goesOn && this->relay.connection() == step.connection;
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -206,7 +206,7 @@
     dump["peers"] = json::array();
     for (const auto& member : mesh.peers)
         dump["peers"].push_back(memberJson(member));
-    dump["gossip"] = { { "sent_bytes", mesh.gossip.sentBytes }, { "received_bytes", mesh.gossip.receivedBytes }, { "dropped_cells", mesh.gossip.droppedCells }, { "memory_bytes", mesh.memoryBytes } };
+    dump["gossip"] = { { "dropped_cells", mesh.gossip.droppedCells }, { "dropped_latches", mesh.gossip.droppedLatches }, { "stale_deltas", mesh.gossip.staleDeltas }, { "memory_bytes", mesh.memoryBytes } };
     dump["control"] = journalJson(this->control.status());
     dump["revision"] = this->serving.view.load()->revision;
     dump["out"] = drainsJson(this->control.withFold([](ControlFold& fold) { return fold.catalog().drains(); }));
--- a/src/daemon/peer_mesh.cc
+++ b/src/daemon/peer_mesh.cc
@@ -53,7 +53,7 @@
     , gossip(gossipSettings(daemonSettings), this->selfId, incarnation, daemonSettings.instance.region, monotonicNow())
     , isolation(IsolationSettings(), monotonicNow())
     , ownership(OwnershipSettings(), this->selfId)
-    , quorum(this->selfId, viewSupportTerm)
+    , quorum(this->selfId, incarnation, viewSupportTerm)
     , random(incarnation)
 {
 }
@@ -263,14 +263,17 @@
 void PeerMesh::applyCells(const std::vector<ChangedCell>& cells, TimePoint now)
 {
     for (const auto& [owner, ownerIncarnation, cell] : cells) {
-        if (cell.removed)
+        if (cell.removed) {
+            if (cell.topic == Topic::Suspicion)
+                this->membership.onSuspicionWithdrawn(owner, InstanceId(cell.key));
             continue;
+        }
         if (cell.topic == Topic::Membership) {
             if (const auto info = decode<MemberInfo>(cell.payload))
                 this->membership.onInfo(owner, ownerIncarnation, *info, now);
         } else if (cell.topic == Topic::Suspicion) {
             if (const auto suspicion = decode<SuspicionInfo>(cell.payload))
-                this->membership.onSuspicion(InstanceId(cell.key), *suspicion, now);
+                this->membership.onSuspicion(owner, InstanceId(cell.key), *suspicion, now);
         }
     }
 }
@@ -389,6 +392,12 @@
     return this->quorum.supportedUntil(monotonicNow());
 }
 
+bool PeerMesh::isUnanimous()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->quorum.unanimous(monotonicNow());
+}
+
 ResolverAnswer PeerMesh::resolve(const ResolverSettings& resolverSettings,
     const std::function<bool(const FailureDomain&)>& isDomainOut, const std::optional<FailureDomain>& hint)
 {
--- a/src/daemon/peer_mesh.h
+++ b/src/daemon/peer_mesh.h
@@ -73,6 +73,8 @@
     std::vector<InstanceId> regionMembers();
     /// @return Until when a majority of the region supports this daemon's view.
     TimePoint supportedUntil();
+    /// @return Whether all listed daemons of the region support this daemon's view.
+    bool isUnanimous();
     /// @param isDomainOut Tells whether a failure domain takes no new work.
     ResolverAnswer resolve(const ResolverSettings& settings, const std::function<bool(const FailureDomain&)>& isDomainOut,
         const std::optional<FailureDomain>& hint);
--- a/src/daemon/permit_service.cc
+++ b/src/daemon/permit_service.cc
@@ -96,6 +96,7 @@
         entry.id = row.entry.id;
         entry.service = row.entry.service;
         entry.limits = limits;
+        entry.reportsLoad = service->kind == ServiceKind::Model;
         entry.key = upstreamKey(row.entry.id);
         if (isPrepared(this->mesh.self(), row.entry.id, upstreamsOf[row.entry.service.value]))
             this->holderOf(entry, now);
@@ -239,24 +240,23 @@
         if (entry.holder)
             entry.holder->setFloor(floorShare(id, this->floorMembers, this->mesh.self(), entry.limits.cold, this->settings), now);
         if (entry.issuer)
-            entry.issuer->setFloors(this->floorsOf(entry));
+            entry.issuer->setFloors(this->floorsOf(entry), now);
     }
 }
 
-std::vector<std::pair<InstanceId, std::uint32_t>> PermitService::floorsOf(const Entry& entry) const
+std::uint32_t PermitService::floorsOf(const Entry& entry) const
 {
-    std::vector<std::pair<InstanceId, std::uint32_t>> floors;
-    for (const auto& member : this->floorMembers) {
-        if (const auto share = floorShare(entry.id, this->floorMembers, member, entry.limits.cold, this->settings); share > 0)
-            floors.emplace_back(member, share);
-    }
-    return floors;
+    std::uint32_t sum = 0;
+    for (const auto& member : this->floorMembers)
+        sum += floorShare(entry.id, this->floorMembers, member, entry.limits.cold, this->settings);
+    return sum;
 }
 
 void PermitService::tick()
 {
     this->refreshFloors();
     const auto supported = this->mesh.supportedUntil();
+    const bool unanimous = this->mesh.isUnanimous();
     Outbox outbox;
     {
         const std::lock_guard lock(this->mutex);
@@ -264,6 +264,8 @@
         for (auto& [id, entry] : this->entries) {
             if (entry.issuer)
                 entry.issuer->setAuthority(supported);
+            if (entry.issuer && unanimous && !entry.reportsLoad)
+                entry.issuer->onUnanimous(now);
             this->pollEntry(entry, now, outbox);
         }
     }
@@ -282,7 +284,7 @@
         entry.issuer.reset();
         if (owner == this->mesh.self()) {
             entry.issuer.emplace(entry.id, entry.limits, this->settings, now);
-            entry.issuer->setFloors(this->floorsOf(entry));
+            entry.issuer->setFloors(this->floorsOf(entry), now);
         }
     }
     if (entry.issuer) {
@@ -340,7 +342,7 @@
         if (entry.issuer) {
             status.owned = true;
             status.ownedLimit = entry.issuer->limit();
-            status.ownedCharge = entry.issuer->charged(now);
+            status.ownedCharge = entry.issuer->charged();
         }
         result.push_back(status);
     }
--- a/src/daemon/permit_service.h
+++ b/src/daemon/permit_service.h
@@ -74,6 +74,7 @@
         ServiceName service;
         ConcurrencySettings limits;
         std::uint64_t key = 0;
+        bool reportsLoad = false;
         std::optional<PermitHolder> holder;
         std::optional<PermitIssuer> issuer;
         InstanceId owner;
@@ -89,7 +90,7 @@
     void run();
     void tick();
     void refreshFloors();
-    std::vector<std::pair<InstanceId, std::uint32_t>> floorsOf(const Entry& entry) const;
+    std::uint32_t floorsOf(const Entry& entry) const;
     void pollEntry(Entry& entry, TimePoint now, Outbox& outbox);
     void onRequest(const PermitRequest& request);
     void deliver(const Outbox& outbox);
--- a/src/daemon/platform_client.cc
+++ b/src/daemon/platform_client.cc
@@ -99,7 +99,8 @@
         return tl::unexpected(HttpFailure::NoAnswer);
     try {
         std::vector<ListedInstance> instances;
-        for (const auto& entry : nlohmann::json::parse(result->body).at("instances")) {
+        const auto body = nlohmann::json::parse(result->body);
+        for (const auto& entry : body.at("instances")) {
             instances.push_back({ InstanceId(entry.at("id").get<std::string>()), entry.at("address").get<std::string>(),
                 FailureDomain(entry.at("domain").get<std::string>()), Region(entry.value("region", "")), entry.at("state").get<std::string>() == "leaving" });
         }
--- a/src/daemon/upstream_client.cc
+++ b/src/daemon/upstream_client.cc
@@ -97,7 +97,8 @@
         if (!data)
             return tl::unexpected(data.error());
         std::vector<std::uint64_t> result;
-        for (const auto& hash : data->value(moved, json::array()))
+        const auto movedHashes = data->value(moved, json::array());
+    for (const auto& hash : movedHashes)
             result.push_back(parseHash(hash.get<std::string>()));
         return result;
     }
@@ -152,7 +153,8 @@
     CacheEvents result;
     result.epoch = data->value("epoch", std::uint64_t { 0 });
     result.last = data->value("last", std::uint64_t { 0 });
-    for (const auto& event : data->value("events", json::array())) {
+    const auto events = data->value("events", json::array());
+    for (const auto& event : events) {
         result.events.push_back({ event.value("seq", std::uint64_t { 0 }), event.value("kind", "") == "stored",
             parseHash(event.value("hash", "")), event.value("tier", "") == "disk" });
     }
--- a/support/setup.sh
+++ b/support/setup.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that the build, the tests and the checks need.
 set -euo pipefail
 packages=(
-  g++ cmake ninja-build ccache clang clang-format clang-tidy python3 python3-jinja2
+  g++ cmake ninja-build ccache clang clang-format clang-tidy python3 python3-jinja2 pkg-config
   libcivetweb-dev libcpp-httplib-dev libmsgpack-cxx-dev libboost-dev libboost-program-options-dev
   libtomlplusplus-dev libexpected-dev libgoogle-glog-dev nlohmann-json3-dev libxxhash-dev libssl-dev
   catch2 libtrompeloeil-cpp-dev librapidcheck-dev
