--- a/include/goldcrestwood/journal.h
+++ b/include/goldcrestwood/journal.h
@@ -233,7 +233,7 @@
     /// @return How long the caller of a refused record should wait before it tries again.
     Duration retryAfter(TimePoint now) const;
 
-    /// @return Records between the fold and the end of the log as last read.
+    /// @return Records between the fold and the end of the log as last read; at least 1 until a read has told the end.
     std::uint64_t lag() const;
 
     /// @return Time since a read last confirmed the end of the log; what happened since is not known here.
@@ -293,6 +293,7 @@
     std::uint64_t position = 0;
     std::uint64_t firstRetained = 0;
     std::uint64_t end = 0;
+    bool isEndKnown = false;
     bool missingState = true;
     bool everRead = false;
     bool superseded = false;
--- a/src/catalog.cc
+++ b/src/catalog.cc
@@ -191,6 +191,11 @@
     return true;
 }
 
+std::vector<DrainOrder> Catalog::provisional() const
+{
+    return this->provisionalOrders;
+}
+
 std::vector<DrainStatus> Catalog::drains() const
 {
     std::vector<DrainStatus> all;
--- a/src/journal.cc
+++ b/src/journal.cc
@@ -273,6 +273,7 @@
         this->position = stored.offset + 1;
     }
     this->end = std::max(this->position, answer.next);
+    this->isEndKnown = true;
     if (this->position == this->end)
         this->confirmedEnd = std::min(now, this->readStarted);
     return update;
@@ -338,6 +339,7 @@
     std::vector<Completion> completions;
     this->position = state.next;
     this->end = std::max(this->end, state.next);
+    this->isEndKnown = false;
     this->writers = WriterTable(this->settings.writers, state.writers);
     this->missingState = false;
     this->everRead = true;
@@ -379,7 +381,7 @@
 
 std::uint64_t Journal::lag() const
 {
-    return this->end - this->position;
+    return std::max<std::uint64_t>(this->end - this->position, this->isEndKnown ? 0 : 1);
 }
 
 Duration Journal::staleness(TimePoint now) const
--- /dev/null
+++ b/test/catalog_test.cc
@@ -0,0 +1,307 @@
+/// @file
+/// Racing edits, drain orders with and without the log, and a configuration that never reverts.
+
+#include <memory>
+
+#include <catch2/catch.hpp>
+
+#include "goldcrestwood/catalog.h"
+#include "simulation.h"
+
+using namespace goldcrestwood;
+using namespace goldcrestwood::simulation;
+
+namespace {
+
+AccountEntry account(const std::string& name, double weight)
+{
+    AccountEntry entry;
+    entry.name = ClientAccount(name);
+    entry.weight = weight;
+    return entry;
+}
+
+UpstreamEntry upstream(const std::string& id, const std::string& address)
+{
+    UpstreamEntry entry;
+    entry.id = UpstreamId(id);
+    entry.service = ServiceName("kiln-voice");
+    entry.address = address;
+    entry.domain = FailureDomain("nha-be");
+    return entry;
+}
+
+Configuration basis()
+{
+    Configuration all;
+    all.services.emplace_back().name = ServiceName("kiln-voice");
+    all.domains.emplace_back().name = FailureDomain("nha-be");
+    all.upstreams.push_back(upstream("k1", "10.0.0.1:80"));
+    all.accounts.push_back(account("bakery", 1));
+    return all;
+}
+
+DrainOrder drain(std::uint64_t sequence, DomainState state)
+{
+    return { { InstanceId("a"), 1, sequence }, DrainTarget::Domain, "nha-be", state };
+}
+
+/// Decisions of all daemons, to compare them.
+struct Ledger {
+    std::map<std::uint64_t, EditResult> decided;
+    std::map<std::uint64_t, ConfigurationEdit> accepted;
+    std::map<std::uint64_t, std::string> stateAt;
+};
+
+struct CatalogFold {
+    Ledger& ledger;
+    Revision& highest;
+    Catalog catalog { CatalogSettings { .removals = 5, .orders = 1024 } };
+    bool isReady = false;
+
+    CatalogFold(Ledger& all, Revision& seen)
+        : ledger(all)
+        , highest(seen)
+    {
+    }
+
+    static std::set<std::string> kinds() { return { "ConfigurationEdit", "SnapshotChunk" }; }
+
+    void apply(const AppliedRecord& record)
+    {
+        const auto edit = *decode<ConfigurationEdit>(record.payload);
+        const auto result = this->catalog.apply(record.offset, edit);
+        CHECK(this->ledger.decided.try_emplace(record.offset, result).first->second == result);
+        if (result.isAccepted())
+            this->ledger.accepted[record.offset] = edit;
+    }
+
+    void complete(const Completion&) { }
+    std::vector<FoldPart> parts() const { return { { "catalog", encode(this->catalog.state()) } }; }
+    void restore(const std::vector<FoldPart>& parts)
+    {
+        this->catalog = Catalog(CatalogSettings { .removals = 5, .orders = 1024 }, *decode<CatalogState>(parts.at(0).state));
+    }
+
+    void afterRead(std::uint64_t next)
+    {
+        const auto state = encode(this->catalog.state());
+        CHECK(this->ledger.stateAt.try_emplace(next, state).first->second == state);
+    }
+
+    /// A daemon that serves has all that it ever had in force, in this life and in earlier ones.
+    void checkServing()
+    {
+        const auto revision = this->catalog.view()->revision;
+        CHECK(revision >= this->highest);
+        this->highest = revision;
+    }
+};
+
+/// A daemon at which operators edit, often on an old base.
+class Editor {
+public:
+    Editor(World& site, FakeLog& stream, Ledger& all, std::string name)
+        : process(site)
+        , log(stream)
+        , ledger(all)
+        , instance(std::move(name))
+    {
+        this->start();
+    }
+
+    void start()
+    {
+        JournalSettings settings;
+        settings.readRecords = 16;
+        this->fold = std::make_unique<CatalogFold>(this->ledger, this->highest);
+        this->runner = std::make_unique<StreamRunner<CatalogFold>>(this->process, this->log, *this->fold, settings, this->instance);
+        this->runner->keepGoing();
+        this->keepEditing();
+    }
+
+    void restart()
+    {
+        this->process.crash();
+        this->start();
+    }
+
+    void keepEditing()
+    {
+        if (this->runner->gate.isReady())
+            this->fold->checkServing();
+        if (this->isEditing && this->runner->gate.isReady())
+            this->edit();
+        this->process.after(this->process.world.upTo(300ms), [this] { this->keepEditing(); });
+    }
+
+    void edit()
+    {
+        auto& world = this->process.world;
+        if (!this->seen || world.chance(0.5))
+            this->seen = this->fold->catalog.view();
+        auto wanted = this->seen->configuration();
+        const auto name = "account-" + std::to_string(world.below(6));
+        std::erase_if(wanted.accounts, [&](const auto& entry) { return entry.name.value == name; });
+        if (world.chance(0.7))
+            wanted.accounts.push_back(account(name, uniform(world.random) + 1));
+        auto edit = diff(this->seen->configuration(), wanted);
+        edit.base = this->seen->revision;
+        if (!isEmpty(edit))
+            (void)this->runner->journal.submit("ConfigurationEdit", encode(edit), world.now);
+    }
+
+    Process process;
+    FakeLog& log;
+    Ledger& ledger;
+    InstanceId instance;
+    Revision highest = 0;
+    std::shared_ptr<const CatalogView> seen;
+    std::unique_ptr<CatalogFold> fold;
+    std::unique_ptr<StreamRunner<CatalogFold>> runner;
+    bool isEditing = true;
+};
+
+std::map<std::string, AccountEntry> accountsOf(const Configuration& configuration)
+{
+    std::map<std::string, AccountEntry> all;
+    for (const auto& entry : configuration.accounts)
+        all[entry.name.value] = entry;
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("accepted edits are in force everywhere, none is lost and nothing reverts")
+{
+    const auto seed = GENERATE(range(1, 11));
+    INFO("seed " << seed);
+    World world(seed);
+    FakeLog log(world);
+    Ledger ledger;
+    std::vector<std::unique_ptr<Editor>> editors;
+    for (const auto* name : { "a", "b", "c" })
+        editors.push_back(std::make_unique<Editor>(world, log, ledger, name));
+    for (int round = 0; round < 60; ++round) {
+        auto& editor = *editors[world.below(3)];
+        if (world.chance(0.15))
+            editor.restart();
+        if (world.chance(0.2))
+            editor.process.pause(world.upTo(5s));
+        log.faults.isOut = world.chance(0.2);
+        auto& writer = *editors[world.below(3)]->runner;
+        if (!writer.journal.needsState() && writer.gate.isReady())
+            writer.writeSnapshot(world.chance(0.3));
+        const bool isKept = std::any_of(editors.begin(), editors.end(), [](const auto& each) { return each->runner->gate.isReady(); });
+        if (isKept && log.next() > 80 && world.chance(0.3))
+            log.expire(log.next() - 80);
+        for (const auto& peer : editors) {
+            const auto& theirs = *peer->runner;
+            if (editor.runner->journal.needsState() && !theirs.journal.needsState())
+                editor.runner->adopt(theirs.state());
+        }
+        world.runFor(world.upTo(2s));
+    }
+    log.faults = LogFaults::none();
+    for (const auto& editor : editors)
+        editor->isEditing = false;
+    world.runFor(20s);
+
+    std::map<std::string, AccountEntry> expected;
+    for (const auto& [offset, edit] : ledger.accepted) {
+        for (const auto& entry : edit.changed.accounts)
+            expected[entry.name.value] = entry;
+        for (const auto& entry : edit.removed)
+            expected.erase(entry.key);
+    }
+    CHECK(ledger.accepted.size() > 20);
+    CHECK(ledger.decided.size() > ledger.accepted.size());
+    for (const auto& editor : editors) {
+        CHECK(editor->runner->journal.next() == log.next());
+        CHECK(accountsOf(editor->fold->catalog.view()->configuration()) == expected);
+    }
+}
+
+TEST_CASE("of two racing edits of an entry one wins and the other is told what changed")
+{
+    Catalog catalog { CatalogSettings() };
+    const auto first = catalog.apply(0, diff({}, basis()));
+    REQUIRE(first.isAccepted());
+    CHECK(first.revision == 1);
+    const auto before = catalog.view();
+    auto left = basis();
+    left.accounts[0].weight = 2;
+    auto right = basis();
+    right.accounts[0].weight = 3;
+    auto other = basis();
+    other.upstreams.push_back(upstream("k2", "10.0.0.2:80"));
+    auto edit = [&](const Configuration& wanted) {
+        auto change = diff(basis(), wanted);
+        change.base = first.revision;
+        return change;
+    };
+    CHECK(catalog.apply(5, edit(left)).revision == 6);
+    const auto lost = catalog.apply(6, edit(right));
+    REQUIRE(lost.conflicts.size() == 1);
+    CHECK(lost.conflicts[0].entry == EntryRef { EntryTable::Account, "bakery" });
+    CHECK(lost.conflicts[0].changedAt == 6);
+    CHECK(catalog.apply(7, edit(other)).isAccepted());
+    CHECK(catalog.apply(8, edit(left)).isAccepted());
+    CHECK(catalog.view()->account(ClientAccount("bakery"))->weight == 2);
+    CHECK(before->account(ClientAccount("bakery"))->weight == 1);
+
+    ConfigurationEdit removal { 9, {}, { { EntryTable::Account, "bakery" } }, "" };
+    REQUIRE(catalog.apply(9, removal).isAccepted());
+    CHECK_FALSE(catalog.apply(10, edit(right)).isAccepted());
+    CHECK_FALSE(catalog.view()->account(ClientAccount("bakery")));
+}
+
+TEST_CASE("edits that are sound alone but broken together are refused with all that is wrong")
+{
+    Catalog catalog { CatalogSettings() };
+    REQUIRE(catalog.apply(0, diff({}, basis())).isAccepted());
+    ConfigurationEdit noService { 1, {}, { { EntryTable::Service, "kiln-voice" }, { EntryTable::Upstream, "k1" } }, "" };
+    ConfigurationEdit newUpstream { 1, {}, {}, "" };
+    newUpstream.changed.upstreams.push_back(upstream("k2", "10.0.0.2:80"));
+    auto after = catalog;
+    CHECK(catalog.apply(1, noService).isAccepted());
+    const auto unknown = catalog.apply(2, newUpstream);
+    REQUIRE(unknown.conflicts.size() == 1);
+    CHECK(unknown.conflicts[0].message == "Service kiln-voice is used but not configured");
+    CHECK(after.apply(1, newUpstream).isAccepted());
+    CHECK(after.apply(2, noService).conflicts.size() == 1);
+
+    auto broken = basis();
+    broken.upstreams.push_back(upstream("k1", "10.0.0.1:80"));
+    broken.versions.push_back({ ServiceName("crock-desk"), VersionName("v1"), "weights", {} });
+    broken.accounts.push_back(account("", 1));
+    CHECK(validate(basis()).empty());
+    CHECK(validate(broken).size() == 4);
+}
+
+TEST_CASE("a domain taken out without the log stays out until its record decides")
+{
+    Catalog catalog { CatalogSettings() };
+    REQUIRE(catalog.apply(0, diff({}, basis())).isAccepted());
+    const FailureDomain domain("nha-be");
+    const auto& entry = *catalog.view()->upstream(UpstreamId("k1"));
+    CHECK(catalog.view()->takesWork(entry));
+    CHECK(catalog.addProvisional(drain(2, DomainState::Out)));
+    CHECK_FALSE(catalog.addProvisional(drain(2, DomainState::Out)));
+    CHECK_FALSE(catalog.addProvisional(drain(4, DomainState::In)));
+    CHECK_FALSE(catalog.view()->isIn(domain));
+    CHECK(catalog.drains() == std::vector<DrainStatus> { { drain(2, DomainState::Out), false } });
+
+    CHECK(catalog.apply(1, drain(6, DomainState::In)));
+    CHECK_FALSE(catalog.view()->isIn(domain));
+    CHECK(catalog.apply(2, drain(2, DomainState::Out)));
+    CHECK(catalog.drains() == std::vector<DrainStatus> { { drain(2, DomainState::Out), true } });
+    CHECK(catalog.provisional().empty());
+    CHECK_FALSE(Catalog(CatalogSettings(), catalog.state()).view()->isIn(domain));
+
+    CHECK(catalog.apply(3, drain(8, DomainState::In)));
+    CHECK(catalog.view()->takesWork(entry));
+    CHECK_FALSE(catalog.apply(4, drain(2, DomainState::Out)));
+    CHECK_FALSE(catalog.addProvisional(drain(2, DomainState::Out)));
+    CHECK(catalog.view()->takesWork(entry));
+}
