--- a/include/goldcrestwood/journal.h
+++ b/include/goldcrestwood/journal.h
@@ -27,11 +27,11 @@
     /// Records in one append at most.
     std::size_t batchRecords = 256;
     /// Encoded bytes in one append at most; a single larger record is refused.
-    std::size_t batchBytes = 256 * 1024;
+    std::size_t batchBytes = std::size_t(256) * 1024;
     /// Records that wait for an append at most.
     std::size_t queueRecords = 4096;
     /// Encoded bytes that wait for an append at most.
-    std::size_t queueBytes = 4 * 1024 * 1024;
+    std::size_t queueBytes = std::size_t(4) * 1024 * 1024;
     /// A record that waited this long unsent completes as not appended.
     Duration queueLimit = std::chrono::seconds(5);
     /// Bound on one append exchange.
--- a/include/goldcrestwood/snapshot.h
+++ b/include/goldcrestwood/snapshot.h
@@ -18,7 +18,7 @@
 /// Bounds and delays of snapshots.
 struct SnapshotSettings {
     /// Bytes of state in one chunk.
-    std::size_t chunkBytes = 64 * 1024;
+    std::size_t chunkBytes = std::size_t(64) * 1024;
     /// Chunks of a snapshot at most; larger states are not written.
     std::uint32_t chunks = 1024;
     /// Snapshots that may be read in pieces at once; the one with the oldest state is dropped first.
--- a/src/journal.cc
+++ b/src/journal.cc
@@ -226,14 +226,15 @@
 void Journal::putBack()
 {
     // What was read back meanwhile is in the log, whatever the answer says.
-    for (auto place = this->appending.rbegin(); place != this->appending.rend(); ++place) {
-        if (this->unresolved.empty() || this->unresolved.back() != place->id)
+    while (!this->appending.empty()) {
+        auto last = std::move(this->appending.back());
+        this->appending.pop_back();
+        if (this->unresolved.empty() || this->unresolved.back() != last.id)
             continue;
         this->unresolved.pop_back();
-        this->queuedBytes += place->bytes.size();
-        this->queue.push_front(std::move(*place));
+        this->queuedBytes += last.bytes.size();
+        this->queue.push_front(std::move(last));
     }
-    this->appending.clear();
 }
 
 std::vector<Completion> Journal::lose(TimePoint now)
--- a/test/simulation.h
+++ b/test/simulation.h
@@ -150,7 +150,7 @@
     }
 
     /// Runs @p event after @p delay in this life of the process, later if it is paused then.
-    void after(Duration delay, std::function<void()> event)
+    void after(Duration delay, const std::function<void()>& event)
     {
         this->world.after(delay, [=, this, born = this->life] { this->run(born, event); });
     }
@@ -202,14 +202,14 @@
         this->complete(poll.completions);
         for (const auto& action : poll.actions) {
             if (const auto* append = std::get_if<AppendAction>(&action)) {
-                this->log.append(append->records, this->process.here<AppendResult>([this, exchange = append->exchange](const auto& result) {
+                this->log.append(append->records, this->process.template here<AppendResult>([this, exchange = append->exchange](const auto& result) {
                     auto& world = this->process.world;
                     this->complete(this->journal.onAppendResult(exchange, result, world.now, world.random));
                     this->pump();
                 }));
             } else {
                 const auto& read = std::get<ReadAction>(action);
-                this->log.read(read.from, read.limit, this->process.here<std::optional<LogRecords>>([this, exchange = read.exchange](const auto& result) {
+                this->log.read(read.from, read.limit, this->process.template here<std::optional<LogRecords>>([this, exchange = read.exchange](const auto& result) {
                     this->onRead(exchange, result);
                     this->pump();
                 }));
