--- a/test/catalog_test.cc
+++ b/test/catalog_test.cc
@@ -254,6 +254,13 @@
     REQUIRE(catalog.apply(9, removal).isAccepted());
     CHECK_FALSE(catalog.apply(10, edit(right)).isAccepted());
     CHECK_FALSE(catalog.view()->account(ClientAccount("bakery")));
+
+    // When a removal is forgotten, edits from before it are refused, since they can no longer be checked.
+    Catalog forgetful { CatalogSettings { .removals = 0, .orders = 1 } };
+    REQUIRE(forgetful.apply(0, diff({}, basis())).isAccepted());
+    removal.base = 1;
+    REQUIRE(forgetful.apply(5, removal).isAccepted());
+    CHECK_FALSE(forgetful.apply(6, edit(right)).isAccepted());
 }
 
 TEST_CASE("edits that are sound alone but broken together are refused with all that is wrong")
--- a/test/claims_test.cc
+++ b/test/claims_test.cc
@@ -275,6 +275,46 @@
 
 } // namespace
 
+TEST_CASE("a claim that lands after its withdrawal is dead and the key is free for another")
+{
+    const auto key = claimKey(ClientAccount("kiln"), ServiceName("orders"), "1");
+    const ClaimId late { InstanceId("a"), 1, 1 };
+    const ClaimId next { InstanceId("b"), 1, 1 };
+    ClaimTable table(tableSettings);
+    table.apply(ClaimWithdrawal { key, late, 10s });
+    table.apply(ClaimRecord { key, late, 7, 11s });
+    CHECK(table.reply(key, late, 7)->verdict == ClaimVerdict::Withdrawn);
+    CHECK_FALSE(table.reply(key, next, 7));
+    table.apply(ClaimRecord { key, next, 7, 12s });
+    const auto restored = ClaimTable(tableSettings, table.state());
+    CHECK(restored.reply(key, next, 7)->verdict == ClaimVerdict::Won);
+    CHECK(restored.reply(key, late, 7)->holder == next);
+    CHECK(restored.reply(key, { InstanceId("c"), 1, 1 }, 8)->verdict == ClaimVerdict::Mismatch);
+}
+
+TEST_CASE("a key is remembered for its window, whatever one clock says, and a large answer by its digest")
+{
+    ClaimTableSettings settings;
+    settings.keyWindow = 60s;
+    const auto key = [](int number) { return claimKey(ClientAccount("kiln"), ServiceName("orders"), std::to_string(number)); };
+    const auto id = [](int number) { return ClaimId { InstanceId("a"), 1, static_cast<std::uint64_t>(number) }; };
+    ClaimTable table(settings);
+    table.apply(ClaimRecord { key(1), id(1), 7, 1000s });
+    table.apply(ClaimRecord { key(2), id(2), 7, 900000s });
+    CHECK(table.reply(key(1), id(1), 7));
+    auto outcome = makeOutcome(key(1), id(1), 200, "text/plain", std::string(settings.outcomeBody + 1, 'x'), settings);
+    table.apply(outcome);
+    const auto recorded = table.reply(key(1), id(9), 7)->outcome;
+    CHECK(recorded->body.empty());
+    CHECK(recorded->bodyBytes == settings.outcomeBody + 1);
+    CHECK(recorded->bodyDigest.size() == 64);
+    for (int second = 1010; second <= 1080; second += 10)
+        table.apply(ClaimRecord { key(second), id(second), 7, std::chrono::seconds(second) });
+    CHECK_FALSE(table.reply(key(1), id(1), 7));
+    CHECK(table.reply(key(1030), id(1030), 7));
+    CHECK(claimKey(ClientAccount("a"), ServiceName("bc"), "d") != claimKey(ClientAccount("ab"), ServiceName("c"), "d"));
+}
+
 TEST_CASE("a call runs at most once, 'not run' is true, and the outcome is the same everywhere")
 {
     const auto seed = GENERATE(range(1, 21));
--- a/test/journal_test.cc
+++ b/test/journal_test.cc
@@ -197,6 +197,41 @@
     CHECK(std::get<AppendAction>(second.actions[0]).records.size() == 3);
 }
 
+TEST_CASE("a batch that lands after the fence is dead, and its writer knows before it lands")
+{
+    Random random(1);
+    Journal journal(JournalSettings(), InstanceId("a"), 1, { "Note" });
+    Journal reader(JournalSettings(), InstanceId("b"), 1, { "Note" });
+    TimePoint now(1h);
+    const auto lost = *journal.submit("Note", "1", now);
+    const auto first = journal.poll(now, random);
+    const auto& batch = std::get<AppendAction>(first.actions.at(0));
+    const auto readExchange = std::get<ReadAction>(first.actions.at(1)).exchange;
+    const auto open = journal.onAppendResult(batch.exchange, AppendUnknown {}, now, random);
+    CHECK(open == std::vector<Completion> { { lost, RecordFate::Unknown, 0 } });
+    const auto waiting = *journal.submit("Note", "2", now);
+    CHECK(journal.poll(now, random).actions.empty());
+
+    now += JournalSettings().fenceDelay;
+    const auto second = journal.poll(now, random);
+    const auto& fence = std::get<AppendAction>(second.actions.at(0));
+    REQUIRE(fence.records.size() == 1);
+    journal.onAppendResult(fence.exchange, AppendOk { 0 }, now, random);
+    LogRecords log { 0, 1, { { 0, fence.records[0] } } };
+    const auto update = journal.onRecords(readExchange, log, now);
+    CHECK(update.completions == std::vector<Completion> { { lost, RecordFate::NotAppended, 0 } });
+
+    const auto third = journal.poll(now, random);
+    log.records.push_back({ 1, batch.records[0] });
+    log.records.push_back({ 2, std::get<AppendAction>(third.actions.at(0)).records.at(0) });
+    log.next = 3;
+    const auto read = std::get<ReadAction>(reader.poll(now, random).actions.at(0));
+    const auto applied = reader.onRecords(read.exchange, log, now).applied;
+    REQUIRE(applied.size() == 1);
+    CHECK(applied[0].id == waiting);
+    CHECK(reader.dropped() == 1);
+}
+
 TEST_CASE("in an outage waiting records are given up for certain and the journal says so")
 {
     Random random(1);
--- a/test/lease_test.cc
+++ b/test/lease_test.cc
@@ -210,4 +210,13 @@
     CHECK_FALSE(successor.fenceForOrder(start + 7900ms, false));
     CHECK(successor.fenceForOrder(start + 8s, false) == 12);
     CHECK(table.find("orders")->holder == InstanceId("b"));
+
+    // Validity counts from the sending of the renewal, however late it is read back.
+    holder.observe(raced, start + 8400ms, random);
+    CHECK(holder.fenceForOrder(start + 8400ms, true) == 11);
+    CHECK_FALSE(holder.fenceForOrder(start + 8600ms, true));
+    // A claim that names another holder's lease loses, though the attempts have the same number.
+    auto other = table;
+    REQUIRE(other.apply(20, first, { "orders", 12, next.attempt, 5s, next.attempt }));
+    CHECK_FALSE(other.apply(21, second, { "orders", 12, next.attempt, 5s, next.attempt }));
 }
