--- a/include/goldcrestwood/journal.h
+++ b/include/goldcrestwood/journal.h
@@ -27,11 +27,11 @@
     /// Records in one append at most.
     std::size_t batchRecords = 256;
     /// Encoded bytes in one append at most; a single larger record is refused.
-    std::size_t batchBytes = 256 * 1024;
+    std::size_t batchBytes = std::size_t(256) * 1024;
     /// Records that wait for an append at most.
     std::size_t queueRecords = 4096;
     /// Encoded bytes that wait for an append at most.
-    std::size_t queueBytes = 4 * 1024 * 1024;
+    std::size_t queueBytes = std::size_t(4) * 1024 * 1024;
     /// A record that waited this long unsent completes as not appended.
     Duration queueLimit = std::chrono::seconds(5);
     /// Bound on one append exchange.
@@ -233,7 +233,7 @@
     /// @return How long the caller of a refused record should wait before it tries again.
     Duration retryAfter(TimePoint now) const;
 
-    /// @return Records between the fold and the end of the log as last read.
+    /// @return Records between the fold and the end of the log as last read; at least 1 until a read has told the end.
     std::uint64_t lag() const;
 
     /// @return Time since a read last confirmed the end of the log; what happened since is not known here.
@@ -293,6 +293,7 @@
     std::uint64_t position = 0;
     std::uint64_t firstRetained = 0;
     std::uint64_t end = 0;
+    bool isEndKnown = false;
     bool missingState = true;
     bool everRead = false;
     bool superseded = false;
