--- a/include/goldcrestwood/transfers.h
+++ b/include/goldcrestwood/transfers.h
@@ -100,15 +100,18 @@
 private:
     using ClassBytes = std::array<double, transferClasses>;
 
+    struct HeldShare {
+        double bytesPerSecond = 0;
+        TimePoint until;
+    };
+
     struct Grant {
         ClassBytes demand {};
-        double share = 0;
-        TimePoint until;
-        /// An earlier, larger share, which the daemon may still use if the later grant was lost.
-        double earlierShare = 0;
-        TimePoint earlierUntil;
+        /// Shares that the daemon may use, since a later, smaller one may have been lost.
+        std::vector<HeldShare> held;
 
         double inForce(TimePoint now) const;
+        void add(const HeldShare& share);
     };
 
     void dropLapsed(TimePoint now);
--- a/src/transfers.cc
+++ b/src/transfers.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+    /// Shares of one daemon that are told apart.
+    constexpr std::size_t maxHeldShares = 8;
+
     double sumOf(const std::array<double, transferClasses>& values)
     {
         auto sum = 0.0;
@@ -44,8 +47,21 @@
 
 double LinkBroker::Grant::inForce(TimePoint now) const
 {
-    const auto current = now < this->until ? this->share : 0;
-    return now < this->earlierUntil ? std::max(current, this->earlierShare) : current;
+    auto most = 0.0;
+    for (const auto& share : this->held)
+        most = now < share.until ? std::max(most, share.bytesPerSecond) : most;
+    return most;
+}
+
+void LinkBroker::Grant::add(const HeldShare& share)
+{
+    std::erase_if(this->held, [&](const HeldShare& other) { return other.bytesPerSecond <= share.bytesPerSecond; });
+    this->held.push_back(share);
+    if (this->held.size() <= maxHeldShares)
+        return;
+    // Shares fall along the list, so the first covers the second once it lasts as long.
+    this->held[0].until = std::max(this->held[0].until, this->held[1].until);
+    this->held.erase(this->held.begin() + 1);
 }
 
 LinkBroker::LinkBroker(const TransferSettings& initialSettings, double linkCapacity, std::size_t daemons, TimePoint start)
@@ -59,7 +75,9 @@
 
 void LinkBroker::dropLapsed(TimePoint now)
 {
-    std::erase_if(this->grants, [&](const auto& item) { return item.second.until <= now && item.second.earlierUntil <= now; });
+    for (auto& [daemon, grant] : this->grants)
+        std::erase_if(grant.held, [&](const HeldShare& share) { return share.until <= now; });
+    std::erase_if(this->grants, [](const auto& item) { return item.second.held.empty(); });
 }
 
 double LinkBroker::totalDemand() const
@@ -106,12 +124,7 @@
     const auto wanted = this->fairShare(daemon, all) + unused / static_cast<double>(this->daemonCount);
     const auto share = std::clamp(wanted, 0.0, std::max(0.0, all - taken));
 
-    if (const auto held = grant.inForce(now); held > share) {
-        grant.earlierUntil = std::max(grant.until, grant.earlierUntil);
-        grant.earlierShare = held;
-    }
-    grant.share = share;
-    grant.until = now + this->settings.grantLifetime;
+    grant.add({ share, now + this->settings.grantLifetime });
     const auto speed = std::min(this->capacity, this->floor + share + unused);
     return { demand.store, static_cast<std::uint64_t>(this->floor + share), static_cast<std::uint64_t>(speed),
         this->settings.grantLifetime };
