--- a/src/router.cc
+++ b/src/router.cc
@@ -51,6 +51,14 @@
         {
         }
 
+        /// @return The first run from the same store: runs of one store share its link.
+        std::size_t link(std::size_t run) const
+        {
+            const auto& runs = this->request.coverage.stores;
+            auto same = [&](const StoreCoverage& other) { return other.store == runs[run].store; };
+            return static_cast<std::size_t>(std::find_if(runs.begin(), runs.end(), same) - runs.begin());
+        }
+
         double blockSeconds(std::size_t run) const
         {
             const auto seconds = static_cast<double>(this->request.blockBytes) / this->links[run].bytesPerSecond;
@@ -60,7 +68,7 @@
         double arrival(std::size_t run) const
         {
             const auto backlog = this->links[run].backlogBytes / this->links[run].bytesPerSecond;
-            return backlog + this->usedSeconds[run] + this->blockSeconds(run);
+            return backlog + this->usedSeconds[this->link(run)] + this->blockSeconds(run);
         }
 
         /// @return The run that brings @p block first, or nothing.
@@ -270,7 +278,7 @@
         addBlock(plan, run, block, request.blockBytes);
         const auto arrival = fromSeconds(walk.arrival(*source)) + this->settings.importSetup;
         plan.duration = std::max(plan.duration, arrival);
-        walk.usedSeconds[*source] += walk.blockSeconds(*source);
+        walk.usedSeconds[walk.link(*source)] += walk.blockSeconds(*source);
         linkSeconds += walk.blockSeconds(*source);
         recomputeTokens -= run.confidence * request.chain.blockTokens;
         consider(plan, linkSeconds);
