--- /dev/null
+++ b/support/bench/routing_model.h
@@ -0,0 +1,397 @@
+#pragma once
+
+/// @file
+/// One small fake of engines, stores and links, on which routing policies run in simulated time.
+
+#include <functional>
+#include <list>
+#include <queue>
+#include <unordered_map>
+
+#include "goldcrestwood/prefix_messages.h"
+#include "goldcrestwood/time.h"
+#include "routing_trace.h"
+
+namespace goldcrestwood::bench {
+
+inline TimePoint pointAt(double seconds)
+{
+    return TimePoint {} + fromSeconds(1e6 + seconds);
+}
+
+/// Blocks in order of last use.
+class LeastRecentlyUsed {
+public:
+    explicit LeastRecentlyUsed(std::size_t maxBlocks)
+        : capacity(maxBlocks)
+    {
+    }
+
+    bool contains(ChainHash hash) const { return this->places.count(hash) != 0; }
+
+    void touch(ChainHash hash)
+    {
+        if (const auto found = this->places.find(hash); found != this->places.end())
+            this->order.splice(this->order.begin(), this->order, found->second);
+    }
+
+    void erase(ChainHash hash)
+    {
+        if (const auto found = this->places.find(hash); found != this->places.end()) {
+            this->order.erase(found->second);
+            this->places.erase(found);
+        }
+    }
+
+    /// @return The block that had to go, if any.
+    std::optional<ChainHash> insert(ChainHash hash)
+    {
+        this->order.push_front(hash);
+        this->places[hash] = this->order.begin();
+        if (this->order.size() <= this->capacity)
+            return std::nullopt;
+        const auto last = this->order.back();
+        this->erase(last);
+        return last;
+    }
+
+    void clear()
+    {
+        this->order.clear();
+        this->places.clear();
+    }
+
+private:
+    std::size_t capacity;
+    std::list<ChainHash> order;
+    std::unordered_map<ChainHash, std::list<ChainHash>::iterator> places;
+};
+
+/// Events of an engine or store, some of which are lost.
+struct EventLog {
+    std::uint64_t epoch = 1;
+    std::uint64_t sequence = 0;
+    double lossShare = 0.01;
+    Random random { 5 };
+    std::vector<HolderEvent> events;
+
+    void add(HolderEventKind kind, Tier tier, ChainHash hash)
+    {
+        ++this->sequence;
+        if (uniform(this->random) >= this->lossShare)
+            this->events.push_back({ this->sequence, kind, tier, hash.value });
+    }
+
+    /// @return All since the last call.
+    HolderEvents take(const UpstreamId& holder)
+    {
+        HolderEvents batch { holder, this->epoch, 0, this->sequence, std::move(this->events) };
+        this->events.clear();
+        return batch;
+    }
+
+    void restart()
+    {
+        ++this->epoch;
+        this->sequence = 0;
+        this->events.clear();
+    }
+};
+
+struct Engine {
+    UpstreamId id;
+    FailureDomain domain;
+    LeastRecentlyUsed cache;
+    EventLog log;
+    /// Requests whose prefill has not begun, by arrival.
+    std::list<std::size_t> waiting;
+    std::optional<std::size_t> current;
+    double currentUntil = 0;
+
+    void insert(ChainHash hash)
+    {
+        if (this->cache.contains(hash))
+            return this->cache.touch(hash);
+        const auto gone = this->cache.insert(hash);
+        this->log.add(HolderEventKind::Stored, Tier::EngineMemory, hash);
+        if (gone)
+            this->log.add(HolderEventKind::Evicted, Tier::EngineMemory, *gone);
+    }
+
+    std::uint32_t covered(const std::vector<ChainHash>& chain) const
+    {
+        std::uint32_t blocks = 0;
+        while (blocks < chain.size() && this->cache.contains(chain[blocks]))
+            ++blocks;
+        return blocks;
+    }
+};
+
+struct Store {
+    UpstreamId id;
+    FailureDomain domain;
+    LeastRecentlyUsed memory;
+    LeastRecentlyUsed disk;
+    EventLog log;
+    double busyUntil = 0;
+    double busySeconds = 0;
+    double bytes = 0;
+
+    void insert(ChainHash hash)
+    {
+        if (this->memory.contains(hash))
+            return this->memory.touch(hash);
+        if (this->disk.contains(hash)) {
+            this->disk.erase(hash);
+            this->log.add(HolderEventKind::Evicted, Tier::StoreDisk, hash);
+        }
+        const auto demoted = this->memory.insert(hash);
+        this->log.add(HolderEventKind::Stored, Tier::StoreMemory, hash);
+        if (!demoted)
+            return;
+        this->log.add(HolderEventKind::Evicted, Tier::StoreMemory, *demoted);
+        const auto gone = this->disk.insert(*demoted);
+        this->log.add(HolderEventKind::Stored, Tier::StoreDisk, *demoted);
+        if (gone)
+            this->log.add(HolderEventKind::Evicted, Tier::StoreDisk, *gone);
+    }
+
+    bool contains(ChainHash hash) const { return this->memory.contains(hash) || this->disk.contains(hash); }
+};
+
+/// A request in the model.
+struct Run {
+    std::size_t engine = 0;
+    bool ready = true;
+    double expectedPrefill = 0;
+    double firstTokenAt = 0;
+    std::uint32_t cachedBlocks = 0;
+    bool done = false;
+};
+
+/// Figures of one policy on one trace.
+struct Figures {
+    std::string policy;
+    double p50 = 0;
+    double p95 = 0;
+    double returningP50 = 0;
+    double returningP95 = 0;
+    /// Tokens of blocks seen before that were computed again, as a share of all such tokens.
+    double recomputedShare = 0;
+    double gigabytes = 0;
+    double linkShare = 0;
+    double outP95 = 0;
+};
+
+inline double quantile(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return 0;
+    const auto place = static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + place, values.end());
+    return values[static_cast<std::size_t>(place)];
+}
+
+class Model {
+public:
+    /// Time to first token beside queue, import and prefill.
+    static constexpr double overhead = 0.02;
+
+    Model(const Site& benchSite, const std::vector<TraceRequest>& requests)
+        : site(benchSite)
+        , trace(requests)
+        , runs(requests.size())
+    {
+        for (std::size_t i = 0; i < benchSite.replicas; ++i) {
+            this->engines.push_back({ UpstreamId(benchSite.name + "-" + std::to_string(i)), this->domain(i),
+                LeastRecentlyUsed(benchSite.engineBlocks), {}, {}, {}, 0 });
+            this->engines.back().log.random.seed(100 + i);
+        }
+        for (std::size_t i = 0; i < benchSite.stores; ++i)
+            this->stores.push_back({ UpstreamId("store-" + std::to_string(i)), this->domain(i + 1),
+                LeastRecentlyUsed(benchSite.storeMemoryBlocks / benchSite.stores),
+                LeastRecentlyUsed(benchSite.storeDiskBlocks / benchSite.stores), {}, 0, 0, 0 });
+    }
+
+    FailureDomain domain(std::size_t number) const { return FailureDomain("domain-" + std::to_string(number % 3)); }
+    bool isOut(const FailureDomain& name) const { return this->domainOut && name == this->domain(0); }
+
+    void at(double time, std::function<void()> action)
+    {
+        this->agenda.push({ std::max(time, this->now), this->nextOrder++, std::move(action) });
+    }
+
+    void every(double period, const std::function<void()>& action)
+    {
+        this->at(this->now + period, [this, period, action] {
+            action();
+            if (this->now < this->site.length)
+                this->every(period, action);
+        });
+    }
+
+    /// Sends a request to an engine; it waits for `makeReady` where @p ready is false.
+    void dispatch(std::size_t request, std::size_t engine, bool ready, double expectedPrefill)
+    {
+        auto& run = this->runs[request];
+        run.engine = engine;
+        run.ready = ready;
+        run.expectedPrefill = expectedPrefill;
+        this->engines[engine].waiting.push_back(request);
+        this->startNext(engine);
+    }
+
+    void makeReady(std::size_t request)
+    {
+        this->runs[request].ready = true;
+        this->startNext(this->runs[request].engine);
+    }
+
+    /// Moves bytes over a store's link, one transfer after the other.
+    void move(std::size_t storeIndex, double bytes, double factor, std::function<void()> done)
+    {
+        auto& store = this->stores[storeIndex];
+        const auto seconds = bytes * factor / this->site.linkBytesPerSecond;
+        store.busyUntil = std::max(store.busyUntil, this->now) + seconds;
+        if (this->now >= this->site.warmUp) {
+            store.busySeconds += seconds;
+            store.bytes += bytes;
+        }
+        this->at(store.busyUntil, std::move(done));
+    }
+
+    /// @return Seconds until an engine has done what waits there.
+    double queueSeconds(std::size_t engine) const
+    {
+        const auto& entry = this->engines[engine];
+        auto seconds = entry.current ? entry.currentUntil - this->now : 0;
+        for (const auto request : entry.waiting)
+            seconds += this->runs[request].expectedPrefill;
+        return seconds;
+    }
+
+    /// Runs the trace; @p arrive places a request, @p answered hears of its first token.
+    Figures run(const std::string& policy, const std::function<void(std::size_t)>& arrive,
+        const std::function<void(std::size_t)>& answered)
+    {
+        this->onFirstToken = answered;
+        for (std::size_t i = 0; i < this->trace.size(); ++i)
+            this->at(this->trace[i].at, [&arrive, i] { arrive(i); });
+        this->at(this->site.domainOutFrom, [this] { this->domainOut = true; });
+        this->at(this->site.domainBackAt, [this] { this->bringDomainBack(); });
+        while (!this->agenda.empty()) {
+            const auto next = this->agenda.top();
+            this->agenda.pop();
+            this->now = next.time;
+            next.action();
+        }
+        return this->figures(policy);
+    }
+
+    const Site& site;
+    const std::vector<TraceRequest>& trace;
+    std::vector<Run> runs;
+    std::vector<Engine> engines;
+    std::vector<Store> stores;
+    double now = 0;
+    bool domainOut = false;
+
+private:
+    struct Entry {
+        double time = 0;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+
+        bool operator<(const Entry& other) const
+        {
+            return std::pair(other.time, other.order) < std::pair(this->time, this->order);
+        }
+    };
+
+    void bringDomainBack()
+    {
+        this->domainOut = false;
+        for (auto& engine : this->engines) {
+            if (engine.domain != this->domain(0))
+                continue;
+            engine.cache.clear();
+            engine.log.restart();
+        }
+    }
+
+    void startNext(std::size_t index)
+    {
+        auto& engine = this->engines[index];
+        if (engine.current)
+            return;
+        const auto next = std::find_if(engine.waiting.begin(), engine.waiting.end(),
+            [this](std::size_t request) { return this->runs[request].ready; });
+        if (next == engine.waiting.end())
+            return;
+        const auto request = *next;
+        engine.waiting.erase(next);
+        const auto& prompt = this->trace[request];
+        auto& run = this->runs[request];
+        run.cachedBlocks = engine.covered(prompt.blocks);
+        const auto tokens = prompt.tokens - run.cachedBlocks * this->site.blockTokens;
+        engine.current = request;
+        engine.currentUntil = this->now + tokens / this->site.prefillRate;
+        this->at(engine.currentUntil, [this, index] { this->finishPrefill(index); });
+    }
+
+    void finishPrefill(std::size_t index)
+    {
+        auto& engine = this->engines[index];
+        const auto request = *engine.current;
+        engine.current.reset();
+        const auto& blocks = this->trace[request].blocks;
+        for (auto block = blocks.rbegin(); block != blocks.rend(); ++block)
+            engine.insert(*block);
+        auto& run = this->runs[request];
+        run.done = true;
+        run.firstTokenAt = this->now + overhead;
+        this->onFirstToken(request);
+        this->startNext(index);
+    }
+
+    Figures figures(const std::string& policy) const
+    {
+        Figures result;
+        result.policy = policy;
+        std::vector<double> all;
+        std::vector<double> returning;
+        std::vector<double> whileOut;
+        auto seen = 0.0;
+        auto again = 0.0;
+        for (std::size_t i = 0; i < this->trace.size(); ++i) {
+            const auto& request = this->trace[i];
+            if (request.at < this->site.warmUp)
+                continue;
+            const auto seconds = this->runs[i].done ? this->runs[i].firstTokenAt - request.at : 1e9;
+            all.push_back(seconds);
+            if (request.returning)
+                returning.push_back(seconds);
+            if (request.at >= this->site.domainOutFrom && request.at < this->site.domainBackAt + 60)
+                whileOut.push_back(seconds);
+            seen += request.seenBlocks;
+            again += request.seenBlocks - std::min(this->runs[i].cachedBlocks, request.seenBlocks);
+        }
+        result.p50 = quantile(all, 0.5);
+        result.p95 = quantile(all, 0.95);
+        result.returningP50 = quantile(returning, 0.5);
+        result.returningP95 = quantile(returning, 0.95);
+        result.outP95 = quantile(whileOut, 0.95);
+        result.recomputedShare = seen > 0 ? again / seen : 0;
+        for (const auto& store : this->stores) {
+            result.gigabytes += store.bytes / 1e9;
+            result.linkShare += store.busySeconds / (this->site.length - this->site.warmUp) / static_cast<double>(this->stores.size());
+        }
+        return result;
+    }
+
+    std::priority_queue<Entry> agenda;
+    std::uint64_t nextOrder = 0;
+    std::function<void(std::size_t)> onFirstToken;
+};
+
+} // namespace goldcrestwood::bench
--- /dev/null
+++ b/support/bench/routing_policies.h
@@ -0,0 +1,375 @@
+#pragma once
+
+/// @file
+/// The policies that the routing benchmark compares: ours, an oracle and three simple ones.
+
+#include <map>
+#include <memory>
+
+#include "goldcrestwood/export_policy.h"
+#include "goldcrestwood/holder_feed.h"
+#include "goldcrestwood/prefix_index.h"
+#include "goldcrestwood/return_history.h"
+#include "goldcrestwood/router.h"
+#include "goldcrestwood/transfers.h"
+#include "routing_model.h"
+
+namespace goldcrestwood::bench {
+
+/// Periods and lags of what daemons hear, in seconds.
+constexpr double eventPeriod = 0.5;
+constexpr double loadPeriod = 0.5;
+constexpr double loadLag = 0.25;
+constexpr double demandPeriod = 1;
+constexpr double transferPeriod = 0.01;
+constexpr double domainOutLag = 1;
+
+/// The project's decision code, run by several daemons with late and lossy views; or, as an oracle,
+/// by one daemon that sees all caches, queues and links as they are.
+class Project {
+public:
+    Project(Model& benchModel, bool exactView, const RouterSettings& routerSettings = {})
+        : model(benchModel)
+        , exact(exactView)
+        , service(benchModel.site.name)
+        , random(17)
+    {
+        const auto count = exactView ? 1 : benchModel.site.daemons;
+        for (std::size_t i = 0; i < count; ++i) {
+            this->names.emplace_back("daemon-" + std::to_string(i));
+            this->daemons.push_back(std::make_unique<Daemon>(this->settingsFor(routerSettings)));
+            this->setUp(*this->daemons.back(), count);
+        }
+        for (const auto& engine : benchModel.engines)
+            this->feeds.try_emplace(engine.id, engine.id);
+        for (std::size_t i = 0; i < benchModel.stores.size(); ++i) {
+            this->feeds.try_emplace(benchModel.stores[i].id, benchModel.stores[i].id);
+            this->storeNumbers[benchModel.stores[i].id] = i;
+            this->brokers.emplace_back(TransferSettings {}, benchModel.site.linkBytesPerSecond, count, pointAt(0));
+        }
+        for (std::size_t i = 0; i < benchModel.engines.size(); ++i)
+            this->engineNumbers[benchModel.engines[i].id] = i;
+        benchModel.every(eventPeriod, [this] { this->deliverEvents(); });
+        benchModel.every(loadPeriod, [this] { this->reportLoads(); });
+        benchModel.every(demandPeriod, [this] { this->splitLinks(); });
+        benchModel.every(transferPeriod, [this] { this->tickTransfers(); });
+    }
+
+    void arrive(std::size_t number)
+    {
+        const auto& prompt = this->model.trace[number];
+        auto& daemon = *this->daemons[this->random() % this->daemons.size()];
+        auto& owner = this->ownerOf(prompt.blocks.front());
+        owner.history.observe(prompt.account, prompt.blocks, this->time());
+
+        RouteRequest request { this->service, VersionName("v1"), { {}, prompt.blocks, prompt.tokens, this->model.site.blockTokens },
+            owner.index.lookUp(prompt.blocks, this->time()), true, this->model.site.blockBytes };
+        request.coverage.returnChance = owner.history.returnChance(prompt.account);
+        if (this->exact)
+            this->seeAll(daemon, request);
+        auto allowed = [this](const RouteTarget& target) {
+            const auto out = this->knownOut && target.domain == this->model.domain(0);
+            return Admission { out ? Refusal::DomainOut : Refusal::None, {} };
+        };
+        auto links = [&](const UpstreamId& store) { return this->linkOf(daemon, store); };
+        const auto decision = daemon.router.choose(request, allowed, links, this->time(), this->random);
+        if (!decision)
+            return;
+        if (this->exact)
+            daemon.router.finish(decision->ticket);
+        this->placed[number] = { &daemon, *decision, request.coverage, 0 };
+        owner.index.expect({ decision->upstream, hashValues(prompt.blocks) }, this->time());
+        this->feeds.at(decision->upstream).place(prompt.blocks, this->time());
+        this->startImport(number);
+    }
+
+    void answered(std::size_t number)
+    {
+        const auto found = this->placed.find(number);
+        auto& [daemon, decision, coverage, importsLeft] = found->second;
+        const auto& prompt = this->model.trace[number];
+        const auto& run = this->model.runs[number];
+        const auto cached = run.cachedBlocks * this->model.site.blockTokens;
+        daemon->router.firstToken(decision.ticket, { fromSeconds(run.firstTokenAt - prompt.at), cached });
+        daemon->router.finish(decision.ticket);
+        this->ownerOf(prompt.blocks.front()).index.observe({ decision.upstream, hashValues(prompt.blocks), {}, {} }, this->time());
+
+        std::vector<ExportTarget> targets;
+        for (const auto& store : this->model.stores) {
+            if (!(this->knownOut && store.domain == this->model.domain(0)))
+                targets.push_back({ store.id, store.domain, this->linkOf(*daemon, store.id), 0.5 });
+        }
+        for (const auto& order : planExports(this->exports, prompt.blocks, coverage, targets))
+            this->startExport(number, order);
+        this->placed.erase(found);
+    }
+
+private:
+    struct Daemon {
+        explicit Daemon(const RouterSettings& settings)
+            : router(settings)
+        {
+        }
+
+        PrefixIndex index;
+        ReturnHistory history;
+        Router router;
+        TransferQueue transfers;
+        std::map<TransferId, std::function<void(bool)>> moves;
+    };
+
+    struct Placed {
+        Daemon* daemon = nullptr;
+        RouteDecision decision;
+        ChainCoverage coverage;
+        std::size_t importsLeft = 0;
+    };
+
+    TimePoint time() const { return pointAt(this->model.now); }
+
+    RouterSettings settingsFor(RouterSettings settings) const
+    {
+        settings.initialPrefillRate = this->model.site.prefillRate;
+        if (!this->exact)
+            return settings;
+        settings.noise = 0;
+        settings.hysteresis = 0;
+        settings.randomPicks = settings.maxCandidates = this->model.site.replicas;
+        settings.maxDraws = 20 * this->model.site.replicas;
+        return settings;
+    }
+
+    void setUp(Daemon& daemon, std::size_t count) const
+    {
+        std::vector<RouteTarget> targets;
+        for (const auto& engine : this->model.engines)
+            targets.push_back({ engine.id, engine.domain, VersionName("v1") });
+        daemon.router.setTargets(this->service, targets);
+        for (const auto& store : this->model.stores)
+            daemon.transfers.setLink(store.id, this->model.site.linkBytesPerSecond, count, pointAt(0));
+    }
+
+    Daemon& ownerOf(ChainHash firstBlock)
+    {
+        return *this->daemons[rendezvousRank(firstBlock.value, this->names, 1).front()];
+    }
+
+    LinkEstimate linkOf(const Daemon& daemon, const UpstreamId& id) const
+    {
+        const auto& store = this->model.stores[this->storeNumbers.at(id)];
+        if (this->knownOut && store.domain == this->model.domain(0))
+            return {};
+        if (!this->exact)
+            return daemon.transfers.estimate(id, this->time());
+        const auto rate = this->model.site.linkBytesPerSecond;
+        return { rate, std::max(0.0, store.busyUntil - this->model.now) * rate };
+    }
+
+    void seeAll(Daemon& daemon, RouteRequest& request)
+    {
+        request.coverage.engines.clear();
+        request.coverage.stores.clear();
+        for (std::size_t i = 0; i < this->model.engines.size(); ++i) {
+            const auto& engine = this->model.engines[i];
+            if (const auto blocks = engine.covered(request.chain.blocks); blocks > 0)
+                request.coverage.engines.push_back({ engine.id, blocks, 1 });
+            const auto queue = fromSeconds(this->model.queueSeconds(i));
+            daemon.router.reportLoad(engine.id, { 0, 0, queue, Duration(0) }, this->time());
+        }
+        for (const auto& store : this->model.stores) {
+            for (std::uint32_t i = 0; i < request.chain.blocks.size(); ++i) {
+                const auto hash = request.chain.blocks[i];
+                if (!store.contains(hash))
+                    continue;
+                const auto tier = store.memory.contains(hash) ? Tier::StoreMemory : Tier::StoreDisk;
+                request.coverage.stores.push_back({ store.id, tier, i, 1, 1 });
+            }
+        }
+    }
+
+    void startImport(std::size_t number)
+    {
+        auto& [daemon, decision, coverage, importsLeft] = this->placed.at(number);
+        const auto engine = this->engineNumbers.at(decision.upstream);
+        const auto prefill = toSeconds(decision.expectedFirstToken - std::max(decision.expectedQueue, decision.import.duration));
+        importsLeft = decision.import.runs.size();
+        this->model.dispatch(number, engine, importsLeft == 0, prefill);
+        const auto recompute = decision.import.blocks * this->model.site.blockTokens / this->model.site.prefillRate;
+        const auto deadline = this->time() + decision.expectedQueue + decision.import.duration + fromSeconds(recompute);
+        for (const auto& run : decision.import.runs) {
+            const auto bytes = run.blocks * this->model.site.blockBytes;
+            const auto factor = run.tier == Tier::StoreDisk ? this->model.site.diskFactor : 1;
+            this->submit(*daemon, { {}, run.store, TransferClass::FirstToken, bytes, deadline }, factor,
+                [this, number, run, engine](bool moved) { this->finishImport(number, engine, run, moved); });
+        }
+    }
+
+    void finishImport(std::size_t number, std::size_t engine, const ImportRun& run, bool moved)
+    {
+        auto& store = this->model.stores[this->storeNumbers.at(run.store)];
+        const auto& blocks = this->model.trace[number].blocks;
+        for (auto i = run.firstBlock; moved && i < run.firstBlock + run.blocks; ++i) {
+            if (!store.contains(blocks[i]))
+                continue;
+            store.insert(blocks[i]);
+            this->model.engines[engine].insert(blocks[i]);
+        }
+        const auto found = this->placed.find(number);
+        if (found != this->placed.end() && --found->second.importsLeft == 0)
+            this->model.makeReady(number);
+    }
+
+    void startExport(std::size_t number, const ExportOrder& order)
+    {
+        auto& [daemon, decision, coverage, importsLeft] = this->placed.at(number);
+        const auto engine = this->engineNumbers.at(decision.upstream);
+        const auto storeNumber = this->storeNumbers.at(order.store);
+        this->feeds.at(order.store).place(this->model.trace[number].blocks, this->time());
+        for (const auto block : order.blocks) {
+            const auto hash = this->model.trace[number].blocks[block];
+            const Transfer transfer { {}, order.store, TransferClass::Export, this->model.site.blockBytes,
+                this->time() + std::chrono::seconds(20) };
+            this->submit(*daemon, transfer, 1, [this, hash, engine, storeNumber](bool moved) {
+                if (moved && this->model.engines[engine].cache.contains(hash))
+                    this->model.stores[storeNumber].insert(hash);
+            });
+        }
+    }
+
+    void submit(Daemon& daemon, Transfer transfer, double factor, std::function<void(bool)> done)
+    {
+        transfer.id = { ++this->lastTransfer };
+        transfer.bytes = static_cast<std::uint64_t>(static_cast<double>(transfer.bytes) * factor);
+        const auto storeNumber = this->storeNumbers.at(transfer.store);
+        daemon.moves[transfer.id] = [this, &daemon, transfer, storeNumber, done = std::move(done)](bool started) {
+            if (!started)
+                return done(false);
+            this->model.move(storeNumber, static_cast<double>(transfer.bytes), 1, [&daemon, transfer, done] {
+                daemon.transfers.finish(transfer.id, transfer.bytes);
+                done(true);
+            });
+        };
+        this->act(daemon, daemon.transfers.submit(transfer, this->time()));
+    }
+
+    void act(Daemon& daemon, const TransferActions& actions)
+    {
+        for (const auto& [id] : actions.start)
+            this->take(daemon, id)(true);
+        for (const auto& [id] : actions.drop)
+            this->take(daemon, id)(false);
+    }
+
+    std::function<void(bool)> take(Daemon& daemon, TransferId id)
+    {
+        const auto found = daemon.moves.find(id);
+        auto move = std::move(found->second);
+        daemon.moves.erase(found);
+        return move;
+    }
+
+    void deliverEvents()
+    {
+        auto forward = [this](const HolderEvents& events) {
+            auto ownerName = [this](ChainHash first) { return this->names[rendezvousRank(first.value, this->names, 1).front()]; };
+            for (const auto& message : this->feeds.at(events.holder).poll(events, ownerName)) {
+                const auto place = std::find(this->names.begin(), this->names.end(), message.to) - this->names.begin();
+                this->daemons[static_cast<std::size_t>(place)]->index.apply(message.events, this->time());
+            }
+        };
+        for (auto& engine : this->model.engines)
+            forward(engine.log.take(engine.id));
+        for (auto& store : this->model.stores)
+            forward(store.log.take(store.id));
+    }
+
+    void reportLoads()
+    {
+        this->model.at(this->model.now + domainOutLag, [this, out = this->model.domainOut] { this->knownOut = out; });
+        if (this->exact)
+            return;
+        for (const auto& engine : this->model.engines) {
+            const LoadReport report { engine.current ? 1U : 0U, static_cast<std::uint32_t>(engine.waiting.size()), std::nullopt,
+                fromSeconds(loadLag) };
+            this->model.at(this->model.now + loadLag, [this, id = engine.id, report] {
+                for (auto& daemon : this->daemons)
+                    daemon->router.reportLoad(id, report, this->time());
+            });
+        }
+    }
+
+    void splitLinks()
+    {
+        for (std::size_t i = 0; i < this->model.stores.size(); ++i) {
+            for (std::size_t j = 0; j < this->daemons.size(); ++j) {
+                auto& transfers = this->daemons[j]->transfers;
+                const auto demand = transfers.demand(this->model.stores[i].id, this->time());
+                transfers.grant(this->brokers[i].demand(this->names[j], demand, this->time()), this->time());
+            }
+        }
+    }
+
+    void tickTransfers()
+    {
+        for (auto& daemon : this->daemons)
+            this->act(*daemon, daemon->transfers.tick(this->time()));
+    }
+
+    Model& model;
+    bool exact;
+    ServiceName service;
+    Random random;
+    ExportSettings exports;
+    std::vector<InstanceId> names;
+    std::vector<std::unique_ptr<Daemon>> daemons;
+    std::map<UpstreamId, HolderFeed> feeds;
+    std::map<UpstreamId, std::size_t> storeNumbers;
+    std::map<UpstreamId, std::size_t> engineNumbers;
+    std::vector<LinkBroker> brokers;
+    std::map<std::size_t, Placed> placed;
+    std::uint64_t lastTransfer = 0;
+    bool knownOut = false;
+};
+
+inline Figures runProject(const Site& site, const std::vector<TraceRequest>& trace, bool exact)
+{
+    Model model(site, trace);
+    Project project(model, exact);
+    return model.run(
+        exact ? "oracle" : "goldcrestwood", [&](std::size_t i) { project.arrive(i); }, [&](std::size_t i) { project.answered(i); });
+}
+
+/// Policies without a store. Each sees at once which domain is out.
+enum class SimplePolicy : std::uint8_t {
+    RoundRobin,
+    LeastLoad, ///< The engine with the least work of all, seen without lag.
+    PrefixAffinity, ///< By the hash of the prompt's blocks up to the first own one.
+};
+
+inline Figures runSimple(const Site& site, const std::vector<TraceRequest>& trace, SimplePolicy policy)
+{
+    Model model(site, trace);
+    std::size_t next = 0;
+    auto arrive = [&](std::size_t number) {
+        std::vector<std::size_t> usable;
+        std::vector<InstanceId> names;
+        for (std::size_t i = 0; i < model.engines.size(); ++i) {
+            if (model.isOut(model.engines[i].domain))
+                continue;
+            usable.push_back(i);
+            names.emplace_back(model.engines[i].id.value);
+        }
+        auto chosen = usable[next++ % usable.size()];
+        if (policy == SimplePolicy::LeastLoad)
+            chosen = *std::min_element(usable.begin(), usable.end(),
+                [&](std::size_t left, std::size_t right) { return model.queueSeconds(left) < model.queueSeconds(right); });
+        if (policy == SimplePolicy::PrefixAffinity)
+            chosen = usable[rendezvousRank(trace[number].blocks[site.sharedBlocks].value, names, 1).front()];
+        const auto covered = model.engines[chosen].covered(trace[number].blocks);
+        model.dispatch(number, chosen, true, (trace[number].tokens - covered * site.blockTokens) / site.prefillRate);
+    };
+    static const char* const titles[] = { "round robin", "least load", "prefix affinity" };
+    return model.run(titles[static_cast<std::size_t>(policy)], arrive, [](std::size_t) {});
+}
+
+} // namespace goldcrestwood::bench
--- a/test/prefix_index_test.cc
+++ b/test/prefix_index_test.cc
@@ -103,6 +103,30 @@
     CHECK(index.counts().gaps == 0);
 }
 
+TEST_CASE("late parts of the past do not revive an evicted block")
+{
+    PrefixIndex index;
+    const auto chain = chainOf(1, 2);
+    index.apply(batch(engine, 1, 0, { { 1, stored, inEngine, 1000 }, { 2, stored, inEngine, 1001 } }), start);
+    index.apply(batch(engine, 1, 2, { { 3, evicted, inEngine, 1001 } }), start);
+    index.apply(batch(engine, 1, 0, { { 1, stored, inEngine, 1000 } }), start);
+    index.apply(batch(engine, 1, 1, { { 2, stored, inEngine, 1001 } }), start);
+    CHECK(coveredBy(index, chain, engine) == 1);
+    index.apply(batch(engine, 1, 1, { { 2, stored, inEngine, 1001 }, { 4, stored, inEngine, 2000 } }), start);
+    CHECK(coveredBy(index, chain, engine) == 1);
+    CHECK(coveredBy(index, chainOf(2, 1), engine) == 1);
+    CHECK(index.counts().gaps == 0);
+}
+
+TEST_CASE("a change before a hole in the same batch is doubtful")
+{
+    PrefixIndex index;
+    const PrefixIndexSettings settings;
+    index.apply({ engine, 1, 8, 9, { { 7, stored, inEngine, 1000 }, { 9, stored, inEngine, 2000 } } }, start);
+    CHECK(coveredBy(index, chainOf(1, 1), engine) == Approx(settings.gapConfidence));
+    CHECK(coveredBy(index, chainOf(2, 1), engine) == 1);
+}
+
 TEST_CASE("a gap and a restart make a holder doubtful until a resync")
 {
     PrefixIndex index;
