Learn link speeds, pace exports and weigh gaps by their size

Causes: a link's speed was taken from granted shares, so that imports looked dear; exports of a chain occupied a link in one burst; and each small gap halved the trust in all blocks of a holder.

--- a/include/goldcrestwood/holder_feed.h
+++ b/include/goldcrestwood/holder_feed.h
@@ -58,7 +58,7 @@
             else
                 ++this->unknown;
         }
-        return this->address(answer.last, std::move(concerned));
+        return this->address(answer, std::move(concerned));
     }
 
     /// @return The sequence after which to ask the holder next.
@@ -76,7 +76,8 @@
 
     bool enter(const HolderEvents& answer);
     bool advance(std::uint64_t sequence);
-    std::vector<AddressedEvents> address(std::uint64_t last, std::map<InstanceId, std::vector<HolderEvent>> concerned);
+    std::vector<AddressedEvents> address(
+        const HolderEvents& answer, std::map<InstanceId, std::vector<HolderEvent>> concerned);
 
     UpstreamId holder;
     SampledMap<ChainHash, Known> firstBlocks;
--- a/include/goldcrestwood/prefix_index.h
+++ b/include/goldcrestwood/prefix_index.h
@@ -23,7 +23,7 @@
     std::size_t maxEngines = 8;
     /// Runs of store blocks in an answer.
     std::size_t maxStoreRuns = 8;
-    /// Confidence in a block whose holder's events have had a gap since.
+    /// Least confidence in a block whose holder's events have had a gap since; a small gap costs less.
     double gapConfidence = 0.6;
     /// Confidence in a memory block whose holder has restarted since.
     double restartConfidence = 0.05;
@@ -100,7 +100,8 @@
         UpstreamId id;
         std::uint64_t epoch = 0;
         std::uint64_t lastSequence = 0;
-        /// Entries of earlier generations are doubtful, those before the epoch's first more so.
+        /// Grows with each gap, by the lost changes in thousandths of the blocks held. Entries of earlier
+        /// generations are doubtful, those before the epoch's first more so.
         std::uint32_t generation = 1;
         std::uint32_t epochGeneration = 1;
         /// Entries of earlier generations belong to a holder that was forgotten.
@@ -111,7 +112,7 @@
 
     Slot slotOf(const UpstreamId& id);
     bool enterEpoch(Holder& holder, std::uint64_t epoch);
-    void raiseDoubt(Holder& holder);
+    std::uint32_t raiseDoubt(Holder& holder, std::uint64_t lost, std::uint64_t held);
     double confidence(const Holding& holding) const;
     void put(ChainHash hash, const Holding& holding, TimePoint now);
     void remove(ChainHash hash, Slot slot, Tier tier);
--- a/include/goldcrestwood/prefix_messages.h
+++ b/include/goldcrestwood/prefix_messages.h
@@ -126,6 +126,8 @@
     std::uint64_t last = 0;
     /// Changes in order of sequence.
     std::vector<HolderEvent> events;
+    /// Blocks that the holder has in all, to weigh a hole; 0 where unknown.
+    std::uint64_t heldBlocks = 0;
 
     bool operator==(const HolderEvents&) const = default;
 };
--- a/include/goldcrestwood/router.h
+++ b/include/goldcrestwood/router.h
@@ -319,7 +319,7 @@
 
     std::vector<Pick> draw(const RouteRequest& request, Random& random) const;
     std::vector<UpstreamId> hashedPicks(const RouteRequest& request) const;
-    double ownBlocks(const RouteRequest& request, const UpstreamId& id) const;
+    EngineCoverage ownCoverage(const RouteRequest& request, const UpstreamId& id) const;
     tl::expected<RouteDecision, RouteError> decide(const RouteRequest& request, const Candidates& candidates,
         const std::vector<LinkEstimate>& links, TimePoint now, Random& random);
     Weighed weigh(const RouteRequest& request, const Candidate& candidate, const std::vector<LinkEstimate>& links,
--- a/include/goldcrestwood/transfers.h
+++ b/include/goldcrestwood/transfers.h
@@ -78,10 +78,26 @@
     std::size_t maxWaiting = 256;
     /// What a grant holds above the demand, so that demand can show that it grows.
     double headroom = 1.25;
+    /// Prefetches and exports of a daemon that use a link at once.
+    std::size_t maxRunningBackground = 1;
+    /// Weight of a new observation of a link's speed.
+    double learningWeight = 0.1;
+    /// How long an observed speed counts.
+    Duration observationLifetime = std::chrono::seconds(30);
     /// Share of a link's capacity that a transfer is taken to get while there is no grant.
     double ungrantedSpeed = 0.25;
 };
 
+/// Transfers of one class since the start.
+struct TransferCounts {
+    std::uint64_t started = 0;
+    std::uint64_t startedBytes = 0;
+    std::uint64_t dropped = 0;
+    std::uint64_t droppedBytes = 0;
+
+    bool operator==(const TransferCounts&) const = default;
+};
+
 /// The owner's side: splits one link by demand, classes in order, evenly within a class.
 class LinkBroker {
 public:
@@ -148,7 +164,7 @@
 
     /// The transfer ended, well or not, or nobody wants it any more.
     /// @param movedBytes Bytes that used the link.
-    void finish(TransferId id, std::uint64_t movedBytes);
+    void finish(TransferId id, std::uint64_t movedBytes, TimePoint now);
 
     /// @return What the router needs to price an import from @p store.
     LinkEstimate estimate(const UpstreamId& store, TimePoint now) const;
@@ -156,6 +172,9 @@
     /// @return Demand to report to the link's owner.
     LinkDemand demand(const UpstreamId& store, TimePoint now) const;
 
+    /// @return Counts of one class over all links.
+    const TransferCounts& counts(TransferClass kind) const { return this->total[static_cast<std::size_t>(kind)]; }
+
     /// @return When `tick` may start something, if anything waits.
     std::optional<TimePoint> nextStart(TimePoint now) const;
 
@@ -168,6 +187,10 @@
         /// Bytes that may be started; below zero after a large transfer.
         double allowance = 0;
         TimePoint refilledAt;
+        /// Bytes a second that first-token transfers got lately, by the time they took.
+        double observedSpeed = 0;
+        TimePoint observedAt;
+        std::size_t runningBackground = 0;
         std::array<std::vector<Transfer>, transferClasses> waiting;
         std::array<double, transferClasses> demand {};
         TimePoint demandAt;
@@ -175,7 +198,9 @@
 
     struct Running {
         UpstreamId store;
+        TransferClass kind = TransferClass::FirstToken;
         std::uint64_t bytes = 0;
+        TimePoint startedAt;
     };
 
     static double rate(const Link& link, TimePoint now);
@@ -183,12 +208,16 @@
     double allowance(const Link& link, TimePoint now) const;
     double decay(const Link& link, TimePoint now) const;
     bool arrivesInTime(const Link& link, const Transfer& transfer, double bytesAhead, TimePoint now) const;
+    bool mayStart(const Link& link, const Transfer& transfer) const;
+    void observeSpeed(Link& link, const Running& transfer, TimePoint now) const;
     void startAllowed(Link& link, TimePoint now, TransferActions& actions);
-    void dropLate(Link& link, TimePoint now, TransferActions& actions) const;
+    void dropLate(Link& link, TimePoint now, TransferActions& actions);
+    void drop(const Transfer& transfer, TransferActions& actions);
 
     TransferSettings settings;
     std::unordered_map<UpstreamId, Link> links;
     std::map<TransferId, Running> running;
+    std::array<TransferCounts, transferClasses> total {};
 };
 
 } // namespace goldcrestwood
--- a/src/holder_feed.cc
+++ b/src/holder_feed.cc
@@ -45,11 +45,11 @@
 }
 
 std::vector<AddressedEvents> HolderFeed::address(
-    std::uint64_t last, std::map<InstanceId, std::vector<HolderEvent>> concerned)
+    const HolderEvents& answer, std::map<InstanceId, std::vector<HolderEvent>> concerned)
 {
-    if (last > this->lastSequence) {
-        this->lastSequence = last;
-        this->lostUpTo = last;
+    if (answer.last > this->lastSequence) {
+        this->lastSequence = answer.last;
+        this->lostUpTo = answer.last;
         this->announce = true;
     }
     if (std::exchange(this->announce, false)) {
@@ -61,7 +61,7 @@
         auto& sent = this->receivers[receiver];
         const auto after = std::max(sent, this->lostUpTo);
         sent = this->lastSequence;
-        result.push_back({ receiver, { this->holder, this->epoch, after, this->lastSequence, std::move(events) } });
+        result.push_back({ receiver, { this->holder, this->epoch, after, this->lastSequence, std::move(events), answer.heldBlocks } });
     }
     return result;
 }
--- a/src/prefix_index.cc
+++ b/src/prefix_index.cc
@@ -8,6 +8,8 @@
 namespace {
 
     constexpr std::uint16_t maxTouches = std::numeric_limits<std::uint16_t>::max();
+    /// Growth of a holder's generation when all of its blocks are in doubt.
+    constexpr std::uint64_t fullDoubt = 1000;
     /// Touches beyond this add nothing to a block's usefulness.
     constexpr std::uint16_t countedTouches = 6;
 
@@ -54,10 +56,13 @@
     return slot;
 }
 
-void PrefixIndex::raiseDoubt(Holder& holder)
+std::uint32_t PrefixIndex::raiseDoubt(Holder& holder, std::uint64_t lost, std::uint64_t held)
 {
-    ++holder.generation;
+    const auto share = held > 0 ? std::min(lost * fullDoubt / held + 1, fullDoubt) : fullDoubt;
+    const auto before = holder.generation;
+    holder.generation += static_cast<std::uint32_t>(share);
     ++this->total.gaps;
+    return before;
 }
 
 bool PrefixIndex::enterEpoch(Holder& holder, std::uint64_t epoch)
@@ -88,8 +93,9 @@
         return;
     }
     const auto hasUncertain = !batch.events.empty() && batch.events.front().sequence <= batch.after;
+    auto uncertainGeneration = holder.generation;
     if (batch.after > holder.lastSequence && (holder.sequenceKnown || hasUncertain))
-        this->raiseDoubt(holder);
+        uncertainGeneration = this->raiseDoubt(holder, batch.after - holder.lastSequence, batch.heldBlocks);
     for (const auto& event : batch.events) {
         if (holder.sequenceKnown && event.sequence <= holder.lastSequence) {
             ++this->total.staleEvents;
@@ -97,7 +103,7 @@
         }
         ++this->total.events;
         // A later change of the same block may be among the lost ones.
-        const auto generation = holder.generation - (event.sequence <= batch.after ? 1 : 0);
+        const auto generation = event.sequence <= batch.after ? uncertainGeneration : holder.generation;
         if (event.kind == HolderEventKind::Stored)
             this->put(ChainHash { event.hash }, { slot, generation, event.tier, false }, now);
         else
@@ -168,7 +174,8 @@
     if (holding.generation < holder.epochGeneration)
         return holding.tier == Tier::StoreDisk ? this->settings.diskRestartConfidence : this->settings.restartConfidence;
     const auto known = holding.expected ? this->settings.expectedConfidence : 1.0;
-    return holding.generation < holder.generation ? known * this->settings.gapConfidence : known;
+    const auto doubt = static_cast<double>(holder.generation - holding.generation) / fullDoubt;
+    return known * std::max(1 - doubt, this->settings.gapConfidence);
 }
 
 void PrefixIndex::put(ChainHash hash, const Holding& holding, TimePoint now)
--- a/src/router.cc
+++ b/src/router.cc
@@ -17,6 +17,7 @@
     constexpr double maxLearningQueue = 0.25;
     /// Coverage that is assumed at the upstreams that the prompt's hash picks, when nothing is known.
     constexpr double hashedConfidence = 0.3;
+    constexpr double minHeldConfidence = 0.5;
     constexpr double minPrefillSeconds = 0.001;
 
     double blend(double old, double observed, double weight)
@@ -228,17 +229,15 @@
     return upstream.outstanding + weight * others;
 }
 
-double Router::ownBlocks(const RouteRequest& request, const UpstreamId& id) const
+EngineCoverage Router::ownCoverage(const RouteRequest& request, const UpstreamId& id) const
 {
     for (const auto& engine : request.coverage.engines) {
         if (engine.upstream == id)
-            return engine.blocks * engine.confidence;
+            return engine;
     }
-    if (request.coverageKnown)
-        return 0;
-    const auto picks = this->hashedPicks(request);
+    const auto picks = request.coverageKnown ? std::vector<UpstreamId> {} : this->hashedPicks(request);
     const auto picked = std::find(picks.begin(), picks.end(), id) != picks.end();
-    return picked ? hashedConfidence * static_cast<double>(request.chain.blocks.size()) : 0;
+    return { id, picked ? static_cast<std::uint32_t>(request.chain.blocks.size()) : 0, hashedConfidence };
 }
 
 Router::Weighed Router::weigh(const RouteRequest& request, const Candidate& candidate,
@@ -248,9 +247,10 @@
     const auto count = static_cast<std::uint32_t>(request.chain.blocks.size());
     const auto queue = this->queueSeconds(upstream, now);
     const auto penalty = toSeconds(candidate.penalty) + upstream.overhead;
-    const auto own = this->ownBlocks(request, candidate.target->id);
-    const auto held = std::min(static_cast<std::uint32_t>(std::lround(own)), count);
-    auto recomputeTokens = request.chain.tokens - own * request.chain.blockTokens;
+    const auto own = this->ownCoverage(request, candidate.target->id);
+    // What is more likely there than not is not imported again.
+    const auto held = own.confidence >= minHeldConfidence ? std::min(own.blocks, count) : 0;
+    auto recomputeTokens = request.chain.tokens - own.blocks * own.confidence * request.chain.blockTokens;
 
     Weighed best;
     best.decision = { {}, candidate.target->id, candidate.target->domain, candidate.target->version, held, {}, 0,
--- a/src/transfers.cc
+++ b/src/transfers.cc
@@ -171,6 +171,8 @@
 
 double TransferQueue::speed(const Link& link, TimePoint now) const
 {
+    if (link.observedSpeed > 0 && now - link.observedAt < this->settings.observationLifetime)
+        return link.observedSpeed;
     return now < link.shareUntil ? static_cast<double>(link.share.speed) : this->settings.ungrantedSpeed * link.capacity;
 }
 
@@ -197,7 +199,7 @@
     TransferActions actions;
     const auto found = this->links.find(transfer.store);
     if (found == this->links.end()) {
-        actions.drop.push_back({ transfer.id });
+        this->drop(transfer, actions);
         return actions;
     }
     auto& link = found->second;
@@ -210,7 +212,7 @@
 
     auto& queue = link.waiting[kind];
     if (queue.size() >= this->settings.maxWaiting) {
-        actions.drop.push_back({ transfer.id });
+        this->drop(transfer, actions);
         return actions;
     }
     auto before = [](const Transfer& left, const Transfer& right) { return left.deadline < right.deadline; };
@@ -230,14 +232,22 @@
     return actions;
 }
 
-void TransferQueue::dropLate(Link& link, TimePoint now, TransferActions& actions) const
+void TransferQueue::drop(const Transfer& transfer, TransferActions& actions)
+{
+    auto& counts = this->total[index(transfer.kind)];
+    ++counts.dropped;
+    counts.droppedBytes += transfer.bytes;
+    actions.drop.push_back({ transfer.id });
+}
+
+void TransferQueue::dropLate(Link& link, TimePoint now, TransferActions& actions)
 {
     auto ahead = 0.0;
     for (auto& queue : link.waiting) {
         std::erase_if(queue, [&](const Transfer& transfer) {
             const auto late = !this->arrivesInTime(link, transfer, ahead, now);
             if (late)
-                actions.drop.push_back({ transfer.id });
+                this->drop(transfer, actions);
             else
                 ahead += static_cast<double>(transfer.bytes);
             return late;
@@ -245,16 +255,26 @@
     }
 }
 
+bool TransferQueue::mayStart(const Link& link, const Transfer& transfer) const
+{
+    const auto background = transfer.kind != TransferClass::FirstToken;
+    return link.allowance > 0 && !(background && link.runningBackground >= this->settings.maxRunningBackground);
+}
+
 void TransferQueue::startAllowed(Link& link, TimePoint now, TransferActions& actions)
 {
     link.allowance = this->allowance(link, now);
     link.refilledAt = now;
     for (auto& queue : link.waiting) {
         auto next = queue.begin();
-        for (; next != queue.end() && link.allowance > 0; ++next) {
+        for (; next != queue.end() && this->mayStart(link, *next); ++next) {
             link.allowance -= static_cast<double>(next->bytes);
-            this->running[next->id] = { next->store, next->bytes };
+            link.runningBackground += next->kind == TransferClass::FirstToken ? 0 : 1;
+            this->running[next->id] = { next->store, next->kind, next->bytes, now };
             actions.start.push_back({ next->id });
+            auto& counts = this->total[index(next->kind)];
+            ++counts.started;
+            counts.startedBytes += next->bytes;
         }
         queue.erase(queue.begin(), next);
         if (!queue.empty())
@@ -262,13 +282,31 @@
     }
 }
 
-void TransferQueue::finish(TransferId id, std::uint64_t movedBytes)
+void TransferQueue::observeSpeed(Link& link, const Running& transfer, TimePoint now) const
+{
+    const auto seconds = toSeconds(now - transfer.startedAt);
+    if (transfer.kind != TransferClass::FirstToken || seconds <= 0)
+        return;
+    const auto observed = std::min(link.capacity, static_cast<double>(transfer.bytes) / seconds);
+    const auto fresh = link.observedSpeed > 0 && now - link.observedAt < this->settings.observationLifetime;
+    const auto weight = fresh ? this->settings.learningWeight : 1;
+    link.observedSpeed += weight * (observed - link.observedSpeed);
+    link.observedAt = now;
+}
+
+void TransferQueue::finish(TransferId id, std::uint64_t movedBytes, TimePoint now)
 {
     if (const auto found = this->running.find(id); found != this->running.end()) {
-        const auto unused = found->second.bytes - std::min(movedBytes, found->second.bytes);
-        if (const auto link = this->links.find(found->second.store); link != this->links.end())
-            link->second.allowance += static_cast<double>(unused);
+        const auto transfer = found->second;
         this->running.erase(found);
+        const auto place = this->links.find(transfer.store);
+        if (place == this->links.end())
+            return;
+        auto& link = place->second;
+        link.allowance += static_cast<double>(transfer.bytes - std::min(movedBytes, transfer.bytes));
+        link.runningBackground -= transfer.kind == TransferClass::FirstToken ? 0 : 1;
+        if (movedBytes >= transfer.bytes)
+            this->observeSpeed(link, transfer, now);
         return;
     }
     for (auto& [store, link] : this->links) {
--- a/support/bench/routing_model.h
+++ b/support/bench/routing_model.h
@@ -28,6 +28,7 @@
     }
 
     bool contains(ChainHash hash) const { return this->places.count(hash) != 0; }
+    std::size_t size() const { return this->places.size(); }
 
     void touch(ChainHash hash)
     {
@@ -83,9 +84,9 @@
     }
 
     /// @return All since the last call.
-    HolderEvents take(const UpstreamId& holder)
+    HolderEvents take(const UpstreamId& holder, std::size_t held)
     {
-        HolderEvents batch { holder, this->epoch, 0, this->sequence, std::move(this->events) };
+        HolderEvents batch { holder, this->epoch, 0, this->sequence, std::move(this->events), held };
         this->events.clear();
         return batch;
     }
--- a/support/bench/routing_policies.h
+++ b/support/bench/routing_policies.h
@@ -104,6 +104,20 @@
         this->placed.erase(found);
     }
 
+    /// @return Counts of one class over all daemons.
+    TransferCounts transferCounts(TransferClass kind) const
+    {
+        TransferCounts sum;
+        for (const auto& daemon : this->daemons) {
+            const auto& counts = daemon->transfers.counts(kind);
+            sum.started += counts.started;
+            sum.startedBytes += counts.startedBytes;
+            sum.dropped += counts.dropped;
+            sum.droppedBytes += counts.droppedBytes;
+        }
+        return sum;
+    }
+
 private:
     struct Daemon {
         explicit Daemon(const RouterSettings& settings)
@@ -244,8 +258,8 @@
         daemon.moves[transfer.id] = [this, &daemon, transfer, storeNumber, done = std::move(done)](bool started) {
             if (!started)
                 return done(false);
-            this->model.move(storeNumber, static_cast<double>(transfer.bytes), 1, [&daemon, transfer, done] {
-                daemon.transfers.finish(transfer.id, transfer.bytes);
+            this->model.move(storeNumber, static_cast<double>(transfer.bytes), 1, [this, &daemon, transfer, done] {
+                daemon.transfers.finish(transfer.id, transfer.bytes, this->time());
                 done(true);
             });
         };
@@ -278,9 +292,9 @@
             }
         };
         for (auto& engine : this->model.engines)
-            forward(engine.log.take(engine.id));
+            forward(engine.log.take(engine.id, engine.cache.size()));
         for (auto& store : this->model.stores)
-            forward(store.log.take(store.id));
+            forward(store.log.take(store.id, store.memory.size() + store.disk.size()));
     }
 
     void reportLoads()
@@ -289,12 +303,15 @@
         if (this->exact)
             return;
         for (const auto& engine : this->model.engines) {
-            const LoadReport report { engine.current ? 1U : 0U, static_cast<std::uint32_t>(engine.waiting.size()), std::nullopt,
-                fromSeconds(loadLag) };
-            this->model.at(this->model.now + loadLag, [this, id = engine.id, report] {
-                for (auto& daemon : this->daemons)
-                    daemon->router.reportLoad(id, report, this->time());
-            });
+            Duration sum(0);
+            for (const auto& daemon : this->daemons)
+                sum += daemon->router.outstandingPrefill(engine.id);
+            for (auto& daemon : this->daemons) {
+                const LoadReport report { engine.current ? 1U : 0U, static_cast<std::uint32_t>(engine.waiting.size()),
+                    sum - daemon->router.outstandingPrefill(engine.id), fromSeconds(loadLag) };
+                this->model.at(this->model.now + loadLag,
+                    [this, &daemon, id = engine.id, report] { daemon->router.reportLoad(id, report, this->time()); });
+            }
         }
     }
 
--- a/test/prefix_index_test.cc
+++ b/test/prefix_index_test.cc
@@ -25,7 +25,7 @@
 HolderEvents batch(const UpstreamId& holder, std::uint64_t epoch, std::uint64_t after, std::vector<HolderEvent> events)
 {
     const auto last = events.empty() ? after : events.back().sequence;
-    return { holder, epoch, after, last, std::move(events) };
+    return { holder, epoch, after, last, std::move(events), 0 };
 }
 
 std::vector<ChainHash> chainOf(std::uint64_t first, std::size_t blocks)
@@ -77,7 +77,7 @@
 
     HolderEvents answer(std::uint64_t after) const
     {
-        HolderEvents result { engine, this->epoch, after, this->sequence, {} };
+        HolderEvents result { engine, this->epoch, after, this->sequence, {}, this->blocks.size() };
         for (const auto& event : this->published) {
             if (event.sequence > after)
                 result.events.push_back(event);
@@ -122,9 +122,12 @@
 {
     PrefixIndex index;
     const PrefixIndexSettings settings;
-    index.apply({ engine, 1, 8, 9, { { 7, stored, inEngine, 1000 }, { 9, stored, inEngine, 2000 } } }, start);
+    index.apply({ engine, 1, 8, 9, { { 7, stored, inEngine, 1000 }, { 9, stored, inEngine, 2000 } }, 0 }, start);
     CHECK(coveredBy(index, chainOf(1, 1), engine) == Approx(settings.gapConfidence));
     CHECK(coveredBy(index, chainOf(2, 1), engine) == 1);
+    // Two changes lost of a holder of 200 blocks say little about each block.
+    index.apply({ engine, 1, 11, 11, {}, 200 }, start);
+    CHECK(coveredBy(index, chainOf(2, 1), engine) == Approx(0.99).margin(0.002));
 }
 
 TEST_CASE("a gap and a restart make a holder doubtful until a resync")
@@ -261,13 +264,13 @@
     auto told = feed.poll(batch(engine, 1, 3, { { 6, stored, inEngine, 1000 } }), ownerOf);
     REQUIRE(told.size() == 2);
     CHECK(told[0] == AddressedEvents { InstanceId("a"), batch(engine, 1, 5, { { 6, stored, inEngine, 1000 } }) });
-    CHECK(told[1] == AddressedEvents { InstanceId("b"), { engine, 1, 5, 6, {} } });
-    told = feed.poll({ engine, 1, 6, 8, { { 7, stored, inEngine, 1000 } } }, ownerOf);
+    CHECK(told[1] == AddressedEvents { InstanceId("b"), { engine, 1, 5, 6, {}, 0 } });
+    told = feed.poll({ engine, 1, 6, 8, { { 7, stored, inEngine, 1000 } }, 0 }, ownerOf);
     REQUIRE(told.size() == 2);
-    CHECK(told[0] == AddressedEvents { InstanceId("a"), { engine, 1, 8, 8, { { 7, stored, inEngine, 1000 } } } });
+    CHECK(told[0] == AddressedEvents { InstanceId("a"), { engine, 1, 8, 8, { { 7, stored, inEngine, 1000 } }, 0 } });
     told = feed.poll(batch(engine, 2, 0, {}), ownerOf);
     REQUIRE(told.size() == 2);
-    CHECK(told[1] == AddressedEvents { InstanceId("b"), { engine, 2, 0, 0, {} } });
+    CHECK(told[1] == AddressedEvents { InstanceId("b"), { engine, 2, 0, 0, {}, 0 } });
 }
 
 TEST_CASE("messages about prefixes survive encoding")
--- a/test/transfers_test.cc
+++ b/test/transfers_test.cc
@@ -106,7 +106,7 @@
     const auto late = queue.submit(makeTransfer(5, TransferClass::FirstToken, mebibyte, std::chrono::milliseconds(600)), now);
     CHECK(late.drop == std::vector { DropTransfer { { 5 } } });
     CHECK(queue.estimate(store, now).backlogBytes > 64e6);
-    queue.finish({ 2 }, 0);
+    queue.finish({ 2 }, 0, now);
 
     std::vector<std::uint64_t> order;
     for (int step = 0; step < 20; ++step) {
@@ -126,7 +126,7 @@
     auto now = start + std::chrono::seconds(2);
     queue.submit(makeTransfer(1, TransferClass::FirstToken, 100 * mebibyte, std::chrono::seconds(60)), now);
     const auto before = queue.estimate(store, now).backlogBytes;
-    queue.finish({ 1 }, 0);
+    queue.finish({ 1 }, 0, now);
     CHECK(before > 0);
     CHECK(queue.estimate(store, now).backlogBytes == 0);
     CHECK(queue.demand(store, now).firstToken > 0);
