--- a/src/router.cc
+++ b/src/router.cc
@@ -17,6 +17,7 @@
     constexpr double maxLearningQueue = 0.25;
     /// Coverage that is assumed at the upstreams that the prompt's hash picks, when nothing is known.
     constexpr double hashedConfidence = 0.3;
+    constexpr double minHeldConfidence = 0.5;
     constexpr double minPrefillSeconds = 0.001;
 
     double blend(double old, double observed, double weight)
@@ -51,6 +52,14 @@
         {
         }
 
+        /// @return The first run from the same store: runs of one store share its link.
+        std::size_t link(std::size_t run) const
+        {
+            const auto& runs = this->request.coverage.stores;
+            auto same = [&](const StoreCoverage& other) { return other.store == runs[run].store; };
+            return static_cast<std::size_t>(std::find_if(runs.begin(), runs.end(), same) - runs.begin());
+        }
+
         double blockSeconds(std::size_t run) const
         {
             const auto seconds = static_cast<double>(this->request.blockBytes) / this->links[run].bytesPerSecond;
@@ -60,7 +69,7 @@
         double arrival(std::size_t run) const
         {
             const auto backlog = this->links[run].backlogBytes / this->links[run].bytesPerSecond;
-            return backlog + this->usedSeconds[run] + this->blockSeconds(run);
+            return backlog + this->usedSeconds[this->link(run)] + this->blockSeconds(run);
         }
 
         /// @return The run that brings @p block first, or nothing.
@@ -220,17 +229,15 @@
     return upstream.outstanding + weight * others;
 }
 
-double Router::ownBlocks(const RouteRequest& request, const UpstreamId& id) const
+EngineCoverage Router::ownCoverage(const RouteRequest& request, const UpstreamId& id) const
 {
     for (const auto& engine : request.coverage.engines) {
         if (engine.upstream == id)
-            return engine.blocks * engine.confidence;
+            return engine;
     }
-    if (request.coverageKnown)
-        return 0;
-    const auto picks = this->hashedPicks(request);
+    const auto picks = request.coverageKnown ? std::vector<UpstreamId> {} : this->hashedPicks(request);
     const auto picked = std::find(picks.begin(), picks.end(), id) != picks.end();
-    return picked ? hashedConfidence * static_cast<double>(request.chain.blocks.size()) : 0;
+    return { id, picked ? static_cast<std::uint32_t>(request.chain.blocks.size()) : 0, hashedConfidence };
 }
 
 Router::Weighed Router::weigh(const RouteRequest& request, const Candidate& candidate,
@@ -240,9 +247,10 @@
     const auto count = static_cast<std::uint32_t>(request.chain.blocks.size());
     const auto queue = this->queueSeconds(upstream, now);
     const auto penalty = toSeconds(candidate.penalty) + upstream.overhead;
-    const auto own = this->ownBlocks(request, candidate.target->id);
-    const auto held = std::min(static_cast<std::uint32_t>(std::lround(own)), count);
-    auto recomputeTokens = request.chain.tokens - own * request.chain.blockTokens;
+    const auto own = this->ownCoverage(request, candidate.target->id);
+    // What is more likely there than not is not imported again.
+    const auto held = own.confidence >= minHeldConfidence ? std::min(own.blocks, count) : 0;
+    auto recomputeTokens = request.chain.tokens - own.blocks * own.confidence * request.chain.blockTokens;
 
     Weighed best;
     best.decision = { {}, candidate.target->id, candidate.target->domain, candidate.target->version, held, {}, 0,
@@ -270,7 +278,7 @@
         addBlock(plan, run, block, request.blockBytes);
         const auto arrival = fromSeconds(walk.arrival(*source)) + this->settings.importSetup;
         plan.duration = std::max(plan.duration, arrival);
-        walk.usedSeconds[*source] += walk.blockSeconds(*source);
+        walk.usedSeconds[walk.link(*source)] += walk.blockSeconds(*source);
         linkSeconds += walk.blockSeconds(*source);
         recomputeTokens -= run.confidence * request.chain.blockTokens;
         consider(plan, linkSeconds);
