Permits, concurrency limit, relay, tickets, keys and connection health

A cold upstream bears a few requests of all daemons together, so a limit at each daemon cannot hold: seven daemons with a share of one already exceed a bound of two. One owner a upstream now grants short permits. Ruled out: a share of the bound for each daemon (sums to more than the bound or starves), lending the floor shares (a request already sent cannot be called back when their holder loses the owner), and trust in membership alone (two sides of a split each had an owner).

Owners charge a holder with the most it can have in flight until it reports otherwise, grant only with a majority behind their view, and wait out the grants of a former owner while they renew what holders already have.

--- a/include/goldcrestwood/accounts.h
+++ b/include/goldcrestwood/accounts.h
@@ -103,13 +103,13 @@
 /// Admission at one daemon.
 class Admission {
 public:
-    Admission(InstanceId self, AdmissionSettings settings = {});
+    explicit Admission(InstanceId id, AdmissionSettings bounds = {});
 
     /// Takes over accounts and forgets those that are gone; requests that wait stay.
-    void configure(const std::vector<AccountEntry>& accounts, std::size_t daemons, TimePoint now);
+    void configure(const std::vector<AccountEntry>& entries, std::size_t daemonCount, TimePoint now);
 
     /// @param requests Requests that this daemon may have in flight for the service now: those it has, and free permits.
-    void setCapacity(const ServiceName& service, std::uint32_t requests, TimePoint now);
+    void setCapacity(const ServiceName& name, std::uint32_t requests);
 
     AdmissionDecision offer(const AdmissionRequest& request, TimePoint now);
 
@@ -131,13 +131,10 @@
     void onShare(const RateShare& share, TimePoint now);
 
     /// @return Requests that wait for the service.
-    std::size_t waiting(const ServiceName& service) const;
+    std::size_t waiting(const ServiceName& name) const;
 
     /// @return Requests of the service that are admitted and have not ended.
-    std::uint32_t inFlight(const ServiceName& service) const;
-
-    /// @return Estimated wait of a new request.
-    Duration estimatedWait(const ServiceName& service, const ClientAccount& account, double cost) const;
+    std::uint32_t inFlight(const ServiceName& name) const;
 
 private:
     struct Account {
@@ -161,21 +158,21 @@
         std::array<double, priorityCount> admitRate {};
         std::array<TimePoint, priorityCount> admitAt {};
         double serviceSeconds = 0;
-        bool recheck = false;
 
         std::uint32_t inFlight() const;
     };
 
-    Service& serviceOf(const ServiceName& name);
+    void noteDemand(const ClientAccount& name, Account& account, TimePoint now);
+    std::uint32_t capacityFor(const Service& service, std::size_t rank) const;
     bool mayRun(const Service& service, std::size_t rank) const;
     std::array<bool, priorityCount> allowed(const Service& service) const;
     void start(Service& service, const ServiceName& name, AdmissionId id, std::size_t rank, double cost, TimePoint now);
-    double waitSeconds(const Service& service, const Account& account, const ClientAccount& name, double cost) const;
-    double drainRate(const Service& service, std::size_t rank) const;
-    Refused refuse(AdmissionId id, AdmissionRefusal reason, double waitSeconds, Duration budget) const;
-    std::optional<Refused> makeRoom(Service& service, const Account& account, const ClientAccount& name, TimePoint now);
+    double drainRate(const Service& service, std::size_t rank, TimePoint now) const;
+    Duration wait(const Service& service, const Account& account, const ClientAccount& name, double cost, TimePoint now) const;
+    Refused refuse(AdmissionId id, AdmissionRefusal reason, Duration wait) const;
+    bool makeRoom(Service& service, const Account& account, const AdmissionRequest& request, TimePoint now);
+    Refused giveUp(Service& service, QueuedRequest request, AdmissionRefusal reason, TimePoint now);
     void refuseLate(Service& service, std::vector<Refused>& out, TimePoint now);
-    void recheckAll(Service& service, std::vector<Refused>& out, TimePoint now);
 
     InstanceId self;
     AdmissionSettings settings;
@@ -185,7 +182,6 @@
     std::unordered_map<AdmissionId, ServiceName> queuedAt;
     std::vector<ClientAccount> demanding;
     std::vector<Refused> pushedOut;
-    std::size_t daemons = 1;
     AdmissionId lastId = 0;
 };
 
--- a/include/goldcrestwood/capacity_messages.h
+++ b/include/goldcrestwood/capacity_messages.h
@@ -71,11 +71,13 @@
     bool operator==(const PermitGrant&) const = default;
 };
 
-/// The upstream turned cold: unused permits of older epochs end now.
+/// The upstream turned cold: unused permits end now.
 struct PermitRevoke {
     /// The upstream.
     UpstreamId upstream;
-    /// The new epoch; grants for lower ones are void.
+    /// Grants that answer this request of the holder or earlier ones are void.
+    std::uint64_t sequence = 0;
+    /// Present epoch; grants for lower ones are void.
     std::uint64_t epoch = 0;
 
     bool operator==(const PermitRevoke&) const = default;
@@ -113,9 +115,13 @@
     InstanceId from;
     /// Hash of the sender's sorted members.
     std::uint64_t digest = 0;
-    /// Count of the sender's reports.
+    /// Number of the sender's start.
+    std::uint64_t incarnation = 0;
+    /// Count of the sender's reports to the receiver.
     std::uint64_t sequence = 0;
-    /// Newest sequence that the sender got from the receiver.
+    /// Incarnation of the newest report that the sender got from the receiver.
+    std::uint64_t echoIncarnation = 0;
+    /// Sequence of that report.
     std::uint64_t echo = 0;
 
     bool operator==(const ViewReport&) const = default;
--- a/include/goldcrestwood/concurrency.h
+++ b/include/goldcrestwood/concurrency.h
@@ -43,7 +43,7 @@
 /// idle, warm upstream and the same prompt, so that long prompts do not look like load.
 class ConcurrencyLimit {
 public:
-    explicit ConcurrencyLimit(ConcurrencySettings settings = {});
+    explicit ConcurrencyLimit(ConcurrencySettings bounds = {});
 
     /// @return Requests that the upstream bears at once, between the cold bound and the maximum.
     std::uint32_t limit() const { return static_cast<std::uint32_t>(this->value); }
@@ -55,7 +55,7 @@
     bool ramping() const { return this->warming; }
 
     /// A higher epoch means a fresh process with cold caches; a lower one is late and ignored.
-    LimitChange onEpoch(std::uint64_t epoch);
+    LimitChange onEpoch(std::uint64_t reported);
 
     /// @param count Requests that ended well.
     /// @param inFlight Requests at the upstream when they ended; a limit that is not used does not grow.
@@ -68,19 +68,19 @@
     /// Back to the cold bound at once.
     LimitChange turnCold();
 
-    /// Takes over what a former owner had reached.
-    void restore(std::uint64_t epoch, double limit);
+    /// Takes over what a former owner had reached; the limit never falls by this.
+    void restore(std::uint64_t reported, double reached);
 
 private:
-    void grow(std::uint64_t count, std::uint32_t inFlight);
-    void followGradient(std::uint64_t count, std::uint32_t inFlight);
+    void ramp(bool used);
+    void followGradient(bool used);
 
     ConcurrencySettings settings;
     double value;
     double smoothedSlowdown = 0;
     std::uint64_t currentEpoch = 0;
     std::uint64_t roundSuccesses = 0;
-    std::uint32_t errorsInRow = 0;
+    std::uint64_t errorsInRow = 0;
     std::uint32_t stepsInRow = 0;
     bool warming = true;
 };
--- a/include/goldcrestwood/fair_queue.h
+++ b/include/goldcrestwood/fair_queue.h
@@ -56,7 +56,7 @@
 /// and requests that wait.
 class FairQueue {
 public:
-    explicit FairQueue(FairQueueSettings settings = {});
+    explicit FairQueue(FairQueueSettings turns = {});
 
     void push(const QueuedRequest& request);
 
@@ -67,9 +67,11 @@
     /// @return The removed request, or nothing if it does not wait.
     std::optional<QueuedRequest> remove(AdmissionId id);
 
-    /// @return The newest request of the account that waits with the most cost by weight, in the lowest priority
-    /// that is not above @p priority.
-    const QueuedRequest* longest(Priority priority) const;
+    /// @return The request with this id, or null.
+    const QueuedRequest* find(AdmissionId id) const;
+
+    /// @return The newest request of the account that waits with the most cost by weight, or null.
+    const QueuedRequest* longest(std::size_t rank) const;
 
     /// @return A request whose deadline has passed.
     std::optional<AdmissionId> overdue(TimePoint now) const;
@@ -77,11 +79,11 @@
     /// @return The earliest deadline of all that wait.
     std::optional<TimePoint> nextDeadline() const;
 
-    /// @return Cost that would be served before a new request of the account within its own priority.
-    double costAhead(const ClientAccount& account, Priority priority, double weight) const;
+    /// @return Cost that is served before a new request of the account within its own rank.
+    double costAhead(const ClientAccount& account, std::size_t rank, double weight, double cost) const;
 
-    /// @return Cost by weight that the account has waiting in the priority.
-    double backlog(const ClientAccount& account, Priority priority) const;
+    /// @return Cost by weight that the account has waiting in the rank.
+    double backlog(const ClientAccount& account, std::size_t rank) const;
 
     /// @return Cost that waits in a service rank.
     double costWaiting(std::size_t rank) const { return this->classes[rank].cost; }
@@ -89,9 +91,6 @@
     std::size_t size() const { return this->requests.size(); }
     std::size_t size(std::size_t rank) const { return this->classes[rank].count; }
 
-    /// @return Ids of all that wait, in no stated order.
-    std::vector<AdmissionId> ids() const;
-
 private:
     struct Flow {
         std::list<QueuedRequest> requests;
@@ -111,6 +110,9 @@
         double cost = 0;
         double activeWeight = 0;
         std::size_t count = 0;
+
+        void changeBacklog(const ClientAccount& account, Flow& flow, double change);
+        void close(const ClientAccount& account, Flow& flow);
     };
 
     struct Place {
@@ -119,10 +121,8 @@
         std::list<QueuedRequest>::iterator position;
     };
 
-    std::size_t pickRank(const std::array<bool, priorityCount>& allowed);
-    QueuedRequest take(std::size_t rank, const ClientAccount& account, std::list<QueuedRequest>::iterator position, bool served);
-    static void reindex(Class& queue, const ClientAccount& account, Flow& flow, double start, double cost);
-    static void forgetPast(Class& queue);
+    std::optional<std::size_t> pickRank(const std::array<bool, priorityCount>& allowed);
+    QueuedRequest take(AdmissionId id);
 
     FairQueueSettings settings;
     std::array<Class, priorityCount> classes;
--- a/include/goldcrestwood/keys.h
+++ b/include/goldcrestwood/keys.h
@@ -17,7 +17,7 @@
 struct KeyHash {
     /// Hexadecimal salt.
     std::string salt;
-    /// Hexadecimal SHA-256 of the salt's bytes followed by the secret.
+    /// Hexadecimal SHA-256 of the salt as written, followed by the secret.
     std::string hash;
 
     bool operator==(const KeyHash&) const = default;
--- a/include/goldcrestwood/permits.h
+++ b/include/goldcrestwood/permits.h
@@ -28,23 +28,25 @@
     Duration askInterval = std::chrono::milliseconds(20);
     /// Wait before an unanswered request is repeated; doubles up to `renewAfter`.
     Duration answerTimeout = std::chrono::milliseconds(100);
-    /// Time without a grant after which a holder uses its floor share.
-    Duration floorAfter = std::chrono::seconds(4);
     /// Time before a newly assigned floor share may be used: an older list may still name another daemon.
     Duration floorSettle = std::chrono::seconds(10);
     /// Time for which an owner's majority support lasts.
     Duration quorumTerm = std::chrono::seconds(2);
     /// Longest that a request can run; requests of a silent holder count for so long.
     Duration orphanHold = std::chrono::seconds(60);
+    /// Longest age of what an upstream's load report tells.
+    Duration loadLag = std::chrono::seconds(2);
     /// Silence of a holder after which the upstream's own load report may lower its charge.
     Duration orphanCheckAfter = std::chrono::seconds(10);
-    /// Most daemons that have a floor share of one upstream.
-    std::uint32_t floorHolders = 8;
+    /// Most requests that are kept apart as floor shares of one upstream.
+    std::uint32_t floorRequests = 2;
 
     bool operator==(const PermitSettings&) const = default;
 };
 
-/// Shares out the cold bound among a few daemons picked by rendezvous hash, for when the owner cannot be reached.
+/// Shares out a part of the cold bound among a few daemons picked by rendezvous hash, who may use it always, the owner
+/// being reachable or not. Owners never lend it to others: requests already sent could not be called back in time. The
+/// successors of the owner come first, so that the first of them has its share when the owner dies.
 /// @param listed All daemons of the upstream's region on the platform's list, in any order.
 /// @return Requests that @p self may have in flight with no grant; the sum over all daemons is at most @p coldBound.
 std::uint32_t floorShare(const UpstreamId& upstream, const std::vector<InstanceId>& listed, const InstanceId& self,
@@ -69,10 +71,11 @@
 class PermitHolder {
 public:
     /// @param limits Bounds of the upstream, for detection of a cold upstream by the holder itself.
-    PermitHolder(UpstreamId upstream, InstanceId self, std::uint64_t incarnation, ConcurrencySettings limits,
-        PermitSettings settings, TimePoint now);
+    /// @param startNumber Number of this daemon's start; higher than all former ones.
+    PermitHolder(UpstreamId target, InstanceId id, std::uint64_t startNumber, ConcurrencySettings limits,
+        PermitSettings times, TimePoint now);
 
-    /// Sets the share that may be used while the owner cannot be reached. A higher share waits until it has settled.
+    /// Sets the share that may be used with no grant. A higher share waits until it has settled.
     void setFloor(std::uint32_t share, TimePoint now);
 
     /// The membership names another owner; reports to it at once.
@@ -106,8 +109,8 @@
     /// @return Requests that may be started now.
     std::uint32_t free(TimePoint now) const;
 
-    /// @return Whether the owner is out of reach and the floor share is in use.
-    bool onFloor(TimePoint now) const;
+    /// @return Whether there is no grant and only the floor share may be used.
+    bool onFloor(TimePoint now) const { return !this->granted(now); }
 
     /// @return Whether nothing would be lost if the holder were forgotten.
     bool idle(TimePoint now) const;
@@ -115,11 +118,12 @@
 private:
     std::uint32_t allowance(TimePoint now) const;
     std::uint32_t floorNow(TimePoint now) const;
-    std::uint32_t wanted() const;
-    bool granted(TimePoint now) const;
+    std::uint32_t aboveFloor(std::uint32_t requests, TimePoint now) const;
+    std::uint32_t wanted(TimePoint now) const;
+    bool granted(TimePoint now) const { return now < this->grantExpiry; }
     bool due(TimePoint now) const;
     TimePoint sentAt(std::uint64_t sequence) const;
-    void dropGrant();
+    void dropGrant(std::uint64_t upTo);
     void note(LimitChange change);
 
     struct Sent {
@@ -135,7 +139,8 @@
     std::vector<Sent> sent;
     std::uint64_t sequence = 0;
     std::uint64_t grantSequence = 0;
-    std::uint64_t validFrom = 1;
+    std::uint64_t acceptFrom = 1;
+    std::uint64_t coldSequence = 0;
     std::uint32_t count = 0;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
@@ -151,7 +156,6 @@
     std::uint32_t settledFloor = 0;
     TimePoint floorSettledAt;
     TimePoint grantExpiry;
-    TimePoint lastGrantAt;
     TimePoint lastSentAt;
     bool contended = false;
     bool coldSeen = false;
@@ -181,10 +185,11 @@
 class PermitIssuer {
 public:
     /// A new owner grants no more than holders already have until all grants of a former owner have ended.
-    PermitIssuer(UpstreamId upstream, ConcurrencySettings limits, PermitSettings settings, TimePoint now);
+    PermitIssuer(UpstreamId target, ConcurrencySettings limits, PermitSettings times, TimePoint now);
 
-    /// Sets who has which floor share, from `floorShare`; empty shares may be left out.
-    void setFloors(std::vector<std::pair<InstanceId, std::uint32_t>> floors);
+    /// Sets the sum of the floor shares of all listed daemons, which is kept apart from grants. Shares given out by a
+    /// former list stay charged until requests sent under them have ended.
+    void setFloors(std::uint32_t requests, TimePoint now);
 
     /// @param until End of the majority support from `ViewQuorum`; nothing is granted after it.
     void setAuthority(TimePoint until) { this->authorityUntil = until; }
@@ -193,13 +198,17 @@
     std::vector<PermitMessage> onRequest(const PermitRequest& request, TimePoint now);
 
     /// The upstream's own load report.
-    /// @param epoch Epoch of the upstream.
+    /// @param reported Epoch of the upstream.
     /// @param present Requests running and waiting at the upstream, from all daemons.
-    std::vector<PermitMessage> onLoad(std::uint64_t epoch, std::uint32_t present, TimePoint now);
+    std::vector<PermitMessage> onLoad(std::uint64_t reported, std::uint32_t present, TimePoint now);
 
     /// The account of a former owner that grants no more; ignored once this owner has begun to grant.
     void onHandover(const PermitHandover& handover, TimePoint now);
 
+    /// All listed daemons agree with this owner's view, so each has reported what it has in flight. For upstreams with
+    /// no load report, from which a new owner learns what former holders left behind.
+    void onUnanimous(TimePoint now);
+
     /// Ends granting for good.
     /// @return The account for the successor.
     PermitHandover handOver(TimePoint now);
@@ -208,7 +217,7 @@
     std::vector<PermitMessage> poll(TimePoint now);
 
     /// @return Requests that all daemons together can have in flight now at most.
-    std::uint32_t charged(TimePoint now) const;
+    std::uint32_t charged() const { return this->held(nullptr) + this->floors; }
 
     std::uint32_t limit() const { return this->concurrency.limit(); }
     std::uint64_t epoch() const { return this->concurrency.epoch(); }
@@ -227,15 +236,18 @@
         InstanceId id;
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
+        /// Grants up to this sequence are revoked, and no more follow for them.
+        std::uint64_t revoked = 0;
+        std::uint64_t epoch = 0;
         std::vector<Given> given;
         std::uint32_t inFlight = 0;
         std::uint32_t wanted = 0;
-        std::uint32_t heldElsewhere = 0;
+        /// What a former owner granted and the holder may still use.
+        std::uint32_t inherited = 0;
         std::uint64_t successes = 0;
         std::uint64_t errors = 0;
         TimePoint heardAt;
         TimePoint servedAt;
-        TimePoint floorWaivedUntil;
     };
 
     struct Orphan {
@@ -245,18 +257,23 @@
 
     static std::uint32_t charge(const Holder& holder);
     static std::uint32_t grantedCount(const Holder& holder);
+    static std::uint32_t grantedBefore(const Holder& holder);
     Holder* find(const InstanceId& id);
-    Holder& admit(const PermitRequest& request, TimePoint now);
-    void readReport(Holder& holder, const PermitRequest& request, TimePoint now);
-    LimitChange learn(Holder& holder, const PermitRequest& request);
-    std::uint32_t reservedFloor(const Holder* holder, std::uint32_t share, TimePoint now) const;
+    Holder* admit(const PermitRequest& request, TimePoint now);
+    void readReport(Holder& holder, const PermitRequest& request, TimePoint now) const;
+    LimitChange learn(Holder& holder, const PermitRequest& request, TimePoint now);
+    std::uint32_t inFlight() const;
+    std::uint32_t inheritedSum() const;
+    bool settled(TimePoint now) const { return now >= this->settledAt && this->unknown; }
+    std::uint32_t held(const Holder* except) const;
     std::uint32_t share(const Holder& holder, TimePoint now) const;
-    std::uint32_t fairPart() const;
-    bool olderWaiter(const Holder& holder) const;
-    std::uint32_t room(const Holder& holder, TimePoint now) const;
-    PermitMessage give(Holder& holder, std::uint32_t count, TimePoint now);
+    std::uint32_t fairPart(TimePoint now) const;
+    bool waits(const Holder& holder, TimePoint now) const;
+    bool othersWait(const Holder& holder, TimePoint now) const;
+    bool othersWaitLonger(const Holder& holder, TimePoint now) const;
+    PermitMessage give(Holder& holder, std::uint32_t count, TimePoint now) const;
     void serveWaiting(std::vector<PermitMessage>& out, TimePoint now);
-    std::vector<PermitMessage> revokeAll();
+    std::vector<PermitMessage> revokeAll(const InstanceId& sender);
     void forgetSilent(TimePoint now);
 
     UpstreamId upstream;
@@ -264,9 +281,9 @@
     ConcurrencyLimit concurrency;
     std::vector<Holder> holders;
     std::vector<Orphan> orphans;
-    std::vector<std::pair<InstanceId, std::uint32_t>> floors;
+    std::uint32_t floors = 0;
+    /// Requests that a former owner's holders may have left behind; nothing while that is not known.
     std::optional<std::uint32_t> unknown;
-    TimePoint startedAt;
     TimePoint settledAt;
     TimePoint authorityUntil;
     bool ended = false;
--- a/include/goldcrestwood/rate_limit.h
+++ b/include/goldcrestwood/rate_limit.h
@@ -39,10 +39,10 @@
 /// One daemon's part of one account's bucket.
 class AccountBucket {
 public:
-    AccountBucket(SiteRate site, std::size_t daemons, RateSettings settings, TimePoint now);
+    AccountBucket(SiteRate rate, std::size_t daemonCount, RateSettings bounds, TimePoint now);
 
     /// Changed limits or a changed number of daemons.
-    void configure(SiteRate site, std::size_t daemons, TimePoint now);
+    void configure(SiteRate rate, std::size_t daemonCount, TimePoint now);
 
     /// @return Nothing if the request may go on, else the time until it may.
     std::optional<Duration> take(TimePoint now);
@@ -50,6 +50,9 @@
     /// @return The demand to report to the account's owner, if it is above the silent share and a report is due.
     std::optional<RateDemand> poll(const ClientAccount& account, const InstanceId& self, TimePoint now);
 
+    /// @return Whether this daemon needs more than the silent share.
+    bool demanding(TimePoint now) const;
+
     void onShare(const RateShare& share, TimePoint now);
 
     /// @return Requests a second that this daemon may use now.
@@ -57,6 +60,7 @@
 
 private:
     void refill(TimePoint now);
+    double arrivals(TimePoint now) const;
     double silentRate() const;
     double burst(TimePoint now) const;
 
@@ -78,9 +82,9 @@
 /// The owner's view of one account: max-min fair shares by demand.
 class RateIssuer {
 public:
-    RateIssuer(SiteRate site, RateSettings settings = {});
+    explicit RateIssuer(SiteRate rate, RateSettings bounds = {});
 
-    void configure(SiteRate newSite) { this->site = newSite; }
+    void configure(SiteRate rate) { this->site = rate; }
 
     /// @return The share of the sender; nothing for a late or doubled demand.
     std::optional<RateShare> onDemand(const RateDemand& demand, TimePoint now);
@@ -94,7 +98,7 @@
         TimePoint expires;
     };
 
-    double fairShare(const InstanceId& id) const;
+    double fairShare(const Sharer& asking) const;
 
     SiteRate site;
     RateSettings settings;
--- a/include/goldcrestwood/relay.h
+++ b/include/goldcrestwood/relay.h
@@ -139,7 +139,7 @@
 /// Pieces that were not passed on.
 struct RelayCounts {
     std::uint64_t crossed = 0; ///< Of another request.
-    std::uint64_t late = 0; ///< Of a former run or after the end.
+    std::uint64_t late = 0; ///< Of a former run or connection, or after the end.
     std::uint64_t doubled = 0; ///< Already passed on.
     std::uint64_t gaps = 0; ///< After a token that is missing.
     std::uint64_t reconnects = 0;
@@ -152,20 +152,20 @@
 /// connections that were dropped change nothing.
 class Relay {
 public:
-    /// @param run The first run, which the caller starts on connection 1.
+    /// @param start The first run, which the caller starts on connection 1.
     /// @param nextToken First token that the caller lacks; not 0 for a stream resumed with a ticket.
-    Relay(RequestId request, RunId run, StreamTraits traits, RelaySettings settings, std::uint64_t nextToken, TimePoint now);
+    Relay(RequestId id, RunId start, StreamTraits allowed, RelaySettings bounds, std::uint64_t nextToken, TimePoint now);
 
-    RelayActions onPiece(const StreamPiece& piece, TimePoint now);
+    RelayActions onPiece(std::uint64_t from, const StreamPiece& piece, TimePoint now);
 
     /// The upstream ended the run; with tokens missing the stream resumes instead of ending.
-    RelayActions onFinish(const StreamFinish& finish, TimePoint now);
+    RelayActions onFinish(std::uint64_t from, const StreamFinish& finish, TimePoint now);
 
     /// The connection ended or failed before the run's end.
-    RelayActions onConnectionLost(std::uint64_t connection, TimePoint now);
+    RelayActions onConnectionLost(std::uint64_t lost, TimePoint now);
 
     /// The upstream does not know the run, is not reachable, or refused it.
-    RelayActions onUpstreamGone(std::uint64_t connection, TimePoint now);
+    RelayActions onUpstreamGone(std::uint64_t lost, TimePoint now);
 
     /// The daemon has no upstream or no retry budget for the action asked for last.
     RelayActions onRetryRefused();
@@ -175,7 +175,7 @@
 
     /// The caller is back at this daemon.
     /// @param nextToken First token it lacks.
-    RelayActions onCallerBack(std::uint64_t nextToken, TimePoint now);
+    RelayActions onCallerBack(std::uint64_t nextToken);
 
     /// Checks the stall limit and the resume window; call at `wakeAt`.
     RelayActions onTime(TimePoint now);
@@ -191,9 +191,9 @@
 
 private:
     RelayActions recover(bool upstreamGone, TimePoint now);
-    RelayActions rerun(TimePoint now);
+    RelayActions rerun();
+    RelayAction replay();
     RelayActions fail(StreamError error);
-    RunId nextRun() const;
 
     RequestId request;
     RunId firstRun;
@@ -202,6 +202,8 @@
     RelaySettings settings;
     std::uint64_t firstToken;
     std::uint64_t next;
+    /// First token that counts as progress; below `next` while a run passes through known tokens again.
+    std::uint64_t progress;
     std::uint64_t currentConnection = 1;
     std::uint32_t fruitless = 0;
     std::uint32_t runs = 1;
@@ -210,7 +212,6 @@
     std::optional<TimePoint> callerGoneAt;
     RelayCounts tally;
     bool done = false;
-    bool complete = false;
 };
 
 } // namespace goldcrestwood
--- a/include/goldcrestwood/retry_budget.h
+++ b/include/goldcrestwood/retry_budget.h
@@ -66,7 +66,7 @@
 /// Budget of one daemon for one service.
 class RetryBudget {
 public:
-    explicit RetryBudget(RetrySettings settings = {});
+    explicit RetryBudget(RetrySettings bounds = {});
 
     /// Earns the share of one request.
     void onRequest();
--- a/include/goldcrestwood/silence.h
+++ b/include/goldcrestwood/silence.h
@@ -43,7 +43,7 @@
 /// together: whatever lost track of one of them has most likely lost the others too.
 class ConnectionGenerations {
 public:
-    explicit ConnectionGenerations(SilenceSettings settings = {});
+    explicit ConnectionGenerations(SilenceSettings bounds = {});
 
     /// @return The exchange to send now on a connection of its generation, or nothing while the address is
     /// unreachable and its next trial is not due.
@@ -60,8 +60,8 @@
     /// the connections of that generation and older ones and waits on none of them.
     bool missed(const Exchange& exchange, TimePoint now);
 
-    /// @return Whether a pooled connection of @p generation may carry new work.
-    bool usable(std::uint64_t generation) const { return generation == this->current; }
+    /// @return Whether a pooled connection of generation @p candidate may carry new work.
+    bool usable(std::uint64_t candidate) const { return candidate == this->current; }
 
     /// @return The generation that new connections belong to.
     std::uint64_t generation() const { return this->current; }
@@ -69,7 +69,7 @@
     Reachability reachability() const;
 
 private:
-    bool abandon(std::uint64_t generation, TimePoint now);
+    bool abandon(std::uint64_t silent, TimePoint now);
 
     SilenceSettings settings;
     std::uint64_t current = 1;
--- a/include/goldcrestwood/ticket.h
+++ b/include/goldcrestwood/ticket.h
@@ -27,8 +27,8 @@
 /// Signs and checks tickets with HMAC-SHA256. All daemons of a site share the keys.
 class TicketSigner {
 public:
-    /// @param keys Secret keys: the first signs, all are accepted, so that a key can be replaced without cutting streams.
-    explicit TicketSigner(std::vector<std::string> keys);
+    /// @param secrets Secret keys: the first signs, all are accepted, so that a key can be replaced without cutting streams.
+    explicit TicketSigner(std::vector<std::string> secrets);
 
     /// @return @p ticket as an SSE event id: printable, without spaces or line ends.
     std::string sign(const Ticket& ticket) const;
--- /dev/null
+++ b/src/permit_holder.cc
@@ -0,0 +1,233 @@
+#include "goldcrestwood/permits.h"
+
+#include <algorithm>
+
+#include "goldcrestwood/hash.h"
+
+namespace goldcrestwood {
+
+std::uint32_t floorShare(const UpstreamId& upstream, const std::vector<InstanceId>& listed, const InstanceId& self,
+    std::uint32_t coldBound, const PermitSettings& settings)
+{
+    const auto requests = std::min(coldBound / 2, settings.floorRequests);
+    const auto ranked = rendezvousRank(stableHash(upstream.value), listed, requests + 1);
+    const auto first = ranked.size() > requests ? 1U : 0U;
+    auto isSelf = [&](std::size_t index) { return listed[index] == self; };
+    const bool chosen = std::any_of(ranked.begin() + first, ranked.end(), isSelf);
+    return chosen && requests > 0 ? 1 : 0;
+}
+
+PermitHolder::PermitHolder(UpstreamId target, InstanceId id, std::uint64_t startNumber, ConcurrencySettings limits,
+    PermitSettings times, TimePoint now)
+    : upstream(std::move(target))
+    , self(std::move(id))
+    , incarnation(startNumber)
+    , settings(times)
+    , detector(limits)
+    , floorSettledAt(now)
+    , grantExpiry(now)
+    , lastSentAt(now - times.renewAfter)
+{
+}
+
+void PermitHolder::setFloor(std::uint32_t share, TimePoint now)
+{
+    if (share > this->floor) {
+        this->settledFloor = this->floorNow(now);
+        this->floorSettledAt = now + this->settings.floorSettle;
+    }
+    this->floor = share;
+}
+
+void PermitHolder::onOwnerChange()
+{
+    // Later grants of the old owner are void; what it granted before stays usable and is reported to the new one.
+    this->acceptFrom = this->sequence + 1;
+    this->urgent = true;
+}
+
+std::optional<Permit> PermitHolder::tryAcquire(TimePoint now)
+{
+    if (this->running >= this->allowance(now))
+        return std::nullopt;
+    ++this->running;
+    this->peak = std::max(this->peak, this->running + this->waiting);
+    return Permit { this->detector.epoch() };
+}
+
+void PermitHolder::onFirstToken(std::uint64_t epoch, double slowdown)
+{
+    this->onEpoch(epoch);
+    if (slowdown <= 0)
+        return;
+    this->slowdownSum += slowdown;
+    ++this->slowdownSamples;
+    if (this->detector.onSuccesses(1, this->running, slowdown) == LimitChange::None)
+        return;
+    this->coldSequence = this->sequence + 1;
+    this->dropGrant(this->sequence);
+}
+
+void PermitHolder::release(const Permit& permit, PermitEnd end)
+{
+    --this->running;
+    if (permit.epoch != this->detector.epoch() || end == PermitEnd::Cancelled)
+        return;
+    if (end == PermitEnd::Succeeded) {
+        ++this->successes;
+        this->detector.onSuccesses(1, this->running, 0);
+        return;
+    }
+    ++this->errors;
+    // The owner weighs the errors of all holders; this holder stops on its own evidence at once.
+    if (this->detector.onErrors(1) == LimitChange::TurnedCold)
+        this->dropGrant(this->sequence);
+}
+
+void PermitHolder::onEpoch(std::uint64_t epoch)
+{
+    if (epoch <= this->detector.epoch())
+        return;
+    const auto change = this->detector.onEpoch(epoch);
+    this->successes = 0;
+    this->errors = 0;
+    if (change == LimitChange::TurnedCold)
+        this->dropGrant(this->sequence);
+}
+
+void PermitHolder::onGrant(const PermitGrant& grant, TimePoint now)
+{
+    if (grant.upstream != this->upstream || grant.incarnation != this->incarnation)
+        return;
+    if (grant.sequence < std::max(this->acceptFrom, this->grantSequence) || grant.epoch < this->detector.epoch())
+        return;
+    auto isAnswered = [&](const Sent& entry) { return entry.sequence == grant.sequence; };
+    const auto request = std::find_if(this->sent.begin(), this->sent.end(), isAnswered);
+    if (request == this->sent.end() || request->at + grant.term <= now)
+        return;
+    this->onEpoch(grant.epoch);
+    // Within one sequence the owner only raises, so the order of its messages does not matter.
+    this->count = grant.sequence == this->grantSequence ? std::max(this->count, grant.count) : grant.count;
+    this->grantSequence = grant.sequence;
+    this->acceptFrom = grant.sequence;
+    this->grantExpiry = request->at + grant.term;
+    this->unanswered = 0;
+    this->contended = grant.contended;
+    if (grant.sequence >= this->coldSequence)
+        this->coldSequence = 0;
+}
+
+void PermitHolder::onRevoke(const PermitRevoke& revoke)
+{
+    if (revoke.upstream != this->upstream)
+        return;
+    this->onEpoch(revoke.epoch);
+    if (revoke.sequence < this->grantSequence)
+        return;
+    this->detector.turnCold();
+    this->dropGrant(revoke.sequence);
+}
+
+std::optional<PermitRequest> PermitHolder::poll(TimePoint now)
+{
+    if (!this->due(now))
+        return std::nullopt;
+    const bool usable = this->granted(now);
+    ++this->sequence;
+    if (!usable)
+        this->acceptFrom = this->sequence;
+    std::erase_if(this->sent, [&](const Sent& entry) { return entry.at + this->settings.term <= now; });
+    this->sent.push_back({ this->sequence, now });
+
+    PermitRequest request;
+    request.upstream = this->upstream;
+    request.holder = this->self;
+    request.incarnation = this->incarnation;
+    request.sequence = this->sequence;
+    request.validFrom = usable ? this->grantSequence : this->sequence;
+    request.epoch = this->detector.epoch();
+    request.held = usable ? this->count : 0;
+    request.inFlight = this->aboveFloor(this->running, now);
+    request.wanted = this->wanted(now);
+    request.successes = this->successes;
+    request.errors = this->errors;
+    request.slowdown = this->slowdownSamples > 0 ? this->slowdownSum / this->slowdownSamples : 0;
+    request.cold = this->coldSequence > 0;
+
+    this->slowdownSum = 0;
+    this->slowdownSamples = 0;
+    this->reportedWanted = request.wanted;
+    this->reportedRunning = request.inFlight;
+    this->peak = this->running + this->waiting;
+    this->lastSentAt = now;
+    this->urgent = false;
+    ++this->unanswered;
+    return request;
+}
+
+std::uint32_t PermitHolder::free(TimePoint now) const
+{
+    const auto allowed = this->allowance(now);
+    return allowed > this->running ? allowed - this->running : 0;
+}
+
+bool PermitHolder::idle(TimePoint now) const
+{
+    const bool used = this->running > 0 || this->waiting > 0 || this->floor > 0;
+    return !used && this->reportedWanted == 0 && !this->granted(now);
+}
+
+std::uint32_t PermitHolder::allowance(TimePoint now) const
+{
+    return this->floorNow(now) + (this->granted(now) ? this->count : 0);
+}
+
+std::uint32_t PermitHolder::floorNow(TimePoint now) const
+{
+    return now >= this->floorSettledAt ? this->floor : std::min(this->floor, this->settledFloor);
+}
+
+std::uint32_t PermitHolder::aboveFloor(std::uint32_t requests, TimePoint now) const
+{
+    const auto own = this->floorNow(now);
+    return requests > own ? requests - own : 0;
+}
+
+std::uint32_t PermitHolder::wanted(TimePoint now) const
+{
+    const auto present = this->running + this->waiting;
+    return this->aboveFloor(this->contended ? present : std::max(present, this->peak), now);
+}
+
+bool PermitHolder::due(TimePoint now) const
+{
+    const auto age = now - this->lastSentAt;
+    if (age < this->settings.askInterval)
+        return false;
+    if (this->urgent)
+        return true;
+    if (this->unanswered > 0) {
+        const auto doublings = std::min(this->unanswered - 1, 8U);
+        if (age < std::min(this->settings.answerTimeout * (1 << doublings), this->settings.renewAfter))
+            return false;
+    }
+    const auto wish = this->wanted(now);
+    const auto allowed = this->granted(now) ? this->count : 0;
+    const bool unheard = wish > this->reportedWanted || this->unanswered > 0;
+    if (unheard && wish > allowed)
+        return true;
+    if (this->contended && (this->aboveFloor(this->running, now) < this->reportedRunning || wish < this->reportedWanted))
+        return true;
+    const bool known = wish > 0 || this->reportedWanted > 0 || this->reportedRunning > 0;
+    return known && age >= this->settings.renewAfter;
+}
+
+void PermitHolder::dropGrant(std::uint64_t upTo)
+{
+    this->acceptFrom = std::max(this->acceptFrom, upTo + 1);
+    this->count = 0;
+    this->grantExpiry = TimePoint();
+    this->urgent = true;
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/relay.cc
@@ -0,0 +1,196 @@
+#include "goldcrestwood/relay.h"
+
+#include <algorithm>
+
+namespace goldcrestwood {
+
+namespace {
+
+    RelayActions one(RelayAction action)
+    {
+        RelayActions actions;
+        actions.push_back(std::move(action));
+        return actions;
+    }
+
+} // namespace
+
+const char* toString(StreamError error)
+{
+    switch (error) {
+    case StreamError::UpstreamGone:
+        return "UpstreamGone";
+    case StreamError::AttemptsUsed:
+        return "AttemptsUsed";
+    case StreamError::RetryRefused:
+        return "RetryRefused";
+    }
+    return "Unknown";
+}
+
+Relay::Relay(RequestId id, RunId start, StreamTraits allowed, RelaySettings bounds, std::uint64_t nextToken, TimePoint now)
+    : request(std::move(id))
+    , firstRun(start)
+    , currentRun(std::move(start))
+    , traits(allowed)
+    , settings(bounds)
+    , firstToken(nextToken)
+    , next(nextToken)
+    , progress(nextToken)
+    , progressAt(now)
+{
+}
+
+RelayActions Relay::onPiece(std::uint64_t from, const StreamPiece& piece, TimePoint now)
+{
+    if (piece.request != this->request) {
+        ++this->tally.crossed;
+        return {};
+    }
+    if (this->done || from != this->currentConnection || piece.run != this->currentRun) {
+        ++this->tally.late;
+        return {};
+    }
+    if (piece.index < this->next) {
+        ++this->tally.doubled;
+        if (piece.index == this->progress) {
+            ++this->progress;
+            this->progressAt = now;
+        }
+        return {};
+    }
+    if (piece.index > this->next) {
+        ++this->tally.gaps;
+        return this->recover(false, now);
+    }
+    this->progressAt = now;
+    this->fruitless = 0;
+    this->tokens.push_back(piece.token);
+    this->progress = ++this->next;
+    return one(ForwardToken { piece.index, piece.token });
+}
+
+RelayActions Relay::onFinish(std::uint64_t from, const StreamFinish& finish, TimePoint now)
+{
+    if (finish.request != this->request) {
+        ++this->tally.crossed;
+        return {};
+    }
+    if (this->done || from != this->currentConnection || finish.run != this->currentRun) {
+        ++this->tally.late;
+        return {};
+    }
+    if (finish.tokens > this->next) {
+        ++this->tally.gaps;
+        return this->recover(false, now);
+    }
+    this->done = true;
+    return one(FinishStream { this->next });
+}
+
+RelayActions Relay::onConnectionLost(std::uint64_t lost, TimePoint now)
+{
+    return this->done || lost != this->currentConnection ? RelayActions() : this->recover(false, now);
+}
+
+RelayActions Relay::onUpstreamGone(std::uint64_t lost, TimePoint now)
+{
+    return this->done || lost != this->currentConnection ? RelayActions() : this->recover(true, now);
+}
+
+RelayActions Relay::onRetryRefused()
+{
+    return this->done ? RelayActions() : this->fail(StreamError::RetryRefused);
+}
+
+void Relay::onCallerGone(TimePoint now)
+{
+    if (!this->done && !this->callerGoneAt)
+        this->callerGoneAt = now;
+}
+
+RelayActions Relay::onCallerBack(std::uint64_t nextToken)
+{
+    this->callerGoneAt.reset();
+    if (nextToken < this->firstToken || nextToken > this->next)
+        return this->fail(StreamError::UpstreamGone);
+    RelayActions actions;
+    for (auto index = nextToken; index < this->next; ++index)
+        actions.push_back(ForwardToken { index, this->tokens[index - this->firstToken] });
+    if (this->done)
+        actions.push_back(FinishStream { this->next });
+    return actions;
+}
+
+RelayActions Relay::onTime(TimePoint now)
+{
+    if (this->done)
+        return {};
+    if (this->callerGoneAt && now >= *this->callerGoneAt + this->settings.resumeWindow) {
+        this->done = true;
+        return one(CancelRun { this->currentRun });
+    }
+    if (now >= this->progressAt + this->settings.stallLimit)
+        return this->recover(false, now);
+    return {};
+}
+
+std::optional<TimePoint> Relay::wakeAt() const
+{
+    if (this->done)
+        return std::nullopt;
+    const auto stall = this->progressAt + this->settings.stallLimit;
+    return this->callerGoneAt ? std::min(stall, *this->callerGoneAt + this->settings.resumeWindow) : stall;
+}
+
+RelayActions Relay::recover(bool upstreamGone, TimePoint now)
+{
+    this->progressAt = now;
+    const bool known = this->traits.resumes && !upstreamGone;
+    if (!known || this->fruitless >= this->settings.reconnects)
+        return this->rerun();
+    ++this->fruitless;
+    ++this->tally.reconnects;
+    ++this->currentConnection;
+    this->progress = this->next;
+    return one(Reconnect { this->currentRun, this->next, this->currentConnection });
+}
+
+RelayActions Relay::rerun()
+{
+    const bool nothingSent = this->next == 0;
+    if (nothingSent ? !this->traits.repeatable : !this->traits.continuable)
+        return this->fail(StreamError::UpstreamGone);
+    if (this->runs >= this->settings.runs)
+        return this->fail(StreamError::AttemptsUsed);
+    auto actions = one(CancelRun { this->currentRun });
+    ++this->runs;
+    ++this->tally.reruns;
+    this->fruitless = 0;
+    this->currentRun = RunId(this->firstRun.value + "." + std::to_string(this->runs));
+    ++this->currentConnection;
+    if (nothingSent)
+        actions.push_back(Restart { this->currentRun, this->currentConnection });
+    else if (this->firstToken > 0)
+        actions.push_back(this->replay());
+    else
+        actions.push_back(RunElsewhere { this->currentRun, this->next, this->tokens, this->currentConnection });
+    return actions;
+}
+
+RelayAction Relay::replay()
+{
+    // Tokens that another daemon sent are not known here; a run from the prompt gives them again.
+    this->progress = 0;
+    return RunElsewhere { this->currentRun, 0, {}, this->currentConnection };
+}
+
+RelayActions Relay::fail(StreamError error)
+{
+    this->done = true;
+    auto actions = one(CancelRun { this->currentRun });
+    actions.push_back(FailStream { error, this->next });
+    return actions;
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/silence.cc
@@ -0,0 +1,54 @@
+#include "goldcrestwood/silence.h"
+
+namespace goldcrestwood {
+
+ConnectionGenerations::ConnectionGenerations(SilenceSettings bounds)
+    : settings(bounds)
+{
+}
+
+std::optional<Exchange> ConnectionGenerations::begin(TimePoint now)
+{
+    if (this->reachability() == Reachability::Unreachable) {
+        if (now < this->nextTrial)
+            return std::nullopt;
+        this->nextTrial = now + this->settings.trialInterval;
+    }
+    return Exchange { this->current, now + this->settings.answerDeadline };
+}
+
+void ConnectionGenerations::answered(const Exchange& exchange)
+{
+    if (this->usable(exchange.generation))
+        this->silentGenerations = 0;
+}
+
+bool ConnectionGenerations::failed(const Exchange& exchange, TimePoint now)
+{
+    return this->abandon(exchange.generation, now);
+}
+
+bool ConnectionGenerations::missed(const Exchange& exchange, TimePoint now)
+{
+    return now >= exchange.deadline && this->abandon(exchange.generation, now);
+}
+
+Reachability ConnectionGenerations::reachability() const
+{
+    if (this->silentGenerations == 0)
+        return Reachability::Answering;
+    // The first silent generation may have been a forgotten connection; only fresh ones speak of the address.
+    return this->silentGenerations <= this->settings.unreachableAfter ? Reachability::Doubtful : Reachability::Unreachable;
+}
+
+bool ConnectionGenerations::abandon(std::uint64_t silent, TimePoint now)
+{
+    if (!this->usable(silent))
+        return false;
+    ++this->current;
+    ++this->silentGenerations;
+    this->nextTrial = now + this->settings.trialInterval;
+    return true;
+}
+
+} // namespace goldcrestwood
