Admission: site-wide rates, fair queue, early refusal

Under overload a first-come queue lets one large account fill it, and callers wait for answers that come too late. Requests are now queued by account with start-time fair queueing within a priority; Normal and Batch get one turn in 8 and in 32 while higher priorities wait; the estimate of the wait is compared with the caller's deadline at the offer and again at each poll, so a request that has become hopeless is refused then, with a Retry-After from the same estimate. A full queue pushes out the newest request of the account with the largest backlog.

A site's rate is split by demand: an account's owner gives max-min fair shares whose sum never exceeds the rate, and silent daemons may use a tenth of it together, so that quiet accounts cost no message.

--- a/include/goldcrestwood/accounts.h
+++ b/include/goldcrestwood/accounts.h
@@ -167,11 +167,11 @@
     bool mayRun(const Service& service, std::size_t rank) const;
     std::array<bool, priorityCount> allowed(const Service& service) const;
     void start(Service& service, const ServiceName& name, AdmissionId id, std::size_t rank, double cost, TimePoint now);
-    double drainRate(const Service& service, std::size_t rank, TimePoint now) const;
+    Duration waitFor(const Service& service, std::size_t rank, double own, TimePoint now) const;
     Duration wait(const Service& service, const Account& account, const ClientAccount& name, double cost, TimePoint now) const;
     Refused refuse(AdmissionId id, AdmissionRefusal reason, Duration wait) const;
     bool makeRoom(Service& service, const Account& account, const AdmissionRequest& request, TimePoint now);
-    Refused giveUp(Service& service, QueuedRequest request, AdmissionRefusal reason, TimePoint now);
+    Refused giveUp(Service& service, AdmissionId id, AdmissionRefusal reason, TimePoint now);
     void refuseLate(Service& service, std::vector<Refused>& out, TimePoint now);
 
     InstanceId self;
--- a/include/goldcrestwood/fair_queue.h
+++ b/include/goldcrestwood/fair_queue.h
@@ -67,9 +67,6 @@
     /// @return The removed request, or nothing if it does not wait.
     std::optional<QueuedRequest> remove(AdmissionId id);
 
-    /// @return The request with this id, or null.
-    const QueuedRequest* find(AdmissionId id) const;
-
     /// @return The newest request of the account that waits with the most cost by weight, or null.
     const QueuedRequest* longest(std::size_t rank) const;
 
--- a/include/goldcrestwood/rate_limit.h
+++ b/include/goldcrestwood/rate_limit.h
@@ -20,8 +20,12 @@
     double silentShare = 0.1;
     /// Validity of a share, counted from the sending of the demand.
     Duration term = std::chrono::seconds(3);
-    /// Time between two demands for one account.
+    /// Time between two demands for one account; a third of the term of the present share, if that is less.
     Duration reportEvery = std::chrono::seconds(1);
+    /// Time after which a demand that has changed much is reported.
+    Duration reportSoonest = std::chrono::milliseconds(100);
+    /// Term of a share that is too small because another daemon has not yet given up its own.
+    Duration shortTerm = std::chrono::milliseconds(600);
 
     bool operator==(const RateSettings&) const = default;
 };
@@ -61,6 +65,7 @@
 private:
     void refill(TimePoint now);
     double arrivals(TimePoint now) const;
+    bool due(TimePoint now) const;
     double silentRate() const;
     double burst(TimePoint now) const;
 
@@ -74,6 +79,8 @@
     std::uint64_t sequence = 0;
     std::uint64_t shareSequence = 0;
     TimePoint sentAt;
+    double sentRate = 0;
+    Duration shareTerm;
     double shareRate = 0;
     double shareBurst = 0;
     TimePoint shareExpiry;
--- a/src/accounts.cc
+++ b/src/accounts.cc
@@ -228,27 +228,29 @@
     this->running[id] = { name, rank, cost, now };
 }
 
-double Admission::drainRate(const Service& service, std::size_t rank, TimePoint now) const
+Duration Admission::waitFor(const Service& service, std::size_t rank, double own, TimePoint now) const
 {
     const auto seconds = service.serviceSeconds > 0 ? service.serviceSeconds : toSeconds(this->settings.firstServiceTime);
     const auto full = std::max(service.capacity, 1U) / seconds;
-    if (rank == 0)
-        return full;
     const auto usable = std::max(this->capacityFor(service, rank), 1U) / seconds;
-    double higher = 0;
-    for (std::size_t other = 0; other < rank; ++other)
-        higher += decayed(service.admitRate[other], now - service.admitAt[other]);
-    const auto every = rank == 1 ? this->settings.queue.normalEvery : this->settings.queue.batchEvery;
-    return std::max(std::min(usable, full - higher), full / every);
+    double higherWaiting = 0;
+    double higherRate = 0;
+    for (std::size_t other = 0; other < rank; ++other) {
+        higherWaiting += service.queue.costWaiting(other);
+        higherRate += decayed(service.admitRate[other], now - service.admitAt[other]);
+    }
+    // Served in its own turns while higher ranks go on, or with all the rest once they are through, whichever is sooner.
+    const std::array<std::uint32_t, priorityCount> every { 1, this->settings.queue.normalEvery, this->settings.queue.batchEvery };
+    auto wait = own * every[rank] / full;
+    if (higherRate < full)
+        wait = std::min(wait, (higherWaiting + own) / (full - higherRate));
+    return fromSeconds(std::max(wait, own / usable));
 }
 
 Duration Admission::wait(const Service& service, const Account& account, const ClientAccount& name, double cost, TimePoint now) const
 {
     const auto rank = serviceRank(account.priority);
-    auto ahead = service.queue.costAhead(name, rank, account.weight, cost);
-    for (std::size_t other = 0; other < rank; ++other)
-        ahead += service.queue.costWaiting(other);
-    return fromSeconds((ahead + cost) / this->drainRate(service, rank, now));
+    return this->waitFor(service, rank, service.queue.costAhead(name, rank, account.weight, cost) + cost, now);
 }
 
 Refused Admission::refuse(AdmissionId id, AdmissionRefusal reason, Duration wait) const
@@ -266,40 +268,38 @@
         const auto own = service.queue.backlog(request.account, rank) + request.cost / account.weight;
         if (other == rank && service.queue.backlog(victim->account, rank) <= own)
             return false;
-        this->pushedOut.push_back(this->giveUp(service, *victim, AdmissionRefusal::QueueFull, now));
+        this->pushedOut.push_back(this->giveUp(service, victim->id, AdmissionRefusal::QueueFull, now));
         return true;
     }
     return false;
 }
 
-Refused Admission::giveUp(Service& service, QueuedRequest request, AdmissionRefusal reason, TimePoint now)
+Refused Admission::giveUp(Service& service, AdmissionId id, AdmissionRefusal reason, TimePoint now)
 {
+    const auto request = service.queue.remove(id).value();
     const auto rank = serviceRank(request.priority);
-    service.queue.remove(request.id);
-    this->queuedAt.erase(request.id);
+    this->queuedAt.erase(id);
     const Account* account = nullptr;
     if (const auto found = this->accounts.find(request.account); found != this->accounts.end())
         account = &found->second;
     const auto wait = account
         ? this->wait(service, *account, request.account, request.cost, now)
-        : fromSeconds(service.queue.costWaiting(rank) / this->drainRate(service, rank, now));
-    return this->refuse(request.id, reason, wait);
+        : this->waitFor(service, rank, service.queue.costWaiting(rank), now);
+    return this->refuse(id, reason, wait);
 }
 
 void Admission::refuseLate(Service& service, std::vector<Refused>& out, TimePoint now)
 {
     while (const auto late = service.queue.overdue(now))
-        out.push_back(this->giveUp(service, *service.queue.find(*late), AdmissionRefusal::TooLate, now));
-    double ahead = 0;
+        out.push_back(this->giveUp(service, *late, AdmissionRefusal::TooLate, now));
     for (std::size_t rank = 0; rank < priorityCount; ++rank) {
         while (const auto* last = service.queue.longest(rank)) {
-            const auto cost = ahead + service.queue.costAhead(last->account, rank, last->weight, 0);
-            const auto wait = fromSeconds(cost / this->drainRate(service, rank, now));
+            const auto ahead = service.queue.costAhead(last->account, rank, last->weight, 0);
+            const auto wait = this->waitFor(service, rank, ahead, now);
             if (toSeconds(wait) <= lateFactor * toSeconds(last->deadline - now))
                 break;
-            out.push_back(this->giveUp(service, *last, AdmissionRefusal::TooLate, now));
+            out.push_back(this->giveUp(service, last->id, AdmissionRefusal::TooLate, now));
         }
-        ahead += service.queue.costWaiting(rank);
     }
 }
 
--- a/src/fair_queue.cc
+++ b/src/fair_queue.cc
@@ -68,12 +68,6 @@
     return this->requests.count(id) > 0 ? std::optional(this->take(id)) : std::nullopt;
 }
 
-const QueuedRequest* FairQueue::find(AdmissionId id) const
-{
-    const auto found = this->requests.find(id);
-    return found == this->requests.end() ? nullptr : &*found->second.position;
-}
-
 const QueuedRequest* FairQueue::longest(std::size_t rank) const
 {
     const auto& queue = this->classes[rank];
@@ -126,7 +120,7 @@
         picked = 2;
     if (!picked)
         return picked;
-    this->sinceNormal = *picked == 0 && canServe(1) ? this->sinceNormal + 1 : 0;
+    this->sinceNormal = *picked != 1 && canServe(1) ? this->sinceNormal + 1 : 0;
     this->sinceBatch = *picked != 2 && canServe(2) ? this->sinceBatch + 1 : 0;
     return picked;
 }
--- a/src/rate_limit.cc
+++ b/src/rate_limit.cc
@@ -10,8 +10,14 @@
     /// Time over which arrivals are averaged.
     constexpr Duration arrivalWindow = std::chrono::seconds(1);
 
+    /// Wait before an unanswered demand is repeated.
+    constexpr Duration answerTimeout = std::chrono::milliseconds(300);
+
+    /// Change of the demand that is reported soon.
+    constexpr double changeFactor = 1.5;
+
     /// Room for growth that a share leaves above the reported demand.
-    constexpr double headroom = 1.25;
+    constexpr double headroom = 1.1;
 
 } // namespace
 
@@ -22,6 +28,7 @@
     , refilledAt(now)
     , arrivalAt(now)
     , sentAt(now - bounds.reportEvery)
+    , shareTerm(bounds.term)
     , shareExpiry(now)
 {
     this->tokens = this->burst(now);
@@ -48,15 +55,28 @@
 
 std::optional<RateDemand> AccountBucket::poll(const ClientAccount& account, const InstanceId& self, TimePoint now)
 {
-    if (!this->demanding(now) || now < this->sentAt + this->settings.reportEvery)
+    if (!this->demanding(now) || !this->due(now))
         return std::nullopt;
     this->sentAt = now;
-    return RateDemand { account, self, ++this->sequence, this->arrivals(now) };
+    this->sentRate = this->arrivals(now);
+    return RateDemand { account, self, ++this->sequence, this->sentRate };
+}
+
+bool AccountBucket::due(TimePoint now) const
+{
+    const auto age = now - this->sentAt;
+    if (this->shareSequence < this->sequence && age >= answerTimeout)
+        return true;
+    if (age >= std::min(this->settings.reportEvery, this->shareTerm / 3))
+        return true;
+    const auto rate = this->arrivals(now);
+    const bool changed = rate > changeFactor * this->sentRate || this->sentRate > changeFactor * rate;
+    return changed && age >= this->settings.reportSoonest;
 }
 
 bool AccountBucket::demanding(TimePoint now) const
 {
-    return this->arrivals(now) > this->silentRate() || this->tokens < 1;
+    return now < this->shareExpiry || this->arrivals(now) > this->silentRate() || this->tokens < 1;
 }
 
 void AccountBucket::onShare(const RateShare& share, TimePoint now)
@@ -65,6 +85,8 @@
     if (share.sequence != this->sequence || expiry <= now)
         return;
     this->refill(now);
+    this->shareSequence = share.sequence;
+    this->shareTerm = share.term;
     this->shareRate = share.requestsPerSecond;
     this->shareBurst = share.burst;
     this->shareExpiry = expiry;
@@ -118,14 +140,16 @@
         found = this->sharers.insert(this->sharers.end(), Sharer { demand.holder, 0, 0, 0, now });
     found->sequence = demand.sequence;
     found->demand = headroom * demand.requestsPerSecond;
-    found->expires = now + this->settings.term;
     // Others keep what they have until their next demand, so the sum never exceeds the site's rate.
     auto left = this->site.requestsPerSecond;
     for (const auto& sharer : this->sharers)
         left -= &sharer == &*found ? 0 : sharer.given;
-    found->given = std::clamp(this->fairShare(*found), 0.0, std::max(left, 0.0));
+    const auto fair = this->fairShare(*found);
+    found->given = std::clamp(fair, 0.0, std::max(left, 0.0));
+    const auto term = found->given < 0.9 * fair ? this->settings.shortTerm : this->settings.term;
+    found->expires = now + term;
     const auto part = found->given / this->site.requestsPerSecond;
-    return RateShare { demand.account, demand.sequence, found->given, part * this->site.burst, this->settings.term };
+    return RateShare { demand.account, demand.sequence, found->given, part * this->site.burst, term };
 }
 
 double RateIssuer::fairShare(const Sharer& asking) const
--- a/test/permits_test.cc
+++ b/test/permits_test.cc
@@ -168,7 +168,7 @@
 
     bool draws(double chance) { return uniform(this->random) < chance; }
 
-    void send(std::size_t from, std::size_t to, Message message)
+    void send(std::size_t from, std::size_t to, const Message& message)
     {
         const int copies = this->draws(this->faults.doubling) ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
