--- a/include/goldcrestwood/domains.h
+++ b/include/goldcrestwood/domains.h
@@ -3,7 +3,6 @@
 /// @file
 /// Which failure domains and upstreams take new work, recorded or provisional, and how fast they come back.
 
-#include <array>
 #include <deque>
 #include <map>
 #include <set>
@@ -90,7 +89,7 @@
     /// The log holds the order, as a record of another kind, or refused it.
     std::vector<DomainChange> onOrderSettled(const std::string& orderId, TimePoint now);
     /// The log says whether an upstream leaves.
-    void onUpstreamLeaving(const UpstreamId& upstream, bool leaving);
+    void onUpstreamLeaving(const UpstreamId& upstream, bool isLeaving);
     /// This daemon became isolated, or is no longer.
     void setIsolated(bool value) { this->isolated = value; }
     /// Trouble in a domain that is coming back halves its share and starts the step anew.
@@ -122,9 +121,8 @@
     bool isolated = false;
 
     void rememberSettled(const std::string& orderId);
-    bool isProvisionallyOut(const FailureDomain& domain) const;
-    bool isOut(const FailureDomain& domain) const;
-    std::vector<DomainChange> reopen(const FailureDomain& domain, bool wasOut, TimePoint now);
+    WorkGate domainState(const FailureDomain& domain) const;
+    std::vector<DomainChange> changeOf(const FailureDomain& domain, WorkGate before, TimePoint now);
 };
 
 } // namespace goldcrestwood
--- a/include/goldcrestwood/gossip.h
+++ b/include/goldcrestwood/gossip.h
@@ -31,6 +31,8 @@
     std::size_t exchangeBudget = 2048;
     /// Bytes a second of cells in all messages; up to two seconds' worth are saved.
     std::size_t bytesPerSecond = 3072;
+    /// Bytes of passed-on urgent cells in one message, within the exchange's budget.
+    std::size_t relayBudget = 384;
     /// Bytes of latches in one message.
     std::size_t latchBudget = 1024;
     /// Owners in one digest; more are cut into slices that take turns.
@@ -98,8 +100,6 @@
 Lane laneOf(Topic topic);
 
 struct GossipCounters {
-    std::uint64_t sentBytes = 0;
-    std::uint64_t receivedBytes = 0;
     std::uint64_t droppedCells = 0;
     std::uint64_t droppedLatches = 0;
     std::uint64_t droppedNotes = 0;
@@ -108,14 +108,18 @@
     bool operator==(const GossipCounters&) const = default;
 };
 
+/// Lanes that exist.
+constexpr std::size_t laneCount = 4;
+
 /// Anti-entropy with a digest per lane: each owner numbers its writes, a peer asks for what follows the
 /// number that it has reached, and a message that was lost is made good by the next exchange.
 class Gossip {
 public:
     Gossip(GossipSettings settings, InstanceId self, std::uint64_t incarnation, Region region, TimePoint now);
 
-    /// Sets who can be reached; the order does not matter. Peers of other regions get latches and summaries only.
-    void setPeers(std::vector<GossipPeer> peers);
+    /// Sets who can be reached. Peers of other regions get latches and summaries only.
+    /// @param silent Ids among @p peers that are reached only by probeSoon().
+    void setPeers(std::vector<GossipPeer> peers, const std::vector<InstanceId>& silent = {});
 
     /// Writes an own cell, or sets a latch. Writing the same payload again changes nothing.
     void set(Topic topic, const std::string& key, const std::string& payload, TimePoint now);
@@ -126,6 +130,9 @@
     /// Queues a note for one peer; a later one with the same topic and key replaces it.
     void post(const InstanceId& peer, Topic topic, const std::string& key, const std::string& payload);
 
+    /// Sends a probe to one peer at the next poll, beside those whose turn it is.
+    void probeSoon(const InstanceId& peer);
+
     /// @return Messages that are due; call a few times a second and after each set of a latch.
     std::vector<OutgoingGossip> poll(TimePoint now, Random& random);
     /// Takes a message of a peer. Messages may be lost, late, doubled or out of order.
@@ -164,14 +171,14 @@
     struct Owner {
         std::uint64_t incarnation = 0;
         std::uint64_t previousIncarnation = 0;
-        std::uint32_t sliceHash = 0;
         std::optional<TimePoint> deadSince;
         bool expired = false;
-        std::array<LaneState, 3> lanes;
+        std::array<LaneState, laneCount> lanes;
     };
     struct HeldLatch {
         GossipLatch latch;
         TimePoint setAt;
+        std::uint32_t relayRounds = 0;
     };
     struct Relay {
         InstanceId owner;
@@ -179,6 +186,11 @@
         CellId id;
         std::uint32_t rounds = 0;
     };
+    struct Budget {
+        std::size_t left = 0;
+        std::size_t used = 0;
+        std::map<Topic, std::uint32_t> dropped;
+    };
 
     GossipSettings settings;
     InstanceId selfId;
@@ -186,18 +198,54 @@
     Region region;
     std::vector<GossipPeer> localPeers;
     std::vector<GossipPeer> remotePeers;
+    std::vector<GossipPeer> silentPeers;
     std::size_t nextLocal = 0;
+    bool shuffled = false;
     std::map<InstanceId, Owner> owners;
     std::map<CellId, HeldLatch> latchSet;
     std::map<InstanceId, std::map<CellId, std::string>> notesFor;
+    std::set<InstanceId> probes;
     std::deque<Relay> relays;
-    std::array<std::uint64_t, 3> pushed {};
+    std::array<std::uint64_t, laneCount> pushed {};
     TimePoint nextRound;
+    TimePoint nextUrgent;
     TimePoint lastRefill;
     double tokens;
-    std::uint32_t urgentRounds = 0;
+    bool urgent = false;
     std::uint64_t roundCount = 0;
     GossipCounters counts;
+
+    GossipMessage header(GossipStage stage) const;
+    const GossipPeer* findPeer(const InstanceId& id) const;
+    std::vector<GossipPeer> pickLocal(Random& random);
+    std::optional<GossipPeer> pickRemote(bool always, Random& random) const;
+    std::vector<OutgoingGossip> runRound(bool regular, TimePoint now, Random& random);
+    std::vector<OutgoingGossip> sendProbes(TimePoint now);
+    GossipMessage makeProbe(const GossipPeer& peer, TimePoint now);
+    void addPushes(GossipMessage& message, Budget& budget) const;
+    void addRelays(GossipMessage& message, Budget& budget) const;
+    void addDigests(GossipMessage& message, bool local) const;
+    void addLatches(GossipMessage& message, bool all, TimePoint now) const;
+    void addNotes(GossipMessage& message, const InstanceId& peer);
+    void finishRound();
+    void purge(TimePoint now);
+    static void purgeRemoved(LaneState& lane, TimePoint before);
+    Budget startBudget(TimePoint now);
+    void endBudget(GossipMessage& message, const Budget& budget);
+
+    void takeDelta(const GossipDelta& delta, GossipResult& result, TimePoint now);
+    void takeCell(Owner& owner, const GossipDelta& delta, const GossipCell& cell, GossipResult& result, TimePoint now);
+    void takeLatch(const GossipLatch& latch, GossipResult& result, TimePoint now);
+    void holdLatch(const CellId& id, HeldLatch held);
+    void makeRoomForLatch();
+    std::uint32_t saltedHash(const InstanceId& id, std::uint64_t ownerIncarnation, std::uint32_t salt) const;
+    bool isInSlice(const InstanceId& id, const LaneDigest& digest) const;
+    void answerDigest(const LaneDigest& digest, std::uint32_t salt, GossipMessage& reply, Budget& budget) const;
+    void answerWants(const LaneDigest& digest, std::uint32_t salt, GossipMessage& reply, Budget& budget) const;
+    void addDelta(GossipMessage& message, const InstanceId& id, const Owner& owner, Lane lane, std::uint64_t base,
+        Budget& budget) const;
+    std::uint64_t latchHash() const;
+    std::uint32_t sliceCount() const;
 };
 
 } // namespace goldcrestwood
--- a/include/goldcrestwood/isolation.h
+++ b/include/goldcrestwood/isolation.h
@@ -15,6 +15,8 @@
     Duration logLimit = std::chrono::seconds(3);
     /// Without contact to most peers for this long the daemon counts as cut off from them.
     Duration peerLimit = std::chrono::seconds(3);
+    /// While isolated, a read or contact older than this does not count.
+    Duration returnFreshness = std::chrono::seconds(1);
     /// Contact must last this long before new work is taken again.
     Duration returnAfter = std::chrono::seconds(2);
     /// A longer gap between two polls counts as a pause, after which nothing known is fresh.
--- a/include/goldcrestwood/membership.h
+++ b/include/goldcrestwood/membership.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -16,9 +17,9 @@
 
 struct MembershipSettings {
     /// A probe without an answer for this long counts as missed.
-    Duration probeTimeout = std::chrono::milliseconds(900);
+    Duration probeTimeout = std::chrono::milliseconds(700);
     /// Missed probes in a row that make a peer suspect.
-    std::uint32_t missesToSuspect = 2;
+    std::uint32_t missesToSuspect = 3;
     /// A suspicion that stands for this long makes the peer dead.
     Duration suspicionTimeout = std::chrono::seconds(5);
     /// A longer gap between two polls counts as a pause of this process.
@@ -95,13 +96,19 @@
     bool operator==(const MemberForgotten&) const = default;
 };
 
-using MembershipAction = std::variant<AnnounceSelf, PublishSuspicion, WithdrawSuspicion, MemberChanged, MemberForgotten>;
+/// Try a silent peer again.
+struct ProbePeer {
+    InstanceId peer;
+    bool operator==(const ProbePeer&) const = default;
+};
+
+using MembershipAction = std::variant<AnnounceSelf, PublishSuspicion, WithdrawSuspicion, MemberChanged, MemberForgotten, ProbePeer>;
 
-/// How many of the recently probed peers answered.
+/// How many of the own region's daemons this one hears, from a sample of recent probes.
 struct PeerContact {
-    std::size_t probed = 0;
-    std::size_t answered = 0;
-    /// Whether this daemon's id is lower than that of each silent peer; breaks the tie of an even split.
+    std::size_t known = 0; ///< Peers that were heard once and have not left by plan, dead ones included.
+    std::size_t reachable = 0;
+    /// Whether the lowest id is on this side of a split; decides when just half is reachable.
     bool holdsTieBreak = true;
 
     bool operator==(const PeerContact&) const = default;
@@ -127,7 +134,11 @@
     void onInfo(const InstanceId& peer, std::uint64_t incarnation, const MemberInfo& info, TimePoint now);
 
     /// Gossip brought the suspicion of another daemon.
-    void onSuspicion(const InstanceId& accused, const SuspicionInfo& suspicion, TimePoint now);
+    void onSuspicion(
+        const InstanceId& accuser, const InstanceId& accused, const SuspicionInfo& suspicion, TimePoint now);
+
+    /// The accuser has heard the accused after all.
+    void onSuspicionWithdrawn(const InstanceId& accuser, const InstanceId& accused);
 
     /// Changes what this daemon says of itself.
     void setPhase(MemberPhase phase);
@@ -147,13 +158,16 @@
 
 private:
     struct Contact {
-        std::optional<TimePoint> firstUnanswered;
+        std::optional<TimePoint> unansweredSince;
         std::optional<TimePoint> lastProbe;
         std::optional<TimePoint> lastHeard;
+        std::optional<TimePoint> lastSuspicion;
         std::optional<TimePoint> suspectSince;
         std::optional<TimePoint> deadSince;
         std::uint32_t misses = 0;
-        bool publishedSuspicion = false;
+        bool published = false;
+        bool probedOnSuspicion = false;
+        std::set<InstanceId> accusers;
     };
 
     MembershipSettings settings;
@@ -164,18 +178,20 @@
     TimePoint lastPoll;
     std::optional<TimePoint> massLossSince;
 
-    Member& admit(const InstanceId& id);
-    bool renew(Member& member, std::uint64_t incarnation);
-    void revive(Member& member, Contact& contact);
-    void suspect(Member& member, Contact& contact, TimePoint now);
-    void kill(Member& member, Contact& contact, TimePoint now);
-    void countMisses(TimePoint now);
+    Member* admit(const InstanceId& id, std::uint64_t incarnation);
+    bool isLocal(const Member& member) const;
+    void announce();
+    void note(const Member& member);
+    void revive(Member& member);
+    void withdraw(const InstanceId& id, Contact& contact);
+    void kill(Member& member, TimePoint now);
+    void replaceSameAddress(const Member& newer, TimePoint now);
     void forgivePause(TimePoint now);
+    void countMisses(TimePoint now);
+    void suspect(Member& member, Contact& contact, TimePoint now);
     bool mayJudge(TimePoint now);
     void judge(TimePoint now);
     void forgetOld(TimePoint now);
-    void note(const Member& member);
-    void replaceSameAddress(const Member& member, TimePoint now);
 };
 
 } // namespace goldcrestwood
--- a/include/goldcrestwood/membership_messages.h
+++ b/include/goldcrestwood/membership_messages.h
@@ -42,7 +42,8 @@
 enum class Lane : std::uint8_t {
     Summary, ///< Cells that cross regions.
     Control, ///< Membership and revisions, within a region.
-    Bulk, ///< Load and evidence, within a region.
+    Evidence, ///< Outcomes of versions, within a region.
+    Bulk, ///< Load, within a region.
 };
 
 /// @return The name of @p value as in the schema.
@@ -107,6 +108,28 @@
     bool operator==(const DaemonLoadInfo&) const = default;
 };
 
+/// An address that callers of other regions may fall back to.
+struct RegionEndpoint {
+    /// IP number and port for callers.
+    std::string address;
+    /// Failure domain it stands in.
+    FailureDomain domain;
+    /// Share of its capacity in use, 0 to 1.
+    double utilisation = 0;
+
+    bool operator==(const RegionEndpoint&) const = default;
+};
+
+/// A few instances of a region that take work; payload of a RegionSummary cell.
+struct RegionEndpoints {
+    /// The region.
+    Region region;
+    /// The instances.
+    std::vector<RegionEndpoint> endpoints;
+
+    bool operator==(const RegionEndpoints&) const = default;
+};
+
 /// A value that only its owner writes.
 struct GossipCell {
     /// What it is about.
@@ -247,6 +270,16 @@
 tl::expected<DaemonLoadInfo, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const DaemonLoadInfo& message);
 template <>
+std::string encode(const RegionEndpoint& message);
+template <>
+tl::expected<RegionEndpoint, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const RegionEndpoint& message);
+template <>
+std::string encode(const RegionEndpoints& message);
+template <>
+tl::expected<RegionEndpoints, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const RegionEndpoints& message);
+template <>
 std::string encode(const GossipCell& message);
 template <>
 tl::expected<GossipCell, DecodeError> decode(std::string_view bytes);
--- a/include/goldcrestwood/ownership.h
+++ b/include/goldcrestwood/ownership.h
@@ -6,8 +6,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "goldcrestwood/names.h"
@@ -71,6 +73,8 @@
     std::vector<OwnershipChange> setThings(const std::vector<OwnedThing>& things);
     /// A daemon is usable, or is no longer; call with each change of a member.
     std::vector<OwnershipChange> onMember(const OwnerCandidate& member, bool usable, TimePoint now);
+    /// A dead daemon is no longer remembered.
+    std::vector<OwnershipChange> onForgotten(const InstanceId& id);
     /// Lets in daemons whose hold-down is over; call about once a second.
     std::vector<OwnershipChange> poll(TimePoint now);
 
@@ -82,29 +86,45 @@
     OwnerRole roleOf(std::uint64_t key) const;
 
 private:
-    struct Score {
-        std::uint64_t value = 0;
-        std::uint32_t member = 0;
+    using MemberIndex = std::uint32_t;
+    static constexpr MemberIndex nobody = ~MemberIndex { 0 };
+
+    struct Place {
+        std::uint64_t score = 0;
+        MemberIndex member = nobody;
     };
     struct Tracked {
         OwnedThing thing;
-        std::optional<Score> owner;
-        std::optional<Score> standby;
+        Place owner;
+        Place standby;
     };
     struct Slot {
         OwnerCandidate candidate;
         std::uint64_t hash = 0;
         bool admitted = false;
         std::optional<TimePoint> usableSince;
-        std::unordered_set<std::uint64_t> held;
+        std::unordered_set<std::uint64_t> held; ///< Things of which it is owner or standby.
     };
 
     OwnershipSettings settings;
     InstanceId self;
     std::vector<Slot> slots;
-    std::map<InstanceId, std::uint32_t> slotOf;
-    std::map<Region, std::vector<std::uint32_t>> admittedIn;
+    std::map<InstanceId, MemberIndex> slotOf;
+    std::map<Region, std::vector<MemberIndex>> admittedIn;
+    std::set<MemberIndex> waiting;
+    std::vector<MemberIndex> freeSlots;
     std::unordered_map<std::uint64_t, Tracked> things;
+
+    MemberIndex slotFor(const OwnerCandidate& member);
+    bool isDue(const Slot& slot, TimePoint now) const;
+    void admit(MemberIndex member, std::vector<OwnershipChange>& changes);
+    void expel(MemberIndex member, std::vector<OwnershipChange>& changes);
+    void assign(Tracked& tracked, Place owner, Place standby, std::vector<OwnershipChange>& changes);
+    void offer(Tracked& tracked, MemberIndex member, std::vector<OwnershipChange>& changes);
+    std::pair<Place, Place> rankAll(const OwnedThing& thing) const;
+    bool beatsAsStandby(const OwnedThing& thing, const Place& left, const Place& right) const;
+    OwnerRole roleOf(const Place& owner, const Place& standby) const;
+    const InstanceId& idOf(const Place& place) const;
 };
 
 } // namespace goldcrestwood
--- a/include/goldcrestwood/peers.h
+++ b/include/goldcrestwood/peers.h
@@ -3,6 +3,7 @@
 /// @file
 /// Membership and gossip wired together: the one object that a daemon drives for its peers.
 
+#include <optional>
 #include <vector>
 
 #include "goldcrestwood/gossip.h"
@@ -21,10 +22,13 @@
 struct PeersOutput {
     /// Messages to send.
     std::vector<OutgoingGossip> messages;
-    /// To be sent back to the sender of the message taken.
+    /// To be sent to the sender of the message taken, on the same connection; an answer may have a reply as well.
     std::optional<GossipMessage> reply;
     /// Members that changed.
     std::vector<Member> members;
+    /// Dead members that are no longer remembered.
+    std::vector<InstanceId> forgotten;
+    /// Cells of peers that changed, those of membership included.
     std::vector<ChangedCell> cells;
     std::vector<GossipLatch> latches;
     std::vector<GossipNote> notes;
@@ -54,11 +58,14 @@
     Membership members;
     Gossip cells;
     std::vector<GossipPeer> seeds;
-    std::vector<GossipPeer> lastPeers;
-    std::uint64_t rounds = 0;
+    std::vector<InstanceId> silent;
+    bool peersChanged = true;
+    TimePoint nextRetry;
 
+    void takeCell(const ChangedCell& changed, TimePoint now);
     void applyMembership(PeersOutput& out, TimePoint now);
     void refreshPeers();
+    void retryDead(TimePoint now, Random& random);
 };
 
 } // namespace goldcrestwood
--- a/include/goldcrestwood/shutdown.h
+++ b/include/goldcrestwood/shutdown.h
@@ -89,7 +89,6 @@
 
     bool mayClose(const ShutdownView& view, TimePoint now) const;
     bool handOverSettled(TimePoint now) const;
-    std::vector<ShutdownAction> end();
 };
 
 } // namespace goldcrestwood
--- /dev/null
+++ b/src/gossip_lanes.h
@@ -0,0 +1,26 @@
+#pragma once
+
+/// @file
+/// What the source files of gossip share.
+
+#include <array>
+
+#include "goldcrestwood/gossip.h"
+
+namespace goldcrestwood {
+
+constexpr std::array<Lane, laneCount> allLanes { Lane::Summary, Lane::Control, Lane::Evidence, Lane::Bulk };
+/// Bytes around a cell's key and payload.
+constexpr std::size_t cellOverhead = 12;
+
+inline std::size_t indexOf(Lane lane)
+{
+    return static_cast<std::size_t>(lane);
+}
+
+inline std::size_t costOf(const GossipCell& cell)
+{
+    return cell.key.size() + cell.payload.size() + cellOverhead;
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/membership.cc
@@ -0,0 +1,371 @@
+#include "goldcrestwood/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace goldcrestwood {
+
+const char* toString(MemberState state)
+{
+    switch (state) {
+    case MemberState::Listed:
+        return "listed";
+    case MemberState::Alive:
+        return "alive";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Dead:
+        return "dead";
+    }
+    return "unknown";
+}
+
+bool Member::isUsable() const
+{
+    const bool live = this->state == MemberState::Alive || this->state == MemberState::Suspect;
+    return live && this->info.phase == MemberPhase::Ready;
+}
+
+Membership::Membership(
+    MembershipSettings initialSettings, InstanceId ownId, std::uint64_t incarnation, MemberInfo info, TimePoint now)
+    : settings(initialSettings)
+    , selfMember { std::move(ownId), incarnation, MemberState::Alive, std::move(info), false }
+    , lastPoll(now)
+{
+    this->announce();
+}
+
+void Membership::onInstances(const std::vector<ListedInstance>& instances, TimePoint)
+{
+    for (const auto& listed : instances) {
+        if (listed.id.empty() || listed.id == this->selfMember.id)
+            continue;
+        auto [position, added] = this->peerMembers.try_emplace(listed.id);
+        auto& member = position->second;
+        const auto before = member;
+        member.id = listed.id;
+        member.listedLeaving = listed.leaving;
+        if (member.state == MemberState::Listed || member.info.peerAddress.empty()) {
+            member.info.peerAddress = listed.address;
+            member.info.domain = listed.domain;
+            member.info.region = listed.region;
+        }
+        if (added || before != member)
+            this->note(member);
+    }
+}
+
+void Membership::onProbeSent(const InstanceId& peer, TimePoint now)
+{
+    const auto* member = this->find(peer);
+    if (!member || !this->isLocal(*member))
+        return;
+    auto& contact = this->contacts[peer];
+    contact.lastProbe = now;
+    if (!contact.unansweredSince)
+        contact.unansweredSince = now;
+}
+
+void Membership::onHeard(const InstanceId& peer, std::uint64_t incarnation, TimePoint now)
+{
+    auto* member = this->admit(peer, incarnation);
+    if (!member)
+        return;
+    auto& contact = this->contacts[peer];
+    contact.lastHeard = now;
+    contact.unansweredSince.reset();
+    contact.misses = 0;
+    if (member->info.phase != MemberPhase::Left)
+        this->revive(*member);
+}
+
+void Membership::onInfo(const InstanceId& peer, std::uint64_t incarnation, const MemberInfo& info, TimePoint now)
+{
+    auto* member = this->admit(peer, incarnation);
+    if (!member || info.counter < member->info.counter || member->info.phase == MemberPhase::Left)
+        return;
+    const bool refuted = info.counter > member->info.counter || member->state == MemberState::Listed;
+    if (info != member->info) {
+        member->info = info;
+        this->note(*member);
+    }
+    if (info.phase == MemberPhase::Left)
+        this->kill(*member, now);
+    else if (refuted)
+        this->revive(*member);
+    this->replaceSameAddress(*member, now);
+}
+
+void Membership::onSuspicion(
+    const InstanceId& accuser, const InstanceId& accused, const SuspicionInfo& suspicion, TimePoint now)
+{
+    if (accused == this->selfMember.id) {
+        auto& info = this->selfMember.info;
+        if (suspicion.incarnation != this->selfMember.incarnation || suspicion.counter < info.counter)
+            return;
+        info.counter = suspicion.counter + 1;
+        this->announce();
+        return;
+    }
+    const auto found = this->peerMembers.find(accused);
+    if (found == this->peerMembers.end())
+        return;
+    auto& member = found->second;
+    const bool current = suspicion.incarnation == member.incarnation && suspicion.counter >= member.info.counter;
+    const bool live = member.state == MemberState::Alive || member.state == MemberState::Suspect;
+    if (!current || !live)
+        return;
+    auto& contact = this->contacts[accused];
+    contact.accusers.insert(accuser);
+    if (member.state == MemberState::Suspect)
+        return;
+    member.state = MemberState::Suspect;
+    contact.suspectSince = now;
+    contact.probedOnSuspicion = false;
+    this->note(member);
+}
+
+void Membership::onSuspicionWithdrawn(const InstanceId& accuser, const InstanceId& accused)
+{
+    const auto found = this->peerMembers.find(accused);
+    const auto contact = this->contacts.find(accused);
+    if (found == this->peerMembers.end() || contact == this->contacts.end())
+        return;
+    const bool known = contact->second.accusers.erase(accuser) > 0;
+    const bool unfounded = known && contact->second.accusers.empty() && !contact->second.published;
+    if (unfounded && found->second.state == MemberState::Suspect)
+        this->revive(found->second);
+}
+
+void Membership::setPhase(MemberPhase phase)
+{
+    if (this->selfMember.info.phase == phase)
+        return;
+    this->selfMember.info.phase = phase;
+    this->announce();
+}
+
+std::vector<MembershipAction> Membership::poll(TimePoint now)
+{
+    if (now - this->lastPoll > this->settings.pauseLimit)
+        this->forgivePause(now);
+    this->lastPoll = now;
+    this->countMisses(now);
+    this->judge(now);
+    this->forgetOld(now);
+    return std::exchange(this->pending, {});
+}
+
+const Member* Membership::find(const InstanceId& id) const
+{
+    if (id == this->selfMember.id)
+        return &this->selfMember;
+    const auto found = this->peerMembers.find(id);
+    return found == this->peerMembers.end() ? nullptr : &found->second;
+}
+
+PeerContact Membership::contact(TimePoint now) const
+{
+    std::size_t listed = 0;
+    std::size_t dead = 0;
+    std::size_t live = 0;
+    std::size_t sampled = 0;
+    std::size_t answered = 0;
+    const InstanceId* lowestSilent = nullptr;
+    const InstanceId* lowestHeard = &this->selfMember.id;
+    for (const auto& [id, member] : this->peerMembers) {
+        if (!this->isLocal(member) || member.info.phase == MemberPhase::Left)
+            continue;
+        if (member.state == MemberState::Listed) {
+            ++listed;
+            continue;
+        }
+        const auto found = this->contacts.find(id);
+        const auto within = [&](const std::optional<TimePoint>& moment) {
+            return moment && now - *moment <= this->settings.contactWindow;
+        };
+        const bool heard = found != this->contacts.end() && within(found->second.lastHeard);
+        const bool probed = found != this->contacts.end() && within(found->second.lastProbe);
+        ++(member.state == MemberState::Dead ? dead : live);
+        if (heard && *lowestHeard > id)
+            lowestHeard = &id;
+        if (!heard && (probed || member.state == MemberState::Dead) && !lowestSilent)
+            lowestSilent = &id;
+        if (member.state != MemberState::Dead && (heard || probed))
+            ++sampled;
+        if (member.state != MemberState::Dead && heard)
+            ++answered;
+    }
+    PeerContact result;
+    result.known = live + dead > 0 ? live + dead : listed;
+    result.reachable = sampled > 0 ? (live * answered + sampled / 2) / sampled : 0;
+    result.holdsTieBreak = !lowestSilent || *lowestHeard < *lowestSilent;
+    return result;
+}
+
+/// @return The member, or null when the message is of an incarnation that has ended, or of this daemon itself.
+Member* Membership::admit(const InstanceId& id, std::uint64_t incarnation)
+{
+    if (id.empty() || id == this->selfMember.id)
+        return nullptr;
+    auto& member = this->peerMembers[id];
+    if (incarnation < member.incarnation)
+        return nullptr;
+    if (incarnation == member.incarnation && member.state != MemberState::Listed)
+        return &member;
+    if (auto& contact = this->contacts[id]; member.incarnation != incarnation) {
+        this->withdraw(id, contact);
+        contact = {};
+    }
+    member.id = id;
+    member.incarnation = incarnation;
+    member.state = MemberState::Alive;
+    member.info.phase = MemberPhase::Starting;
+    member.info.counter = 0;
+    this->note(member);
+    return &member;
+}
+
+bool Membership::isLocal(const Member& member) const
+{
+    return member.info.region == this->selfMember.info.region;
+}
+
+void Membership::announce()
+{
+    this->pending.emplace_back(AnnounceSelf { this->selfMember.info });
+}
+
+void Membership::note(const Member& member)
+{
+    this->pending.emplace_back(MemberChanged { member });
+}
+
+void Membership::revive(Member& member)
+{
+    auto& contact = this->contacts[member.id];
+    this->withdraw(member.id, contact);
+    contact.suspectSince.reset();
+    contact.deadSince.reset();
+    contact.accusers.clear();
+    if (member.state == MemberState::Alive)
+        return;
+    member.state = MemberState::Alive;
+    this->note(member);
+}
+
+void Membership::withdraw(const InstanceId& id, Contact& contact)
+{
+    if (std::exchange(contact.published, false))
+        this->pending.emplace_back(WithdrawSuspicion { id });
+}
+
+void Membership::kill(Member& member, TimePoint now)
+{
+    auto& contact = this->contacts[member.id];
+    contact.suspectSince.reset();
+    if (member.state == MemberState::Dead)
+        return;
+    contact.deadSince = now;
+    member.state = MemberState::Dead;
+    this->note(member);
+}
+
+/// A restart may come with a new id; the older daemon at that address is gone then.
+void Membership::replaceSameAddress(const Member& newer, TimePoint now)
+{
+    if (newer.info.peerAddress.empty() || newer.state == MemberState::Dead)
+        return;
+    for (auto& [id, member] : this->peerMembers) {
+        const bool older = member.incarnation < newer.incarnation && member.state != MemberState::Listed;
+        if (older && id != newer.id && member.info.peerAddress == newer.info.peerAddress)
+            this->kill(member, now);
+    }
+}
+
+/// What was not heard during an own pause says nothing about the peers.
+void Membership::forgivePause(TimePoint now)
+{
+    this->massLossSince.reset();
+    for (auto& [id, contact] : this->contacts) {
+        contact.unansweredSince.reset();
+        contact.misses = 0;
+        if (contact.suspectSince)
+            contact.suspectSince = now;
+    }
+}
+
+void Membership::countMisses(TimePoint now)
+{
+    for (auto& [id, contact] : this->contacts) {
+        if (!contact.unansweredSince || now - *contact.unansweredSince < this->settings.probeTimeout)
+            continue;
+        contact.unansweredSince.reset();
+        ++contact.misses;
+        auto& member = this->peerMembers.at(id);
+        if (member.state == MemberState::Alive || member.state == MemberState::Suspect)
+            this->pending.emplace_back(ProbePeer { id });
+        if (contact.misses >= this->settings.missesToSuspect)
+            this->suspect(member, contact, now);
+    }
+}
+
+void Membership::suspect(Member& member, Contact& contact, TimePoint now)
+{
+    const bool recent = contact.lastSuspicion && now - *contact.lastSuspicion < this->settings.suspicionTimeout;
+    if (member.state != MemberState::Alive || recent)
+        return;
+    contact.lastSuspicion = now;
+    contact.suspectSince = now;
+    contact.probedOnSuspicion = false;
+    contact.published = true;
+    member.state = MemberState::Suspect;
+    this->pending.emplace_back(PublishSuspicion { member.id, { member.incarnation, member.info.counter } });
+    this->note(member);
+}
+
+/// When most peers fall silent together the fault is likely near; verdicts wait, but not for ever.
+bool Membership::mayJudge(TimePoint now)
+{
+    const auto contact = this->contact(now);
+    if (contact.known < 2 || contact.reachable * 2 >= contact.known) {
+        this->massLossSince.reset();
+        return true;
+    }
+    if (!this->massLossSince)
+        this->massLossSince = now;
+    return now - *this->massLossSince >= this->settings.massLossHold;
+}
+
+void Membership::judge(TimePoint now)
+{
+    if (!this->mayJudge(now))
+        return;
+    for (auto& [id, contact] : this->contacts) {
+        if (!contact.suspectSince)
+            continue;
+        const auto age = now - *contact.suspectSince;
+        if (age >= this->settings.suspicionTimeout)
+            this->kill(this->peerMembers.at(id), now);
+        // An own probe guards against a refutation or withdrawal that got lost.
+        else if (age >= this->settings.suspicionTimeout / 2 && !std::exchange(contact.probedOnSuspicion, true))
+            this->pending.emplace_back(ProbePeer { id });
+    }
+}
+
+void Membership::forgetOld(TimePoint now)
+{
+    for (auto position = this->contacts.begin(); position != this->contacts.end();) {
+        const auto& [id, contact] = *position;
+        if (!contact.deadSince || now - *contact.deadSince < this->settings.forgetAfter) {
+            ++position;
+            continue;
+        }
+        this->withdraw(id, position->second);
+        this->pending.emplace_back(MemberForgotten { id });
+        this->peerMembers.erase(id);
+        position = this->contacts.erase(position);
+    }
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/resolver.cc
@@ -0,0 +1,119 @@
+#include "goldcrestwood/resolver.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace goldcrestwood {
+namespace {
+
+    ResolverLevel levelOf(const ResolverCandidate& candidate, const Region& region)
+    {
+        const bool closed = candidate.address.empty() || candidate.domainOut || candidate.state == MemberState::Dead
+            || candidate.state == MemberState::Listed;
+        if (closed)
+            return ResolverLevel::None;
+        if (candidate.phase == MemberPhase::Leaving)
+            return ResolverLevel::Leaving;
+        if (candidate.phase != MemberPhase::Ready)
+            return ResolverLevel::None;
+        if (candidate.state == MemberState::Suspect || candidate.listedLeaving)
+            return ResolverLevel::Suspect;
+        return candidate.region == region ? ResolverLevel::Normal : ResolverLevel::OtherRegion;
+    }
+
+    double headroom(const ResolverSettings& settings, const ResolverCandidate& candidate)
+    {
+        return std::max(settings.minimumWeight, 1.0 - candidate.utilisation);
+    }
+
+    struct Drawn {
+        const ResolverCandidate* candidate = nullptr;
+        double weight = 0;
+        double ticket = 0;
+    };
+
+    /// Weighted sampling without replacement: the lowest tickets win.
+    std::vector<Drawn> draw(const ResolverSettings& settings, const std::vector<const ResolverCandidate*>& group,
+        std::size_t count, Random& random)
+    {
+        std::vector<Drawn> drawn;
+        drawn.reserve(group.size());
+        for (const auto* candidate : group) {
+            const auto weight = headroom(settings, *candidate);
+            drawn.push_back({ candidate, weight, -std::log(1.0 - uniform(random)) / weight });
+        }
+        std::sort(drawn.begin(), drawn.end(), [](const Drawn& a, const Drawn& b) { return a.ticket < b.ticket; });
+        drawn.resize(std::min(count, drawn.size()));
+        return drawn;
+    }
+
+    bool isBusy(const ResolverSettings& settings, const std::vector<const ResolverCandidate*>& group)
+    {
+        double sum = 0;
+        for (const auto* candidate : group)
+            sum += candidate->utilisation;
+        return group.empty() || sum > settings.busyUtilisation * static_cast<double>(group.size());
+    }
+
+} // namespace
+
+const char* toString(ResolverLevel level)
+{
+    switch (level) {
+    case ResolverLevel::Normal:
+        return "normal";
+    case ResolverLevel::OtherRegion:
+        return "other_region";
+    case ResolverLevel::Suspect:
+        return "suspect";
+    case ResolverLevel::Leaving:
+        return "leaving";
+    case ResolverLevel::None:
+        return "none";
+    }
+    return "unknown";
+}
+
+ResolverCandidate toCandidate(const Member& member, bool domainOut, double utilisation)
+{
+    return { member.id, member.info.callerAddress, member.info.domain, member.info.region, member.state,
+        member.info.phase, member.listedLeaving, domainOut, utilisation };
+}
+
+ResolverAnswer resolveEndpoints(const ResolverSettings& settings, const std::vector<ResolverCandidate>& candidates,
+    const Region& region, const std::optional<FailureDomain>& hint, Random& random)
+{
+    auto level = ResolverLevel::None;
+    for (const auto& candidate : candidates)
+        level = std::min(level, levelOf(candidate, region));
+    if (level == ResolverLevel::None)
+        return {};
+
+    std::vector<const ResolverCandidate*> near;
+    std::vector<const ResolverCandidate*> far;
+    for (const auto& candidate : candidates) {
+        if (levelOf(candidate, region) != level)
+            continue;
+        const bool preferred = hint && candidate.domain == *hint;
+        (preferred ? near : far).push_back(&candidate);
+    }
+    const bool prefers = !isBusy(settings, near);
+    if (!prefers) {
+        far.insert(far.end(), near.begin(), near.end());
+        near.clear();
+    }
+    const auto reserve = std::min(settings.reserveEndpoints, far.size());
+    const auto nearCount = std::min(near.size(), settings.maxEndpoints - std::min(reserve, settings.maxEndpoints));
+    const auto farCount = prefers ? reserve : settings.maxEndpoints;
+
+    ResolverAnswer answer { {}, settings.lifetime, level };
+    for (const auto& [candidate, weight, ticket] : draw(settings, near, nearCount, random))
+        answer.endpoints.push_back({ candidate->address, weight, candidate->domain });
+    for (const auto& [candidate, weight, ticket] : draw(settings, far, farCount, random)) {
+        const auto share = prefers ? weight * settings.reserveWeight : weight;
+        answer.endpoints.push_back({ candidate->address, share, candidate->domain });
+    }
+    return answer;
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/test/ownership_test.cc
@@ -0,0 +1,144 @@
+/// @file
+/// Owners and standbys as daemons come, go and flap.
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+#include "goldcrestwood/hash.h"
+#include "goldcrestwood/ownership.h"
+#include "goldcrestwood/random.h"
+
+using namespace goldcrestwood;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Region home("saigon");
+
+OwnerCandidate daemon(std::size_t number)
+{
+    return { InstanceId("daemon-" + std::to_string(number)), FailureDomain("domain-" + std::to_string(number % 3)),
+        home };
+}
+
+std::vector<OwnedThing> makeThings(std::size_t count)
+{
+    std::vector<OwnedThing> things;
+    for (std::size_t i = 0; i < count; ++i)
+        things.push_back({ stableHash("upstream-" + std::to_string(i)), home,
+            FailureDomain("domain-" + std::to_string(i % 3)) });
+    return things;
+}
+
+} // namespace
+
+TEST_CASE("after any sequence of changes each daemon has the same owners, as by a full ranking")
+{
+    const auto seed = GENERATE(range(1U, 9U));
+    INFO("seed " << seed);
+    Random random(seed);
+    const auto things = makeThings(300);
+    constexpr std::size_t daemons = 9;
+    Ownership first({}, daemon(0).id);
+    Ownership second({}, daemon(1).id);
+    first.setThings(things);
+    TimePoint now(1h);
+    std::vector<bool> usable(daemons, false);
+    std::map<std::uint64_t, OwnerRole> roles;
+    const auto apply = [&](const std::vector<OwnershipChange>& changes) {
+        for (const auto& change : changes) {
+            CHECK(roles[change.key] == change.before);
+            roles[change.key] = change.after;
+        }
+    };
+    for (int i = 0; i < 120; ++i) {
+        const auto number = random() % daemons;
+        usable[number] = random() % 3 != 0;
+        apply(first.onMember(daemon(number), usable[number], now));
+        now += 500ms;
+        apply(first.poll(now));
+    }
+    now += 10s;
+    apply(first.poll(now));
+    for (std::size_t i = daemons; i-- > 0;)
+        second.onMember(daemon(i), usable[i], now);
+    second.poll(now + 10s);
+    second.setThings(things);
+    for (const auto& thing : things) {
+        const auto owners = first.ownersOf(thing.key);
+        CHECK(owners == second.ownersOf(thing.key));
+        CHECK(owners == first.rank(thing));
+        CHECK((owners.owner != owners.standby || owners.owner.empty()));
+        CHECK(first.roleOf(thing.key) == roles[thing.key]);
+    }
+}
+
+TEST_CASE("owners are even, and the standby stands in the thing's failure domain")
+{
+    Ownership ownership({}, daemon(0).id);
+    const auto things = makeThings(4500);
+    ownership.setThings(things);
+    const TimePoint now(1h);
+    for (std::size_t i = 0; i < 30; ++i)
+        ownership.onMember(daemon(i), true, now);
+    ownership.poll(now + 5s);
+    std::map<InstanceId, std::size_t> owned;
+    for (const auto& thing : things) {
+        const auto [owner, standby] = ownership.ownersOf(thing.key);
+        ++owned[owner];
+        CHECK(daemon(std::stoul(standby.value.substr(7))).domain == thing.domain);
+    }
+    for (const auto& [id, count] : owned)
+        CHECK(count < 2 * 4500 / 30);
+    CHECK(owned.size() == 30);
+}
+
+TEST_CASE("a daemon that goes moves just its own things; one that flaps gains nothing until it is steady")
+{
+    Ownership ownership({}, daemon(0).id);
+    const auto things = makeThings(1000);
+    ownership.setThings(things);
+    TimePoint now(1h);
+    for (std::size_t i = 0; i < 10; ++i)
+        ownership.onMember(daemon(i), true, now);
+    ownership.poll(now += 5s);
+    std::map<std::uint64_t, Owners> before;
+    for (const auto& thing : things)
+        before[thing.key] = ownership.ownersOf(thing.key);
+    ownership.onMember(daemon(4), false, now);
+    for (const auto& [key, owners] : before) {
+        if (owners.owner != daemon(4).id)
+            CHECK(ownership.ownersOf(key).owner == owners.owner);
+        else
+            CHECK(ownership.ownersOf(key).owner != daemon(4).id);
+    }
+    for (int i = 0; i < 10; ++i) {
+        ownership.onMember(daemon(4), true, now);
+        ownership.poll(now += 2s);
+        ownership.onMember(daemon(4), false, now);
+        for (const auto& thing : things)
+            CHECK(ownership.ownersOf(thing.key).owner != daemon(4).id);
+    }
+    ownership.onMember(daemon(4), true, now);
+    ownership.poll(now + 4s);
+    for (const auto& [key, owners] : before)
+        CHECK(ownership.ownersOf(key) == owners);
+}
+
+TEST_CASE("a daemon that starts owns nothing before it has had time to see the others")
+{
+    Ownership ownership({}, daemon(0).id);
+    ownership.setThings(makeThings(100));
+    const TimePoint now(1h);
+    CHECK(ownership.onMember(daemon(0), true, now).empty());
+    CHECK(ownership.poll(now + 1s).empty());
+    ownership.onMember(daemon(1), true, now + 1s);
+    std::size_t gained = 0;
+    for (const auto& change : ownership.poll(now + 5s))
+        gained += change.after == OwnerRole::Owner ? 1 : 0;
+    CHECK(gained > 20);
+    CHECK(gained < 80);
+    CHECK_FALSE(ownership.onForgotten(daemon(1).id).empty());
+    CHECK(ownership.ownersOf(makeThings(1)[0].key).standby.empty());
+}
