--- a/include/goldcrestwood/peers.h
+++ b/include/goldcrestwood/peers.h
@@ -37,7 +37,7 @@
 /// Feeds gossip's messages to the failure detector and publishes its findings.
 class Peers {
 public:
-    Peers(PeersSettings settings, InstanceId self, std::uint64_t incarnation, MemberInfo info, TimePoint now);
+    Peers(PeersSettings settings, InstanceId self, std::uint64_t incarnation, const MemberInfo& info, TimePoint now);
 
     /// Takes the platform's instance list together with the seeds of the settings.
     void onInstances(const std::vector<ListedInstance>& instances, TimePoint now);
--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -1,6 +1,7 @@
 #include "goldcrestwood/gossip.h"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 #include "gossip_lanes.h"
@@ -336,20 +337,20 @@
 void Gossip::addRelays(GossipMessage& message, Budget& budget) const
 {
     std::size_t used = 0;
-    for (auto relay = this->relays.rbegin(); relay != this->relays.rend(); ++relay) {
-        const auto owner = this->owners.find(relay->owner);
+    for (const auto& relay : std::ranges::reverse_view(this->relays)) {
+        const auto owner = this->owners.find(relay.owner);
         if (owner == this->owners.end())
             continue;
-        const auto& cells = owner->second.lanes[indexOf(relay->lane)].cells;
-        const auto found = cells.find(relay->id);
+        const auto& cells = owner->second.lanes[indexOf(relay.lane)].cells;
+        const auto found = cells.find(relay.id);
         if (found == cells.end())
             continue;
         const auto& cell = found->second.cell;
-        const auto cost = costOf(cell) + relay->owner.value.size() + cellOverhead;
+        const auto cost = costOf(cell) + relay.owner.value.size() + cellOverhead;
         if (used + cost > std::min(this->settings.relayBudget, budget.left - budget.used))
             break;
         used += cost;
-        message.deltas.push_back({ relay->owner, owner->second.incarnation, relay->lane, 0, 0, { cell } });
+        message.deltas.push_back({ relay.owner, owner->second.incarnation, relay.lane, 0, 0, { cell } });
     }
     budget.used += used;
 }
--- a/src/peers.cc
+++ b/src/peers.cc
@@ -15,7 +15,7 @@
 
 } // namespace
 
-Peers::Peers(PeersSettings initialSettings, InstanceId self, std::uint64_t incarnation, MemberInfo info, TimePoint now)
+Peers::Peers(PeersSettings initialSettings, InstanceId self, std::uint64_t incarnation, const MemberInfo& info, TimePoint now)
     : settings(initialSettings)
     , members(initialSettings.membership, self, incarnation, info, now)
     , cells(initialSettings.gossip, std::move(self), incarnation, info.region, now)
--- a/test/peers_loopback.h
+++ b/test/peers_loopback.h
@@ -174,7 +174,7 @@
         }
     }
 
-    void send(InFlight message)
+    void send(const InFlight& message)
     {
         auto& sender = this->nodes[message.from];
         sender.sentBytes += encode(message.message).size() + 4;
--- a/test/resolver_test.cc
+++ b/test/resolver_test.cc
@@ -31,7 +31,7 @@
     return addresses;
 }
 
-ResolverAnswer resolve(const std::vector<ResolverCandidate>& candidates, std::optional<FailureDomain> hint = {})
+ResolverAnswer resolve(const std::vector<ResolverCandidate>& candidates, const std::optional<FailureDomain>& hint = {})
 {
     Random random(3);
     return resolveEndpoints({}, candidates, home, hint, random);
@@ -103,6 +103,7 @@
 TEST_CASE("the caller's failure domain is preferred unless it is busy")
 {
     std::vector<ResolverCandidate> all;
+    all.reserve(7);
     for (int i = 0; i < 7; ++i)
         all.push_back(candidate(i, i % 2 == 0 ? thuDuc : nhaBe));
     const auto shareOf = [&] {
--- a/test/shutdown_test.cc
+++ b/test/shutdown_test.cc
@@ -19,6 +19,7 @@
 std::vector<Kind> kindsOf(const std::vector<ShutdownAction>& actions)
 {
     std::vector<Kind> kinds;
+    kinds.reserve(actions.size());
     for (const auto& action : actions)
         kinds.push_back(action.kind);
     return kinds;
