--- a/src/daemon/transfer_service.cc
+++ b/src/daemon/transfer_service.cc
@@ -120,7 +120,7 @@
     const auto stage = this->jobs[id].stage;
     this->jobs.erase(id);
     if (stage != Stage::Started) {
-        this->transfers.finish(id, 0);
+        this->transfers.finish(id, 0, monotonicNow());
         return std::nullopt;
     }
     lock.unlock();
@@ -138,7 +138,7 @@
     this->metrics.count("goldcrestwood_transfer_bytes_total", labelOf(move.kind), bytes);
     {
         const std::lock_guard lock(this->mutex);
-        this->transfers.finish(id, bytes);
+        this->transfers.finish(id, bytes, monotonicNow());
     }
     if (!moved)
         return std::nullopt;
--- a/src/daemon/upstream_client.cc
+++ b/src/daemon/upstream_client.cc
@@ -98,7 +98,7 @@
             return tl::unexpected(data.error());
         std::vector<std::uint64_t> result;
         const auto movedHashes = data->value(moved, json::array());
-    for (const auto& hash : movedHashes)
+        for (const auto& hash : movedHashes)
             result.push_back(parseHash(hash.get<std::string>()));
         return result;
     }
--- a/support/bench/routing_policies.h
+++ b/support/bench/routing_policies.h
@@ -69,7 +69,7 @@
             this->seeAll(daemon, request);
         auto allowed = [this](const RouteTarget& target) {
             const auto out = this->knownOut && target.domain == this->model.domain(0);
-            return Admission { out ? Refusal::DomainOut : Refusal::None, {} };
+            return UpstreamCheck { out ? Refusal::DomainOut : Refusal::None, {} };
         };
         auto links = [&](const UpstreamId& store) { return this->linkOf(daemon, store); };
         const auto decision = daemon.router.choose(request, allowed, links, this->time(), this->random);
--- a/support/harness.py
+++ b/support/harness.py
@@ -226,7 +226,7 @@
 
     def account_entry(self, account, priority, weight):
         salt = hashlib.sha256(f"salt {account}".encode()).hexdigest()[:32]
-        key_hash = hashlib.sha256(bytes.fromhex(salt) + self.secret(account).encode()).hexdigest()
+        key_hash = hashlib.sha256((salt + self.secret(account)).encode()).hexdigest()
         return (f'[[account]]\nname = "{account}"\nkey_salt = "{salt}"\nkey_hash = "{key_hash}"\n'
                 f'priority = "{priority}"\nweight = {weight}\nrequests_per_second = 200\n\n')
 
--- a/test/router_test.cc
+++ b/test/router_test.cc
@@ -49,7 +49,7 @@
     return request;
 }
 
-const auto allowAll = [](const RouteTarget&) { return Admission {}; };
+const auto allowAll = [](const RouteTarget&) { return UpstreamCheck {}; };
 const auto fastLink = [](const UpstreamId&) { return LinkEstimate { 64e6, 0 }; };
 
 template <typename Allowed>
@@ -117,7 +117,7 @@
     auto router = makeRouter(12);
     router.setVersion(replica(2), VersionName("v2"));
     auto allowed = [](const RouteTarget& target) {
-        return Admission { target.domain == domainOf(0) ? Refusal::DomainOut : Refusal::None, {} };
+        return UpstreamCheck { target.domain == domainOf(0) ? Refusal::DomainOut : Refusal::None, {} };
     };
     for (std::uint64_t prompt = 0; prompt < 200; ++prompt) {
         auto request = makeRequest(prompt, 2);
@@ -129,7 +129,7 @@
         CHECK(decision.runnerUps.front() != decision.upstream);
         router.finish(decision.ticket);
     }
-    auto noPermit = [](const RouteTarget&) { return Admission { Refusal::NoPermit, {} }; };
+    auto noPermit = [](const RouteTarget&) { return UpstreamCheck { Refusal::NoPermit, {} }; };
     const auto refused = router.choose(makeRequest(1, 2), noPermit, fastLink, start, random);
     REQUIRE_FALSE(refused);
     CHECK(refused.error().refusal == Refusal::NoPermit);
