Permits are asked for when a request needs one

Cause: each daemon kept one spare permit at each upstream; with a cold bound of 2 and seven daemons the spares held all of them, and a request waited for a lease of permits to run out (5 s and more). Ruled out: slow engines (a prompt seen before took 7 ms once it had a permit). Change: holders ask for what waits at them, at once; a few admitted requests may look for a permit beyond those held; an upstream that gives none in 60 ms is passed over.

--- a/src/daemon/admission_gate.cc
+++ b/src/daemon/admission_gate.cc
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr Duration tickInterval = std::chrono::milliseconds(20);
+    /// Requests of a service that may look for a permit at once beyond those that hold one.
+    constexpr std::uint32_t seekingPermits = 4;
     constexpr Duration demandInterval = std::chrono::seconds(1);
     /// Demands sent in one interval at most; the least used accounts wait for the next.
     constexpr std::size_t demandsPerInterval = 64;
@@ -125,8 +127,8 @@
         const std::lock_guard lock(this->mutex);
         const auto now = monotonicNow();
         for (const auto& [service, requests] : capacities) {
-            this->capacity[service] = requests;
-            this->admission.setCapacity(service, requests);
+            this->capacity[service] = requests + seekingPermits;
+            this->admission.setCapacity(service, requests + seekingPermits);
             waiting.emplace_back(service, static_cast<std::uint32_t>(this->admission.waiting(service)));
         }
         this->settle(now);
--- a/src/daemon/completion_run.cc
+++ b/src/daemon/completion_run.cc
@@ -10,11 +10,14 @@
 namespace {
 
     /// Wait for a permit at the chosen upstream before another is chosen.
-    constexpr Duration permitPatience = std::chrono::milliseconds(200);
+    constexpr Duration permitPatience = std::chrono::milliseconds(60);
+    /// Wait before the upstreams are tried again after none could be used.
+    constexpr Duration routeRetryWait = std::chrono::milliseconds(20);
     /// Time by which an import may exceed its expected length.
     constexpr Duration importSlack = std::chrono::milliseconds(100);
     /// An export that has not started by then is dropped.
     constexpr Duration exportLimit = std::chrono::seconds(5);
+    constexpr Duration cancelTimeout = std::chrono::milliseconds(500);
     constexpr Duration shortestExpectation = std::chrono::milliseconds(1);
     constexpr int statusOk = 200;
 
@@ -103,19 +106,23 @@
 
 bool CompletionRun::beginPlaced(TimePoint deadline)
 {
-    const PlaceRequest request { this->task.account, this->task.service.name, this->version(), this->task.call.prompt, this->failed };
+    auto avoid = this->failed;
+    avoid.insert(this->full.begin(), this->full.end());
+    const PlaceRequest request { this->task.account, this->task.service.name, this->version(), this->task.call.prompt, avoid };
     auto placement = this->serving.routes.place(request);
     const auto view = this->serving.view.load();
     if (!placement) {
         this->serving.metrics.count("goldcrestwood_route_failures_total");
-        // A failed upstream is better than none once all have failed.
+        // A failed or full upstream is better than none once all were tried.
         this->failed.clear();
-        std::this_thread::sleep_for(std::min<Duration>(permitPatience, deadline - monotonicNow()));
+        this->full.clear();
+        std::this_thread::sleep_for(std::min<Duration>(routeRetryWait, deadline - monotonicNow()));
         return false;
     }
     const auto* upstream = view->upstream(placement->decision.upstream);
     const auto permit = upstream ? this->serving.permits.acquire(upstream->id, permitPatience) : std::nullopt;
     if (!permit) {
+        this->full.insert(placement->decision.upstream);
         this->serving.routes.finish(this->task.service.name, placement->decision.ticket);
         return false;
     }
@@ -246,7 +253,7 @@
             this->next = Step { restart->run, 0, restart->connection, false, true };
         } else if (const auto* cancel = std::get_if<CancelRun>(&action)) {
             if (this->attempt)
-                cancelRun(this->attempt->upstream.address, cancel->run.value, permitPatience);
+                cancelRun(this->attempt->upstream.address, cancel->run.value, cancelTimeout);
         } else if (std::holds_alternative<FinishStream>(action)) {
             this->finish();
         } else if (const auto* failure = std::get_if<FailStream>(&action)) {
--- a/src/daemon/completion_run.h
+++ b/src/daemon/completion_run.h
@@ -86,6 +86,8 @@
     std::optional<Attempt> attempt;
     std::optional<Step> next;
     std::set<UpstreamId> failed;
+    /// Upstreams that gave no permit in time.
+    std::set<UpstreamId> full;
     VersionName pinnedVersion;
     std::string text;
     std::uint32_t attempts = 0;
--- a/src/daemon/permit_service.cc
+++ b/src/daemon/permit_service.cc
@@ -139,7 +139,12 @@
         if (now >= deadline)
             return std::nullopt;
         ++entry->queued;
-        this->granted.wait_for(lock, std::min(deadline - now, 2 * tickInterval));
+        Outbox outbox;
+        this->pollEntry(*entry, now, outbox);
+        lock.unlock();
+        this->deliver(outbox);
+        lock.lock();
+        this->granted.wait_for(lock, std::min(deadline - now, tickInterval), [&] { return this->free(this->find(upstream)) > 0; });
         if (entry = this->find(upstream); entry && entry->queued > 0)
             --entry->queued;
     }
@@ -163,7 +168,11 @@
 std::uint32_t PermitService::free(const UpstreamId& upstream)
 {
     const std::lock_guard lock(this->mutex);
-    auto* entry = this->find(upstream);
+    return this->free(this->find(upstream));
+}
+
+std::uint32_t PermitService::free(const Entry* entry)
+{
     return entry && entry->holder ? entry->holder->free(monotonicNow()) : 0;
 }
 
@@ -293,7 +302,8 @@
     }
     if (!entry.holder || entry.owner.empty())
         return;
-    entry.holder->setWaiting(std::max({ 1U, entry.queued, this->waiting[entry.service] }));
+    const auto share = (this->waiting[entry.service] + preparedUpstreams - 1) / preparedUpstreams;
+    entry.holder->setWaiting(entry.queued + static_cast<std::uint32_t>(share));
     if (const auto request = entry.holder->poll(now))
         outbox.requests.emplace_back(entry.owner, *request);
 }
--- a/src/daemon/permit_service.h
+++ b/src/daemon/permit_service.h
@@ -95,6 +95,7 @@
     void onRequest(const PermitRequest& request);
     void deliver(const Outbox& outbox);
     Entry* find(const UpstreamId& upstream);
+    static std::uint32_t free(const Entry* entry);
     PermitHolder& holderOf(Entry& entry, TimePoint now);
 
     PeerMesh& mesh;
