--- a/include/goldcrestwood/accounts.h
+++ b/include/goldcrestwood/accounts.h
@@ -22,7 +22,8 @@
 struct AdmissionSettings {
     /// Requests that may wait for one service.
     std::size_t queueBound = 1000;
-    /// Part of a service's capacity that Normal and Batch requests may use together.
+    /// Part of a service's capacity that Normal and Batch requests may fill while important requests come; the rest is
+    /// kept free for those, as far as their rate needs it.
     double normalCapacity = 0.9;
     /// Part of a service's capacity that Batch requests may use.
     double batchCapacity = 0.7;
@@ -164,8 +165,10 @@
 
     void noteDemand(const ClientAccount& name, Account& account, TimePoint now);
     std::uint32_t capacityFor(const Service& service, std::size_t rank) const;
-    bool mayRun(const Service& service, std::size_t rank) const;
-    std::array<bool, priorityCount> allowed(const Service& service) const;
+    double serviceSeconds(const Service& service) const;
+    std::uint32_t headroom(const Service& service, TimePoint now) const;
+    bool mayRun(const Service& service, std::size_t rank, TimePoint now) const;
+    std::array<bool, priorityCount> allowed(const Service& service, TimePoint now) const;
     void start(Service& service, const ServiceName& name, AdmissionId id, std::size_t rank, double cost, TimePoint now);
     Duration waitFor(const Service& service, std::size_t rank, double own, TimePoint now) const;
     Duration wait(const Service& service, const Account& account, const ClientAccount& name, double cost, TimePoint now) const;
--- a/include/goldcrestwood/concurrency.h
+++ b/include/goldcrestwood/concurrency.h
@@ -17,16 +17,18 @@
     std::uint32_t max = 32;
     /// Growth of the limit for each round of as many successes as the limit, while cold.
     double rampFactor = 1.5;
-    /// Slowdown of the first token that counts as free of queueing.
-    double tolerance = 1.5;
+    /// Slowdown of the first token, relative to that of the unloaded upstream, that counts as free of queueing.
+    double tolerance = 1.05;
     /// Slowdown that counts as a step when it lasts for `stepSamples`.
     double stepFactor = 4;
     /// Samples in a row above the step.
     std::uint32_t stepSamples = 4;
     /// Errors in a row that count as a burst.
     std::uint32_t burstErrors = 3;
+    /// Part that one first-token time has in the mean; small, for their expectation is an estimate.
+    double sampleWeight = 0.03;
     /// Part that a new gradient has in the limit.
-    double smoothing = 0.2;
+    double smoothing = 0.5;
     /// Slowest relative decrease for a round; a lower gradient is cut off here.
     double lowestGradient = 0.5;
 
@@ -72,12 +74,20 @@
     void restore(std::uint64_t reported, double reached);
 
 private:
+    void addSample(double slowdown, std::uint64_t count);
+    void learnUnloaded(bool used);
+    void questionUnloaded();
+    double relativeSlowdown() const;
     void ramp(bool used);
     void followGradient(bool used);
 
     ConcurrencySettings settings;
     double value;
     double smoothedSlowdown = 0;
+    double unloadedSlowdown = 0;
+    std::uint64_t samples = 0;
+    double fallFrom = 0;
+    double slowdownBeforeFall = 0;
     std::uint64_t currentEpoch = 0;
     std::uint64_t roundSuccesses = 0;
     std::uint64_t errorsInRow = 0;
--- a/src/accounts.cc
+++ b/src/accounts.cc
@@ -14,6 +14,9 @@
     /// Time over which admissions are averaged.
     constexpr Duration admitWindow = std::chrono::seconds(2);
 
+    /// Free places kept for important requests, in standard deviations of how many of them run at once.
+    constexpr double headroomFactor = 1.5;
+
     /// A request that waits is given up early only if its estimate is over its time by so much: estimates vary.
     constexpr double lateFactor = 1.5;
 
@@ -85,7 +88,7 @@
 
     auto& service = this->services[request.service];
     const auto rank = serviceRank(account.priority);
-    if (service.queue.size(rank) == 0 && this->mayRun(service, rank)) {
+    if (service.queue.size(rank) == 0 && this->mayRun(service, rank, now)) {
         this->start(service, request.service, id, rank, request.cost, now);
         return Admitted { id };
     }
@@ -129,7 +132,7 @@
     outcome.refused.swap(this->pushedOut);
     for (auto& [name, service] : this->services) {
         this->refuseLate(service, outcome.refused, now);
-        while (const auto request = service.queue.pop(this->allowed(service))) {
+        while (const auto request = service.queue.pop(this->allowed(service, now))) {
             this->queuedAt.erase(request->id);
             this->start(service, name, request->id, serviceRank(request->priority), request->cost, now);
             outcome.admitted.push_back(request->id);
@@ -199,25 +202,41 @@
     this->demanding.push_back(name);
 }
 
+double Admission::serviceSeconds(const Service& service) const
+{
+    return service.serviceSeconds > 0 ? service.serviceSeconds : toSeconds(this->settings.firstServiceTime);
+}
+
 std::uint32_t Admission::capacityFor(const Service& service, std::size_t rank) const
 {
     const std::array<double, priorityCount> parts { 1, this->settings.normalCapacity, this->settings.batchCapacity };
     return static_cast<std::uint32_t>(std::ceil(parts[rank] * service.capacity));
 }
 
-bool Admission::mayRun(const Service& service, std::size_t rank) const
+std::uint32_t Admission::headroom(const Service& service, TimePoint now) const
 {
-    const auto lower = service.running[1] + service.running[2];
-    if (service.inFlight() >= service.capacity)
-        return false;
-    if (rank >= 1 && lower >= this->capacityFor(service, 1))
+    const auto rate = decayed(service.admitRate[0], now - service.admitAt[0]);
+    const auto concurrent = rate * this->serviceSeconds(service);
+    const auto wanted = std::ceil(headroomFactor * std::sqrt(concurrent));
+    const auto most = std::floor((1 - this->settings.normalCapacity) * service.capacity);
+    return static_cast<std::uint32_t>(std::min(wanted, most));
+}
+
+bool Admission::mayRun(const Service& service, std::size_t rank, TimePoint now) const
+{
+    const auto present = service.inFlight();
+    if (rank == 0 || present >= service.capacity)
+        return present < service.capacity;
+    if (rank == 2 && service.running[2] >= this->capacityFor(service, 2))
         return false;
-    return rank < 2 || service.running[2] < this->capacityFor(service, 2);
+    // Below their guaranteed part lower priorities need not leave the headroom, or steady important load would starve them.
+    const auto lower = service.running[1] + service.running[2];
+    return present + this->headroom(service, now) < service.capacity || lower * this->settings.queue.normalEvery < service.capacity;
 }
 
-std::array<bool, priorityCount> Admission::allowed(const Service& service) const
+std::array<bool, priorityCount> Admission::allowed(const Service& service, TimePoint now) const
 {
-    return { this->mayRun(service, 0), this->mayRun(service, 1), this->mayRun(service, 2) };
+    return { this->mayRun(service, 0, now), this->mayRun(service, 1, now), this->mayRun(service, 2, now) };
 }
 
 void Admission::start(Service& service, const ServiceName& name, AdmissionId id, std::size_t rank, double cost, TimePoint now)
@@ -230,7 +249,7 @@
 
 Duration Admission::waitFor(const Service& service, std::size_t rank, double own, TimePoint now) const
 {
-    const auto seconds = service.serviceSeconds > 0 ? service.serviceSeconds : toSeconds(this->settings.firstServiceTime);
+    const auto seconds = this->serviceSeconds(service);
     const auto full = std::max(service.capacity, 1U) / seconds;
     const auto usable = std::max(this->capacityFor(service, rank), 1U) / seconds;
     double higherWaiting = 0;
--- a/src/concurrency.cc
+++ b/src/concurrency.cc
@@ -10,6 +10,24 @@
     /// Part of the limit when an upstream fails short of a burst.
     constexpr double errorDecrease = 0.8;
 
+    /// Part that a round without load has in the slowdown of the unloaded upstream.
+    constexpr double unloadedWeight = 0.05;
+
+    /// Part that a faster round under load has; small, or chance would lower it step by step.
+    constexpr double loadedWeight = 0.02;
+
+    /// Part to which the limit must have fallen for the slowdown to be compared.
+    constexpr double fallenPart = 0.5;
+
+    /// Slowdown above the tolerance that chance does not explain.
+    constexpr double clearlySlowed = 1.1;
+
+    /// Part of the slowdown that may be left then if it was due to our requests.
+    constexpr double improvedPart = 0.9;
+
+    /// Requests that a limit which is in use tries beyond its present value.
+    constexpr double growth = 1;
+
     /// Part of the limit that must be in use for the limit to grow.
     constexpr double usedPart = 0.5;
 
@@ -43,15 +61,14 @@
             return LimitChange::None;
         }
         this->stepsInRow = 0;
-        this->smoothedSlowdown = this->smoothedSlowdown > 0
-            ? std::lerp(this->smoothedSlowdown, slowdown, this->settings.smoothing)
-            : slowdown;
+        this->addSample(slowdown, std::max<std::uint64_t>(count, 1));
     }
     this->roundSuccesses += count;
     if (this->roundSuccesses < this->limit())
         return LimitChange::None;
     this->roundSuccesses = 0;
     const bool used = inFlight >= usedPart * this->value;
+    this->learnUnloaded(used);
     this->warming ? this->ramp(used) : this->followGradient(used);
     return LimitChange::None;
 }
@@ -71,6 +88,9 @@
 {
     this->value = this->settings.cold;
     this->smoothedSlowdown = 0;
+    this->unloadedSlowdown = 0;
+    this->samples = 0;
+    this->fallFrom = 0;
     this->roundSuccesses = 0;
     this->errorsInRow = 0;
     this->stepsInRow = 0;
@@ -84,9 +104,48 @@
     this->value = std::clamp<double>(reached, this->value, this->settings.max);
 }
 
+void ConcurrencyLimit::addSample(double slowdown, std::uint64_t count)
+{
+    this->samples += count;
+    const auto kept = std::pow(1 - this->settings.sampleWeight, static_cast<double>(count));
+    // The first samples count evenly, until there are enough of them for the usual weight.
+    const auto weight = std::max(1 - kept, static_cast<double>(count) / static_cast<double>(this->samples));
+    this->smoothedSlowdown = std::lerp(this->smoothedSlowdown, slowdown, weight);
+}
+
+void ConcurrencyLimit::learnUnloaded(bool used)
+{
+    // The expected time is an estimate; what an unloaded upstream shows corrects it.
+    if (this->warming && static_cast<double>(this->samples) * this->settings.sampleWeight <= 1)
+        this->unloadedSlowdown = this->smoothedSlowdown;
+    else if (!used)
+        this->unloadedSlowdown = std::lerp(this->unloadedSlowdown, this->smoothedSlowdown, unloadedWeight);
+    else if (this->smoothedSlowdown < this->unloadedSlowdown)
+        this->unloadedSlowdown = std::lerp(this->unloadedSlowdown, this->smoothedSlowdown, loadedWeight);
+    this->questionUnloaded();
+}
+
+void ConcurrencyLimit::questionUnloaded()
+{
+    const bool slowed = this->relativeSlowdown() > this->settings.tolerance;
+    if (slowed && this->value > fallenPart * this->fallFrom)
+        return;
+    // A slowdown that stays although the limit has fallen by half is not due to our requests.
+    const bool clear = this->relativeSlowdown() > clearlySlowed * this->settings.tolerance;
+    if (clear && this->smoothedSlowdown > improvedPart * this->slowdownBeforeFall)
+        this->unloadedSlowdown = this->smoothedSlowdown;
+    this->fallFrom = this->value;
+    this->slowdownBeforeFall = this->smoothedSlowdown;
+}
+
+double ConcurrencyLimit::relativeSlowdown() const
+{
+    return this->unloadedSlowdown > 0 ? this->smoothedSlowdown / this->unloadedSlowdown : 1;
+}
+
 void ConcurrencyLimit::ramp(bool used)
 {
-    const bool slowed = this->smoothedSlowdown > this->settings.tolerance;
+    const bool slowed = this->relativeSlowdown() > this->settings.tolerance;
     if (!slowed && used)
         this->value = std::min<double>(this->settings.max, std::ceil(this->settings.rampFactor * this->value));
     // The ramp ends where the upstream begins to queue; from there the gradient leads.
@@ -96,10 +155,8 @@
 
 void ConcurrencyLimit::followGradient(bool used)
 {
-    if (this->smoothedSlowdown <= 0)
-        return;
-    const auto gradient = std::clamp(this->settings.tolerance / this->smoothedSlowdown, this->settings.lowestGradient, 1.0);
-    const auto target = this->value * gradient + std::sqrt(this->value);
+    const auto gradient = std::clamp(this->settings.tolerance / this->relativeSlowdown(), this->settings.lowestGradient, 1.0);
+    const auto target = this->value * gradient + growth;
     if (target > this->value && !used)
         return;
     const auto next = std::lerp(this->value, target, this->settings.smoothing);
--- /dev/null
+++ b/test/limits_test.cc
@@ -0,0 +1,42 @@
+/// @file
+/// Targets of the policy under overload and while a failure domain returns, on the model of the benchmark.
+
+#include <catch2/catch.hpp>
+
+#include "../support/bench/limits_model.h"
+
+using namespace goldcrestwood;
+using namespace goldcrestwood::bench;
+
+TEST_CASE("important callers hardly feel an overload by large accounts")
+{
+    const auto seed = GENERATE(1, 2, 3);
+    INFO("seed " << seed);
+    const auto results = Model(Policy::Ours, overloadScenario(std::uint64_t(seed))).run();
+    auto p95 = [&](double from, double to, std::size_t first, std::size_t last) {
+        return results.quantile(0.95, [&](const Sample& sample) {
+            return sample.arrival >= from && sample.arrival < to && sample.caller >= first && sample.caller <= last;
+        });
+    };
+    CHECK(p95(60, 120, 0, 0) <= 1.2 * p95(20, 60, 0, 0));
+    // The first seconds are left out: all replicas start cold there.
+    auto refusedOf = [&](std::size_t first, std::size_t last) {
+        return results.count([&](const Sample& sample) {
+            return sample.refused && sample.arrival >= 20 && sample.caller >= first && sample.caller <= last;
+        });
+    };
+    CHECK(refusedOf(0, 0) == 0);
+    CHECK(refusedOf(4, 7) == 0);
+    CHECK(refusedOf(1, 3) > 0);
+    CHECK(results.falls == 0);
+}
+
+TEST_CASE("no replica of a returned failure domain falls over")
+{
+    const auto seed = GENERATE(1, 2, 3);
+    INFO("seed " << seed);
+    const auto results = Model(Policy::Ours, domainScenario(std::uint64_t(seed))).run();
+    CHECK(results.falls == 0);
+    CHECK(results.count([](const Sample& sample) { return sample.lost; }) == 0);
+    CHECK(results.count([](const Sample& sample) { return sample.firstToken > 1.5; }) == 0);
+}
