--- a/include/goldcrestwood/membership.h
+++ b/include/goldcrestwood/membership.h
@@ -26,6 +26,8 @@
     Duration pauseLimit = std::chrono::seconds(2);
     /// While most probes are missed the fault is likely near; verdicts wait at most this long.
     Duration massLossHold = std::chrono::seconds(15);
+    /// Time between two looks at the timers.
+    Duration timerStep = std::chrono::milliseconds(100);
     /// Probes within this time count for contact().
     Duration contactWindow = std::chrono::seconds(4);
     /// A dead member is remembered for this long, so that old news does not revive it.
@@ -176,6 +178,7 @@
     std::map<InstanceId, Contact> contacts;
     std::vector<MembershipAction> pending;
     TimePoint lastPoll;
+    TimePoint nextTimers;
     std::optional<TimePoint> massLossSince;
 
     Member* admit(const InstanceId& id, std::uint64_t incarnation);
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -31,6 +31,7 @@
     : settings(initialSettings)
     , selfMember { std::move(ownId), incarnation, MemberState::Alive, std::move(info), false }
     , lastPoll(now)
+    , nextTimers(now)
 {
     this->announce();
 }
@@ -150,9 +151,12 @@
     if (now - this->lastPoll > this->settings.pauseLimit)
         this->forgivePause(now);
     this->lastPoll = now;
-    this->countMisses(now);
-    this->judge(now);
-    this->forgetOld(now);
+    if (now >= this->nextTimers) {
+        this->nextTimers = now + this->settings.timerStep;
+        this->countMisses(now);
+        this->judge(now);
+        this->forgetOld(now);
+    }
     return std::exchange(this->pending, {});
 }
 
@@ -173,6 +177,7 @@
     std::size_t answered = 0;
     const InstanceId* lowestSilent = nullptr;
     const InstanceId* lowestHeard = &this->selfMember.id;
+    auto found = this->contacts.begin();
     for (const auto& [id, member] : this->peerMembers) {
         if (!this->isLocal(member) || member.info.phase == MemberPhase::Left)
             continue;
@@ -180,12 +185,14 @@
             ++listed;
             continue;
         }
-        const auto found = this->contacts.find(id);
+        while (found != this->contacts.end() && found->first < id)
+            ++found;
+        const bool hasContact = found != this->contacts.end() && found->first == id;
         const auto within = [&](const std::optional<TimePoint>& moment) {
             return moment && now - *moment <= this->settings.contactWindow;
         };
-        const bool heard = found != this->contacts.end() && within(found->second.lastHeard);
-        const bool probed = found != this->contacts.end() && within(found->second.lastProbe);
+        const bool heard = hasContact && within(found->second.lastHeard);
+        const bool probed = hasContact && within(found->second.lastProbe);
         ++(member.state == MemberState::Dead ? dead : live);
         if (heard && *lowestHeard > id)
             lowestHeard = &id;
--- a/test/peers_loopback.h
+++ b/test/peers_loopback.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -138,6 +139,7 @@
     PeersSettings settings;
     Random random;
     LoopbackFaults faults;
+    std::set<std::pair<std::size_t, std::size_t>> brokenLinks; ///< Lower index first.
     Hook hook;
     std::vector<LoopbackNode> nodes;
     TimePoint now = TimePoint(std::chrono::hours(1));
@@ -190,6 +192,9 @@
     void deliver(InFlight message)
     {
         auto& receiver = this->nodes[message.to];
+        const auto link = std::minmax(message.from, message.to);
+        if (this->brokenLinks.contains({ link.first, link.second }))
+            return;
         if (!receiver.peers || receiver.side != this->nodes[message.from].side)
             return;
         if (this->isPaused(message.to)) {
