--- a/include/goldcrestwood/journal_messages.h
+++ b/include/goldcrestwood/journal_messages.h
@@ -327,7 +327,7 @@
     std::string body;
     /// Size of the whole answer.
     std::uint64_t bodyBytes = 0;
-    /// SHA-256 of the whole answer, hexadecimal.
+    /// SHA-256 of the whole answer, hexadecimal, if the body is not kept.
     std::string bodyDigest;
     /// Wall time since 1970 at the writer.
     Duration at = Duration(0);
--- a/src/claims.cc
+++ b/src/claims.cc
@@ -79,9 +79,10 @@
     std::string body, const ClaimTableSettings& settings)
 {
     ClaimOutcome outcome { key, id, OutcomeKind::Answered, status, std::move(contentType), {}, body.size(), {}, {} };
-    outcome.bodyDigest = hexadecimal(sha256(body));
     if (body.size() <= settings.outcomeBody)
         outcome.body = std::move(body);
+    else
+        outcome.bodyDigest = hexadecimal(sha256(body));
     return outcome;
 }
 
