Journals that share a rate-limited log space their appends

Cause: group commit bounds a daemon's appends by one over the round trip, 200 a second at 5 ms; 64 claim streams together ask for 2,100, and the log takes several hundred from all. Ruled out: a fixed interval, which needs the number of writers and costs delay when nothing limits. Change: each refusal doubles the time between two appends, each success adds half an append a second to the rate.

--- a/include/goldcrestwood/journal.h
+++ b/include/goldcrestwood/journal.h
@@ -50,6 +50,12 @@
     Duration backoffCeiling = std::chrono::seconds(2);
     /// A fold that had reached the end of the log this long ago counts as current; above twice readWait.
     Duration freshness = std::chrono::seconds(5);
+    /// Wait between the starts of two appends after the first refusal; it doubles with each refusal.
+    Duration spacingFloor = std::chrono::milliseconds(10);
+    /// Longest such wait; 0 for none.
+    Duration spacingCeiling = std::chrono::milliseconds(400);
+    /// Appends a second that each success adds, until nothing limits them.
+    double spacingRecovery = 0.5;
     /// The log counts as down when an exchange has been failing for this long.
     Duration outageAfter = std::chrono::seconds(1);
     /// Writers that the fold remembers; the one silent for longest is forgotten first.
@@ -273,6 +279,7 @@
         TimePoint until;
     };
 
+    TimePoint nextAppend() const;
     void fail(Backoff& backoff, TimePoint now, Random& random, std::optional<Duration> atLeast);
     void expireQueue(TimePoint now, std::vector<Completion>& completions);
     void startAppend(TimePoint now, std::vector<JournalAction>& actions);
@@ -281,6 +288,8 @@
     AppendAction makeFence();
     std::vector<Completion> lose(TimePoint now);
     void putBack();
+    void widenSpacing();
+    void narrowSpacing();
     void applyRecord(const StoredRecord& stored, JournalUpdate& update);
     void resolve(const RecordId& seen, std::uint64_t offset, bool counts, std::vector<Completion>& completions);
 
@@ -314,6 +323,8 @@
     std::deque<RecordId> unresolved;
     std::uint64_t lostThrough = 0;
     TimePoint fenceAt;
+    Duration spacing = Duration(0);
+    TimePoint appendStarted;
     std::optional<ReadAction> read;
     Backoff appendBackoff;
     Backoff readBackoff;
--- a/src/journal.cc
+++ b/src/journal.cc
@@ -139,13 +139,14 @@
 
 void Journal::startAppend(TimePoint now, std::vector<JournalAction>& actions)
 {
-    if (this->append || this->superseded || now < this->appendBackoff.until)
+    if (this->append || this->superseded || now < this->nextAppend())
         return;
     const bool isLost = this->lostThrough != 0;
     if (isLost ? now < this->fenceAt : this->queue.empty())
         return;
     this->appendingFence = isLost;
     this->append = isLost ? this->makeFence() : this->makeBatch();
+    this->appendStarted = now;
     this->append->exchange = this->nextExchange++;
     this->append->deadline = now + this->settings.appendDeadline;
     actions.emplace_back(*this->append);
@@ -209,6 +210,7 @@
     this->append.reset();
     if (std::holds_alternative<AppendOk>(result)) {
         this->appendBackoff = {};
+        this->narrowSpacing();
         this->appending.clear();
         if (this->appendingFence)
             this->fenceAt = now + this->settings.appendDeadline;
@@ -216,6 +218,7 @@
     }
     if (const auto* rejected = std::get_if<AppendRejected>(&result)) {
         this->fail(this->appendBackoff, now, random, rejected->retryAfter);
+        this->widenSpacing();
         this->putBack();
         return {};
     }
@@ -223,6 +226,28 @@
     return this->lose(now);
 }
 
+TimePoint Journal::nextAppend() const
+{
+    return std::max(this->appendBackoff.until, this->appendStarted + this->spacing);
+}
+
+// All writers share the log's rate: each halves its own at a refusal and raises it by a fixed step at a success, so that
+// their shares draw level. What waits meanwhile goes into larger batches.
+void Journal::widenSpacing()
+{
+    const Duration wider = this->spacing * 2;
+    this->spacing = std::min(this->settings.spacingCeiling, std::max(this->settings.spacingFloor, wider));
+}
+
+void Journal::narrowSpacing()
+{
+    if (this->spacing == Duration(0))
+        return;
+    const auto rate = 1 / toSeconds(this->spacing) + this->settings.spacingRecovery;
+    const auto narrower = fromSeconds(1 / rate);
+    this->spacing = narrower < this->settings.spacingFloor / 2 ? Duration(0) : narrower;
+}
+
 void Journal::putBack()
 {
     // What was read back meanwhile is in the log, whatever the answer says.
@@ -404,8 +429,8 @@
     if (this->append)
         return std::min(wake, this->append->deadline);
     if (this->lostThrough != 0)
-        return std::min(wake, std::max(this->fenceAt, this->appendBackoff.until));
-    return this->queue.empty() ? wake : std::min(wake, this->appendBackoff.until);
+        return std::min(wake, std::max(this->fenceAt, this->nextAppend()));
+    return this->queue.empty() ? wake : std::min(wake, this->nextAppend());
 }
 
 } // namespace goldcrestwood
