--- a/include/goldcrestwood/journal.h
+++ b/include/goldcrestwood/journal.h
@@ -202,9 +202,15 @@
     Journal(const JournalSettings& settings, InstanceId self, std::uint64_t incarnation, std::set<std::string> knownKinds);
 
     /// Queues a record for the next append.
+    /// @param now Ids follow it, so that a second journal of the same incarnation repeats no id of the first.
     /// @return The record's id, which its completions name.
     tl::expected<RecordId, SubmitError> submit(std::string_view kind, std::string payload, TimePoint now);
 
+    /// Queues large records that may wait, such as the chunks of a snapshot: each goes along when nothing else waits.
+    /// They have no completions and no bound but the caller's.
+    /// @return Whether they were taken; not while earlier ones wait.
+    bool submitBackground(std::string_view kind, const std::vector<std::string>& payloads);
+
     /// Takes back a record that has not been sent.
     /// @return Whether it is certain that the record will never be appended; there is no completion then.
     bool cancel(const RecordId& id);
@@ -271,6 +277,11 @@
         TimePoint since;
     };
 
+    struct Background {
+        std::string kind;
+        std::string payload;
+    };
+
     /// Failures in a row of one kind of exchange.
     struct Backoff {
         std::uint32_t failures = 0;
@@ -284,7 +295,9 @@
     void expireQueue(TimePoint now, std::vector<Completion>& completions);
     void startAppend(TimePoint now, std::vector<JournalAction>& actions);
     void startRead(TimePoint now, std::vector<JournalAction>& actions);
-    AppendAction makeBatch();
+    AppendAction makeBatch(TimePoint now);
+    void addBackground(AppendAction& batch, TimePoint now);
+    RecordId nextId(TimePoint now);
     AppendAction makeFence();
     std::vector<Completion> lose(TimePoint now);
     void putBack();
@@ -312,10 +325,11 @@
     std::uint64_t skippedRecords = 0;
     std::uint64_t droppedRecords = 0;
 
-    std::uint64_t nextSequence = 2;
+    std::uint64_t lastSequence = 0;
     std::uint64_t nextExchange = 1;
     std::deque<Queued> queue;
     std::size_t queuedBytes = 0;
+    std::deque<Background> background;
 
     std::optional<AppendAction> append;
     std::vector<Queued> appending;
--- a/src/daemon/journal_driver.h
+++ b/src/daemon/journal_driver.h
@@ -185,8 +185,10 @@
         if (!this->gate.isReady() || !this->schedule.isDue(holdsLease, now))
             return;
         const RecordId writer { this->self.instance, this->self.incarnation, ++this->snapshotCount };
+        std::vector<std::string> chunks;
         for (const auto& chunk : makeChunks(this->currentState(), writer, snapshotSettings))
-            (void)this->journal.submit("SnapshotChunk", encode(chunk), now);
+            chunks.push_back(encode(chunk));
+        this->journal.submitBackground("SnapshotChunk", chunks);
         this->changed.notify_all();
     }
 
--- a/src/journal.cc
+++ b/src/journal.cc
@@ -87,7 +87,7 @@
 {
     if (this->superseded)
         return tl::unexpected(SubmitError::Superseded);
-    const RecordId id { this->self, this->incarnation, this->nextSequence };
+    const auto id = this->nextId(now);
     auto bytes = encodeRecord(id, kind, std::move(payload));
     if (bytes.size() > this->settings.batchBytes)
         return tl::unexpected(SubmitError::TooLarge);
@@ -95,12 +95,27 @@
         || this->queuedBytes + bytes.size() > this->settings.queueBytes;
     if (isFull)
         return tl::unexpected(SubmitError::QueueFull);
-    this->nextSequence += sequenceStep;
+    this->lastSequence = id.sequence;
     this->queuedBytes += bytes.size();
     this->queue.push_back({ id, std::move(bytes), now });
     return id;
 }
 
+RecordId Journal::nextId(TimePoint now)
+{
+    const auto clock = static_cast<std::uint64_t>(now.time_since_epoch().count()) * sequenceStep;
+    return { this->self, this->incarnation, std::max(this->lastSequence + sequenceStep, clock) };
+}
+
+bool Journal::submitBackground(std::string_view kind, const std::vector<std::string>& payloads)
+{
+    if (!this->background.empty() || this->superseded)
+        return false;
+    for (const auto& payload : payloads)
+        this->background.push_back({ std::string(kind), payload });
+    return true;
+}
+
 bool Journal::cancel(const RecordId& id)
 {
     const auto place = std::find_if(
@@ -142,17 +157,17 @@
     if (this->append || this->superseded || now < this->nextAppend())
         return;
     const bool isLost = this->lostThrough != 0;
-    if (isLost ? now < this->fenceAt : this->queue.empty())
+    if (isLost ? now < this->fenceAt : this->queue.empty() && this->background.empty())
         return;
     this->appendingFence = isLost;
-    this->append = isLost ? this->makeFence() : this->makeBatch();
+    this->append = isLost ? this->makeFence() : this->makeBatch(now);
     this->appendStarted = now;
     this->append->exchange = this->nextExchange++;
     this->append->deadline = now + this->settings.appendDeadline;
     actions.emplace_back(*this->append);
 }
 
-AppendAction Journal::makeBatch()
+AppendAction Journal::makeBatch(TimePoint now)
 {
     AppendAction batch;
     std::size_t bytes = 0;
@@ -168,9 +183,24 @@
         this->appending.push_back(std::move(next));
         this->queue.pop_front();
     }
+    // Ids grow along the log, so a record that gets its id now must not pass one that waits.
+    if (this->queue.empty() && !this->background.empty())
+        this->addBackground(batch, now);
     return batch;
 }
 
+void Journal::addBackground(AppendAction& batch, TimePoint now)
+{
+    const auto id = this->nextId(now);
+    this->lastSequence = id.sequence;
+    auto& [kind, payload] = this->background.front();
+    Queued record { id, encodeRecord(id, kind, std::move(payload)), now };
+    this->background.pop_front();
+    batch.records.push_back(record.bytes);
+    this->unresolved.push_back(id);
+    this->appending.push_back(std::move(record));
+}
+
 AppendAction Journal::makeFence()
 {
     AppendAction batch;
@@ -430,7 +460,8 @@
         return std::min(wake, this->append->deadline);
     if (this->lostThrough != 0)
         return std::min(wake, std::max(this->fenceAt, this->nextAppend()));
-    return this->queue.empty() ? wake : std::min(wake, this->nextAppend());
+    const bool isIdle = this->queue.empty() && this->background.empty();
+    return isIdle ? wake : std::min(wake, this->nextAppend());
 }
 
 } // namespace goldcrestwood
--- a/test/journal_test.cc
+++ b/test/journal_test.cc
@@ -232,6 +232,34 @@
     CHECK(reader.dropped() == 1);
 }
 
+TEST_CASE("a journal that is made again in the same incarnation repeats no id, and large records wait for small ones")
+{
+    Random random(1);
+    const TimePoint now(1h);
+    Journal earlier(JournalSettings(), InstanceId("a"), 1, { "Note" });
+    const auto before = *earlier.submit("Note", "1", now);
+    JournalSettings settings;
+    settings.batchRecords = 2;
+    Journal journal(settings, InstanceId("a"), 1, { "Note" });
+    CHECK(journal.submitBackground("SnapshotChunk", { "large", "larger" }));
+    CHECK_FALSE(journal.submitBackground("SnapshotChunk", { "large" }));
+    std::vector<std::size_t> sizes;
+    auto last = before;
+    for (int round = 0; round < 3; ++round) {
+        for (int note = 0; note < 3 && round == 0; ++note)
+            REQUIRE(journal.submit("Note", "2", now + 1us));
+        const auto batch = std::get<AppendAction>(journal.poll(now + 2us, random).actions.at(0));
+        for (const auto& bytes : batch.records) {
+            const auto id = decode<LogRecord>(bytes)->id;
+            CHECK(id > last);
+            last = id;
+        }
+        sizes.push_back(batch.records.size());
+        journal.onAppendResult(batch.exchange, AppendOk { 0 }, now + 3us, random);
+    }
+    CHECK(sizes == std::vector<std::size_t> { 2, 2, 1 });
+}
+
 TEST_CASE("in an outage waiting records are given up for certain and the journal says so")
 {
     Random random(1);
--- a/test/simulation.h
+++ b/test/simulation.h
@@ -231,8 +231,10 @@
         auto chunks = makeChunks(this->state(), { this->instance, this->process.life, ++this->snapshots }, SnapshotSettings { .chunkBytes = 256 });
         if (isCutShort)
             chunks.pop_back();
+        std::vector<std::string> payloads;
         for (const auto& chunk : chunks)
-            (void)this->journal.submit("SnapshotChunk", encode(chunk), this->process.world.now);
+            payloads.push_back(encode(chunk));
+        this->journal.submitBackground("SnapshotChunk", payloads);
     }
 
     bool adopt(const FoldState& state)
