--- a/include/goldcrestwood/prefix_index.h
+++ b/include/goldcrestwood/prefix_index.h
@@ -31,6 +31,11 @@
     double diskRestartConfidence = 0.6;
     /// Confidence in a block that was promised by a route decision and not yet reported.
     double expectedConfidence = 0.8;
+    /// Unreported blocks in a row that are taken as held when the next one is: holders drop the end of a
+    /// chain first, so that a hole is more likely a lost event.
+    std::uint32_t maxBridge = 2;
+    /// Confidence in such a block.
+    double bridgeConfidence = 0.8;
     /// Time that each earlier touch adds to a block's usefulness.
     Duration touchBonus = std::chrono::minutes(10);
 };
@@ -62,9 +67,12 @@
     /// Takes a route decision as a promise that the upstream will hold the chain.
     void expect(const ChainPlaced& placed, TimePoint now);
 
-    /// Takes what was seen when an engine answered.
+    /// Takes that an engine has answered a prompt.
     void observe(const ChainUsed& used, TimePoint now);
 
+    /// Takes what an import or export showed, which fills in for lost events.
+    void observe(const BlocksSeen& seen, TimePoint now);
+
     /// Forgets what a holder holds, for example once it has left.
     void forget(const UpstreamId& holder);
 
@@ -117,6 +125,17 @@
     void put(ChainHash hash, const Holding& holding, TimePoint now);
     void remove(ChainHash hash, Slot slot, Tier tier);
     void touch(const std::vector<ChainHash>& chain, TimePoint now);
+    struct Run {
+        Slot slot = 0;
+        Tier tier = Tier::EngineMemory;
+        std::uint32_t first = 0;
+        std::uint32_t blocks = 0;
+        double confidence = 0;
+
+        std::uint32_t end() const { return this->first + this->blocks; }
+    };
+
+    void extend(std::vector<Run>& runs, const Holding& holding, std::uint32_t place) const;
     void addEngines(const std::vector<const Block*>& found, ChainCoverage& coverage) const;
     void addStores(const std::vector<const Block*>& found, ChainCoverage& coverage) const;
 
--- a/include/goldcrestwood/prefix_messages.h
+++ b/include/goldcrestwood/prefix_messages.h
@@ -166,18 +166,28 @@
     bool operator==(const ChainPlaced&) const = default;
 };
 
-/// Tells the owner of a chain that an engine answered its prompt, and which hints were wrong.
+/// Tells the owner of a chain that an engine answered its prompt and so holds all of its blocks.
 struct ChainUsed {
     /// The engine that answered.
     UpstreamId upstream;
     /// Block hashes of the chain in order.
     std::vector<std::uint64_t> hashes;
-    /// The store that blocks were to come from; empty without an import.
+
+    bool operator==(const ChainUsed&) const = default;
+};
+
+/// Tells the owner of a chain what an import or export showed about a store, besides the store's own events.
+struct BlocksSeen {
+    /// The store instance.
     UpstreamId store;
-    /// Blocks that this store turned out not to have.
+    /// Where the held blocks are now.
+    Tier tier = Tier::EngineMemory;
+    /// Blocks that it holds.
+    std::vector<std::uint64_t> held;
+    /// Blocks that it turned out not to have.
     std::vector<std::uint64_t> absent;
 
-    bool operator==(const ChainUsed&) const = default;
+    bool operator==(const BlocksSeen&) const = default;
 };
 
 /// Tells the owner of a store's link how much of it a daemon wants.
@@ -264,6 +274,11 @@
 tl::expected<ChainUsed, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const ChainUsed& message);
 template <>
+std::string encode(const BlocksSeen& message);
+template <>
+tl::expected<BlocksSeen, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const BlocksSeen& message);
+template <>
 std::string encode(const LinkDemand& message);
 template <>
 tl::expected<LinkDemand, DecodeError> decode(std::string_view bytes);
--- a/src/export_policy.cc
+++ b/src/export_policy.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 
 namespace goldcrestwood {
 
@@ -26,12 +27,12 @@
         return target.link.bytesPerSecond > 0 && backlog <= toSeconds(settings.maxBacklog);
     }
 
-    /// @return The target for a further copy in a domain that has none, by the chain's hash, or null.
-    const ExportTarget* chooseTarget(const std::vector<const ExportTarget*>& targets, ChainHash firstBlock,
+    /// @return The target for a further copy in a domain that has none, by the hash @p key, or null.
+    const ExportTarget* chooseTarget(const std::vector<const ExportTarget*>& targets, ChainHash key,
         const std::vector<FailureDomain>& taken)
     {
         const ExportTarget* best = nullptr;
-        auto score = [&](const ExportTarget& target) { return stableHash(target.store.value, firstBlock.value); };
+        auto score = [&](const ExportTarget& target) { return stableHash(target.store.value, key.value); };
         for (const auto* target : targets) {
             if (std::find(taken.begin(), taken.end(), target->domain) != taken.end())
                 continue;
@@ -53,6 +54,7 @@
         if (hasRoom(settings, target))
             usable.push_back(&target);
     }
+    std::optional<ChainHash> spreadKey;
     std::map<UpstreamId, std::vector<std::uint32_t>> orders;
     for (std::uint32_t block = 0; block < chain.size(); ++block) {
         const auto touches = block < coverage.touches.size() ? coverage.touches[block] + 1 : 1;
@@ -67,7 +69,10 @@
         std::vector<FailureDomain> taken;
         for (const auto& store : stores)
             taken.push_back(domains[store]);
-        const auto* target = chooseTarget(usable, chain.front(), taken);
+        // Blocks that many prompts share and those of one prompt alone are spread apart.
+        if (stores.empty() && !spreadKey)
+            spreadKey = chain[block];
+        const auto* target = chooseTarget(usable, spreadKey.value_or(chain[block]), taken);
         const auto secondCopy = !stores.empty();
         if (target && !(secondCopy && target->fill > settings.maxCopyFill))
             orders[target->store].push_back(block);
--- a/src/prefix_index.cc
+++ b/src/prefix_index.cc
@@ -144,12 +144,20 @@
     // Once it has answered, the engine holds the whole chain, whether found or computed.
     for (const auto hash : used.hashes)
         this->put(ChainHash { hash }, { slot, generation, Tier::EngineMemory, false }, now);
-    const auto store = this->slots.find(used.store);
-    if (store == this->slots.end())
-        return;
-    for (const auto hash : used.absent) {
-        this->remove(ChainHash { hash }, store->second, Tier::StoreMemory);
-        this->remove(ChainHash { hash }, store->second, Tier::StoreDisk);
+}
+
+void PrefixIndex::observe(const BlocksSeen& seen, TimePoint now)
+{
+    const auto slot = this->slotOf(seen.store);
+    const auto generation = this->holders[slot].generation;
+    const auto otherTier = seen.tier == Tier::StoreDisk ? Tier::StoreMemory : Tier::StoreDisk;
+    for (const auto hash : seen.held) {
+        this->remove(ChainHash { hash }, slot, otherTier);
+        this->put(ChainHash { hash }, { slot, generation, seen.tier, false }, now);
+    }
+    for (const auto hash : seen.absent) {
+        this->remove(ChainHash { hash }, slot, Tier::StoreMemory);
+        this->remove(ChainHash { hash }, slot, Tier::StoreDisk);
     }
 }
 
@@ -242,35 +250,36 @@
     }
 }
 
-void PrefixIndex::addEngines(const std::vector<const Block*>& found, ChainCoverage& coverage) const
+void PrefixIndex::extend(std::vector<Run>& runs, const Holding& holding, std::uint32_t place) const
 {
-    struct Run {
-        Slot slot = 0;
-        std::uint32_t blocks = 0;
-        double confidence = 0;
+    const auto sure = this->confidence(holding);
+    if (sure == 0)
+        return;
+    const auto inEngine = holding.tier == Tier::EngineMemory;
+    auto reaches = [&](const Run& run) {
+        return run.slot == holding.slot && run.tier == holding.tier && run.end() <= place
+            && run.end() + this->settings.maxBridge >= place;
     };
+    auto run = std::find_if(runs.begin(), runs.end(), reaches);
+    if (run == runs.end()) {
+        if (inEngine && place > this->settings.maxBridge)
+            return;
+        run = runs.insert(run, Run { holding.slot, holding.tier, inEngine ? 0 : place, 0, 0 });
+    }
+    run->confidence += sure + (place - run->end()) * this->settings.bridgeConfidence;
+    run->blocks = place + 1 - run->first;
+}
+
+void PrefixIndex::addEngines(const std::vector<const Block*>& found, ChainCoverage& coverage) const
+{
     std::vector<Run> runs;
-    std::uint32_t depth = 0;
-    for (const auto* block : found) {
-        auto extended = false;
-        if (!block)
-            break;
-        for (const auto& holding : block->holdings) {
-            const auto sure = this->confidence(holding);
-            if (holding.tier != Tier::EngineMemory || sure == 0)
-                continue;
-            auto run = std::find_if(runs.begin(), runs.end(), [&](const Run& other) { return other.slot == holding.slot; });
-            if (run == runs.end() && depth == 0)
-                run = runs.insert(run, Run { holding.slot, 0, 0 });
-            if (run == runs.end() || run->blocks != depth)
-                continue;
-            ++run->blocks;
-            run->confidence += sure;
-            extended = true;
+    for (std::uint32_t place = 0; place < found.size(); ++place) {
+        if (!found[place])
+            continue;
+        for (const auto& holding : found[place]->holdings) {
+            if (holding.tier == Tier::EngineMemory)
+                this->extend(runs, holding, place);
         }
-        if (!extended)
-            break;
-        ++depth;
     }
     std::sort(runs.begin(), runs.end(), [](const Run& left, const Run& right) { return left.confidence > right.confidence; });
     for (const auto& run : runs) {
@@ -282,29 +291,13 @@
 
 void PrefixIndex::addStores(const std::vector<const Block*>& found, ChainCoverage& coverage) const
 {
-    struct Run {
-        Slot slot = 0;
-        Tier tier = Tier::StoreMemory;
-        std::uint32_t first = 0;
-        std::uint32_t blocks = 0;
-        double confidence = 0;
-    };
     std::vector<Run> runs;
-    for (std::uint32_t i = 0; i < found.size(); ++i) {
-        if (!found[i])
+    for (std::uint32_t place = 0; place < found.size(); ++place) {
+        if (!found[place])
             continue;
-        for (const auto& holding : found[i]->holdings) {
-            const auto sure = this->confidence(holding);
-            if (holding.tier == Tier::EngineMemory || sure == 0)
-                continue;
-            auto continues = [&](const Run& run) {
-                return run.slot == holding.slot && run.tier == holding.tier && run.first + run.blocks == i;
-            };
-            auto run = std::find_if(runs.begin(), runs.end(), continues);
-            if (run == runs.end())
-                run = runs.insert(run, Run { holding.slot, holding.tier, i, 0, 0 });
-            ++run->blocks;
-            run->confidence += sure;
+        for (const auto& holding : found[place]->holdings) {
+            if (holding.tier != Tier::EngineMemory)
+                this->extend(runs, holding, place);
         }
     }
     if (runs.size() > this->settings.maxStoreRuns) {
