Remember what a holder dropped, so that a hole in its events is told from a hole in its chain

Entries now keep that a block is gone, a store's eviction from memory is taken as a move to disk, and a feed forgets dropped blocks first.

--- a/include/goldcrestwood/holder_feed.h
+++ b/include/goldcrestwood/holder_feed.h
@@ -53,10 +53,13 @@
         for (const auto& event : answer.events) {
             if (!this->advance(event.sequence))
                 continue;
-            if (const auto* known = this->firstBlocks.find(ChainHash { event.hash }))
-                concerned[ownerOf(known->firstBlock)].push_back(event);
-            else
+            auto* known = this->firstBlocks.find(ChainHash { event.hash });
+            if (!known) {
                 ++this->unknown;
+                continue;
+            }
+            known->gone = event.kind == HolderEventKind::Evicted && event.tier != Tier::StoreMemory;
+            concerned[ownerOf(known->firstBlock)].push_back(event);
         }
         return this->address(answer, std::move(concerned));
     }
@@ -70,8 +73,9 @@
     struct Known {
         ChainHash firstBlock;
         TimePoint placedAt;
+        bool gone = false;
 
-        TimePoint usefulness() const { return this->placedAt; }
+        TimePoint usefulness() const { return this->gone ? TimePoint::min() : this->placedAt; }
     };
 
     bool enter(const HolderEvents& answer);
--- a/include/goldcrestwood/prefix_index.h
+++ b/include/goldcrestwood/prefix_index.h
@@ -88,11 +88,19 @@
 private:
     using Slot = std::uint32_t;
 
+    enum class HoldingState : std::uint8_t {
+        Reported, ///< The holder or a reader said so.
+        Expected, ///< It follows from a route decision or from how holders work.
+        Gone, ///< The holder dropped it.
+    };
+
     struct Holding {
+        std::uint64_t generation = 0;
         Slot slot = 0;
-        std::uint32_t generation = 0;
         Tier tier = Tier::EngineMemory;
-        bool expected = false;
+        HoldingState state = HoldingState::Reported;
+
+        bool samePlace(const Holding& other) const { return this->slot == other.slot && this->tier == other.tier; }
     };
 
     struct Block {
@@ -108,22 +116,23 @@
         UpstreamId id;
         std::uint64_t epoch = 0;
         std::uint64_t lastSequence = 0;
-        /// Grows with each gap, by the lost changes in thousandths of the blocks held. Entries of earlier
+        /// Grows with each gap, by the lost changes in millionths of the blocks held. Entries of earlier
         /// generations are doubtful, those before the epoch's first more so.
-        std::uint32_t generation = 1;
-        std::uint32_t epochGeneration = 1;
+        std::uint64_t generation = 1;
+        std::uint64_t epochGeneration = 1;
         /// Entries of earlier generations belong to a holder that was forgotten.
-        std::uint32_t firstGeneration = 1;
+        std::uint64_t firstGeneration = 1;
         bool epochKnown = false;
         bool sequenceKnown = false;
     };
 
     Slot slotOf(const UpstreamId& id);
     bool enterEpoch(Holder& holder, std::uint64_t epoch);
-    std::uint32_t raiseDoubt(Holder& holder, std::uint64_t lost, std::uint64_t held);
+    std::uint64_t raiseDoubt(Holder& holder, std::uint64_t lost, std::uint64_t held);
     double confidence(const Holding& holding) const;
     void put(ChainHash hash, const Holding& holding, TimePoint now);
     void remove(ChainHash hash, Slot slot, Tier tier);
+    void evict(ChainHash hash, const Holding& evicted, TimePoint now);
     void touch(const std::vector<ChainHash>& chain, TimePoint now);
     struct Run {
         Slot slot = 0;
@@ -135,9 +144,13 @@
         std::uint32_t end() const { return this->first + this->blocks; }
     };
 
-    void extend(std::vector<Run>& runs, const Holding& holding, std::uint32_t place) const;
-    void addEngines(const std::vector<const Block*>& found, ChainCoverage& coverage) const;
-    void addStores(const std::vector<const Block*>& found, ChainCoverage& coverage) const;
+    using Blocks = std::vector<const Block*>;
+
+    bool canBridge(const Run& run, const Blocks& found, std::uint32_t place) const;
+    std::vector<Run> findRuns(const Blocks& found, bool inEngines) const;
+    void extend(std::vector<Run>& runs, const Holding& holding, const Blocks& found, std::uint32_t place) const;
+    void addEngines(const Blocks& found, ChainCoverage& coverage) const;
+    void addStores(const Blocks& found, ChainCoverage& coverage) const;
 
     PrefixIndexSettings settings;
     SampledMap<ChainHash, Block> entries;
--- a/src/holder_feed.cc
+++ b/src/holder_feed.cc
@@ -14,7 +14,7 @@
 void HolderFeed::place(const std::vector<ChainHash>& chain, TimePoint now)
 {
     for (const auto hash : chain)
-        this->firstBlocks.at(hash) = Known { chain.front(), now };
+        this->firstBlocks.at(hash) = Known { chain.front(), now, false };
 }
 
 bool HolderFeed::enter(const HolderEvents& answer)
--- a/src/prefix_index.cc
+++ b/src/prefix_index.cc
@@ -9,7 +9,7 @@
 
     constexpr std::uint16_t maxTouches = std::numeric_limits<std::uint16_t>::max();
     /// Growth of a holder's generation when all of its blocks are in doubt.
-    constexpr std::uint64_t fullDoubt = 1000;
+    constexpr std::uint64_t fullDoubt = 1'000'000;
     /// Touches beyond this add nothing to a block's usefulness.
     constexpr std::uint16_t countedTouches = 6;
 
@@ -56,11 +56,11 @@
     return slot;
 }
 
-std::uint32_t PrefixIndex::raiseDoubt(Holder& holder, std::uint64_t lost, std::uint64_t held)
+std::uint64_t PrefixIndex::raiseDoubt(Holder& holder, std::uint64_t lost, std::uint64_t held)
 {
     const auto share = held > 0 ? std::min(lost * fullDoubt / held + 1, fullDoubt) : fullDoubt;
     const auto before = holder.generation;
-    holder.generation += static_cast<std::uint32_t>(share);
+    holder.generation += share;
     ++this->total.gaps;
     return before;
 }
@@ -105,9 +105,9 @@
         // A later change of the same block may be among the lost ones.
         const auto generation = event.sequence <= batch.after ? uncertainGeneration : holder.generation;
         if (event.kind == HolderEventKind::Stored)
-            this->put(ChainHash { event.hash }, { slot, generation, event.tier, false }, now);
+            this->put(ChainHash { event.hash }, { generation, slot, event.tier, HoldingState::Reported }, now);
         else
-            this->remove(ChainHash { event.hash }, slot, event.tier);
+            this->evict(ChainHash { event.hash }, { generation, slot, event.tier, HoldingState::Gone }, now);
     }
     holder.lastSequence = batch.last;
     holder.sequenceKnown = true;
@@ -124,7 +124,7 @@
     // What the snapshot lacks is most likely gone.
     holder.epochGeneration = ++holder.generation;
     for (const auto& block : snapshot.blocks)
-        this->put(ChainHash { block.hash }, { slot, holder.generation, block.tier, false }, now);
+        this->put(ChainHash { block.hash }, { holder.generation, slot, block.tier, HoldingState::Reported }, now);
     holder.lastSequence = snapshot.sequence;
     holder.sequenceKnown = true;
 }
@@ -134,7 +134,7 @@
     const auto slot = this->slotOf(placed.upstream);
     const auto generation = this->holders[slot].generation;
     for (const auto hash : placed.hashes)
-        this->put(ChainHash { hash }, { slot, generation, Tier::EngineMemory, true }, now);
+        this->put(ChainHash { hash }, { generation, slot, Tier::EngineMemory, HoldingState::Expected }, now);
 }
 
 void PrefixIndex::observe(const ChainUsed& used, TimePoint now)
@@ -143,7 +143,7 @@
     const auto generation = this->holders[slot].generation;
     // Once it has answered, the engine holds the whole chain, whether found or computed.
     for (const auto hash : used.hashes)
-        this->put(ChainHash { hash }, { slot, generation, Tier::EngineMemory, false }, now);
+        this->put(ChainHash { hash }, { generation, slot, Tier::EngineMemory, HoldingState::Reported }, now);
 }
 
 void PrefixIndex::observe(const BlocksSeen& seen, TimePoint now)
@@ -153,11 +153,11 @@
     const auto otherTier = seen.tier == Tier::StoreDisk ? Tier::StoreMemory : Tier::StoreDisk;
     for (const auto hash : seen.held) {
         this->remove(ChainHash { hash }, slot, otherTier);
-        this->put(ChainHash { hash }, { slot, generation, seen.tier, false }, now);
+        this->put(ChainHash { hash }, { generation, slot, seen.tier, HoldingState::Reported }, now);
     }
     for (const auto hash : seen.absent) {
-        this->remove(ChainHash { hash }, slot, Tier::StoreMemory);
-        this->remove(ChainHash { hash }, slot, Tier::StoreDisk);
+        for (const auto tier : { Tier::StoreMemory, Tier::StoreDisk })
+            this->put(ChainHash { hash }, { generation, slot, tier, HoldingState::Gone }, now);
     }
 }
 
@@ -177,11 +177,11 @@
 double PrefixIndex::confidence(const Holding& holding) const
 {
     const auto& holder = this->holders[holding.slot];
-    if (holding.generation < holder.firstGeneration)
+    if (holding.generation < holder.firstGeneration || holding.state == HoldingState::Gone)
         return 0;
     if (holding.generation < holder.epochGeneration)
         return holding.tier == Tier::StoreDisk ? this->settings.diskRestartConfidence : this->settings.restartConfidence;
-    const auto known = holding.expected ? this->settings.expectedConfidence : 1.0;
+    const auto known = holding.state == HoldingState::Expected ? this->settings.expectedConfidence : 1.0;
     const auto doubt = static_cast<double>(holder.generation - holding.generation) / fullDoubt;
     return known * std::max(1 - doubt, this->settings.gapConfidence);
 }
@@ -194,9 +194,10 @@
         block->lastTouch = now;
     }
     auto& holdings = block->holdings;
-    auto same = [&](const Holding& other) { return other.slot == holding.slot && other.tier == holding.tier; };
+    auto same = [&](const Holding& other) { return other.samePlace(holding); };
     if (const auto found = std::find_if(holdings.begin(), holdings.end(), same); found != holdings.end()) {
-        const auto promiseOnly = holding.expected && !found->expected && found->generation == holding.generation;
+        const auto promiseOnly = holding.state == HoldingState::Expected && found->state == HoldingState::Reported
+            && found->generation == holding.generation;
         if (!promiseOnly)
             *found = holding;
         return;
@@ -215,15 +216,35 @@
     auto* block = this->entries.find(hash);
     if (!block)
         return;
-    std::erase_if(block->holdings, [&](const Holding& holding) {
-        return (holding.slot == slot && holding.tier == tier) || this->confidence(holding) == 0;
-    });
+    for (auto& holding : block->holdings) {
+        if (holding.slot == slot && holding.tier == tier)
+            holding.state = HoldingState::Gone;
+    }
+}
+
+void PrefixIndex::evict(ChainHash hash, const Holding& evicted, TimePoint now)
+{
+    auto* block = this->entries.find(hash);
+    if (!block)
+        return;
+    auto same = [&](const Holding& holding) { return holding.samePlace(evicted); };
+    const auto found = std::find_if(block->holdings.begin(), block->holdings.end(), same);
+    if (found == block->holdings.end())
+        return;
+    *found = evicted;
+    if (evicted.tier != Tier::StoreMemory)
+        return;
+    // A store moves what it evicts from memory to disk, and the event of that may be lost.
+    auto demoted = evicted;
+    demoted.tier = Tier::StoreDisk;
+    demoted.state = HoldingState::Expected;
+    this->put(hash, demoted, now);
 }
 
 ChainCoverage PrefixIndex::lookUp(const std::vector<ChainHash>& chain, TimePoint now)
 {
     ChainCoverage coverage;
-    std::vector<const Block*> found;
+    Blocks found;
     found.reserve(chain.size());
     coverage.touches.reserve(chain.size());
     for (const auto hash : chain) {
@@ -250,37 +271,59 @@
     }
 }
 
-void PrefixIndex::extend(std::vector<Run>& runs, const Holding& holding, std::uint32_t place) const
+bool PrefixIndex::canBridge(const Run& run, const Blocks& found, std::uint32_t place) const
+{
+    if (run.end() > place || run.end() + this->settings.maxBridge < place)
+        return false;
+    auto isGone = [&](const Holding& holding) {
+        return holding.state == HoldingState::Gone && holding.slot == run.slot && holding.tier == run.tier;
+    };
+    for (auto hole = run.end(); hole < place; ++hole) {
+        const auto* block = found[hole];
+        if (block && std::any_of(block->holdings.begin(), block->holdings.end(), isGone))
+            return false;
+    }
+    return true;
+}
+
+void PrefixIndex::extend(std::vector<Run>& runs, const Holding& holding, const Blocks& found, std::uint32_t place) const
 {
     const auto sure = this->confidence(holding);
     if (sure == 0)
         return;
-    const auto inEngine = holding.tier == Tier::EngineMemory;
     auto reaches = [&](const Run& run) {
-        return run.slot == holding.slot && run.tier == holding.tier && run.end() <= place
-            && run.end() + this->settings.maxBridge >= place;
+        return run.slot == holding.slot && run.tier == holding.tier && this->canBridge(run, found, place);
     };
     auto run = std::find_if(runs.begin(), runs.end(), reaches);
     if (run == runs.end()) {
-        if (inEngine && place > this->settings.maxBridge)
+        // An engine's blocks count from the start of the chain.
+        const auto inEngine = holding.tier == Tier::EngineMemory;
+        const Run fresh { holding.slot, holding.tier, inEngine ? 0 : place, 0, 0 };
+        if (inEngine && !this->canBridge(fresh, found, place))
             return;
-        run = runs.insert(run, Run { holding.slot, holding.tier, inEngine ? 0 : place, 0, 0 });
+        run = runs.insert(run, fresh);
     }
     run->confidence += sure + (place - run->end()) * this->settings.bridgeConfidence;
     run->blocks = place + 1 - run->first;
 }
 
-void PrefixIndex::addEngines(const std::vector<const Block*>& found, ChainCoverage& coverage) const
+std::vector<PrefixIndex::Run> PrefixIndex::findRuns(const Blocks& found, bool inEngines) const
 {
     std::vector<Run> runs;
     for (std::uint32_t place = 0; place < found.size(); ++place) {
         if (!found[place])
             continue;
         for (const auto& holding : found[place]->holdings) {
-            if (holding.tier == Tier::EngineMemory)
-                this->extend(runs, holding, place);
+            if ((holding.tier == Tier::EngineMemory) == inEngines)
+                this->extend(runs, holding, found, place);
         }
     }
+    return runs;
+}
+
+void PrefixIndex::addEngines(const Blocks& found, ChainCoverage& coverage) const
+{
+    auto runs = this->findRuns(found, true);
     std::sort(runs.begin(), runs.end(), [](const Run& left, const Run& right) { return left.confidence > right.confidence; });
     for (const auto& run : runs) {
         if (coverage.engines.size() >= this->settings.maxEngines)
@@ -289,17 +332,9 @@
     }
 }
 
-void PrefixIndex::addStores(const std::vector<const Block*>& found, ChainCoverage& coverage) const
+void PrefixIndex::addStores(const Blocks& found, ChainCoverage& coverage) const
 {
-    std::vector<Run> runs;
-    for (std::uint32_t place = 0; place < found.size(); ++place) {
-        if (!found[place])
-            continue;
-        for (const auto& holding : found[place]->holdings) {
-            if (holding.tier != Tier::EngineMemory)
-                this->extend(runs, holding, place);
-        }
-    }
+    auto runs = this->findRuns(found, false);
     if (runs.size() > this->settings.maxStoreRuns) {
         std::stable_sort(runs.begin(), runs.end(), [](const Run& left, const Run& right) { return left.blocks > right.blocks; });
         runs.resize(this->settings.maxStoreRuns);
--- a/support/bench/routing_policies.h
+++ b/support/bench/routing_policies.h
@@ -249,11 +249,13 @@
                 this->time() + std::chrono::seconds(20) };
             const auto first = this->model.trace[number].blocks.front();
             this->submit(*daemon, transfer, 1, [this, hash, first, engine, storeNumber](bool moved) {
-                if (!moved || !this->model.engines[engine].cache.contains(hash))
-                    return;
                 auto& store = this->model.stores[storeNumber];
-                store.insert(hash);
-                this->ownerOf(first).index.observe(BlocksSeen { store.id, Tier::StoreMemory, { hash.value }, {} }, this->time());
+                BlocksSeen seen { store.id, Tier::StoreMemory, {}, {} };
+                const auto done = moved && this->model.engines[engine].cache.contains(hash);
+                if (done)
+                    store.insert(hash);
+                (done ? seen.held : seen.absent).push_back(hash.value);
+                this->ownerOf(first).index.observe(seen, this->time());
             });
         }
     }
--- a/test/prefix_index_test.cc
+++ b/test/prefix_index_test.cc
@@ -174,10 +174,13 @@
     REQUIRE(coverage.engines.size() == 1);
     CHECK(coverage.engines[0].blocks == 3);
     CHECK(coverage.engines[0].confidence < 1);
+    // Known to be evicted, the second is a hole indeed.
+    index.apply(batch(engine, 1, 2, { { 3, stored, inEngine, 1001 }, { 4, evicted, inEngine, 1001 } }), start);
+    CHECK(index.lookUp(chainOf(1, 4), start).engines.at(0).blocks == 1);
     REQUIRE(coverage.stores.size() == 2);
     CHECK(coverage.stores[0] == StoreCoverage { store, Tier::StoreMemory, 1, 2, 1 });
     CHECK(coverage.stores[1] == StoreCoverage { store, Tier::StoreDisk, 3, 1, 1 });
-    CHECK(index.lookUp(chainOf(1, 4), start).touches == std::vector<std::uint16_t> { 1, 1, 1, 1 });
+    CHECK(index.lookUp(chainOf(1, 4), start).touches == std::vector<std::uint16_t> { 2, 2, 2, 2 });
 
     index.observe(BlocksSeen { store, Tier::StoreMemory, {}, { 1003 } }, start);
     CHECK(index.lookUp(chainOf(1, 4), start).stores.size() == 1);
