Contended permits are called back; blocks seen in transfers; wait for a cached prompt as long as it saves

Cause: an upstream with the prompt in its cache was passed over after 60 ms; unused permits stayed with their holder for up to 2 s. Change: an owner that cannot serve a request asks the other holders to give back what they do not use; a request waits for a permit up to the prefill time that the cache saves; stores' blocks are announced after each transfer.

--- a/include/goldcrestwood/daemon_messages.h
+++ b/include/goldcrestwood/daemon_messages.h
@@ -92,6 +92,14 @@
     bool operator==(const RunResumed&) const = default;
 };
 
+/// Tells holders of permits that others wait for permits of the upstream.
+struct PermitContention {
+    /// The upstream.
+    UpstreamId upstream;
+
+    bool operator==(const PermitContention&) const = default;
+};
+
 template <>
 std::string encode(const StateRequest& message);
 template <>
@@ -127,5 +135,10 @@
 template <>
 tl::expected<RunResumed, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const RunResumed& message);
+template <>
+std::string encode(const PermitContention& message);
+template <>
+tl::expected<PermitContention, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const PermitContention& message);
 
 } // namespace goldcrestwood
--- a/include/goldcrestwood/permits.h
+++ b/include/goldcrestwood/permits.h
@@ -100,6 +100,8 @@
 
     void onGrant(const PermitGrant& grant, TimePoint now);
     void onRevoke(const PermitRevoke& revoke);
+    /// Others wait for permits of the upstream: what is not used is given back with the next report, which is due now.
+    void onContention() { this->contended = true; }
 
     /// @return The request to send to the owner now, if one is due. An owner asks itself the same way.
     std::optional<PermitRequest> poll(TimePoint now);
--- a/src/daemon/completion_run.cc
+++ b/src/daemon/completion_run.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-    /// Wait for a permit at the chosen upstream before another is chosen.
+    /// Shortest wait for a permit at the chosen upstream before another is chosen.
     constexpr Duration permitPatience = std::chrono::milliseconds(60);
     /// Wait before the upstreams are tried again after none could be used.
     constexpr Duration routeRetryWait = std::chrono::milliseconds(20);
@@ -29,6 +29,17 @@
         return settings;
     }
 
+    /// @return What a transfer showed about the store: the blocks that moved are there, the others are not.
+    BlocksSeen seenBlocks(const UpstreamId& store, Tier tier, const std::vector<std::uint64_t>& wanted, const std::vector<std::uint64_t>& moved)
+    {
+        BlocksSeen seen { store, tier, moved, {} };
+        for (const auto hash : wanted) {
+            if (std::find(moved.begin(), moved.end(), hash) == moved.end())
+                seen.absent.push_back(hash);
+        }
+        return seen;
+    }
+
     int enginePriority(const CatalogView& view, const ClientAccount& account)
     {
         const auto* entry = view.account(account);
@@ -120,7 +131,9 @@
         return false;
     }
     const auto* upstream = view->upstream(placement->decision.upstream);
-    const auto permit = upstream ? this->serving.permits.acquire(upstream->id, permitPatience) : std::nullopt;
+    // Waiting as long as the cache saves costs at most twice the better choice.
+    const auto patience = std::min(std::max(permitPatience, placement->saved), deadline - monotonicNow());
+    const auto permit = upstream ? this->serving.permits.acquire(upstream->id, patience) : std::nullopt;
     if (!permit) {
         this->full.insert(placement->decision.upstream);
         this->serving.routes.finish(this->task.service.name, placement->decision.ticket);
@@ -164,13 +177,7 @@
         const auto moved = this->serving.transfers.import(move);
         if (!moved)
             return;
-        ChainUsed used { target.upstream.id, hashValues(target.placement.chain.blocks), store->id, {} };
-        for (const auto hash : move.hashes) {
-            if (std::find(moved->begin(), moved->end(), hash) == moved->end())
-                used.absent.push_back(hash);
-        }
-        if (!used.absent.empty())
-            this->serving.prefixes.announceUsed(target.placement.chain, used);
+        this->serving.prefixes.announceSeen(target.placement.chain, seenBlocks(store->id, run.tier, move.hashes, *moved));
     }
 }
 
@@ -371,7 +378,7 @@
         if (row.entry.service == this->task.service.name)
             targets.push_back({ row.entry.id, row.entry.domain, this->serving.transfers.estimate(row.entry.id), 0 });
     });
-    ChainUsed used { upstream.id, hashValues(placement.chain.blocks), {}, {} };
+    const ChainUsed used { upstream.id, hashValues(placement.chain.blocks) };
     this->serving.prefixes.announceUsed(placement.chain, used);
     const auto blockBytes = std::uint64_t { this->task.service.blockTokens } * this->task.service.bytesPerToken;
     for (const auto& order : planExports(ExportSettings(), placement.chain.blocks, placement.coverage, targets)) {
@@ -380,7 +387,9 @@
         for (const auto block : order.blocks)
             move.hashes.push_back(placement.chain.blocks.at(block).value);
         this->serving.prefixes.announceKnown(order.store, upstreamKey(order.store), placement.chain);
-        this->serving.transfers.queue(move);
+        this->serving.transfers.queue(move, [prefixes = &this->serving.prefixes, chain = placement.chain, store = order.store](const std::vector<std::uint64_t>& moved) {
+            prefixes->announceSeen(chain, { store, Tier::StoreMemory, moved, {} });
+        });
     }
 }
 
--- a/src/daemon/permit_service.cc
+++ b/src/daemon/permit_service.cc
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr Duration tickInterval = std::chrono::milliseconds(20);
+    /// Shortest time between two calls on the holders of an upstream to give back what they do not use.
+    constexpr Duration contentionInterval = std::chrono::milliseconds(20);
     /// Upstreams of one service at which a daemon keeps permits before any request names them.
     constexpr std::size_t preparedUpstreams = 12;
 
@@ -37,6 +39,11 @@
         if (auto* entry = this->find(revoke.upstream); entry && entry->holder)
             entry->holder->onRevoke(revoke);
     });
+    this->directory.handlePosted<PermitContention>("PermitContention", [this](const PermitContention& contention) {
+        const std::lock_guard lock(this->mutex);
+        if (auto* entry = this->find(contention.upstream); entry && entry->holder)
+            entry->holder->onContention();
+    });
     this->directory.handlePosted<PermitHandover>("PermitHandover", [this](const PermitHandover& handover) {
         const std::lock_guard lock(this->mutex);
         if (auto* entry = this->find(handover.upstream); entry && entry->issuer)
@@ -232,10 +239,28 @@
         outbox.messages = entry->issuer->onRequest(request, monotonicNow());
         if (std::find(entry->askers.begin(), entry->askers.end(), request.holder) == entry->askers.end())
             entry->askers.push_back(request.holder);
+        this->noteContention(*entry, request, outbox);
     }
     this->deliver(outbox);
 }
 
+void PermitService::noteContention(Entry& entry, const PermitRequest& request, Outbox& outbox)
+{
+    std::uint32_t count = 0;
+    for (const auto& message : outbox.messages) {
+        if (const auto* grant = std::get_if<AddressedGrant>(&message); grant && grant->to == request.holder)
+            count = grant->grant.count;
+    }
+    const auto now = monotonicNow();
+    if (count >= request.wanted || now < entry.nextContention)
+        return;
+    entry.nextContention = now + contentionInterval;
+    for (const auto& asker : entry.askers) {
+        if (asker != request.holder)
+            outbox.contended.emplace_back(asker, PermitContention { entry.id });
+    }
+}
+
 void PermitService::refreshFloors()
 {
     auto members = this->mesh.regionMembers();
@@ -312,6 +337,8 @@
 {
     for (const auto& [owner, request] : outbox.requests)
         this->directory.post(owner, "PermitRequest", request);
+    for (const auto& [holder, contention] : outbox.contended)
+        this->directory.post(holder, "PermitContention", contention);
     for (const auto& message : outbox.messages) {
         if (const auto* grant = std::get_if<AddressedGrant>(&message))
             this->directory.post(grant->to, "PermitGrant", grant->grant);
--- a/src/daemon/permit_service.h
+++ b/src/daemon/permit_service.h
@@ -15,6 +15,7 @@
 #include "daemon/peer_directory.h"
 #include "daemon/peer_mesh.h"
 #include "goldcrestwood/catalog.h"
+#include "goldcrestwood/daemon_messages.h"
 #include "goldcrestwood/permits.h"
 
 namespace goldcrestwood {
@@ -80,11 +81,13 @@
         InstanceId owner;
         std::uint32_t queued = 0;
         std::vector<InstanceId> askers;
+        TimePoint nextContention;
     };
 
     struct Outbox {
         std::vector<std::pair<InstanceId, PermitRequest>> requests;
         std::vector<PermitMessage> messages;
+        std::vector<std::pair<InstanceId, PermitContention>> contended;
     };
 
     void run();
@@ -93,6 +96,7 @@
     std::uint32_t floorsOf(const Entry& entry) const;
     void pollEntry(Entry& entry, TimePoint now, Outbox& outbox);
     void onRequest(const PermitRequest& request);
+    void noteContention(Entry& entry, const PermitRequest& request, Outbox& outbox);
     void deliver(const Outbox& outbox);
     Entry* find(const UpstreamId& upstream);
     static std::uint32_t free(const Entry* entry);
--- a/src/daemon/prefix_service.cc
+++ b/src/daemon/prefix_service.cc
@@ -32,6 +32,10 @@
         const std::lock_guard lock(this->mutex);
         this->index.observe(used, monotonicNow());
     });
+    this->directory.handlePosted<BlocksSeen>("BlocksSeen", [this](const BlocksSeen& seen) {
+        const std::lock_guard lock(this->mutex);
+        this->index.observe(seen, monotonicNow());
+    });
     this->directory.handlePosted<HolderEvents>("HolderEvents", [this](const HolderEvents& batch) {
         const std::lock_guard lock(this->mutex);
         this->index.apply(batch, monotonicNow());
@@ -92,6 +96,14 @@
         this->directory.post(owner, "ChainUsed", used);
 }
 
+void PrefixService::announceSeen(const PromptChain& chain, const BlocksSeen& seen)
+{
+    if (chain.blocks.empty())
+        return;
+    if (const auto owner = this->ownerOf(chain.blocks.front()); !owner.empty())
+        this->directory.post(owner, "BlocksSeen", seen);
+}
+
 PrefixStatus PrefixService::status()
 {
     const std::lock_guard lock(this->mutex);
--- a/src/daemon/prefix_service.h
+++ b/src/daemon/prefix_service.h
@@ -46,6 +46,8 @@
     void announceKnown(const UpstreamId& holder, std::uint64_t holderOwnerKey, const PromptChain& chain);
     /// Tells the owner of the chain that an engine answered its prompt.
     void announceUsed(const PromptChain& chain, const ChainUsed& used);
+    /// Tells the owner of the chain what a transfer showed about a store.
+    void announceSeen(const PromptChain& chain, const BlocksSeen& seen);
     /// @return The daemon that owns the chains with a first block.
     InstanceId ownerOf(ChainHash firstBlock);
     PrefixStatus status();
--- a/src/daemon/route_service.cc
+++ b/src/daemon/route_service.cc
@@ -135,6 +135,8 @@
     if (!decision)
         return tl::unexpected(decision.error());
     placement.decision = std::move(*decision);
+    const auto cached = static_cast<double>(placement.decision.blocksCovered) * service->blockTokens;
+    placement.saved = fromSeconds(cached / shard->router.prefillRate(placement.decision.upstream));
     return placement;
 }
 
--- a/src/daemon/route_service.h
+++ b/src/daemon/route_service.h
@@ -39,6 +39,8 @@
     RouteDecision decision;
     PromptChain chain;
     ChainCoverage coverage;
+    /// Prefill time that the upstream's own cache saves.
+    Duration saved = Duration(0);
 };
 
 class RouteService {
--- a/src/daemon/transfer_service.cc
+++ b/src/daemon/transfer_service.cc
@@ -86,7 +86,9 @@
 TransferId TransferService::submit(const BlockMove& move, bool background)
 {
     const TransferId id { ++this->lastId };
-    this->jobs[id] = { move, Stage::Waiting, background };
+    auto& job = this->jobs[id];
+    job.move = move;
+    job.background = background;
     const auto now = monotonicNow();
     this->apply(this->transfers.submit({ id, move.store, move.kind, move.bytes, now + move.within }, now));
     return id;
@@ -145,10 +147,12 @@
     return *moved;
 }
 
-void TransferService::queue(const BlockMove& move)
+void TransferService::queue(const BlockMove& move, MovedHandler onMoved)
 {
     const std::lock_guard lock(this->mutex);
-    this->submit(move, true);
+    const auto id = this->submit(move, true);
+    if (const auto job = this->jobs.find(id); job != this->jobs.end())
+        job->second.onMoved = std::move(onMoved);
 }
 
 void TransferService::runTicks()
@@ -174,10 +178,12 @@
             return;
         const auto id = this->ready.front();
         this->ready.pop_front();
-        const auto move = this->jobs[id].move;
+        const auto job = this->jobs[id];
         this->jobs.erase(id);
         lock.unlock();
-        this->carryOut(id, move);
+        const auto moved = this->carryOut(id, job.move);
+        if (moved && job.onMoved)
+            job.onMoved(*moved);
         lock.lock();
     }
 }
--- a/src/daemon/transfer_service.h
+++ b/src/daemon/transfer_service.h
@@ -33,6 +33,9 @@
     Duration within = Duration(0);
 };
 
+/// Takes the blocks that were moved.
+using MovedHandler = std::function<void(const std::vector<std::uint64_t>&)>;
+
 class TransferService {
 public:
     /// @param mesh, directory, metrics Must outlive the service.
@@ -47,7 +50,8 @@
     /// @return The blocks that arrived, or nothing where the transfer was dropped.
     std::optional<std::vector<std::uint64_t>> import(const BlockMove& move);
     /// Queues an export or a prefetch; it may be dropped.
-    void queue(const BlockMove& move);
+    /// @param onMoved Gets the blocks that were moved, on a thread of the service.
+    void queue(const BlockMove& move, MovedHandler onMoved);
     /// @return What the router needs to price an import.
     LinkEstimate estimate(const UpstreamId& store);
 
@@ -61,6 +65,7 @@
     struct Job {
         BlockMove move;
         Stage stage = Stage::Waiting;
+        MovedHandler onMoved;
         bool background = false;
     };
 
