--- a/src/daemon/claim_service.cc
+++ b/src/daemon/claim_service.cc
@@ -274,11 +274,15 @@
     this->carryOut(actions);
     const auto mailbox = [&]() -> Mailbox& { return this->mailboxes.at(request); };
     this->changed.wait_until(lock, deadline + answerGrace, [&] { return mailbox().dispatch || mailbox().answer; });
-    if (mailbox().dispatch && !mailbox().answer) {
+    if (mailbox().dispatch) {
         const auto id = mailbox().dispatch->id;
-        lock.unlock();
-        const auto result = dispatch(id);
-        lock.lock();
+        // The caller's time may have passed while this thread was waking; then nothing is sent and the claim is withdrawn.
+        DispatchResult result = DispatchNotSent();
+        if (!mailbox().answer) {
+            lock.unlock();
+            result = dispatch(id);
+            lock.lock();
+        }
         this->carryOut(this->claimant.onDispatchResult(id, result, monotonicNow(), this->random));
         this->changed.wait_until(lock, deadline + answerGrace, [&] { return mailbox().answer.has_value(); });
     }
--- a/src/daemon/journal_driver.h
+++ b/src/daemon/journal_driver.h
@@ -3,6 +3,7 @@
 /// @file
 /// Runs the journal of one log stream with two threads, and keeps the fold of its records.
 
+#include <algorithm>
 #include <concepts>
 #include <condition_variable>
 #include <functional>
@@ -185,10 +186,10 @@
         if (!this->gate.isReady() || !this->schedule.isDue(holdsLease, now))
             return;
         const RecordId writer { this->self.instance, this->self.incarnation, ++this->snapshotCount };
-        std::vector<std::string> chunks;
-        for (const auto& chunk : makeChunks(this->currentState(), writer, snapshotSettings))
-            chunks.push_back(encode(chunk));
-        this->journal.submitBackground("SnapshotChunk", chunks);
+        const auto chunks = makeChunks(this->currentState(), writer, snapshotSettings);
+        std::vector<std::string> payloads(chunks.size());
+        std::transform(chunks.begin(), chunks.end(), payloads.begin(), [](const SnapshotChunk& chunk) { return encode(chunk); });
+        this->journal.submitBackground("SnapshotChunk", payloads);
         this->changed.notify_all();
     }
 
--- a/test/simulation.h
+++ b/test/simulation.h
@@ -3,6 +3,7 @@
 /// @file
 /// Simulated time, a fake of the platform's log with its faults, and a daemon's process around one stream.
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -231,9 +232,8 @@
         auto chunks = makeChunks(this->state(), { this->instance, this->process.life, ++this->snapshots }, SnapshotSettings { .chunkBytes = 256 });
         if (isCutShort)
             chunks.pop_back();
-        std::vector<std::string> payloads;
-        for (const auto& chunk : chunks)
-            payloads.push_back(encode(chunk));
+        std::vector<std::string> payloads(chunks.size());
+        std::transform(chunks.begin(), chunks.end(), payloads.begin(), [](const auto& chunk) { return encode(chunk); });
         this->journal.submitBackground("SnapshotChunk", payloads);
     }
 
