--- a/include/goldcrestwood/gossip.h
+++ b/include/goldcrestwood/gossip.h
@@ -30,13 +30,17 @@
     /// Bytes of cells in one message.
     std::size_t exchangeBudget = 2048;
     /// Bytes a second of cells in all messages; up to two seconds' worth are saved.
-    std::size_t bytesPerSecond = 3072;
+    std::size_t bytesPerSecond = 2560;
+    /// Share of bytesPerSecond that own evidence, and own load, may take if each owner writes as much.
+    double ownWriteShare = 0.35;
     /// Bytes of passed-on urgent cells in one message, within the exchange's budget.
     std::size_t relayBudget = 384;
     /// Bytes of latches in one message.
     std::size_t latchBudget = 1024;
     /// Owners in one digest; more are cut into slices that take turns.
     std::size_t digestOwners = 96;
+    /// With more owners the lanes take turns in the digests.
+    std::size_t allLanesOwners = 16;
     /// Messages a second that a region's daemons together send to other regions.
     double remoteRate = 2;
     /// Rounds in which a daemon that learned of a latch or an urgent cell passes it on.
@@ -121,7 +125,8 @@
     /// @param silent Ids among @p peers that are reached only by probeSoon().
     void setPeers(std::vector<GossipPeer> peers, const std::vector<InstanceId>& silent = {});
 
-    /// Writes an own cell, or sets a latch. Writing the same payload again changes nothing.
+    /// Writes an own cell, or sets a latch. Writing the same payload again changes nothing. Evidence and load
+    /// are held back, the latest value of each, for as long as so many owners would exceed the budget.
     void set(Topic topic, const std::string& key, const std::string& payload, TimePoint now);
     /// Removes an own cell.
     void remove(Topic topic, const std::string& key, TimePoint now);
@@ -203,6 +208,8 @@
     bool shuffled = false;
     std::map<InstanceId, Owner> owners;
     std::map<CellId, HeldLatch> latchSet;
+    std::map<CellId, std::string> heldBack;
+    std::array<std::optional<TimePoint>, laneCount> lastWrite;
     std::map<InstanceId, std::map<CellId, std::string>> notesFor;
     std::set<InstanceId> probes;
     std::deque<Relay> relays;
@@ -215,6 +222,9 @@
     std::uint64_t roundCount = 0;
     GossipCounters counts;
 
+    void write(const CellId& id, const std::string& payload, TimePoint now);
+    void writeHeldBack(TimePoint now);
+    Duration writeInterval(Lane lane) const;
     GossipMessage header(GossipStage stage) const;
     const GossipPeer* findPeer(const InstanceId& id) const;
     std::vector<GossipPeer> pickLocal(Random& random);
@@ -246,6 +256,7 @@
         Budget& budget) const;
     std::uint64_t latchHash() const;
     std::uint32_t sliceCount() const;
+    bool isLaneDue(Lane lane) const;
 };
 
 } // namespace goldcrestwood
--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -80,20 +80,61 @@
             this->holdLatch(id, { { topic, key, payload, false, Duration(0) }, now, this->settings.relayRounds });
         return;
     }
-    auto& lane = this->owners[this->selfId].lanes[indexOf(laneOf(topic))];
+    const auto lane = laneOf(topic);
+    if (lane != Lane::Evidence && lane != Lane::Bulk) {
+        this->write(id, payload, now);
+        return;
+    }
+    this->heldBack[id] = payload;
+    this->writeHeldBack(now);
+}
+
+void Gossip::write(const CellId& id, const std::string& payload, TimePoint now)
+{
+    auto& lane = this->owners[this->selfId].lanes[indexOf(laneOf(id.topic))];
     auto [position, added] = lane.cells.try_emplace(id);
     auto& held = position->second;
     if (!added && !held.cell.removed && held.cell.payload == payload)
         return;
     lane.bySequence.erase(held.cell.sequence);
-    held = { { topic, key, ++lane.reached, false, payload }, now };
+    held = { { id.topic, id.key, ++lane.reached, false, payload }, now };
     lane.bySequence[lane.reached] = id;
-    this->urgent |= isUrgent(topic);
+    this->urgent |= isUrgent(id.topic);
+}
+
+/// Cells of one lane are written together, since each delta has its own overhead.
+void Gossip::writeHeldBack(TimePoint now)
+{
+    for (const auto lane : { Lane::Evidence, Lane::Bulk }) {
+        auto& last = this->lastWrite[indexOf(lane)];
+        if (last && now - *last < this->writeInterval(lane))
+            continue;
+        for (auto position = this->heldBack.begin(); position != this->heldBack.end();) {
+            if (laneOf(position->first.topic) != lane) {
+                ++position;
+                continue;
+            }
+            this->write(position->first, position->second, now);
+            position = this->heldBack.erase(position);
+            last = now;
+        }
+    }
+}
+
+/// @return How long to wait between two writes, so that as many owners that write as much fit the budget.
+Duration Gossip::writeInterval(Lane lane) const
+{
+    auto cost = this->selfId.value.size() + 2 * cellOverhead;
+    for (const auto& [id, held] : this->owners.at(this->selfId).lanes[indexOf(lane)].cells)
+        cost += costOf(held.cell);
+    const auto rate = static_cast<double>(this->settings.bytesPerSecond) * this->settings.ownWriteShare;
+    return fromSeconds(static_cast<double>(cost * this->owners.size()) / rate);
 }
 
 void Gossip::remove(Topic topic, const std::string& key, TimePoint now)
 {
     auto& lane = this->owners[this->selfId].lanes[indexOf(laneOf(topic))];
+    this->heldBack.erase({ topic, key });
     const auto found = lane.cells.find({ topic, key });
     if (found == lane.cells.end() || found->second.cell.removed)
         return;
@@ -130,6 +171,7 @@
 
 std::vector<OutgoingGossip> Gossip::poll(TimePoint now, Random& random)
 {
+    this->writeHeldBack(now);
     const bool regular = now >= this->nextRound;
     const bool early = now >= this->nextUrgent && (this->urgent || !this->notesFor.empty() || !this->probes.empty());
     if (!regular && !early)
--- a/src/gossip_exchange.cc
+++ b/src/gossip_exchange.cc
@@ -52,9 +52,10 @@
 {
     const auto slices = this->sliceCount();
     for (const auto lane : allLanes) {
-        if (!local && lane != Lane::Summary)
+        const bool due = lane == Lane::Summary || (local && this->isLaneDue(lane));
+        if (!due)
             continue;
-        LaneDigest digest { lane, static_cast<std::uint32_t>(this->roundCount % slices), slices, {} };
+        LaneDigest digest { lane, static_cast<std::uint32_t>(this->roundCount / 2 % slices), slices, {} };
         for (const auto& [id, owner] : this->owners) {
             const auto reached = owner.lanes[indexOf(lane)].reached;
             if (reached > 0 && this->isInSlice(id, digest))
@@ -210,6 +211,15 @@
     message.deltas.push_back(std::move(delta));
 }
 
+/// Bulk is compared in each round, control and evidence by turns.
+bool Gossip::isLaneDue(Lane lane) const
+{
+    const bool few = this->owners.size() <= this->settings.allLanesOwners;
+    if (few || lane == Lane::Summary || lane == Lane::Bulk)
+        return true;
+    return (lane == Lane::Control) == (this->roundCount % 2 == 0);
+}
+
 std::uint32_t Gossip::sliceCount() const
 {
     const auto slices = (this->owners.size() + this->settings.digestOwners - 1) / this->settings.digestOwners;
--- a/test/gossip_test.cc
+++ b/test/gossip_test.cc
@@ -126,6 +126,7 @@
     while (empty.cells(Topic::UpstreamLoad).size() < 40) {
         REQUIRE(++rounds < 40);
         now += 1200ms;
+        full.poll(now, random);
         for (const auto& out : empty.poll(now, random)) {
             const auto answer = full.onMessage(out.message, now).reply;
             REQUIRE(answer);
