--- a/include/goldcrestwood/gossip.h
+++ b/include/goldcrestwood/gossip.h
@@ -49,10 +49,16 @@
     Duration deadCellLifetime = std::chrono::seconds(30);
     /// Removed cells are remembered for this long.
     Duration removedLifetime = std::chrono::minutes(2);
+    /// An unchanged summary is written again after this long.
+    Duration summaryRefresh = std::chrono::seconds(20);
+    /// A summary of another daemon that was not written again for this long is dropped.
+    Duration summaryLifetime = std::chrono::seconds(90);
     /// Latches older than this are dropped.
     Duration latchLifetime = std::chrono::hours(24);
     /// Latches that are held at most.
     std::size_t maxLatches = 512;
+    /// Bytes of notes in one message; the rest waits for the next one.
+    std::size_t noteBudget = 1024;
     /// Notes that wait for one peer at most.
     std::size_t maxNotes = 256;
 };
@@ -108,6 +114,8 @@
     std::uint64_t droppedLatches = 0;
     std::uint64_t droppedNotes = 0;
     std::uint64_t staleDeltas = 0;
+    /// If not 0, peers know a later incarnation of this id: this daemon must start anew with a higher one.
+    std::uint64_t newerOwnIncarnation = 0;
 
     bool operator==(const GossipCounters&) const = default;
 };
@@ -240,6 +248,7 @@
     void finishRound();
     void purge(TimePoint now);
     static void purgeRemoved(LaneState& lane, TimePoint before);
+    static void purgeSummaries(LaneState& lane, TimePoint before);
     Budget startBudget(TimePoint now);
     void endBudget(GossipMessage& message, const Budget& budget);
 
--- a/include/goldcrestwood/membership.h
+++ b/include/goldcrestwood/membership.h
@@ -195,6 +195,7 @@
     bool mayJudge(TimePoint now);
     void judge(TimePoint now);
     void forgetOld(TimePoint now);
+    void forgetUnlisted(const std::vector<ListedInstance>& instances);
 };
 
 } // namespace goldcrestwood
--- a/include/goldcrestwood/resolver.h
+++ b/include/goldcrestwood/resolver.h
@@ -76,6 +76,10 @@
 /// @return The candidate that @p member is.
 ResolverCandidate toCandidate(const Member& member, bool domainOut, double utilisation);
 
+/// What a daemon that is cut off holds for dead or suspect may well be alive for its callers.
+/// @return The candidates as an isolated daemon should name them: others as if alive, itself left out.
+std::vector<ResolverCandidate> seenWhileIsolated(std::vector<ResolverCandidate> candidates, const InstanceId& self);
+
 /// Picks addresses. Dead and isolated instances, those that are not ready and those in a failure domain
 /// that is taken out are never named.
 /// @param region The region of the answering daemon.
--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -94,7 +94,8 @@
     auto& lane = this->owners[this->selfId].lanes[indexOf(laneOf(id.topic))];
     auto [position, added] = lane.cells.try_emplace(id);
     auto& held = position->second;
-    if (!added && !held.cell.removed && held.cell.payload == payload)
+    const bool fresh = laneOf(id.topic) != Lane::Summary || now - held.since < this->settings.summaryRefresh;
+    if (!added && !held.cell.removed && held.cell.payload == payload && fresh)
         return;
     lane.bySequence.erase(held.cell.sequence);
     held = { { id.topic, id.key, ++lane.reached, false, payload }, now };
@@ -402,9 +403,16 @@
     const auto found = this->notesFor.find(peer);
     if (found == this->notesFor.end())
         return;
-    for (const auto& [id, payload] : found->second)
-        message.notes.push_back({ id.topic, id.key, payload });
-    this->notesFor.erase(found);
+    auto& waiting = found->second;
+    std::size_t bytes = 0;
+    while (!waiting.empty() && bytes < this->settings.noteBudget) {
+        const auto first = waiting.begin();
+        bytes += first->first.key.size() + first->second.size() + cellOverhead;
+        message.notes.push_back({ first->first.topic, first->first.key, first->second });
+        waiting.erase(first);
+    }
+    if (waiting.empty())
+        this->notesFor.erase(found);
 }
 
 void Gossip::finishRound()
@@ -427,6 +435,8 @@
     for (auto& [id, owner] : this->owners) {
         for (auto& lane : owner.lanes)
             purgeRemoved(lane, now - this->settings.removedLifetime);
+        if (id != this->selfId)
+            purgeSummaries(owner.lanes[indexOf(Lane::Summary)], now - this->settings.summaryLifetime);
         if (owner.expired || !owner.deadSince || now - *owner.deadSince < this->settings.deadCellLifetime)
             continue;
         owner.expired = true;
@@ -452,4 +462,17 @@
     }
 }
 
+/// The failure detector does not cover other regions, so that summaries expire by age.
+void Gossip::purgeSummaries(LaneState& lane, TimePoint before)
+{
+    for (auto position = lane.cells.begin(); position != lane.cells.end();) {
+        if (position->second.since > before) {
+            ++position;
+            continue;
+        }
+        lane.bySequence.erase(position->second.cell.sequence);
+        position = lane.cells.erase(position);
+    }
+}
+
 } // namespace goldcrestwood
--- a/src/gossip_exchange.cc
+++ b/src/gossip_exchange.cc
@@ -85,6 +85,8 @@
 
 void Gossip::takeDelta(const GossipDelta& delta, GossipResult& result, TimePoint now)
 {
+    if (delta.owner == this->selfId && delta.incarnation > this->incarnation)
+        this->counts.newerOwnIncarnation = std::max(this->counts.newerOwnIncarnation, delta.incarnation);
     if (delta.owner == this->selfId || delta.owner.empty() || indexOf(delta.lane) >= laneCount)
         return;
     auto& owner = this->owners[delta.owner];
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -54,6 +54,26 @@
         if (added || before != member)
             this->note(member);
     }
+    this->forgetUnlisted(instances);
+}
+
+/// Members that the failure detector does not cover are remembered for as long as they are listed.
+void Membership::forgetUnlisted(const std::vector<ListedInstance>& instances)
+{
+    std::set<InstanceId> listed;
+    for (const auto& instance : instances)
+        listed.insert(instance.id);
+    for (auto position = this->peerMembers.begin(); position != this->peerMembers.end();) {
+        const auto& [id, member] = *position;
+        const bool covered = member.state != MemberState::Listed && this->isLocal(member);
+        if (covered || listed.contains(id)) {
+            ++position;
+            continue;
+        }
+        this->pending.emplace_back(MemberForgotten { id });
+        this->contacts.erase(id);
+        position = this->peerMembers.erase(position);
+    }
 }
 
 void Membership::onProbeSent(const InstanceId& peer, TimePoint now)
--- a/src/resolver.cc
+++ b/src/resolver.cc
@@ -80,6 +80,16 @@
         member.info.phase, member.listedLeaving, domainOut, utilisation };
 }
 
+std::vector<ResolverCandidate> seenWhileIsolated(std::vector<ResolverCandidate> candidates, const InstanceId& self)
+{
+    std::erase_if(candidates, [&](const ResolverCandidate& candidate) { return candidate.id == self; });
+    for (auto& candidate : candidates) {
+        if (candidate.state != MemberState::Listed)
+            candidate.state = MemberState::Alive;
+    }
+    return candidates;
+}
+
 ResolverAnswer resolveEndpoints(const ResolverSettings& settings, const std::vector<ResolverCandidate>& candidates,
     const Region& region, const std::optional<FailureDomain>& hint, Random& random)
 {
--- a/test/gossip_test.cc
+++ b/test/gossip_test.cc
@@ -180,6 +180,20 @@
     }
 }
 
+TEST_CASE("a summary whose writer is gone expires in the other region")
+{
+    PeersLoopback site(8, 2, 19);
+    site.run(5s);
+    for (int i = 0; i < 12; ++i) {
+        site.nodes[0].peers->gossip().set(Topic::RegionSummary, "endpoints", "2", site.now);
+        site.run(10s);
+    }
+    CHECK(cellsOf(site, 3, Topic::RegionSummary).size() == 1);
+    site.stop(0);
+    site.run(150s);
+    CHECK(cellsOf(site, 3, Topic::RegionSummary).empty());
+}
+
 TEST_CASE("notes reach the one peer that they are for, the latest only")
 {
     PeersLoopback site(12, 1, 17);
--- a/test/resolver_test.cc
+++ b/test/resolver_test.cc
@@ -86,6 +86,18 @@
         CHECK_FALSE(forbidden.contains(address));
 }
 
+TEST_CASE("an isolated daemon names others although it cannot hear them, and not itself")
+{
+    std::vector<ResolverCandidate> all { candidate(0, thuDuc), candidate(1, thuDuc), candidate(2, nhaBe),
+        candidate(3, nhaBe) };
+    all[1].state = MemberState::Dead;
+    all[2].state = MemberState::Suspect;
+    all[3].state = MemberState::Dead;
+    all[3].phase = MemberPhase::Left;
+    const auto answer = resolve(seenWhileIsolated(all, InstanceId("i0")));
+    CHECK(addressesOf(answer) == std::set<std::string> { "10.0.0.1:80", "10.0.0.2:80" });
+}
+
 TEST_CASE("levels are used in their order")
 {
     auto elsewhere = candidate(1, FailureDomain("far"), Region("hanoi"));
