--- a/support/harness.py
+++ b/support/harness.py
@@ -257,7 +257,7 @@
 
     def ctl(self, *arguments, daemon=0, timeout=60):
         """Runs goldcrestctl against one daemon."""
-        command = [BUILD / "goldcrestctl", "--daemon", self.daemons[daemon].operators, *map(str, arguments)]
+        command = [BUILD / "goldcrestctl", "--address", self.daemons[daemon].operators, *map(str, arguments)]
         return subprocess.run(command, capture_output=True, text=True, timeout=timeout, check=False)
 
     def apply(self):
