--- a/include/goldcrestwood/holder_feed.h
+++ b/include/goldcrestwood/holder_feed.h
@@ -51,7 +51,7 @@
             return {};
         std::map<InstanceId, std::vector<HolderEvent>> concerned;
         for (const auto& event : answer.events) {
-            if (event.sequence <= this->lastSequence)
+            if (!this->advance(event.sequence))
                 continue;
             if (const auto* known = this->firstBlocks.find(ChainHash { event.hash }))
                 concerned[ownerOf(known->firstBlock)].push_back(event);
@@ -75,6 +75,7 @@
     };
 
     bool enter(const HolderEvents& answer);
+    bool advance(std::uint64_t sequence);
     std::vector<AddressedEvents> address(
         const HolderEvents& answer, std::map<InstanceId, std::vector<HolderEvent>> concerned);
 
@@ -87,7 +88,8 @@
     /// Nothing up to here can be vouched for.
     std::uint64_t lostUpTo = 0;
     std::uint64_t unknown = 0;
-    bool started = false;
+    /// Whether all receivers have to hear of a hole or a new epoch.
+    bool announce = false;
 };
 
 } // namespace goldcrestwood
--- a/src/journal.cc
+++ b/src/journal.cc
@@ -226,14 +226,15 @@
 void Journal::putBack()
 {
     // What was read back meanwhile is in the log, whatever the answer says.
-    for (auto place = this->appending.rbegin(); place != this->appending.rend(); ++place) {
-        if (this->unresolved.empty() || this->unresolved.back() != place->id)
+    while (!this->appending.empty()) {
+        auto last = std::move(this->appending.back());
+        this->appending.pop_back();
+        if (this->unresolved.empty() || this->unresolved.back() != last.id)
             continue;
         this->unresolved.pop_back();
-        this->queuedBytes += place->bytes.size();
-        this->queue.push_front(std::move(*place));
+        this->queuedBytes += last.bytes.size();
+        this->queue.push_front(std::move(last));
     }
-    this->appending.clear();
 }
 
 std::vector<Completion> Journal::lose(TimePoint now)
@@ -273,6 +274,7 @@
         this->position = stored.offset + 1;
     }
     this->end = std::max(this->position, answer.next);
+    this->isEndKnown = true;
     if (this->position == this->end)
         this->confirmedEnd = std::min(now, this->readStarted);
     return update;
@@ -338,6 +340,7 @@
     std::vector<Completion> completions;
     this->position = state.next;
     this->end = std::max(this->end, state.next);
+    this->isEndKnown = false;
     this->writers = WriterTable(this->settings.writers, state.writers);
     this->missingState = false;
     this->everRead = true;
@@ -379,7 +382,7 @@
 
 std::uint64_t Journal::lag() const
 {
-    return this->end - this->position;
+    return std::max<std::uint64_t>(this->end - this->position, this->isEndKnown ? 0 : 1);
 }
 
 Duration Journal::staleness(TimePoint now) const
--- a/src/transfers.cc
+++ b/src/transfers.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+    /// Shares of one daemon that are told apart.
+    constexpr std::size_t maxHeldShares = 8;
+
     double sumOf(const std::array<double, transferClasses>& values)
     {
         auto sum = 0.0;
@@ -44,8 +47,21 @@
 
 double LinkBroker::Grant::inForce(TimePoint now) const
 {
-    const auto current = now < this->until ? this->share : 0;
-    return now < this->earlierUntil ? std::max(current, this->earlierShare) : current;
+    auto most = 0.0;
+    for (const auto& share : this->held)
+        most = now < share.until ? std::max(most, share.bytesPerSecond) : most;
+    return most;
+}
+
+void LinkBroker::Grant::add(const HeldShare& share)
+{
+    std::erase_if(this->held, [&](const HeldShare& other) { return other.bytesPerSecond <= share.bytesPerSecond; });
+    this->held.push_back(share);
+    if (this->held.size() <= maxHeldShares)
+        return;
+    // Shares fall along the list, so the first covers the second once it lasts as long.
+    this->held[0].until = std::max(this->held[0].until, this->held[1].until);
+    this->held.erase(this->held.begin() + 1);
 }
 
 LinkBroker::LinkBroker(const TransferSettings& initialSettings, double linkCapacity, std::size_t daemons, TimePoint start)
@@ -59,7 +75,9 @@
 
 void LinkBroker::dropLapsed(TimePoint now)
 {
-    std::erase_if(this->grants, [&](const auto& item) { return item.second.until <= now && item.second.earlierUntil <= now; });
+    for (auto& [daemon, grant] : this->grants)
+        std::erase_if(grant.held, [&](const HeldShare& share) { return share.until <= now; });
+    std::erase_if(this->grants, [](const auto& item) { return item.second.held.empty(); });
 }
 
 double LinkBroker::totalDemand() const
@@ -106,12 +124,7 @@
     const auto wanted = this->fairShare(daemon, all) + unused / static_cast<double>(this->daemonCount);
     const auto share = std::clamp(wanted, 0.0, std::max(0.0, all - taken));
 
-    if (const auto held = grant.inForce(now); held > share) {
-        grant.earlierUntil = std::max(grant.until, grant.earlierUntil);
-        grant.earlierShare = held;
-    }
-    grant.share = share;
-    grant.until = now + this->settings.grantLifetime;
+    grant.add({ share, now + this->settings.grantLifetime });
     const auto speed = std::min(this->capacity, this->floor + share + unused);
     return { demand.store, static_cast<std::uint64_t>(this->floor + share), static_cast<std::uint64_t>(speed),
         this->settings.grantLifetime };
@@ -158,6 +171,8 @@
 
 double TransferQueue::speed(const Link& link, TimePoint now) const
 {
+    if (link.observedSpeed > 0 && now - link.observedAt < this->settings.observationLifetime)
+        return link.observedSpeed;
     return now < link.shareUntil ? static_cast<double>(link.share.speed) : this->settings.ungrantedSpeed * link.capacity;
 }
 
@@ -184,7 +199,7 @@
     TransferActions actions;
     const auto found = this->links.find(transfer.store);
     if (found == this->links.end()) {
-        actions.drop.push_back({ transfer.id });
+        this->drop(transfer, actions);
         return actions;
     }
     auto& link = found->second;
@@ -197,7 +212,7 @@
 
     auto& queue = link.waiting[kind];
     if (queue.size() >= this->settings.maxWaiting) {
-        actions.drop.push_back({ transfer.id });
+        this->drop(transfer, actions);
         return actions;
     }
     auto before = [](const Transfer& left, const Transfer& right) { return left.deadline < right.deadline; };
@@ -217,14 +232,22 @@
     return actions;
 }
 
-void TransferQueue::dropLate(Link& link, TimePoint now, TransferActions& actions) const
+void TransferQueue::drop(const Transfer& transfer, TransferActions& actions)
+{
+    auto& counts = this->total[index(transfer.kind)];
+    ++counts.dropped;
+    counts.droppedBytes += transfer.bytes;
+    actions.drop.push_back({ transfer.id });
+}
+
+void TransferQueue::dropLate(Link& link, TimePoint now, TransferActions& actions)
 {
     auto ahead = 0.0;
     for (auto& queue : link.waiting) {
         std::erase_if(queue, [&](const Transfer& transfer) {
             const auto late = !this->arrivesInTime(link, transfer, ahead, now);
             if (late)
-                actions.drop.push_back({ transfer.id });
+                this->drop(transfer, actions);
             else
                 ahead += static_cast<double>(transfer.bytes);
             return late;
@@ -232,16 +255,26 @@
     }
 }
 
+bool TransferQueue::mayStart(const Link& link, const Transfer& transfer) const
+{
+    const auto background = transfer.kind != TransferClass::FirstToken;
+    return link.allowance > 0 && !(background && link.runningBackground >= this->settings.maxRunningBackground);
+}
+
 void TransferQueue::startAllowed(Link& link, TimePoint now, TransferActions& actions)
 {
     link.allowance = this->allowance(link, now);
     link.refilledAt = now;
     for (auto& queue : link.waiting) {
         auto next = queue.begin();
-        for (; next != queue.end() && link.allowance > 0; ++next) {
+        for (; next != queue.end() && this->mayStart(link, *next); ++next) {
             link.allowance -= static_cast<double>(next->bytes);
-            this->running[next->id] = { next->store, next->bytes };
+            link.runningBackground += next->kind == TransferClass::FirstToken ? 0 : 1;
+            this->running[next->id] = { next->store, next->kind, next->bytes, now };
             actions.start.push_back({ next->id });
+            auto& counts = this->total[index(next->kind)];
+            ++counts.started;
+            counts.startedBytes += next->bytes;
         }
         queue.erase(queue.begin(), next);
         if (!queue.empty())
@@ -249,13 +282,31 @@
     }
 }
 
-void TransferQueue::finish(TransferId id, std::uint64_t movedBytes)
+void TransferQueue::observeSpeed(Link& link, const Running& transfer, TimePoint now) const
+{
+    const auto seconds = toSeconds(now - transfer.startedAt);
+    if (transfer.kind != TransferClass::FirstToken || seconds <= 0)
+        return;
+    const auto observed = std::min(link.capacity, static_cast<double>(transfer.bytes) / seconds);
+    const auto fresh = link.observedSpeed > 0 && now - link.observedAt < this->settings.observationLifetime;
+    const auto weight = fresh ? this->settings.learningWeight : 1;
+    link.observedSpeed += weight * (observed - link.observedSpeed);
+    link.observedAt = now;
+}
+
+void TransferQueue::finish(TransferId id, std::uint64_t movedBytes, TimePoint now)
 {
     if (const auto found = this->running.find(id); found != this->running.end()) {
-        const auto unused = found->second.bytes - std::min(movedBytes, found->second.bytes);
-        if (const auto link = this->links.find(found->second.store); link != this->links.end())
-            link->second.allowance += static_cast<double>(unused);
+        const auto transfer = found->second;
         this->running.erase(found);
+        const auto place = this->links.find(transfer.store);
+        if (place == this->links.end())
+            return;
+        auto& link = place->second;
+        link.allowance += static_cast<double>(transfer.bytes - std::min(movedBytes, transfer.bytes));
+        link.runningBackground -= transfer.kind == TransferClass::FirstToken ? 0 : 1;
+        if (movedBytes >= transfer.bytes)
+            this->observeSpeed(link, transfer, now);
         return;
     }
     for (auto& [store, link] : this->links) {
