--- a/support/harness.py
+++ b/support/harness.py
@@ -152,6 +152,9 @@
     def is_ready(self):
         return call(self.callers, "GET", "/readyz")[0] == 200
 
+    def endpoints(self):
+        return len(call_json(self.callers, "GET", "/v1/endpoints")[1]["endpoints"])
+
     def send(self, number):
         self.process.send_signal(number)
 
@@ -179,6 +182,7 @@
             self.write_configuration()
             self.apply()
             wait_until(lambda: all(daemon.is_ready() for daemon in self.daemons), "daemons ready")
+            wait_until(lambda: all(daemon.endpoints() == len(self.daemons) for daemon in self.daemons), "endpoints")
         except BaseException:
             self.stop()
             raise
@@ -226,7 +230,7 @@
 
     def account_entry(self, account, priority, weight):
         salt = hashlib.sha256(f"salt {account}".encode()).hexdigest()[:32]
-        key_hash = hashlib.sha256(bytes.fromhex(salt) + self.secret(account).encode()).hexdigest()
+        key_hash = hashlib.sha256((salt + self.secret(account)).encode()).hexdigest()
         return (f'[[account]]\nname = "{account}"\nkey_salt = "{salt}"\nkey_hash = "{key_hash}"\n'
                 f'priority = "{priority}"\nweight = {weight}\nrequests_per_second = 200\n\n')
 
@@ -257,7 +261,7 @@
 
     def ctl(self, *arguments, daemon=0, timeout=60):
         """Runs goldcrestctl against one daemon."""
-        command = [BUILD / "goldcrestctl", "--address", self.daemons[daemon].operators, *map(str, arguments)]
+        command = [BUILD / "goldcrestctl", "--daemon", self.daemons[daemon].operators, *map(str, arguments)]
         return subprocess.run(command, capture_output=True, text=True, timeout=timeout, check=False)
 
     def apply(self):
