--- a/support/bench/limits_model.h
+++ b/support/bench/limits_model.h
@@ -50,6 +50,8 @@
 struct Sample {
     std::size_t caller = 0;
     double arrival = 0;
+    /// Seconds until it was sent to a replica.
+    double wait = 0;
     /// Seconds to the first token; below zero if there was none.
     double firstToken = -1;
     bool refused = false;
@@ -63,13 +65,14 @@
     /// Most requests above what a cold replica bears.
     std::uint32_t mostOverCold = 0;
 
+    /// @return The quantile of @p field over the wanted requests that got a first token, in seconds.
     template <typename Predicate>
-    double percentile(double part, Predicate wanted) const
+    double quantile(double part, Predicate wanted, double Sample::*field = &Sample::firstToken) const
     {
         std::vector<double> times;
         for (const auto& sample : this->samples) {
             if (wanted(sample) && sample.firstToken >= 0)
-                times.push_back(sample.firstToken);
+                times.push_back(sample.*field);
         }
         if (times.empty())
             return 0;
@@ -320,6 +323,8 @@
             request.permit = *daemon.holders[best].tryAcquire(this->now());
         ++daemon.sent[best];
         request.sentAt = this->seconds();
+        auto& sample = this->results.samples[request.sample];
+        sample.wait = request.sentAt - sample.arrival;
         this->replicas[best].running.push_back(request);
         return true;
     }
@@ -421,8 +426,10 @@
             if (request.prefill > 0)
                 return false;
             sample.firstToken = this->seconds() - sample.arrival;
-            const auto expected = prefillSeconds * request.cost;
-            holder.onFirstToken(replica.epoch, std::max(1.0, (this->seconds() - request.sentAt) / expected));
+            // Estimates of the expected time are off by a third or so.
+            const auto estimate = std::exp(std::normal_distribution<double>(0, 0.3)(this->random));
+            const auto expected = prefillSeconds * request.cost * estimate;
+            holder.onFirstToken(replica.epoch, (this->seconds() - request.sentAt) / expected);
             return false;
         }
         request.decode -= pace;
