--- a/support/harness.py
+++ b/support/harness.py
@@ -152,6 +152,9 @@
     def is_ready(self):
         return call(self.callers, "GET", "/readyz")[0] == 200
 
+    def endpoints(self):
+        return len(call_json(self.callers, "GET", "/v1/endpoints")[1]["endpoints"])
+
     def send(self, number):
         self.process.send_signal(number)
 
@@ -179,6 +182,7 @@
             self.write_configuration()
             self.apply()
             wait_until(lambda: all(daemon.is_ready() for daemon in self.daemons), "daemons ready")
+            wait_until(lambda: all(daemon.endpoints() == len(self.daemons) for daemon in self.daemons), "endpoints")
         except BaseException:
             self.stop()
             raise
