--- a/include/goldcrestwood/permits.h
+++ b/include/goldcrestwood/permits.h
@@ -250,6 +250,13 @@
         TimePoint servedAt;
     };
 
+    /// What the other holders want.
+    struct Contention {
+        std::uint32_t fairPart = 1;
+        bool othersWait = false;
+        bool othersWaitLonger = false;
+    };
+
     struct Orphan {
         std::uint32_t count = 0;
         TimePoint since;
@@ -268,9 +275,8 @@
     std::uint32_t held(const Holder* except) const;
     std::uint32_t share(const Holder& holder, TimePoint now) const;
     std::uint32_t fairPart(TimePoint now) const;
-    bool waits(const Holder& holder, TimePoint now) const;
-    bool othersWait(const Holder& holder, TimePoint now) const;
-    bool othersWaitLonger(const Holder& holder, TimePoint now) const;
+    Contention contentionFor(const Holder& holder, TimePoint now) const;
+    bool waits(const Holder& holder, std::uint32_t fair, TimePoint now) const;
     PermitMessage give(Holder& holder, std::uint32_t count, TimePoint now) const;
     void serveWaiting(std::vector<PermitMessage>& out, TimePoint now);
     std::vector<PermitMessage> revokeAll(const InstanceId& sender);
--- a/src/permit_issuer.cc
+++ b/src/permit_issuer.cc
@@ -240,11 +240,12 @@
     }
     const auto room = difference(this->limit(), this->held(&holder) + this->floors);
     const auto wish = std::min(holder.wanted, room);
-    if (!this->othersWait(holder, now))
+    const auto contention = this->contentionFor(holder, now);
+    if (!contention.othersWait)
         return wish;
-    if (this->othersWaitLonger(holder, now) && room <= 1)
+    if (contention.othersWaitLonger && room <= 1)
         return 0;
-    return std::min(wish, this->fairPart(now));
+    return std::min(wish, contention.fairPart);
 }
 
 std::uint32_t PermitIssuer::grantedBefore(const Holder& holder)
@@ -255,6 +256,20 @@
     return most;
 }
 
+PermitIssuer::Contention PermitIssuer::contentionFor(const Holder& holder, TimePoint now) const
+{
+    Contention contention;
+    contention.fairPart = this->fairPart(now);
+    for (const auto& other : this->holders) {
+        if (&other == &holder || !this->waits(other, contention.fairPart, now))
+            continue;
+        contention.othersWait = true;
+        if (grantedCount(other) == 0 && other.servedAt < holder.servedAt)
+            contention.othersWaitLonger = true;
+    }
+    return contention;
+}
+
 std::uint32_t PermitIssuer::fairPart(TimePoint now) const
 {
     const auto term = this->settings.term;
@@ -263,24 +278,11 @@
     return std::max(1U, this->limit() / static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(active, 1)));
 }
 
-bool PermitIssuer::waits(const Holder& holder, TimePoint now) const
+bool PermitIssuer::waits(const Holder& holder, std::uint32_t fair, TimePoint now) const
 {
     const bool fresh = now < holder.heardAt + this->settings.term && holder.sequence > holder.revoked;
-    return fresh && holder.wanted > grantedCount(holder) && grantedCount(holder) < this->fairPart(now);
-}
-
-bool PermitIssuer::othersWait(const Holder& holder, TimePoint now) const
-{
-    auto isWaiting = [&](const Holder& other) { return &other != &holder && this->waits(other, now); };
-    return std::any_of(this->holders.begin(), this->holders.end(), isWaiting);
-}
-
-bool PermitIssuer::othersWaitLonger(const Holder& holder, TimePoint now) const
-{
-    auto isAhead = [&](const Holder& other) {
-        return &other != &holder && grantedCount(other) == 0 && other.servedAt < holder.servedAt && this->waits(other, now);
-    };
-    return std::any_of(this->holders.begin(), this->holders.end(), isAhead);
+    const auto granted = grantedCount(holder);
+    return fresh && holder.wanted > granted && granted < fair;
 }
 
 PermitMessage PermitIssuer::give(Holder& holder, std::uint32_t count, TimePoint now) const
@@ -293,7 +295,7 @@
     auto& given = holder.given.back();
     given.count = std::max(given.count, count);
     const PermitGrant grant { this->upstream, holder.incarnation, holder.sequence, this->epoch(), given.count,
-        this->othersWait(holder, now), this->settings.term };
+        this->contentionFor(holder, now).othersWait, this->settings.term };
     return AddressedGrant { holder.id, grant };
 }
 
@@ -302,10 +304,11 @@
     auto isBefore = [](const Holder& left, const Holder& right) {
         return std::pair(grantedCount(left), left.servedAt) < std::pair(grantedCount(right), right.servedAt);
     };
+    const auto fair = this->fairPart(now);
     while (true) {
         Holder* next = nullptr;
         for (auto& holder : this->holders) {
-            if (this->waits(holder, now) && (!next || isBefore(holder, *next)))
+            if (this->waits(holder, fair, now) && (!next || isBefore(holder, *next)))
                 next = &holder;
         }
         if (!next)
