--- a/src/daemon/completion_run.cc
+++ b/src/daemon/completion_run.cc
@@ -142,7 +142,6 @@
     this->attempt = Attempt { *upstream, std::move(*placement), *permit, monotonicNow(), true, false };
     this->importBlocks(*this->attempt);
     this->serving.prefixes.announcePlaced(upstream->id, upstreamKey(upstream->id), this->attempt->placement.chain);
-    this->attempt->sentAt = monotonicNow();
     return true;
 }
 
