--- a/src/daemon/completion_handler.cc
+++ b/src/daemon/completion_handler.cc
@@ -63,8 +63,10 @@
         task.resumeAt = ticket->upstream;
     }
 
-    const auto deadline = monotonicNow() + this->serving.settings.serving.requestTimeout;
+    const auto offered = monotonicNow();
+    const auto deadline = offered + this->serving.settings.serving.requestTimeout;
     const auto admitted = this->serving.admission.admit({ *account, service->name, 1, deadline });
+    this->serving.metrics.observe("goldcrestwood_admission_seconds", "", monotonicNow() - offered);
     if (!admitted)
         return refuse(refusalProblem(admitted.error()));
     const auto mayRetry = [this](const FailedAttempt& failed) {
--- a/src/daemon/completion_run.cc
+++ b/src/daemon/completion_run.cc
@@ -140,7 +140,10 @@
         return false;
     }
     this->attempt = Attempt { *upstream, std::move(*placement), *permit, monotonicNow(), true, false };
+    this->serving.metrics.observe("goldcrestwood_placement_seconds", "", this->attempt->sentAt - this->startedAt);
     this->importBlocks(*this->attempt);
+    if (this->attempt->placement.decision.import.blocks > 0)
+        this->serving.metrics.observe("goldcrestwood_import_seconds", "", monotonicNow() - this->attempt->sentAt);
     this->serving.prefixes.announcePlaced(upstream->id, upstreamKey(upstream->id), this->attempt->placement.chain);
     return true;
 }
@@ -241,6 +244,10 @@
         return;
     const auto& decision = target.placement.decision;
     this->serving.routes.firstToken(this->task.service.name, decision.ticket, { duration, std::nullopt });
+    this->serving.metrics.observe("goldcrestwood_upstream_first_token_seconds", "", duration);
+    if (monotonicNow() - this->startedAt > this->task.service.firstTokenTarget) {
+        logWarning("slow_first_token", { { "request", this->task.request.value }, { "upstream", target.upstream.id.value }, { "placement_seconds", std::to_string(toSeconds(target.sentAt - this->startedAt)) }, { "upstream_seconds", std::to_string(toSeconds(duration)) }, { "expected_seconds", std::to_string(toSeconds(decision.expectedFirstToken)) }, { "import_blocks", std::to_string(decision.import.blocks) }, { "cached_blocks", std::to_string(decision.blocksCovered) } });
+    }
     const auto unloaded = std::max(decision.expectedFirstToken - decision.expectedQueue, shortestExpectation);
     this->serving.permits.onFirstToken(target.upstream.id, toSeconds(duration) / toSeconds(unloaded));
     this->serving.metrics.observe("goldcrestwood_first_token_seconds", "service=\"" + this->task.service.name.value + "\"", monotonicNow() - this->startedAt);
