--- a/include/goldcrestwood/journal.h
+++ b/include/goldcrestwood/journal.h
@@ -232,7 +232,7 @@
     /// @return Completions of own records that @p state decides.
     std::vector<Completion> adopt(const JournalState& state, TimePoint now);
 
-    /// @return Position and writers, for a snapshot.
+    /// @return Position and writers, for a snapshot or a peer; while needsState(), an empty one that nobody adopts.
     JournalState state() const;
 
     /// @return Whether records expired unread or nothing has been read: only a snapshot or a peer's state helps.
--- a/include/goldcrestwood/snapshot.h
+++ b/include/goldcrestwood/snapshot.h
@@ -74,7 +74,7 @@
     /// @param candidate Its next offset.
     /// @param current Journal::next().
     /// @param needsState Whether the own folds lack a base (Journal::needsState()).
-    /// @return Whether to take it: never one that is not ahead of what this daemon has held.
+    /// @return Whether to take it: never one that is not ahead of what this daemon has held, nor one of nothing.
     bool mayAdopt(std::uint64_t candidate, std::uint64_t current, bool needsState);
 
     /// Tells that the folds stand at @p next with a base.
--- a/src/journal.cc
+++ b/src/journal.cc
@@ -417,6 +417,8 @@
 
 JournalState Journal::state() const
 {
+    if (this->missingState)
+        return {};
     return { this->position, this->writers.marks() };
 }
 
--- a/src/snapshot.cc
+++ b/src/snapshot.cc
@@ -58,7 +58,7 @@
 
 bool StateGate::mayAdopt(std::uint64_t candidate, std::uint64_t current, bool needsState)
 {
-    const bool isOld = candidate < this->highest || candidate < current;
+    const bool isOld = candidate == 0 || candidate < this->highest || candidate < current;
     if (isOld || (!needsState && candidate == current))
         return false;
     this->highest = candidate;
--- a/test/simulation.h
+++ b/test/simulation.h
@@ -120,6 +120,7 @@
             this->records.pop_front();
     }
 
+    std::uint64_t first() const { return this->firstRetained; }
     std::uint64_t next() const { return this->firstRetained + this->records.size(); }
 
     LogFaults faults;
@@ -237,6 +238,9 @@
         this->journal.submitBackground("SnapshotChunk", payloads);
     }
 
+    /// @return Whether the fold can go on from @p offset by what the log holds.
+    bool holdsHistory(std::uint64_t offset) const { return !this->journal.needsState() && this->journal.next() >= offset; }
+
     bool adopt(const FoldState& state)
     {
         if (!this->gate.mayAdopt(state.next, this->journal.next(), this->journal.needsState()))
@@ -286,4 +290,24 @@
     std::uint64_t snapshots = 0;
 };
 
+/// @return Whether a daemon other than @p left could tell the others the history if the log began at @p offset.
+template <typename Daemons>
+bool isHistoryHeld(const Daemons& daemons, std::uint64_t offset, const void* left = nullptr)
+{
+    return std::any_of(daemons.begin(), daemons.end(),
+        [&](const auto& daemon) { return daemon.get() != left && daemon->runner->holdsHistory(offset); });
+}
+
+/// Gives each daemon that needs one the state of a daemon that holds the history.
+template <typename Daemons>
+void shareHistory(const Daemons& daemons, std::uint64_t offset)
+{
+    for (const auto& daemon : daemons) {
+        for (const auto& peer : daemons) {
+            if (daemon->runner->journal.needsState() && peer->runner->holdsHistory(offset))
+                daemon->runner->adopt(peer->runner->state());
+        }
+    }
+}
+
 } // namespace goldcrestwood::simulation
