--- a/include/goldcrestwood/holder_feed.h
+++ b/include/goldcrestwood/holder_feed.h
@@ -38,8 +38,9 @@
     /// @param maxHashes Blocks whose first block is remembered.
     explicit HolderFeed(UpstreamId holderId, std::size_t maxHashes = 16384);
 
-    /// Learns which chain the hashes belong to.
-    void place(const std::vector<ChainHash>& chain, TimePoint now);
+    /// Learns which chain blocks belong to; call it for each dispatch to an engine, and for the blocks
+    /// of each import from a store and export to it.
+    void place(ChainHash firstBlock, const std::vector<ChainHash>& blocks, TimePoint now);
 
     /// Takes what the holder answered to a poll; numbers are dense at the holder.
     /// @param ownerOf Gives the owner of a chain by its first block.
--- a/include/goldcrestwood/router.h
+++ b/include/goldcrestwood/router.h
@@ -37,9 +37,9 @@
     /// Draws at most, when many candidates are refused.
     std::size_t maxDraws = 24;
     /// Cost of a second of accelerator time for the requests behind, in seconds.
-    double recomputeWeight = 0.5;
+    double recomputeWeight = 1.5;
     /// Cost of a second of link time for the other users of the link, in seconds.
-    double linkWeight = 0.25;
+    double linkWeight = 0.1;
     /// Largest relative noise on a cost; keeps daemons with the same view apart.
     double noise = 0.05;
     /// Relative advantage that another upstream needs over the last choice for the prompt.
@@ -164,6 +164,8 @@
     std::uint64_t bytes = 0;
     /// Expected time until the last block is there.
     Duration duration = Duration(0);
+    /// Time from the decision after which computing the blocks anew is better than waiting on.
+    Duration usefulFor = Duration(0);
 
     bool operator==(const ImportPlan&) const = default;
 };
--- a/include/goldcrestwood/transfers.h
+++ b/include/goldcrestwood/transfers.h
@@ -73,7 +73,7 @@
     /// Time over which demand is averaged.
     Duration demandWindow = std::chrono::seconds(2);
     /// Time at the link's full capacity that a daemon may use in one burst.
-    Duration burst = std::chrono::milliseconds(500);
+    Duration burst = std::chrono::seconds(4);
     /// Waiting transfers of one link and class.
     std::size_t maxWaiting = 256;
     /// What a grant holds above the demand, so that demand can show that it grows.
@@ -81,7 +81,7 @@
     /// Prefetches and exports of a daemon that use a link at once.
     std::size_t maxRunningBackground = 1;
     /// Weight of a new observation of a link's speed.
-    double learningWeight = 0.1;
+    double learningWeight = 0.05;
     /// How long an observed speed counts.
     Duration observationLifetime = std::chrono::seconds(30);
     /// Share of a link's capacity that a transfer is taken to get while there is no grant.
@@ -98,6 +98,25 @@
     bool operator==(const TransferCounts&) const = default;
 };
 
+/// Fits the time of a link's transfers as a delay and a speed, over the latest observations.
+class LinkFit {
+public:
+    /// @param weight Weight of this observation against all before.
+    void add(double bytes, double seconds, double weight);
+
+    bool empty() const { return this->meanBytes == 0; }
+    /// @return Bytes a second once bytes flow, at most @p capacity.
+    double speed(double capacity) const;
+    /// @return Seconds before bytes flow.
+    double delay(double capacity) const;
+
+private:
+    double meanBytes = 0;
+    double meanSeconds = 0;
+    double meanSquare = 0;
+    double meanProduct = 0;
+};
+
 /// The owner's side: splits one link by demand, classes in order, evenly within a class.
 class LinkBroker {
 public:
@@ -187,8 +206,8 @@
         /// Bytes that may be started; below zero after a large transfer.
         double allowance = 0;
         TimePoint refilledAt;
-        /// Bytes a second that first-token transfers got lately, by the time they took.
-        double observedSpeed = 0;
+        /// How fast first-token transfers were lately.
+        LinkFit observed;
         TimePoint observedAt;
         std::size_t runningBackground = 0;
         std::array<std::vector<Transfer>, transferClasses> waiting;
@@ -205,6 +224,8 @@
 
     static double rate(const Link& link, TimePoint now);
     double speed(const Link& link, TimePoint now) const;
+    double delay(const Link& link, TimePoint now) const;
+    bool isObserved(const Link& link, TimePoint now) const;
     double allowance(const Link& link, TimePoint now) const;
     double decay(const Link& link, TimePoint now) const;
     bool arrivesInTime(const Link& link, const Transfer& transfer, double bytesAhead, TimePoint now) const;
--- a/src/holder_feed.cc
+++ b/src/holder_feed.cc
@@ -11,10 +11,10 @@
 {
 }
 
-void HolderFeed::place(const std::vector<ChainHash>& chain, TimePoint now)
+void HolderFeed::place(ChainHash firstBlock, const std::vector<ChainHash>& blocks, TimePoint now)
 {
-    for (const auto hash : chain)
-        this->firstBlocks.at(hash) = Known { chain.front(), now, false };
+    for (const auto hash : blocks)
+        this->firstBlocks.at(hash) = Known { firstBlock, now, false };
 }
 
 bool HolderFeed::enter(const HolderEvents& answer)
--- a/src/router.cc
+++ b/src/router.cc
@@ -283,6 +283,9 @@
         recomputeTokens -= run.confidence * request.chain.blockTokens;
         consider(plan, linkSeconds);
     }
+    auto& import = best.decision.import;
+    const auto saved = import.blocks * request.chain.blockTokens / upstream.prefillRate;
+    import.usefulFor = fromSeconds(std::max(queue, toSeconds(import.duration)) + (1 + this->settings.recomputeWeight) * saved);
     return best;
 }
 
--- a/src/transfers.cc
+++ b/src/transfers.cc
@@ -10,6 +10,9 @@
     /// Shares of one daemon that are told apart.
     constexpr std::size_t maxHeldShares = 8;
 
+    /// Transfers of nearly one size say nothing about speed and delay apart.
+    constexpr double minRelativeVariance = 0.01;
+
     double sumOf(const std::array<double, transferClasses>& values)
     {
         auto sum = 0.0;
@@ -45,6 +48,29 @@
 
 } // namespace
 
+void LinkFit::add(double bytes, double seconds, double weight)
+{
+    this->meanBytes += weight * (bytes - this->meanBytes);
+    this->meanSeconds += weight * (seconds - this->meanSeconds);
+    this->meanSquare += weight * (bytes * bytes - this->meanSquare);
+    this->meanProduct += weight * (bytes * seconds - this->meanProduct);
+}
+
+double LinkFit::speed(double capacity) const
+{
+    const auto slowest = this->meanBytes / this->meanSeconds;
+    const auto variance = this->meanSquare - this->meanBytes * this->meanBytes;
+    const auto covariance = this->meanProduct - this->meanBytes * this->meanSeconds;
+    const auto spread = variance > minRelativeVariance * this->meanBytes * this->meanBytes;
+    const auto fitted = spread && covariance > 0 ? variance / covariance : slowest;
+    return std::clamp(fitted, std::min(slowest, capacity), capacity);
+}
+
+double LinkFit::delay(double capacity) const
+{
+    return std::max(0.0, this->meanSeconds - this->meanBytes / this->speed(capacity));
+}
+
 double LinkBroker::Grant::inForce(TimePoint now) const
 {
     auto most = 0.0;
@@ -169,13 +195,23 @@
     return now < link.shareUntil ? std::max(link.floor, static_cast<double>(link.share.bytesPerSecond)) : link.floor;
 }
 
+bool TransferQueue::isObserved(const Link& link, TimePoint now) const
+{
+    return !link.observed.empty() && now - link.observedAt < this->settings.observationLifetime;
+}
+
 double TransferQueue::speed(const Link& link, TimePoint now) const
 {
-    if (link.observedSpeed > 0 && now - link.observedAt < this->settings.observationLifetime)
-        return link.observedSpeed;
+    if (this->isObserved(link, now))
+        return link.observed.speed(link.capacity);
     return now < link.shareUntil ? static_cast<double>(link.share.speed) : this->settings.ungrantedSpeed * link.capacity;
 }
 
+double TransferQueue::delay(const Link& link, TimePoint now) const
+{
+    return this->isObserved(link, now) ? link.observed.delay(link.capacity) : 0;
+}
+
 double TransferQueue::allowance(const Link& link, TimePoint now) const
 {
     const auto seconds = std::max(0.0, toSeconds(now - link.refilledAt));
@@ -190,7 +226,7 @@
 bool TransferQueue::arrivesInTime(const Link& link, const Transfer& transfer, double bytesAhead, TimePoint now) const
 {
     const auto missing = std::max(0.0, bytesAhead - this->allowance(link, now));
-    const auto seconds = missing / rate(link, now) + static_cast<double>(transfer.bytes) / std::max(1.0, this->speed(link, now));
+    const auto seconds = missing / rate(link, now) + this->delay(link, now) + static_cast<double>(transfer.bytes) / std::max(1.0, this->speed(link, now));
     return now + fromSeconds(seconds) <= transfer.deadline;
 }
 
@@ -287,10 +323,8 @@
     const auto seconds = toSeconds(now - transfer.startedAt);
     if (transfer.kind != TransferClass::FirstToken || seconds <= 0)
         return;
-    const auto observed = std::min(link.capacity, static_cast<double>(transfer.bytes) / seconds);
-    const auto fresh = link.observedSpeed > 0 && now - link.observedAt < this->settings.observationLifetime;
-    const auto weight = fresh ? this->settings.learningWeight : 1;
-    link.observedSpeed += weight * (observed - link.observedSpeed);
+    const auto weight = this->isObserved(link, now) ? this->settings.learningWeight : 1;
+    link.observed.add(static_cast<double>(transfer.bytes), seconds, weight);
     link.observedAt = now;
 }
 
@@ -324,7 +358,7 @@
     const auto speed = this->speed(link, now);
     const auto missing = std::max(0.0, bytesOf(link.waiting[index(TransferClass::FirstToken)]) - this->allowance(link, now));
     // A backlog drains at the granted rate, a started transfer moves at full speed.
-    return { speed, missing * speed / rate(link, now) };
+    return { speed, (missing / rate(link, now) + this->delay(link, now)) * speed };
 }
 
 LinkDemand TransferQueue::demand(const UpstreamId& store, TimePoint now) const
