--- a/support/bench/routing.cc
+++ b/support/bench/routing.cc
@@ -39,5 +39,6 @@
     const auto seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
     runSite(kilnVoice(), seed);
     runSite(tuulModels(), seed);
+    runSite(tuulModelsLight(), seed);
     return 0;
 }
--- a/support/bench/routing_policies.h
+++ b/support/bench/routing_policies.h
@@ -163,11 +163,16 @@
             daemon.transfers.setLink(store.id, this->model.site.linkBytesPerSecond, count, pointAt(0));
     }
 
-    Daemon& ownerOf(ChainHash firstBlock)
+    std::size_t ownerNumber(ChainHash firstBlock)
     {
-        return *this->daemons[rendezvousRank(firstBlock.value, this->names, 1).front()];
+        const auto [found, isNew] = this->owners.try_emplace(firstBlock, 0);
+        if (isNew)
+            found->second = rendezvousRank(firstBlock.value, this->names, 1).front();
+        return found->second;
     }
 
+    Daemon& ownerOf(ChainHash firstBlock) { return *this->daemons[this->ownerNumber(firstBlock)]; }
+
     LinkEstimate linkOf(const Daemon& daemon, const UpstreamId& id) const
     {
         const auto& store = this->model.stores[this->storeNumbers.at(id)];
@@ -298,7 +303,7 @@
     void deliverEvents()
     {
         auto forward = [this](const HolderEvents& events) {
-            auto ownerName = [this](ChainHash first) { return this->names[rendezvousRank(first.value, this->names, 1).front()]; };
+            auto ownerName = [this](ChainHash first) { return this->names[this->ownerNumber(first)]; };
             for (const auto& message : this->feeds.at(events.holder).poll(events, ownerName)) {
                 const auto place = std::find(this->names.begin(), this->names.end(), message.to) - this->names.begin();
                 this->daemons[static_cast<std::size_t>(place)]->index.apply(message.events, this->time());
@@ -341,8 +346,10 @@
 
     void tickTransfers()
     {
-        for (auto& daemon : this->daemons)
-            this->act(*daemon, daemon->transfers.tick(this->time()));
+        for (auto& daemon : this->daemons) {
+            if (daemon->transfers.nextStart(this->time()))
+                this->act(*daemon, daemon->transfers.tick(this->time()));
+        }
     }
 
     Model& model;
@@ -352,6 +359,7 @@
     ExportSettings exports;
     std::vector<InstanceId> names;
     std::vector<std::unique_ptr<Daemon>> daemons;
+    std::unordered_map<ChainHash, std::size_t> owners;
     std::map<UpstreamId, HolderFeed> feeds;
     std::map<UpstreamId, std::size_t> storeNumbers;
     std::map<UpstreamId, std::size_t> engineNumbers;
--- a/support/bench/routing_trace.h
+++ b/support/bench/routing_trace.h
@@ -66,6 +66,15 @@
     return site;
 }
 
+/// The same at little more than half the load.
+inline Site tuulModelsLight()
+{
+    auto site = tuulModels();
+    site.name = "tuul-models-light";
+    site.newPromptsPerSecond = 2.0;
+    return site;
+}
+
 /// A prompt at its time.
 struct TraceRequest {
     double at = 0;
