--- a/include/goldcrestwood/snapshot.h
+++ b/include/goldcrestwood/snapshot.h
@@ -18,7 +18,7 @@
 /// Bounds and delays of snapshots.
 struct SnapshotSettings {
     /// Bytes of state in one chunk.
-    std::size_t chunkBytes = 64 * 1024;
+    std::size_t chunkBytes = std::size_t(64) * 1024;
     /// Chunks of a snapshot at most; larger states are not written.
     std::uint32_t chunks = 1024;
     /// Snapshots that may be read in pieces at once; the one with the oldest state is dropped first.
@@ -72,7 +72,7 @@
 public:
     /// Considers a state from the log or a peer.
     /// @param candidate Its next offset.
-    /// @param current Next offset of the own folds.
+    /// @param current Journal::next().
     /// @param needsState Whether the own folds lack a base (Journal::needsState()).
     /// @return Whether to take it: never one that is not ahead of what this daemon has held.
     bool mayAdopt(std::uint64_t candidate, std::uint64_t current, bool needsState);
--- a/src/daemon/journal_driver.h
+++ b/src/daemon/journal_driver.h
@@ -3,6 +3,7 @@
 /// @file
 /// Runs the journal of one log stream with two threads, and keeps the fold of its records.
 
+#include <algorithm>
 #include <concepts>
 #include <condition_variable>
 #include <functional>
@@ -77,8 +78,8 @@
 
     ~JournalDriver() { this->stop(); }
 
-    /// @param callback Called under the stream's lock after each read; must not call the driver.
-    void onUpdate(std::function<void(const Fold&)> callback) { this->updated = std::move(callback); }
+    /// @param callback Called under the stream's lock after each change; must not call the driver.
+    void onUpdate(std::function<void(Fold&)> callback) { this->updated = std::move(callback); }
 
     void start()
     {
@@ -139,6 +140,16 @@
         return use(this->fold);
     }
 
+    /// Calls @p use with the fold and the journal under the stream's lock, then carries out what the journal wants.
+    template <typename Use>
+    auto withJournal(const Use& use)
+    {
+        const std::lock_guard lock(this->mutex);
+        auto result = use(this->fold, this->journal);
+        this->changed.notify_all();
+        return result;
+    }
+
     /// Waits until @p condition holds for the fold or @p patience has passed.
     /// @return Whether it holds.
     template <typename Condition>
@@ -175,8 +186,10 @@
         if (!this->gate.isReady() || !this->schedule.isDue(holdsLease, now))
             return;
         const RecordId writer { this->self.instance, this->self.incarnation, ++this->snapshotCount };
-        for (const auto& chunk : makeChunks(this->currentState(), writer, snapshotSettings))
-            (void)this->journal.submit("SnapshotChunk", encode(chunk), now);
+        const auto chunks = makeChunks(this->currentState(), writer, snapshotSettings);
+        std::vector<std::string> payloads(chunks.size());
+        std::transform(chunks.begin(), chunks.end(), payloads.begin(), [](const SnapshotChunk& chunk) { return encode(chunk); });
+        this->journal.submitBackground("SnapshotChunk", payloads);
         this->changed.notify_all();
     }
 
@@ -270,11 +283,13 @@
     void complete(const std::vector<Completion>& completions)
     {
         for (const auto& completion : completions) {
+            if constexpr (requires { this->fold.onCompletion(completion, Duration()); })
+                this->fold.onCompletion(completion, this->journal.retryAfter(monotonicNow()));
             if (const auto found = this->waited.find(completion.id); found != this->waited.end())
                 found->second = completion;
         }
         if (!completions.empty())
-            this->completed.notify_all();
+            this->notifyUpdate();
     }
 
     void runAppends()
@@ -373,7 +388,7 @@
     std::optional<AppendAction> pendingAppend;
     std::optional<ReadAction> pendingRead;
     std::map<RecordId, std::optional<Completion>> waited;
-    std::function<void(const Fold&)> updated;
+    std::function<void(Fold&)> updated;
     std::uint64_t snapshotCount = 0;
     bool stopping = false;
     std::thread appendThread;
--- a/src/daemon/permit_service.cc
+++ b/src/daemon/permit_service.cc
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr Duration tickInterval = std::chrono::milliseconds(20);
+    /// Shortest time between two calls on the holders of an upstream to give back what they do not use.
+    constexpr Duration contentionInterval = std::chrono::milliseconds(20);
     /// Upstreams of one service at which a daemon keeps permits before any request names them.
     constexpr std::size_t preparedUpstreams = 12;
 
@@ -37,6 +39,11 @@
         if (auto* entry = this->find(revoke.upstream); entry && entry->holder)
             entry->holder->onRevoke(revoke);
     });
+    this->directory.handlePosted<PermitContention>("PermitContention", [this](const PermitContention& contention) {
+        const std::lock_guard lock(this->mutex);
+        if (auto* entry = this->find(contention.upstream); entry && entry->holder)
+            entry->holder->onContention();
+    });
     this->directory.handlePosted<PermitHandover>("PermitHandover", [this](const PermitHandover& handover) {
         const std::lock_guard lock(this->mutex);
         if (auto* entry = this->find(handover.upstream); entry && entry->issuer)
@@ -96,6 +103,7 @@
         entry.id = row.entry.id;
         entry.service = row.entry.service;
         entry.limits = limits;
+        entry.reportsLoad = service->kind == ServiceKind::Model;
         entry.key = upstreamKey(row.entry.id);
         if (isPrepared(this->mesh.self(), row.entry.id, upstreamsOf[row.entry.service.value]))
             this->holderOf(entry, now);
@@ -138,7 +146,12 @@
         if (now >= deadline)
             return std::nullopt;
         ++entry->queued;
-        this->granted.wait_for(lock, std::min(deadline - now, 2 * tickInterval));
+        Outbox outbox;
+        this->pollEntry(*entry, now, outbox);
+        lock.unlock();
+        this->deliver(outbox);
+        lock.lock();
+        this->granted.wait_for(lock, std::min(deadline - now, tickInterval), [&] { return this->free(this->find(upstream)) > 0; });
         if (entry = this->find(upstream); entry && entry->queued > 0)
             --entry->queued;
     }
@@ -162,7 +175,11 @@
 std::uint32_t PermitService::free(const UpstreamId& upstream)
 {
     const std::lock_guard lock(this->mutex);
-    auto* entry = this->find(upstream);
+    return this->free(this->find(upstream));
+}
+
+std::uint32_t PermitService::free(const Entry* entry)
+{
     return entry && entry->holder ? entry->holder->free(monotonicNow()) : 0;
 }
 
@@ -222,10 +239,28 @@
         outbox.messages = entry->issuer->onRequest(request, monotonicNow());
         if (std::find(entry->askers.begin(), entry->askers.end(), request.holder) == entry->askers.end())
             entry->askers.push_back(request.holder);
+        this->noteContention(*entry, request, outbox);
     }
     this->deliver(outbox);
 }
 
+void PermitService::noteContention(Entry& entry, const PermitRequest& request, Outbox& outbox)
+{
+    std::uint32_t count = 0;
+    for (const auto& message : outbox.messages) {
+        if (const auto* grant = std::get_if<AddressedGrant>(&message); grant && grant->to == request.holder)
+            count = grant->grant.count;
+    }
+    const auto now = monotonicNow();
+    if (count >= request.wanted || now < entry.nextContention)
+        return;
+    entry.nextContention = now + contentionInterval;
+    for (const auto& asker : entry.askers) {
+        if (asker != request.holder)
+            outbox.contended.emplace_back(asker, PermitContention { entry.id });
+    }
+}
+
 void PermitService::refreshFloors()
 {
     auto members = this->mesh.regionMembers();
@@ -239,24 +274,23 @@
         if (entry.holder)
             entry.holder->setFloor(floorShare(id, this->floorMembers, this->mesh.self(), entry.limits.cold, this->settings), now);
         if (entry.issuer)
-            entry.issuer->setFloors(this->floorsOf(entry));
+            entry.issuer->setFloors(this->floorsOf(entry), now);
     }
 }
 
-std::vector<std::pair<InstanceId, std::uint32_t>> PermitService::floorsOf(const Entry& entry) const
+std::uint32_t PermitService::floorsOf(const Entry& entry) const
 {
-    std::vector<std::pair<InstanceId, std::uint32_t>> floors;
-    for (const auto& member : this->floorMembers) {
-        if (const auto share = floorShare(entry.id, this->floorMembers, member, entry.limits.cold, this->settings); share > 0)
-            floors.emplace_back(member, share);
-    }
-    return floors;
+    std::uint32_t sum = 0;
+    for (const auto& member : this->floorMembers)
+        sum += floorShare(entry.id, this->floorMembers, member, entry.limits.cold, this->settings);
+    return sum;
 }
 
 void PermitService::tick()
 {
     this->refreshFloors();
     const auto supported = this->mesh.supportedUntil();
+    const bool unanimous = this->mesh.isUnanimous();
     Outbox outbox;
     {
         const std::lock_guard lock(this->mutex);
@@ -264,6 +298,8 @@
         for (auto& [id, entry] : this->entries) {
             if (entry.issuer)
                 entry.issuer->setAuthority(supported);
+            if (entry.issuer && unanimous && !entry.reportsLoad)
+                entry.issuer->onUnanimous(now);
             this->pollEntry(entry, now, outbox);
         }
     }
@@ -282,7 +318,7 @@
         entry.issuer.reset();
         if (owner == this->mesh.self()) {
             entry.issuer.emplace(entry.id, entry.limits, this->settings, now);
-            entry.issuer->setFloors(this->floorsOf(entry));
+            entry.issuer->setFloors(this->floorsOf(entry), now);
         }
     }
     if (entry.issuer) {
@@ -291,7 +327,8 @@
     }
     if (!entry.holder || entry.owner.empty())
         return;
-    entry.holder->setWaiting(std::max({ 1U, entry.queued, this->waiting[entry.service] }));
+    const auto share = (this->waiting[entry.service] + preparedUpstreams - 1) / preparedUpstreams;
+    entry.holder->setWaiting(entry.queued + static_cast<std::uint32_t>(share));
     if (const auto request = entry.holder->poll(now))
         outbox.requests.emplace_back(entry.owner, *request);
 }
@@ -300,6 +337,8 @@
 {
     for (const auto& [owner, request] : outbox.requests)
         this->directory.post(owner, "PermitRequest", request);
+    for (const auto& [holder, contention] : outbox.contended)
+        this->directory.post(holder, "PermitContention", contention);
     for (const auto& message : outbox.messages) {
         if (const auto* grant = std::get_if<AddressedGrant>(&message))
             this->directory.post(grant->to, "PermitGrant", grant->grant);
@@ -340,7 +379,7 @@
         if (entry.issuer) {
             status.owned = true;
             status.ownedLimit = entry.issuer->limit();
-            status.ownedCharge = entry.issuer->charged(now);
+            status.ownedCharge = entry.issuer->charged();
         }
         result.push_back(status);
     }
--- a/src/journal.cc
+++ b/src/journal.cc
@@ -87,7 +87,7 @@
 {
     if (this->superseded)
         return tl::unexpected(SubmitError::Superseded);
-    const RecordId id { this->self, this->incarnation, this->nextSequence };
+    const auto id = this->nextId(now);
     auto bytes = encodeRecord(id, kind, std::move(payload));
     if (bytes.size() > this->settings.batchBytes)
         return tl::unexpected(SubmitError::TooLarge);
@@ -95,12 +95,27 @@
         || this->queuedBytes + bytes.size() > this->settings.queueBytes;
     if (isFull)
         return tl::unexpected(SubmitError::QueueFull);
-    this->nextSequence += sequenceStep;
+    this->lastSequence = id.sequence;
     this->queuedBytes += bytes.size();
     this->queue.push_back({ id, std::move(bytes), now });
     return id;
 }
 
+RecordId Journal::nextId(TimePoint now)
+{
+    const auto clock = static_cast<std::uint64_t>(now.time_since_epoch().count()) * sequenceStep;
+    return { this->self, this->incarnation, std::max(this->lastSequence + sequenceStep, clock) };
+}
+
+bool Journal::submitBackground(std::string_view kind, const std::vector<std::string>& payloads)
+{
+    if (!this->background.empty() || this->superseded)
+        return false;
+    for (const auto& payload : payloads)
+        this->background.push_back({ std::string(kind), payload });
+    return true;
+}
+
 bool Journal::cancel(const RecordId& id)
 {
     const auto place = std::find_if(
@@ -139,19 +154,20 @@
 
 void Journal::startAppend(TimePoint now, std::vector<JournalAction>& actions)
 {
-    if (this->append || this->superseded || now < this->appendBackoff.until)
+    if (this->append || this->superseded || now < this->nextAppend())
         return;
     const bool isLost = this->lostThrough != 0;
-    if (isLost ? now < this->fenceAt : this->queue.empty())
+    if (isLost ? now < this->fenceAt : this->queue.empty() && this->background.empty())
         return;
     this->appendingFence = isLost;
-    this->append = isLost ? this->makeFence() : this->makeBatch();
+    this->append = isLost ? this->makeFence() : this->makeBatch(now);
+    this->appendStarted = now;
     this->append->exchange = this->nextExchange++;
     this->append->deadline = now + this->settings.appendDeadline;
     actions.emplace_back(*this->append);
 }
 
-AppendAction Journal::makeBatch()
+AppendAction Journal::makeBatch(TimePoint now)
 {
     AppendAction batch;
     std::size_t bytes = 0;
@@ -167,9 +183,24 @@
         this->appending.push_back(std::move(next));
         this->queue.pop_front();
     }
+    // Ids grow along the log, so a record that gets its id now must not pass one that waits.
+    if (this->queue.empty() && !this->background.empty())
+        this->addBackground(batch, now);
     return batch;
 }
 
+void Journal::addBackground(AppendAction& batch, TimePoint now)
+{
+    const auto id = this->nextId(now);
+    this->lastSequence = id.sequence;
+    auto& [kind, payload] = this->background.front();
+    Queued record { id, encodeRecord(id, kind, std::move(payload)), now };
+    this->background.pop_front();
+    batch.records.push_back(record.bytes);
+    this->unresolved.push_back(id);
+    this->appending.push_back(std::move(record));
+}
+
 AppendAction Journal::makeFence()
 {
     AppendAction batch;
@@ -209,6 +240,7 @@
     this->append.reset();
     if (std::holds_alternative<AppendOk>(result)) {
         this->appendBackoff = {};
+        this->narrowSpacing();
         this->appending.clear();
         if (this->appendingFence)
             this->fenceAt = now + this->settings.appendDeadline;
@@ -216,6 +248,7 @@
     }
     if (const auto* rejected = std::get_if<AppendRejected>(&result)) {
         this->fail(this->appendBackoff, now, random, rejected->retryAfter);
+        this->widenSpacing();
         this->putBack();
         return {};
     }
@@ -223,17 +256,40 @@
     return this->lose(now);
 }
 
+TimePoint Journal::nextAppend() const
+{
+    return std::max(this->appendBackoff.until, this->appendStarted + this->spacing);
+}
+
+// All writers share the log's rate: each halves its own at a refusal and raises it by a fixed step at a success, so that
+// their shares draw level. What waits meanwhile goes into larger batches.
+void Journal::widenSpacing()
+{
+    const Duration wider = this->spacing * 2;
+    this->spacing = std::min(this->settings.spacingCeiling, std::max(this->settings.spacingFloor, wider));
+}
+
+void Journal::narrowSpacing()
+{
+    if (this->spacing == Duration(0))
+        return;
+    const auto rate = 1 / toSeconds(this->spacing) + this->settings.spacingRecovery;
+    const auto narrower = fromSeconds(1 / rate);
+    this->spacing = narrower < this->settings.spacingFloor / 2 ? Duration(0) : narrower;
+}
+
 void Journal::putBack()
 {
     // What was read back meanwhile is in the log, whatever the answer says.
-    for (auto place = this->appending.rbegin(); place != this->appending.rend(); ++place) {
-        if (this->unresolved.empty() || this->unresolved.back() != place->id)
+    while (!this->appending.empty()) {
+        auto last = std::move(this->appending.back());
+        this->appending.pop_back();
+        if (this->unresolved.empty() || this->unresolved.back() != last.id)
             continue;
         this->unresolved.pop_back();
-        this->queuedBytes += place->bytes.size();
-        this->queue.push_front(std::move(*place));
+        this->queuedBytes += last.bytes.size();
+        this->queue.push_front(std::move(last));
     }
-    this->appending.clear();
 }
 
 std::vector<Completion> Journal::lose(TimePoint now)
@@ -261,6 +317,7 @@
     if (!this->everRead)
         this->missingState = this->position < answer.firstRetained;
     this->everRead = true;
+    this->firstRetained = answer.firstRetained;
     if (this->position < answer.firstRetained) {
         this->missingState = true;
         this->position = answer.firstRetained;
@@ -272,6 +329,7 @@
         this->position = stored.offset + 1;
     }
     this->end = std::max(this->position, answer.next);
+    this->isEndKnown = true;
     if (this->position == this->end)
         this->confirmedEnd = std::min(now, this->readStarted);
     return update;
@@ -327,6 +385,8 @@
     if (!this->read || this->read->exchange != exchange)
         return;
     this->read.reset();
+    if (this->readBackoff.failures == 0)
+        this->failedReadStarted = this->readStarted;
     this->fail(this->readBackoff, now, random, std::nullopt);
 }
 
@@ -335,6 +395,7 @@
     std::vector<Completion> completions;
     this->position = state.next;
     this->end = std::max(this->end, state.next);
+    this->isEndKnown = false;
     this->writers = WriterTable(this->settings.writers, state.writers);
     this->missingState = false;
     this->everRead = true;
@@ -376,7 +437,7 @@
 
 std::uint64_t Journal::lag() const
 {
-    return this->end - this->position;
+    return std::max<std::uint64_t>(this->end - this->position, this->isEndKnown ? 0 : 1);
 }
 
 Duration Journal::staleness(TimePoint now) const
@@ -384,6 +445,12 @@
     return now - this->confirmedEnd;
 }
 
+bool Journal::isCurrent(TimePoint now) const
+{
+    const auto known = this->readBackoff.failures > 0 ? this->failedReadStarted : now;
+    return this->everRead && !this->missingState && known - this->confirmedEnd <= this->settings.freshness;
+}
+
 TimePoint Journal::nextWake() const
 {
     auto wake = this->read ? this->read->deadline : this->readBackoff.until;
@@ -392,8 +459,9 @@
     if (this->append)
         return std::min(wake, this->append->deadline);
     if (this->lostThrough != 0)
-        return std::min(wake, std::max(this->fenceAt, this->appendBackoff.until));
-    return this->queue.empty() ? wake : std::min(wake, this->appendBackoff.until);
+        return std::min(wake, std::max(this->fenceAt, this->nextAppend()));
+    const bool isIdle = this->queue.empty() && this->background.empty();
+    return isIdle ? wake : std::min(wake, this->nextAppend());
 }
 
 } // namespace goldcrestwood
