--- a/support/bench/routing_cost.cc
+++ b/support/bench/routing_cost.cc
@@ -75,7 +75,7 @@
     for (std::size_t i = 0; i < decisions; ++i)
         chains.push_back(chainOf(random() % prompts));
     cost.lookUpMicroseconds = microsecondsEach([&](std::size_t i) { coverages[i] = index.lookUp(chains[i], start); });
-    auto allowed = [](const RouteTarget&) { return Admission {}; };
+    auto allowed = [](const RouteTarget&) { return UpstreamCheck {}; };
     auto links = [](const UpstreamId&) { return LinkEstimate { 64e6, 0 }; };
     cost.chooseMicroseconds = microsecondsEach([&](std::size_t i) {
         const RouteRequest request { service, version, { {}, chains[i], chainBlocks * 1000 + 10, 1000 }, coverages[i], true, 1 << 20 };
