--- a/include/goldcrestwood/holder_feed.h
+++ b/include/goldcrestwood/holder_feed.h
@@ -65,6 +65,9 @@
         return this->address(answer, std::move(concerned));
     }
 
+    /// Forgets a daemon that has left, so that it hears of no more holes.
+    void forget(const InstanceId& receiver) { this->receivers.erase(receiver); }
+
     /// @return The sequence after which to ask the holder next.
     std::uint64_t nextAfter() const { return this->lastSequence; }
     /// @return Events dropped since their chain is not known here.
--- a/include/goldcrestwood/transfers.h
+++ b/include/goldcrestwood/transfers.h
@@ -171,6 +171,9 @@
     /// @param daemons Daemons that may use it.
     void setLink(const UpstreamId& store, double capacity, std::size_t daemons, TimePoint now);
 
+    /// Forgets a link and drops what waits for it.
+    TransferActions removeLink(const UpstreamId& store);
+
     /// Takes the owner's grant.
     void grant(const LinkShare& share, TimePoint now);
 
--- a/src/export_policy.cc
+++ b/src/export_policy.cc
@@ -67,6 +67,7 @@
         if (!worthKeeping)
             break;
         std::vector<FailureDomain> taken;
+        taken.reserve(stores.size());
         for (const auto& store : stores)
             taken.push_back(domains[store]);
         // Blocks that many prompts share and those of one prompt alone are spread apart.
@@ -80,6 +81,7 @@
             break;
     }
     std::vector<ExportOrder> result;
+    result.reserve(orders.size());
     for (auto& [store, blocks] : orders)
         result.push_back({ store, std::move(blocks) });
     return result;
--- a/src/transfers.cc
+++ b/src/transfers.cc
@@ -178,6 +178,20 @@
     link.demandAt = now;
 }
 
+TransferActions TransferQueue::removeLink(const UpstreamId& store)
+{
+    TransferActions actions;
+    const auto found = this->links.find(store);
+    if (found == this->links.end())
+        return actions;
+    for (const auto& queue : found->second.waiting) {
+        for (const auto& transfer : queue)
+            this->drop(transfer, actions);
+    }
+    this->links.erase(found);
+    return actions;
+}
+
 void TransferQueue::grant(const LinkShare& share, TimePoint now)
 {
     const auto found = this->links.find(share.store);
--- a/test/transfers_test.cc
+++ b/test/transfers_test.cc
@@ -132,6 +132,11 @@
     CHECK(queue.demand(store, now).firstToken > 0);
     const auto lapsed = queue.estimate(store, start + std::chrono::seconds(4));
     CHECK(lapsed.bytesPerSecond == Approx(capacity * TransferSettings {}.ungrantedSpeed));
+    queue.submit(makeTransfer(2, TransferClass::FirstToken, 100 * mebibyte, std::chrono::seconds(60)), now);
+    queue.submit(makeTransfer(3, TransferClass::FirstToken, 100 * mebibyte, std::chrono::seconds(60)), now);
+    queue.submit(makeTransfer(4, TransferClass::FirstToken, mebibyte, std::chrono::seconds(60)), now);
+    CHECK(queue.removeLink(store).drop == std::vector { DropTransfer { { 3 } }, DropTransfer { { 4 } } });
+    CHECK(queue.estimate(store, now) == LinkEstimate {});
     CHECK(queue.submit({ { 9 }, UpstreamId("other"), TransferClass::Export, 1, start }, now).drop.size() == 1);
 }
 
