Floor shares are charged by daemon

Setting the same shares again charged them a second time for the longest length of a request, and the daemon sets them with each configuration; and a share that moved to another daemon with the sum unchanged was not charged at all. Owners now know who has a share, and only one that was lost stays charged until requests sent under it have ended. The new case in test/permits_test.cc shows both; it could not be written against the sum.

--- a/include/goldcrestwood/permits.h
+++ b/include/goldcrestwood/permits.h
@@ -48,7 +48,11 @@
 /// being reachable or not. Owners never lend it to others: requests already sent could not be called back in time. The
 /// successors of the owner come first, so that the first of them has its share when the owner dies.
 /// @param listed All daemons of the upstream's region on the platform's list, in any order.
-/// @return Requests that @p self may have in flight with no grant; the sum over all daemons is at most @p coldBound.
+/// @return The daemons that may each have one request in flight with no grant; fewer than @p coldBound.
+std::vector<InstanceId> floorHolders(const UpstreamId& upstream, const std::vector<InstanceId>& listed, std::uint32_t coldBound,
+    const PermitSettings& settings = {});
+
+/// @return Requests that @p self may have in flight with no grant.
 std::uint32_t floorShare(const UpstreamId& upstream, const std::vector<InstanceId>& listed, const InstanceId& self,
     std::uint32_t coldBound, const PermitSettings& settings = {});
 
@@ -187,9 +191,9 @@
     /// A new owner grants no more than holders already have until all grants of a former owner have ended.
     PermitIssuer(UpstreamId target, ConcurrencySettings limits, PermitSettings times, TimePoint now);
 
-    /// Sets the sum of the floor shares of all listed daemons, which is kept apart from grants. Shares given out by a
-    /// former list stay charged until requests sent under them have ended.
-    void setFloors(std::uint32_t requests, TimePoint now);
+    /// Sets who has a floor share, from `floorHolders`; the shares are kept apart from grants. A share that a daemon had
+    /// by a former list stays charged until requests sent under it have ended.
+    void setFloors(std::vector<InstanceId> daemons, TimePoint now);
 
     /// @param until End of the majority support from `ViewQuorum`; nothing is granted after it.
     void setAuthority(TimePoint until) { this->authorityUntil = until; }
@@ -217,7 +221,7 @@
     std::vector<PermitMessage> poll(TimePoint now);
 
     /// @return Requests that all daemons together can have in flight now at most.
-    std::uint32_t charged() const { return this->held(nullptr) + this->floors; }
+    std::uint32_t charged() const { return this->held(nullptr) + this->reserved(); }
 
     std::uint32_t limit() const { return this->concurrency.limit(); }
     std::uint64_t epoch() const { return this->concurrency.epoch(); }
@@ -273,6 +277,7 @@
     std::uint32_t inheritedSum() const;
     bool settled(TimePoint now) const { return now >= this->settledAt && this->unknown; }
     std::uint32_t held(const Holder* except) const;
+    std::uint32_t reserved() const { return static_cast<std::uint32_t>(this->floors.size()); }
     std::uint32_t share(const Holder& holder, TimePoint now) const;
     std::uint32_t fairPart(TimePoint now) const;
     Contention contentionFor(const Holder& holder, TimePoint now) const;
@@ -287,7 +292,7 @@
     ConcurrencyLimit concurrency;
     std::vector<Holder> holders;
     std::vector<Orphan> orphans;
-    std::uint32_t floors = 0;
+    std::vector<InstanceId> floors;
     /// Requests that a former owner's holders may have left behind; nothing while that is not known.
     std::optional<std::uint32_t> unknown;
     TimePoint settledAt;
--- a/src/daemon/permit_service.cc
+++ b/src/daemon/permit_service.cc
@@ -249,18 +249,10 @@
         if (entry.holder)
             entry.holder->setFloor(floorShare(id, this->floorMembers, this->mesh.self(), entry.limits.cold, this->settings), now);
         if (entry.issuer)
-            entry.issuer->setFloors(this->floorsOf(entry), now);
+            entry.issuer->setFloors(floorHolders(entry.id, this->floorMembers, entry.limits.cold, this->settings), now);
     }
 }
 
-std::uint32_t PermitService::floorsOf(const Entry& entry) const
-{
-    std::uint32_t sum = 0;
-    for (const auto& member : this->floorMembers)
-        sum += floorShare(entry.id, this->floorMembers, member, entry.limits.cold, this->settings);
-    return sum;
-}
-
 void PermitService::tick()
 {
     this->refreshFloors();
@@ -293,7 +285,7 @@
         entry.issuer.reset();
         if (owner == this->mesh.self()) {
             entry.issuer.emplace(entry.id, entry.limits, this->settings, now);
-            entry.issuer->setFloors(this->floorsOf(entry), now);
+            entry.issuer->setFloors(floorHolders(entry.id, this->floorMembers, entry.limits.cold, this->settings), now);
         }
     }
     if (entry.issuer) {
--- a/src/daemon/permit_service.h
+++ b/src/daemon/permit_service.h
@@ -90,7 +90,6 @@
     void run();
     void tick();
     void refreshFloors();
-    std::uint32_t floorsOf(const Entry& entry) const;
     void pollEntry(Entry& entry, TimePoint now, Outbox& outbox);
     void onRequest(const PermitRequest& request);
     void deliver(const Outbox& outbox);
--- a/src/permit_holder.cc
+++ b/src/permit_holder.cc
@@ -6,15 +6,22 @@
 
 namespace goldcrestwood {
 
-std::uint32_t floorShare(const UpstreamId& upstream, const std::vector<InstanceId>& listed, const InstanceId& self,
-    std::uint32_t coldBound, const PermitSettings& settings)
+std::vector<InstanceId> floorHolders(const UpstreamId& upstream, const std::vector<InstanceId>& listed, std::uint32_t coldBound,
+    const PermitSettings& settings)
 {
     const auto requests = std::min(coldBound / 2, settings.floorRequests);
     const auto ranked = rendezvousRank(stableHash(upstream.value), listed, requests + 1);
-    const auto first = ranked.size() > requests ? 1U : 0U;
-    auto isSelf = [&](std::size_t index) { return listed[index] == self; };
-    const bool chosen = std::any_of(ranked.begin() + first, ranked.end(), isSelf);
-    return chosen && requests > 0 ? 1 : 0;
+    std::vector<InstanceId> holders;
+    for (std::size_t i = ranked.size() > requests ? 1 : 0; i < ranked.size(); ++i)
+        holders.push_back(listed[ranked[i]]);
+    return holders;
+}
+
+std::uint32_t floorShare(const UpstreamId& upstream, const std::vector<InstanceId>& listed, const InstanceId& self,
+    std::uint32_t coldBound, const PermitSettings& settings)
+{
+    const auto holders = floorHolders(upstream, listed, coldBound, settings);
+    return std::find(holders.begin(), holders.end(), self) == holders.end() ? 0 : 1;
 }
 
 PermitHolder::PermitHolder(UpstreamId target, InstanceId id, std::uint64_t startNumber, ConcurrencySettings limits,
--- a/src/permit_issuer.cc
+++ b/src/permit_issuer.cc
@@ -21,11 +21,13 @@
 {
 }
 
-void PermitIssuer::setFloors(std::uint32_t requests, TimePoint now)
+void PermitIssuer::setFloors(std::vector<InstanceId> daemons, TimePoint now)
 {
-    if (this->floors > 0)
-        this->orphans.push_back({ this->floors, now });
-    this->floors = requests;
+    for (const auto& former : this->floors) {
+        if (std::find(daemons.begin(), daemons.end(), former) == daemons.end())
+            this->orphans.push_back({ 1, now });
+    }
+    this->floors = std::move(daemons);
 }
 
 std::vector<PermitMessage> PermitIssuer::onRequest(const PermitRequest& request, TimePoint now)
@@ -120,7 +122,7 @@
 
 std::size_t PermitIssuer::stateBytes() const
 {
-    auto bytes = sizeof(*this) + this->orphans.capacity() * sizeof(Orphan);
+    auto bytes = sizeof(*this) + this->orphans.capacity() * sizeof(Orphan) + this->floors.capacity() * sizeof(InstanceId);
     for (const auto& holder : this->holders)
         bytes += sizeof(holder) + holder.given.capacity() * sizeof(Given);
     return bytes;
@@ -238,7 +240,7 @@
         const auto before = std::max(holder.inherited, grantedBefore(holder));
         return std::min({ holder.wanted, before, difference(this->limit(), this->held(&holder)) });
     }
-    const auto room = difference(this->limit(), this->held(&holder) + this->floors);
+    const auto room = difference(this->limit(), this->held(&holder) + this->reserved());
     const auto wish = std::min(holder.wanted, room);
     const auto contention = this->contentionFor(holder, now);
     if (!contention.othersWait)
--- a/support/bench/limits_model.h
+++ b/support/bench/limits_model.h
@@ -209,7 +209,7 @@
             if (this->ownerOf(replica) != index)
                 continue;
             PermitIssuer issuer(name, this->limits, this->times, this->now());
-            issuer.setFloors(std::min(this->limits.cold / 2, this->times.floorRequests), this->now());
+            issuer.setFloors(floorHolders(name, this->ids, this->limits.cold), this->now());
             issuer.onHandover({ name, 1, static_cast<double>(this->limits.cold), {} }, this->now());
             issuer.setAuthority(this->now() + std::chrono::hours(1));
             daemon.issuers.emplace(replica, std::move(issuer));
--- a/test/permits_test.cc
+++ b/test/permits_test.cc
@@ -160,10 +160,7 @@
     void own(Daemon& daemon)
     {
         daemon.issuer = std::make_unique<PermitIssuer>(target, this->limits, this->settings, this->clock(daemon));
-        std::uint32_t floors = 0;
-        for (const auto& id : this->ids)
-            floors += floorShare(target, this->ids, id, this->limits.cold, this->settings);
-        daemon.issuer->setFloors(floors, this->clock(daemon));
+        daemon.issuer->setFloors(floorHolders(target, this->ids, this->limits.cold, this->settings), this->clock(daemon));
     }
 
     bool draws(double chance) { return uniform(this->random) < chance; }
@@ -487,3 +484,19 @@
     holder.onGrant(foreign, now + 4s);
     CHECK(holder.free(now + 4s) == 0);
 }
+
+TEST_CASE("a floor share that moved to another daemon stays charged until its requests have ended")
+{
+    const TimePoint now(1000s);
+    PermitSettings settings;
+    PermitIssuer issuer(target, coldOnly(2), settings, now);
+    issuer.onHandover({ target, 1, 2, {} }, now);
+    issuer.setFloors({ InstanceId("a") }, now);
+    CHECK(issuer.charged() == 1);
+    issuer.setFloors({ InstanceId("a") }, now);
+    CHECK(issuer.charged() == 1);
+    issuer.setFloors({ InstanceId("b") }, now);
+    CHECK(issuer.charged() == 2);
+    issuer.poll(now + settings.orphanHold + settings.term + settings.margin);
+    CHECK(issuer.charged() == 1);
+}
