--- a/support/bench/limits_cost.cc
+++ b/support/bench/limits_cost.cc
@@ -126,7 +126,7 @@
             holders.emplace_back(UpstreamId("kv"), InstanceId("i" + std::to_string(i)), 1, ConcurrencySettings(), PermitSettings(), begin);
         std::size_t answers = 0;
         const auto each = nanoseconds(50000, [&](std::size_t i) {
-            const auto now = begin + std::chrono::milliseconds(i * 1000 / count);
+            const auto now = begin + fromSeconds(static_cast<double>(i) / static_cast<double>(count));
             auto& holder = holders[i % count];
             holder.setWaiting(2);
             if (const auto request = holder.poll(now))
