--- a/support/bench/limits_cost.cc
+++ b/support/bench/limits_cost.cc
@@ -125,9 +125,11 @@
         for (std::size_t i = 0; i < count; ++i)
             holders.emplace_back(UpstreamId("kv"), InstanceId("i" + std::to_string(i)), 1, ConcurrencySettings(), PermitSettings(), begin);
         std::size_t answers = 0;
+        std::size_t next = 0;
         const auto each = nanoseconds(50000, [&](std::size_t i) {
             const auto now = begin + fromSeconds(static_cast<double>(i) / static_cast<double>(count));
-            auto& holder = holders[i % count];
+            auto& holder = holders[next];
+            next = next + 1 == holders.size() ? 0 : next + 1;
             holder.setWaiting(2);
             if (const auto request = holder.poll(now))
                 answers += issuer.onRequest(*request, now).size();
