Handovers need a majority; a caller that is back too late gets an error

An owner on the small side of a split handed over its account as if nobody had granted since; a successor took it for whole and granted at once. Handovers now say whether a majority supported the sender, and successors ignore others. And a caller that came back after its run had been cancelled or had failed got its tokens and a regular end: a silent cut. It gets the error again. Both cases are in the tests and fail (2 checks each) with the mechanism switched off.

--- a/include/goldcrestwood/capacity_messages.h
+++ b/include/goldcrestwood/capacity_messages.h
@@ -105,6 +105,8 @@
     double limit = 0;
     /// Holders with a charge.
     std::vector<HolderCharge> charges;
+    /// Whether a majority supported the sender; if not, others may have granted since.
+    bool authoritative = false;
 
     bool operator==(const PermitHandover&) const = default;
 };
--- a/include/goldcrestwood/relay.h
+++ b/include/goldcrestwood/relay.h
@@ -212,6 +212,7 @@
     std::optional<TimePoint> callerGoneAt;
     RelayCounts tally;
     bool done = false;
+    bool complete = false;
 };
 
 } // namespace goldcrestwood
--- a/src/permit_issuer.cc
+++ b/src/permit_issuer.cc
@@ -71,7 +71,9 @@
 
 void PermitIssuer::onHandover(const PermitHandover& handover, TimePoint now)
 {
-    if (handover.upstream != this->upstream || this->ended || now >= this->settledAt)
+    if (handover.upstream != this->upstream || !handover.authoritative)
+        return;
+    if (this->ended || now >= this->settledAt)
         return;
     this->concurrency.restore(handover.epoch, handover.limit);
     for (const auto& [id, incarnation, count] : handover.charges) {
@@ -100,7 +102,7 @@
 {
     this->forgetSilent(now);
     this->ended = true;
-    PermitHandover handover { this->upstream, this->epoch(), static_cast<double>(this->limit()), {} };
+    PermitHandover handover { this->upstream, this->epoch(), static_cast<double>(this->limit()), {}, now < this->authorityUntil };
     for (const auto& holder : this->holders) {
         if (const auto count = charge(holder); count > 0)
             handover.charges.push_back({ holder.id, holder.incarnation, count });
--- a/src/relay.cc
+++ b/src/relay.cc
@@ -85,6 +85,7 @@
         return this->recover(false, now);
     }
     this->done = true;
+    this->complete = true;
     return one(FinishStream { this->next });
 }
 
@@ -112,6 +113,8 @@
 RelayActions Relay::onCallerBack(std::uint64_t nextToken)
 {
     this->callerGoneAt.reset();
+    if (this->done && !this->complete)
+        return this->fail(StreamError::UpstreamGone);
     if (nextToken < this->firstToken || nextToken > this->next)
         return this->fail(StreamError::UpstreamGone);
     RelayActions actions;
--- a/support/bench/limits_cost.cc
+++ b/support/bench/limits_cost.cc
@@ -119,7 +119,7 @@
     std::printf("%10s %12s %10s %14s\n", "holders", "ns", "hashes", "state bytes");
     for (const std::size_t count : { 1UL, 7UL, 24UL, 85UL }) {
         PermitIssuer issuer(UpstreamId("kv"), ConcurrencySettings(), PermitSettings(), begin);
-        issuer.onHandover({ UpstreamId("kv"), 1, 32, {} }, begin);
+        issuer.onHandover({ UpstreamId("kv"), 1, 32, {}, true }, begin);
         issuer.setAuthority(begin + std::chrono::hours(10));
         std::vector<PermitHolder> holders;
         for (std::size_t i = 0; i < count; ++i)
--- a/support/bench/limits_model.h
+++ b/support/bench/limits_model.h
@@ -210,7 +210,7 @@
                 continue;
             PermitIssuer issuer(name, this->limits, this->times, this->now());
             issuer.setFloors(floorHolders(name, this->ids, this->limits.cold), this->now());
-            issuer.onHandover({ name, 1, static_cast<double>(this->limits.cold), {} }, this->now());
+            issuer.onHandover({ name, 1, static_cast<double>(this->limits.cold), {}, true }, this->now());
             issuer.setAuthority(this->now() + std::chrono::hours(1));
             daemon.issuers.emplace(replica, std::move(issuer));
         }
--- a/test/permits_test.cc
+++ b/test/permits_test.cc
@@ -443,10 +443,17 @@
     REQUIRE(busy.free(now) == 2);
 
     const auto handover = former.handOver(now);
+    CHECK(handover.authoritative);
     CHECK(grantOf(former.onRequest(*busy.poll(now + 900ms), now + 900ms)).count == 0);
 
     PermitIssuer successor(target, limits, settings, now);
     successor.setAuthority(now + 100s);
+    // An owner that lost its majority cannot vouch for what others have granted since.
+    PermitIssuer cutOff(target, limits, settings, now - 100s);
+    successor.onHandover(cutOff.handOver(now), now);
+    PermitHolder early(target, InstanceId("early"), 1, limits, settings, now);
+    early.setWaiting(2);
+    CHECK(grantOf(successor.onRequest(*early.poll(now), now)).count == 0);
     successor.onHandover(handover, now);
     PermitHolder other(target, InstanceId("other"), 1, limits, settings, now);
     other.setWaiting(1);
@@ -490,7 +497,7 @@
     const TimePoint now(1000s);
     PermitSettings settings;
     PermitIssuer issuer(target, coldOnly(2), settings, now);
-    issuer.onHandover({ target, 1, 2, {} }, now);
+    issuer.onHandover({ target, 1, 2, {}, true }, now);
     issuer.setFloors({ InstanceId("a") }, now);
     CHECK(issuer.charged() == 1);
     issuer.setFloors({ InstanceId("a") }, now);
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -185,4 +185,7 @@
     CHECK(relay.onTime(now + 2s + settings.resumeWindow - 1us).empty());
     CHECK(find<CancelRun>(relay.onTime(now + 2s + settings.resumeWindow)));
     CHECK(relay.ended());
+    const auto tooLate = relay.onCallerBack(1);
+    CHECK(find<FailStream>(tooLate));
+    CHECK_FALSE(find<FinishStream>(tooLate));
 }
