--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -1,7 +1,6 @@
 #include "goldcrestwood/gossip.h"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 #include "gossip_lanes.h"
@@ -380,7 +379,7 @@
 void Gossip::addRelays(GossipMessage& message, Budget& budget) const
 {
     std::size_t used = 0;
-    for (const auto& relay : std::ranges::reverse_view(this->relays)) {
+    for (const auto& relay : this->relays) {
         const auto owner = this->owners.find(relay.owner);
         if (owner == this->owners.end())
             continue;
--- a/src/gossip_exchange.cc
+++ b/src/gossip_exchange.cc
@@ -126,9 +126,9 @@
     result.changed.push_back({ delta.owner, delta.incarnation, cell });
     if (!isUrgent(cell.topic))
         return;
-    this->relays.push_back({ delta.owner, delta.lane, id, this->settings.relayRounds });
+    this->relays.push_front({ delta.owner, delta.lane, id, this->settings.relayRounds });
     if (this->relays.size() > maxRelays)
-        this->relays.pop_front();
+        this->relays.pop_back();
 }
 
 /// The salt differs in each exchange, so that two ids with the same hash do not stay confused.
--- a/support/bench/membership.cc
+++ b/support/bench/membership.cc
@@ -148,7 +148,7 @@
     double lost = 0;
     double gained = 0;
     for (int i = 0; i < rounds; ++i) {
-        const auto candidate = daemon(1 + static_cast<std::size_t>(i) % (daemons - 1));
+        const auto candidate = daemon(1 + static_cast<std::size_t>(i) % std::max<std::size_t>(daemons - 1, 1));
         auto start = cpuSeconds();
         ownership.onMember(candidate, false, now);
         lost += cpuSeconds() - start;
