--- /dev/null
+++ b/src/prefix_index.cc
@@ -0,0 +1,362 @@
+#include "goldcrestwood/prefix_index.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace goldcrestwood {
+
+namespace {
+
+    constexpr std::uint16_t maxTouches = std::numeric_limits<std::uint16_t>::max();
+    /// Growth of a holder's generation when all of its blocks are in doubt.
+    constexpr std::uint64_t fullDoubt = 1'000'000;
+    /// Touches beyond this add nothing to a block's usefulness.
+    constexpr std::uint16_t countedTouches = 6;
+
+} // namespace
+
+std::vector<std::uint64_t> hashValues(const std::vector<ChainHash>& chain)
+{
+    std::vector<std::uint64_t> values;
+    values.reserve(chain.size());
+    for (const auto hash : chain)
+        values.push_back(hash.value);
+    return values;
+}
+
+std::vector<ChainHash> chainHashes(const std::vector<std::uint64_t>& values)
+{
+    std::vector<ChainHash> chain;
+    chain.reserve(values.size());
+    for (const auto value : values)
+        chain.push_back(ChainHash { value });
+    return chain;
+}
+
+PrefixIndex::PrefixIndex(const PrefixIndexSettings& initialSettings)
+    : settings(initialSettings)
+    , entries(initialSettings.maxBlocks)
+{
+}
+
+PrefixIndex::Slot PrefixIndex::slotOf(const UpstreamId& id)
+{
+    if (const auto found = this->slots.find(id); found != this->slots.end())
+        return found->second;
+    auto slot = static_cast<Slot>(this->holders.size());
+    if (this->freeSlots.empty()) {
+        this->holders.emplace_back();
+    } else {
+        slot = this->freeSlots.back();
+        this->freeSlots.pop_back();
+    }
+    // A reused slot keeps its generations, so that entries of its former holder stay dead.
+    this->holders[slot].id = id;
+    this->slots.emplace(id, slot);
+    return slot;
+}
+
+std::uint64_t PrefixIndex::raiseDoubt(Holder& holder, std::uint64_t lost, std::uint64_t held)
+{
+    const auto share = held > 0 ? std::min(lost * fullDoubt / held + 1, fullDoubt) : fullDoubt;
+    const auto before = holder.generation;
+    holder.generation += share;
+    ++this->total.gaps;
+    return before;
+}
+
+bool PrefixIndex::enterEpoch(Holder& holder, std::uint64_t epoch)
+{
+    if (!holder.epochKnown) {
+        holder.epochKnown = true;
+        holder.epoch = epoch;
+        return true;
+    }
+    if (epoch < holder.epoch)
+        return false;
+    if (epoch > holder.epoch) {
+        holder.epoch = epoch;
+        holder.lastSequence = 0;
+        holder.sequenceKnown = false;
+        holder.epochGeneration = ++holder.generation;
+        ++this->total.restarts;
+    }
+    return true;
+}
+
+void PrefixIndex::apply(const HolderEvents& batch, TimePoint now)
+{
+    const auto slot = this->slotOf(batch.holder);
+    auto& holder = this->holders[slot];
+    if (!this->enterEpoch(holder, batch.epoch) || (holder.sequenceKnown && batch.last <= holder.lastSequence)) {
+        this->total.staleEvents += batch.events.size();
+        return;
+    }
+    const auto hasUncertain = !batch.events.empty() && batch.events.front().sequence <= batch.after;
+    auto uncertainGeneration = holder.generation;
+    if (batch.after > holder.lastSequence && (holder.sequenceKnown || hasUncertain))
+        uncertainGeneration = this->raiseDoubt(holder, batch.after - holder.lastSequence, batch.heldBlocks);
+    for (const auto& event : batch.events) {
+        if (holder.sequenceKnown && event.sequence <= holder.lastSequence) {
+            ++this->total.staleEvents;
+            continue;
+        }
+        ++this->total.events;
+        // A later change of the same block may be among the lost ones.
+        const auto generation = event.sequence <= batch.after ? uncertainGeneration : holder.generation;
+        if (event.kind == HolderEventKind::Stored)
+            this->put(ChainHash { event.hash }, { generation, slot, event.tier, HoldingState::Reported }, now);
+        else
+            this->evict(ChainHash { event.hash }, { generation, slot, event.tier, HoldingState::Gone }, now);
+    }
+    holder.lastSequence = batch.last;
+    holder.sequenceKnown = true;
+}
+
+void PrefixIndex::apply(const HolderSnapshot& snapshot, TimePoint now)
+{
+    const auto slot = this->slotOf(snapshot.holder);
+    auto& holder = this->holders[slot];
+    if (!this->enterEpoch(holder, snapshot.epoch))
+        return;
+    if (holder.sequenceKnown && snapshot.sequence < holder.lastSequence)
+        return;
+    // What the snapshot lacks is most likely gone.
+    holder.epochGeneration = ++holder.generation;
+    for (const auto& block : snapshot.blocks)
+        this->put(ChainHash { block.hash }, { holder.generation, slot, block.tier, HoldingState::Reported }, now);
+    holder.lastSequence = snapshot.sequence;
+    holder.sequenceKnown = true;
+}
+
+void PrefixIndex::expect(const ChainPlaced& placed, TimePoint now)
+{
+    const auto slot = this->slotOf(placed.upstream);
+    const auto generation = this->holders[slot].generation;
+    for (const auto hash : placed.hashes)
+        this->put(ChainHash { hash }, { generation, slot, Tier::EngineMemory, HoldingState::Expected }, now);
+}
+
+void PrefixIndex::observe(const ChainUsed& used, TimePoint now)
+{
+    const auto slot = this->slotOf(used.upstream);
+    const auto generation = this->holders[slot].generation;
+    // Once it has answered, the engine holds the whole chain, whether found or computed.
+    for (const auto hash : used.hashes)
+        this->put(ChainHash { hash }, { generation, slot, Tier::EngineMemory, HoldingState::Reported }, now);
+}
+
+void PrefixIndex::observe(const BlocksSeen& seen, TimePoint now)
+{
+    const auto slot = this->slotOf(seen.store);
+    const auto generation = this->holders[slot].generation;
+    const auto otherTier = seen.tier == Tier::StoreDisk ? Tier::StoreMemory : Tier::StoreDisk;
+    for (const auto hash : seen.held) {
+        this->remove(ChainHash { hash }, slot, otherTier);
+        this->put(ChainHash { hash }, { generation, slot, seen.tier, HoldingState::Reported }, now);
+    }
+    for (const auto hash : seen.absent) {
+        for (const auto tier : { Tier::StoreMemory, Tier::StoreDisk })
+            this->put(ChainHash { hash }, { generation, slot, tier, HoldingState::Gone }, now);
+    }
+}
+
+void PrefixIndex::forget(const UpstreamId& id)
+{
+    const auto found = this->slots.find(id);
+    if (found == this->slots.end())
+        return;
+    auto& holder = this->holders[found->second];
+    const auto next = holder.generation + 1;
+    holder = Holder {};
+    holder.generation = holder.epochGeneration = holder.firstGeneration = next;
+    this->freeSlots.push_back(found->second);
+    this->slots.erase(found);
+}
+
+double PrefixIndex::confidence(const Holding& holding) const
+{
+    const auto& holder = this->holders[holding.slot];
+    if (holding.generation < holder.firstGeneration || holding.state == HoldingState::Gone)
+        return 0;
+    if (holding.generation < holder.epochGeneration)
+        return holding.tier == Tier::StoreDisk ? this->settings.diskRestartConfidence : this->settings.restartConfidence;
+    const auto known = holding.state == HoldingState::Expected ? this->settings.expectedConfidence : 1.0;
+    const auto doubt = static_cast<double>(holder.generation - holding.generation) / fullDoubt;
+    return known * std::max(1 - doubt, this->settings.gapConfidence);
+}
+
+void PrefixIndex::put(ChainHash hash, const Holding& holding, TimePoint now)
+{
+    auto* block = this->entries.find(hash);
+    if (!block) {
+        block = &this->entries.at(hash);
+        block->lastTouch = now;
+    }
+    auto& holdings = block->holdings;
+    auto same = [&](const Holding& other) { return other.samePlace(holding); };
+    if (const auto found = std::find_if(holdings.begin(), holdings.end(), same); found != holdings.end()) {
+        const auto promiseOnly = holding.state == HoldingState::Expected && found->state == HoldingState::Reported
+            && found->generation == holding.generation;
+        if (!promiseOnly)
+            *found = holding;
+        return;
+    }
+    if (holdings.size() < this->settings.maxHoldersPerBlock) {
+        holdings.push_back(holding);
+        return;
+    }
+    auto surer = [this](const Holding& left, const Holding& right) { return this->confidence(left) < this->confidence(right); };
+    if (const auto least = std::min_element(holdings.begin(), holdings.end(), surer); this->confidence(*least) < this->confidence(holding))
+        *least = holding;
+}
+
+void PrefixIndex::remove(ChainHash hash, Slot slot, Tier tier)
+{
+    auto* block = this->entries.find(hash);
+    if (!block)
+        return;
+    for (auto& holding : block->holdings) {
+        if (holding.slot == slot && holding.tier == tier)
+            holding.state = HoldingState::Gone;
+    }
+}
+
+void PrefixIndex::evict(ChainHash hash, const Holding& evicted, TimePoint now)
+{
+    auto* block = this->entries.find(hash);
+    if (!block)
+        return;
+    auto same = [&](const Holding& holding) { return holding.samePlace(evicted); };
+    const auto found = std::find_if(block->holdings.begin(), block->holdings.end(), same);
+    if (found == block->holdings.end())
+        return;
+    *found = evicted;
+    if (evicted.tier != Tier::StoreMemory)
+        return;
+    // A store moves what it evicts from memory to disk, and the event of that may be lost.
+    auto demoted = evicted;
+    demoted.tier = Tier::StoreDisk;
+    demoted.state = HoldingState::Expected;
+    this->put(hash, demoted, now);
+}
+
+ChainCoverage PrefixIndex::lookUp(const std::vector<ChainHash>& chain, TimePoint now)
+{
+    ChainCoverage coverage;
+    Blocks found;
+    found.reserve(chain.size());
+    coverage.touches.reserve(chain.size());
+    for (const auto hash : chain) {
+        found.push_back(this->entries.find(hash));
+        coverage.touches.push_back(found.back() ? found.back()->touches : std::uint16_t { 0 });
+    }
+    this->addEngines(found, coverage);
+    this->addStores(found, coverage);
+    this->touch(chain, now);
+    return coverage;
+}
+
+void PrefixIndex::touch(const std::vector<ChainHash>& chain, TimePoint now)
+{
+    auto at = now;
+    for (const auto hash : chain) {
+        auto& block = this->entries.at(hash);
+        // A later block is of no use without the earlier ones, so it has to go before them.
+        block.lastTouch = at;
+        at -= Duration(1);
+        block.touches = static_cast<std::uint16_t>(std::min(block.touches + 1, int { maxTouches }));
+        const auto counted = std::min<int>(block.touches - 1, countedTouches);
+        block.bonus = counted * this->settings.touchBonus;
+    }
+}
+
+bool PrefixIndex::canBridge(const Run& run, const Blocks& found, std::uint32_t place) const
+{
+    if (run.end() > place || run.end() + this->settings.maxBridge < place)
+        return false;
+    auto isGone = [&](const Holding& holding) {
+        return holding.state == HoldingState::Gone && holding.slot == run.slot && holding.tier == run.tier;
+    };
+    for (auto hole = run.end(); hole < place; ++hole) {
+        const auto* block = found[hole];
+        if (block && std::any_of(block->holdings.begin(), block->holdings.end(), isGone))
+            return false;
+    }
+    return true;
+}
+
+void PrefixIndex::extend(std::vector<Run>& runs, const Holding& holding, const Blocks& found, std::uint32_t place) const
+{
+    const auto sure = this->confidence(holding);
+    if (sure == 0)
+        return;
+    auto reaches = [&](const Run& run) {
+        return run.slot == holding.slot && run.tier == holding.tier && this->canBridge(run, found, place);
+    };
+    auto run = std::find_if(runs.begin(), runs.end(), reaches);
+    if (run == runs.end()) {
+        // An engine's blocks count from the start of the chain.
+        const auto inEngine = holding.tier == Tier::EngineMemory;
+        const Run fresh { holding.slot, holding.tier, inEngine ? 0 : place, 0, 0 };
+        if (inEngine && !this->canBridge(fresh, found, place))
+            return;
+        run = runs.insert(run, fresh);
+    }
+    run->confidence += sure + (place - run->end()) * this->settings.bridgeConfidence;
+    run->blocks = place + 1 - run->first;
+}
+
+std::vector<PrefixIndex::Run> PrefixIndex::findRuns(const Blocks& found, bool inEngines) const
+{
+    std::vector<Run> runs;
+    for (std::uint32_t place = 0; place < found.size(); ++place) {
+        if (!found[place])
+            continue;
+        for (const auto& holding : found[place]->holdings) {
+            if ((holding.tier == Tier::EngineMemory) == inEngines)
+                this->extend(runs, holding, found, place);
+        }
+    }
+    return runs;
+}
+
+void PrefixIndex::addEngines(const Blocks& found, ChainCoverage& coverage) const
+{
+    auto runs = this->findRuns(found, true);
+    std::sort(runs.begin(), runs.end(), [](const Run& left, const Run& right) { return left.confidence > right.confidence; });
+    for (const auto& run : runs) {
+        if (coverage.engines.size() >= this->settings.maxEngines)
+            break;
+        coverage.engines.push_back({ this->holders[run.slot].id, run.blocks, run.confidence / run.blocks });
+    }
+}
+
+void PrefixIndex::addStores(const Blocks& found, ChainCoverage& coverage) const
+{
+    auto runs = this->findRuns(found, false);
+    if (runs.size() > this->settings.maxStoreRuns) {
+        std::stable_sort(runs.begin(), runs.end(), [](const Run& left, const Run& right) { return left.blocks > right.blocks; });
+        runs.resize(this->settings.maxStoreRuns);
+    }
+    std::stable_sort(runs.begin(), runs.end(), [](const Run& left, const Run& right) { return left.first < right.first; });
+    for (const auto& run : runs)
+        coverage.stores.push_back({ this->holders[run.slot].id, run.tier, run.first, run.blocks, run.confidence / run.blocks });
+}
+
+PrefixIndexCounts PrefixIndex::counts() const
+{
+    auto counts = this->total;
+    counts.evictions = this->entries.evictions();
+    return counts;
+}
+
+std::size_t PrefixIndex::memoryBytes() const
+{
+    // A map node, its bucket, the entry and room for two holdings.
+    constexpr auto blockBytes = sizeof(ChainHash) + sizeof(Block) + 2 * sizeof(Holding) + 48;
+    constexpr auto holderBytes = sizeof(Holder) + sizeof(Slot) + 96;
+    return this->entries.size() * blockBytes + this->holders.size() * holderBytes;
+}
+
+} // namespace goldcrestwood
