--- a/test/domains_test.cc
+++ b/test/domains_test.cc
@@ -46,6 +46,7 @@
     gate.onRecorded(record(DomainState::In, 8), start);
     CHECK(gate.domainGate(thuDuc) == WorkGate::Open);
     gate.onProvisional(order, start);
+    CHECK(gate.domainGate(thuDuc) == WorkGate::Open);
     gate.onRecorded(record(DomainState::Out, 7, "order-1"), start);
     CHECK(gate.domainGate(thuDuc) == WorkGate::Open);
 }
