--- /dev/null
+++ b/test/process/bad_input_test.py
@@ -0,0 +1,107 @@
+"""Input that a daemon must refuse: a typed answer or a clean close, and the daemon stays up."""
+
+import json
+import socket
+import time
+import unittest
+
+import harness
+
+PATH = "/v1/completions"
+# Three times the receive timeout that the harness sets.
+CLOSE_SECONDS = 6
+
+
+class BadInputTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.site = cls.enterClassContext(harness.Site(harness.SMALL))
+        cls.daemon = cls.site.daemons[0]
+        cls.caller = harness.Caller(cls.site, "first")
+
+    def tearDown(self):
+        self.assertTrue(self.daemon.is_running())
+        answer = self.caller.complete("model", "still there", 2, address=self.daemon.callers)
+        self.assertEqual(answer.tokens, harness.expected_tokens("still there", "v1", 7, 2), answer)
+
+    def refuse(self, body, headers=None, method="POST", path=PATH):
+        status, content = harness.call(self.daemon.callers, method, path, body, self.caller.headers | (headers or {}))
+        problem = json.loads(content)
+        self.assertEqual(problem["executed"], "no", problem)
+        return status
+
+    def open(self):
+        host, port = self.daemon.callers.split(":")
+        return socket.create_connection((host, int(port)), timeout=CLOSE_SECONDS)
+
+    def read_to_end(self, connection):
+        """Returns what came until the daemon closed; a connection that stays open fails the test."""
+        content = b""
+        try:
+            while piece := connection.recv(65536):
+                content += piece
+        except ConnectionError:
+            pass
+        return content
+
+    def head(self, extra=""):
+        return f"POST {PATH} HTTP/1.1\r\nHost: x\r\nAuthorization: {self.caller.headers['Authorization']}\r\n{extra}"
+
+    def test_wrong_bodies(self):
+        for body in (b"", b"{", b"\xff\xfe", b"[]", b'{"model": 3}', b'{"model": "model"}', b"[" * 20000,
+                     b'{"model":"model","prompt":"x","max_tokens":-1}', b'{"model":"model","prompt":"x","stream":"yes"}'):
+            with self.subTest(body[:40]):
+                self.assertEqual(self.refuse(body), 400)
+
+    def test_unknown_names(self):
+        self.assertEqual(self.refuse({"model": "nobody", "prompt": "x"}), 404)
+        self.assertEqual(self.refuse({}, path="/v1/services/nobody/call"), 404)
+        self.assertEqual(self.refuse(None, method="GET", path="/v1/nothing"), 404)
+
+    def test_wrong_keys(self):
+        secret = self.site.secret("first")
+        for key in ("", "Bearer", "Bearer first", "Bearer first.wrong", f"Bearer second.{secret}", f"Basic first.{secret}"):
+            with self.subTest(key):
+                self.assertEqual(self.refuse({"model": "model", "prompt": "x"}, {"Authorization": key}), 401)
+
+    def test_order_without_key(self):
+        path = f"/v1/services/{self.site.plan.plain}/confirm"
+        self.assertEqual(self.refuse({"item": "x"}, path=path), 400)
+
+    def test_forged_ticket(self):
+        self.assertIn(self.refuse({"model": "model", "prompt": "x"}, {"Last-Event-ID": "forged"}), (400, 409))
+
+    def test_body_too_large(self):
+        with self.open() as connection:
+            connection.sendall(self.head(f"Content-Length: {1 << 40}\r\n\r\n").encode() + b"x" * 1000)
+            self.assertIn(b" 413 ", self.read_to_end(connection).split(b"\r\n")[0])
+
+    def test_header_too_long(self):
+        with self.open() as connection:
+            try:
+                connection.sendall(self.head("X-Long: " + "x" * (1 << 20) + "\r\n\r\n").encode())
+            except ConnectionError:
+                return
+            answer = self.read_to_end(connection)
+            self.assertTrue(answer == b"" or b" 4" in answer.split(b"\r\n")[0], answer[:200])
+
+    def test_slow_sender(self):
+        for content in ("POST /v1/comp", self.head("Content-Length: 100\r\n\r\n") + "{"):
+            with self.subTest(content[:20]), self.open() as connection:
+                connection.sendall(content.encode())
+                answer = self.read_to_end(connection)
+                self.assertNotIn(b" 200 ", answer)
+
+    def test_dropped_half_way(self):
+        for content in ("POST", self.head(), self.head("Content-Length: 100\r\n\r\n") + "{"):
+            with self.open() as connection:
+                connection.sendall(content.encode())
+        body = json.dumps({"model": "model", "prompt": "dropped", "max_tokens": 2000, "stream": True}).encode()
+        with self.open() as connection:
+            connection.sendall(self.head(f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+            self.assertTrue(connection.recv(10))
+        time.sleep(0.2)
+
+
+if __name__ == "__main__":
+    unittest.main()
