--- a/include/goldcrestwood/permits.h
+++ b/include/goldcrestwood/permits.h
@@ -100,6 +100,8 @@
 
     void onGrant(const PermitGrant& grant, TimePoint now);
     void onRevoke(const PermitRevoke& revoke);
+    /// Others wait for permits of the upstream: what is not used is given back with the next report, which is due now.
+    void onContention() { this->contended = true; }
 
     /// @return The request to send to the owner now, if one is due. An owner asks itself the same way.
     std::optional<PermitRequest> poll(TimePoint now);
@@ -250,6 +252,13 @@
         TimePoint servedAt;
     };
 
+    /// What the other holders want.
+    struct Contention {
+        std::uint32_t fairPart = 1;
+        bool othersWait = false;
+        bool othersWaitLonger = false;
+    };
+
     struct Orphan {
         std::uint32_t count = 0;
         TimePoint since;
@@ -268,9 +277,8 @@
     std::uint32_t held(const Holder* except) const;
     std::uint32_t share(const Holder& holder, TimePoint now) const;
     std::uint32_t fairPart(TimePoint now) const;
-    bool waits(const Holder& holder, TimePoint now) const;
-    bool othersWait(const Holder& holder, TimePoint now) const;
-    bool othersWaitLonger(const Holder& holder, TimePoint now) const;
+    Contention contentionFor(const Holder& holder, TimePoint now) const;
+    bool waits(const Holder& holder, std::uint32_t fair, TimePoint now) const;
     PermitMessage give(Holder& holder, std::uint32_t count, TimePoint now) const;
     void serveWaiting(std::vector<PermitMessage>& out, TimePoint now);
     std::vector<PermitMessage> revokeAll(const InstanceId& sender);
--- a/src/daemon/completion_run.cc
+++ b/src/daemon/completion_run.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-    /// Wait for a permit at the chosen upstream before another is chosen.
+    /// Shortest wait for a permit at the chosen upstream before another is chosen.
     constexpr Duration permitPatience = std::chrono::milliseconds(60);
     /// Wait before the upstreams are tried again after none could be used.
     constexpr Duration routeRetryWait = std::chrono::milliseconds(20);
@@ -29,6 +29,17 @@
         return settings;
     }
 
+    /// @return What a transfer showed about the store: the blocks that moved are there, the others are not.
+    BlocksSeen seenBlocks(const UpstreamId& store, Tier tier, const std::vector<std::uint64_t>& wanted, const std::vector<std::uint64_t>& moved)
+    {
+        BlocksSeen seen { store, tier, moved, {} };
+        for (const auto hash : wanted) {
+            if (std::find(moved.begin(), moved.end(), hash) == moved.end())
+                seen.absent.push_back(hash);
+        }
+        return seen;
+    }
+
     int enginePriority(const CatalogView& view, const ClientAccount& account)
     {
         const auto* entry = view.account(account);
@@ -120,16 +131,20 @@
         return false;
     }
     const auto* upstream = view->upstream(placement->decision.upstream);
-    const auto permit = upstream ? this->serving.permits.acquire(upstream->id, permitPatience) : std::nullopt;
+    // Waiting as long as the cache saves costs at most twice the better choice.
+    const auto patience = std::min(std::max(permitPatience, placement->saved), deadline - monotonicNow());
+    const auto permit = upstream ? this->serving.permits.acquire(upstream->id, patience) : std::nullopt;
     if (!permit) {
         this->full.insert(placement->decision.upstream);
         this->serving.routes.finish(this->task.service.name, placement->decision.ticket);
         return false;
     }
     this->attempt = Attempt { *upstream, std::move(*placement), *permit, monotonicNow(), true, false };
+    this->serving.metrics.observe("goldcrestwood_placement_seconds", "", this->attempt->sentAt - this->startedAt);
     this->importBlocks(*this->attempt);
+    if (this->attempt->placement.decision.import.blocks > 0)
+        this->serving.metrics.observe("goldcrestwood_import_seconds", "", monotonicNow() - this->attempt->sentAt);
     this->serving.prefixes.announcePlaced(upstream->id, upstreamKey(upstream->id), this->attempt->placement.chain);
-    this->attempt->sentAt = monotonicNow();
     return true;
 }
 
@@ -164,13 +179,7 @@
         const auto moved = this->serving.transfers.import(move);
         if (!moved)
             return;
-        ChainUsed used { target.upstream.id, hashValues(target.placement.chain.blocks), store->id, {} };
-        for (const auto hash : move.hashes) {
-            if (std::find(moved->begin(), moved->end(), hash) == moved->end())
-                used.absent.push_back(hash);
-        }
-        if (!used.absent.empty())
-            this->serving.prefixes.announceUsed(target.placement.chain, used);
+        this->serving.prefixes.announceSeen(target.placement.chain, seenBlocks(store->id, run.tier, move.hashes, *moved));
     }
 }
 
@@ -235,6 +244,10 @@
         return;
     const auto& decision = target.placement.decision;
     this->serving.routes.firstToken(this->task.service.name, decision.ticket, { duration, std::nullopt });
+    this->serving.metrics.observe("goldcrestwood_upstream_first_token_seconds", "", duration);
+    if (monotonicNow() - this->startedAt > this->task.service.firstTokenTarget) {
+        logWarning("slow_first_token", { { "request", this->task.request.value }, { "upstream", target.upstream.id.value }, { "placement_seconds", std::to_string(toSeconds(target.sentAt - this->startedAt)) }, { "upstream_seconds", std::to_string(toSeconds(duration)) }, { "expected_seconds", std::to_string(toSeconds(decision.expectedFirstToken)) }, { "import_blocks", std::to_string(decision.import.blocks) }, { "cached_blocks", std::to_string(decision.blocksCovered) } });
+    }
     const auto unloaded = std::max(decision.expectedFirstToken - decision.expectedQueue, shortestExpectation);
     this->serving.permits.onFirstToken(target.upstream.id, toSeconds(duration) / toSeconds(unloaded));
     this->serving.metrics.observe("goldcrestwood_first_token_seconds", "service=\"" + this->task.service.name.value + "\"", monotonicNow() - this->startedAt);
@@ -371,7 +384,7 @@
         if (row.entry.service == this->task.service.name)
             targets.push_back({ row.entry.id, row.entry.domain, this->serving.transfers.estimate(row.entry.id), 0 });
     });
-    ChainUsed used { upstream.id, hashValues(placement.chain.blocks), {}, {} };
+    const ChainUsed used { upstream.id, hashValues(placement.chain.blocks) };
     this->serving.prefixes.announceUsed(placement.chain, used);
     const auto blockBytes = std::uint64_t { this->task.service.blockTokens } * this->task.service.bytesPerToken;
     for (const auto& order : planExports(ExportSettings(), placement.chain.blocks, placement.coverage, targets)) {
@@ -380,7 +393,9 @@
         for (const auto block : order.blocks)
             move.hashes.push_back(placement.chain.blocks.at(block).value);
         this->serving.prefixes.announceKnown(order.store, upstreamKey(order.store), placement.chain);
-        this->serving.transfers.queue(move);
+        this->serving.transfers.queue(move, [prefixes = &this->serving.prefixes, chain = placement.chain, store = order.store](const std::vector<std::uint64_t>& moved) {
+            prefixes->announceSeen(chain, { store, Tier::StoreMemory, moved, {} });
+        });
     }
 }
 
