--- a/support/bench/routing_model.h
+++ b/support/bench/routing_model.h
@@ -346,8 +346,7 @@
         const auto request = *engine.current;
         engine.current.reset();
         const auto& blocks = this->trace[request].blocks;
-        for (auto block = blocks.rbegin(); block != blocks.rend(); ++block)
-            engine.insert(*block);
+        std::for_each(blocks.rbegin(), blocks.rend(), [&engine](ChainHash block) { engine.insert(block); });
         auto& run = this->runs[request];
         run.done = true;
         run.firstTokenAt = this->now + overhead;
@@ -364,18 +363,19 @@
         std::vector<double> whileOut;
         auto seen = 0.0;
         auto again = 0.0;
-        for (std::size_t i = 0; i < this->trace.size(); ++i) {
-            const auto& request = this->trace[i];
+        auto run = this->runs.begin();
+        for (const auto& request : this->trace) {
+            const auto& outcome = *run++;
             if (request.at < this->site.warmUp)
                 continue;
-            const auto seconds = this->runs[i].done ? this->runs[i].firstTokenAt - request.at : 1e9;
+            const auto seconds = outcome.done ? outcome.firstTokenAt - request.at : 1e9;
             all.push_back(seconds);
             if (request.returning)
                 returning.push_back(seconds);
             if (request.at >= this->site.domainOutFrom && request.at < this->site.domainBackAt + 60)
                 whileOut.push_back(seconds);
             seen += request.seenBlocks;
-            again += request.seenBlocks - std::min(this->runs[i].cachedBlocks, request.seenBlocks);
+            again += request.seenBlocks - std::min(outcome.cachedBlocks, request.seenBlocks);
         }
         result.p50 = quantile(all, 0.5);
         result.p95 = quantile(all, 0.95);
--- a/support/bench/routing_trace.h
+++ b/support/bench/routing_trace.h
@@ -140,6 +140,7 @@
     Random random(seed);
     const auto accounts = traceAccounts();
     std::vector<double> weights;
+    weights.reserve(accounts.size());
     for (const auto& account : accounts)
         weights.push_back(account.weight);
     std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
--- a/test/prefix_index_test.cc
+++ b/test/prefix_index_test.cc
@@ -262,8 +262,8 @@
 TEST_CASE("all receivers of a feed hear of a hole at once")
 {
     HolderFeed feed(engine);
-    feed.place({ 1 * 1000 }, chainOf(1, 1), start);
-    feed.place({ 2 * 1000 }, chainOf(2, 1), start);
+    feed.place({ 1000 }, chainOf(1, 1), start);
+    feed.place({ 2000 }, chainOf(2, 1), start);
     auto ownerOf = [](ChainHash first) { return InstanceId(first.value == 1000 ? "a" : "b"); };
     CHECK(feed.poll(batch(engine, 1, 0, { { 1, stored, inEngine, 1000 }, { 2, stored, inEngine, 2000 } }), ownerOf).size() == 2);
     CHECK(feed.poll(batch(engine, 1, 2, { { 3, evicted, inEngine, 9000 } }), ownerOf).empty());
