Process tests: golden session after a warm-up; first prompt after a start

Cause: in a run of all process tests the golden session got 503 for its first prompt; so did 2 of 2 prompts right after a start.

--- a/test/process/session_test.py
+++ b/test/process/session_test.py
@@ -26,6 +26,8 @@
     (re.compile(r'("lifetime_seconds":)[\d.]+'), r"\1SECONDS"),
     (re.compile(r'("weight":)[\d.]+'), r"\1WEIGHT"),
     (re.compile(r"revision \d+"), "revision NUMBER"),
+    # Which engine answers depends on how soon its cache events come.
+    (re.compile(r'("cached_tokens":)\d+'), r"\1COUNT"),
     (re.compile(r"[\d.]+ ?m?s\b"), "TIME"),
 )
 
@@ -69,6 +71,9 @@
 
     def test_session(self):
         with harness.Site(PLAN) as site:
+            for daemon in site.daemons:
+                warm_up = harness.Caller(site, "second").complete("model", "warm up", 2, address=daemon.callers)
+                self.assertTrue(warm_up.finished, warm_up)
             text = "".join(f"== {title}\n{masked(content)}" for title, content in self.session(site))
         if os.environ.get("GOLDCREST_UPDATE") == "1":
             GOLDEN.parent.mkdir(exist_ok=True)
