--- a/include/goldcrestwood/holder_feed.h
+++ b/include/goldcrestwood/holder_feed.h
@@ -38,8 +38,9 @@
     /// @param maxHashes Blocks whose first block is remembered.
     explicit HolderFeed(UpstreamId holderId, std::size_t maxHashes = 16384);
 
-    /// Learns which chain the hashes belong to.
-    void place(const std::vector<ChainHash>& chain, TimePoint now);
+    /// Learns which chain blocks belong to; call it for each dispatch to an engine, and for the blocks
+    /// of each import from a store and export to it.
+    void place(ChainHash firstBlock, const std::vector<ChainHash>& blocks, TimePoint now);
 
     /// Takes what the holder answered to a poll; numbers are dense at the holder.
     /// @param ownerOf Gives the owner of a chain by its first block.
@@ -64,6 +65,9 @@
         return this->address(answer, std::move(concerned));
     }
 
+    /// Forgets a daemon that has left, so that it hears of no more holes.
+    void forget(const InstanceId& receiver) { this->receivers.erase(receiver); }
+
     /// @return The sequence after which to ask the holder next.
     std::uint64_t nextAfter() const { return this->lastSequence; }
     /// @return Events dropped since their chain is not known here.
--- a/src/daemon/permit_service.h
+++ b/src/daemon/permit_service.h
@@ -93,7 +93,6 @@
     void run();
     void tick();
     void refreshFloors();
-    std::uint32_t floorsOf(const Entry& entry) const;
     void pollEntry(Entry& entry, TimePoint now, Outbox& outbox);
     void onRequest(const PermitRequest& request);
     void noteContention(Entry& entry, const PermitRequest& request, Outbox& outbox);
@@ -111,6 +110,8 @@
     std::map<UpstreamId, Entry> entries;
     std::map<ServiceName, std::uint32_t> waiting;
     std::vector<InstanceId> floorMembers;
+    /// A holder has to give back permits now.
+    bool urgent = false;
     bool stopping = false;
     std::thread thread;
 };
--- a/src/permit_issuer.cc
+++ b/src/permit_issuer.cc
@@ -21,11 +21,13 @@
 {
 }
 
-void PermitIssuer::setFloors(std::uint32_t requests, TimePoint now)
+void PermitIssuer::setFloors(std::vector<InstanceId> daemons, TimePoint now)
 {
-    if (this->floors > 0)
-        this->orphans.push_back({ this->floors, now });
-    this->floors = requests;
+    for (const auto& former : this->floors) {
+        if (std::find(daemons.begin(), daemons.end(), former) == daemons.end())
+            this->orphans.push_back({ 1, now });
+    }
+    this->floors = std::move(daemons);
 }
 
 std::vector<PermitMessage> PermitIssuer::onRequest(const PermitRequest& request, TimePoint now)
@@ -69,7 +71,9 @@
 
 void PermitIssuer::onHandover(const PermitHandover& handover, TimePoint now)
 {
-    if (handover.upstream != this->upstream || this->ended || now >= this->settledAt)
+    if (handover.upstream != this->upstream || !handover.authoritative)
+        return;
+    if (this->ended || now >= this->settledAt)
         return;
     this->concurrency.restore(handover.epoch, handover.limit);
     for (const auto& [id, incarnation, count] : handover.charges) {
@@ -98,7 +102,7 @@
 {
     this->forgetSilent(now);
     this->ended = true;
-    PermitHandover handover { this->upstream, this->epoch(), static_cast<double>(this->limit()), {} };
+    PermitHandover handover { this->upstream, this->epoch(), static_cast<double>(this->limit()), {}, now < this->authorityUntil };
     for (const auto& holder : this->holders) {
         if (const auto count = charge(holder); count > 0)
             handover.charges.push_back({ holder.id, holder.incarnation, count });
@@ -120,7 +124,7 @@
 
 std::size_t PermitIssuer::stateBytes() const
 {
-    auto bytes = sizeof(*this) + this->orphans.capacity() * sizeof(Orphan);
+    auto bytes = sizeof(*this) + this->orphans.capacity() * sizeof(Orphan) + this->floors.capacity() * sizeof(InstanceId);
     for (const auto& holder : this->holders)
         bytes += sizeof(holder) + holder.given.capacity() * sizeof(Given);
     return bytes;
@@ -238,7 +242,7 @@
         const auto before = std::max(holder.inherited, grantedBefore(holder));
         return std::min({ holder.wanted, before, difference(this->limit(), this->held(&holder)) });
     }
-    const auto room = difference(this->limit(), this->held(&holder) + this->floors);
+    const auto room = difference(this->limit(), this->held(&holder) + this->reserved());
     const auto wish = std::min(holder.wanted, room);
     const auto contention = this->contentionFor(holder, now);
     if (!contention.othersWait)
--- a/support/bench/limits_cost.cc
+++ b/support/bench/limits_cost.cc
@@ -119,15 +119,17 @@
     std::printf("%10s %12s %10s %14s\n", "holders", "ns", "hashes", "state bytes");
     for (const std::size_t count : { 1UL, 7UL, 24UL, 85UL }) {
         PermitIssuer issuer(UpstreamId("kv"), ConcurrencySettings(), PermitSettings(), begin);
-        issuer.onHandover({ UpstreamId("kv"), 1, 32, {} }, begin);
+        issuer.onHandover({ UpstreamId("kv"), 1, 32, {}, true }, begin);
         issuer.setAuthority(begin + std::chrono::hours(10));
         std::vector<PermitHolder> holders;
         for (std::size_t i = 0; i < count; ++i)
             holders.emplace_back(UpstreamId("kv"), InstanceId("i" + std::to_string(i)), 1, ConcurrencySettings(), PermitSettings(), begin);
         std::size_t answers = 0;
+        std::size_t next = 0;
         const auto each = nanoseconds(50000, [&](std::size_t i) {
-            const auto now = begin + std::chrono::milliseconds(i * 1000 / count);
-            auto& holder = holders[i % count];
+            const auto now = begin + fromSeconds(static_cast<double>(i) / static_cast<double>(count));
+            auto& holder = holders[next];
+            next = next + 1 == holders.size() ? 0 : next + 1;
             holder.setWaiting(2);
             if (const auto request = holder.poll(now))
                 answers += issuer.onRequest(*request, now).size();
--- a/support/bench/routing_policies.h
+++ b/support/bench/routing_policies.h
@@ -79,7 +79,7 @@
             daemon.router.finish(decision->ticket);
         this->placed[number] = { &daemon, *decision, request.coverage, 0 };
         owner.index.expect({ decision->upstream, hashValues(prompt.blocks) }, this->time());
-        this->feeds.at(decision->upstream).place(prompt.blocks, this->time());
+        this->feeds.at(decision->upstream).place(prompt.blocks.front(), prompt.blocks, this->time());
         this->startImport(number);
     }
 
@@ -163,11 +163,16 @@
             daemon.transfers.setLink(store.id, this->model.site.linkBytesPerSecond, count, pointAt(0));
     }
 
-    Daemon& ownerOf(ChainHash firstBlock)
+    std::size_t ownerNumber(ChainHash firstBlock)
     {
-        return *this->daemons[rendezvousRank(firstBlock.value, this->names, 1).front()];
+        const auto [found, isNew] = this->owners.try_emplace(firstBlock, 0);
+        if (isNew)
+            found->second = rendezvousRank(firstBlock.value, this->names, 1).front();
+        return found->second;
     }
 
+    Daemon& ownerOf(ChainHash firstBlock) { return *this->daemons[this->ownerNumber(firstBlock)]; }
+
     LinkEstimate linkOf(const Daemon& daemon, const UpstreamId& id) const
     {
         const auto& store = this->model.stores[this->storeNumbers.at(id)];
@@ -208,9 +213,11 @@
         const auto prefill = toSeconds(decision.expectedFirstToken - std::max(decision.expectedQueue, decision.import.duration));
         importsLeft = decision.import.runs.size();
         this->model.dispatch(number, engine, importsLeft == 0, prefill);
-        const auto recompute = decision.import.blocks * this->model.site.blockTokens / this->model.site.prefillRate;
-        const auto deadline = this->time() + decision.expectedQueue + decision.import.duration + fromSeconds(recompute);
+        const auto deadline = this->time() + decision.import.usefulFor;
+        const auto& blocks = this->model.trace[number].blocks;
         for (const auto& run : decision.import.runs) {
+            const std::vector<ChainHash> imported(blocks.begin() + run.firstBlock, blocks.begin() + run.firstBlock + run.blocks);
+            this->feeds.at(run.store).place(blocks.front(), imported, this->time());
             const auto bytes = run.blocks * this->model.site.blockBytes;
             const auto factor = run.tier == Tier::StoreDisk ? this->model.site.diskFactor : 1;
             this->submit(*daemon, { {}, run.store, TransferClass::FirstToken, bytes, deadline }, factor,
@@ -242,12 +249,13 @@
         auto& [daemon, decision, coverage, importsLeft] = this->placed.at(number);
         const auto engine = this->engineNumbers.at(decision.upstream);
         const auto storeNumber = this->storeNumbers.at(order.store);
-        this->feeds.at(order.store).place(this->model.trace[number].blocks, this->time());
+        const auto& blocks = this->model.trace[number].blocks;
         for (const auto block : order.blocks) {
-            const auto hash = this->model.trace[number].blocks[block];
+            const auto hash = blocks[block];
+            this->feeds.at(order.store).place(blocks.front(), { hash }, this->time());
             const Transfer transfer { {}, order.store, TransferClass::Export, this->model.site.blockBytes,
                 this->time() + std::chrono::seconds(20) };
-            const auto first = this->model.trace[number].blocks.front();
+            const auto first = blocks.front();
             this->submit(*daemon, transfer, 1, [this, hash, first, engine, storeNumber](bool moved) {
                 auto& store = this->model.stores[storeNumber];
                 BlocksSeen seen { store.id, Tier::StoreMemory, {}, {} };
@@ -295,7 +303,7 @@
     void deliverEvents()
     {
         auto forward = [this](const HolderEvents& events) {
-            auto ownerName = [this](ChainHash first) { return this->names[rendezvousRank(first.value, this->names, 1).front()]; };
+            auto ownerName = [this](ChainHash first) { return this->names[this->ownerNumber(first)]; };
             for (const auto& message : this->feeds.at(events.holder).poll(events, ownerName)) {
                 const auto place = std::find(this->names.begin(), this->names.end(), message.to) - this->names.begin();
                 this->daemons[static_cast<std::size_t>(place)]->index.apply(message.events, this->time());
@@ -338,8 +346,10 @@
 
     void tickTransfers()
     {
-        for (auto& daemon : this->daemons)
-            this->act(*daemon, daemon->transfers.tick(this->time()));
+        for (auto& daemon : this->daemons) {
+            if (daemon->transfers.nextStart(this->time()))
+                this->act(*daemon, daemon->transfers.tick(this->time()));
+        }
     }
 
     Model& model;
@@ -349,6 +359,7 @@
     ExportSettings exports;
     std::vector<InstanceId> names;
     std::vector<std::unique_ptr<Daemon>> daemons;
+    std::unordered_map<ChainHash, std::size_t> owners;
     std::map<UpstreamId, HolderFeed> feeds;
     std::map<UpstreamId, std::size_t> storeNumbers;
     std::map<UpstreamId, std::size_t> engineNumbers;
--- a/test/permits_test.cc
+++ b/test/permits_test.cc
@@ -160,10 +160,7 @@
     void own(Daemon& daemon)
     {
         daemon.issuer = std::make_unique<PermitIssuer>(target, this->limits, this->settings, this->clock(daemon));
-        std::uint32_t floors = 0;
-        for (const auto& id : this->ids)
-            floors += floorShare(target, this->ids, id, this->limits.cold, this->settings);
-        daemon.issuer->setFloors(floors, this->clock(daemon));
+        daemon.issuer->setFloors(floorHolders(target, this->ids, this->limits.cold, this->settings), this->clock(daemon));
     }
 
     bool draws(double chance) { return uniform(this->random) < chance; }
@@ -446,10 +443,17 @@
     REQUIRE(busy.free(now) == 2);
 
     const auto handover = former.handOver(now);
+    CHECK(handover.authoritative);
     CHECK(grantOf(former.onRequest(*busy.poll(now + 900ms), now + 900ms)).count == 0);
 
     PermitIssuer successor(target, limits, settings, now);
     successor.setAuthority(now + 100s);
+    // An owner that lost its majority cannot vouch for what others have granted since.
+    PermitIssuer cutOff(target, limits, settings, now - 100s);
+    successor.onHandover(cutOff.handOver(now), now);
+    PermitHolder early(target, InstanceId("early"), 1, limits, settings, now);
+    early.setWaiting(2);
+    CHECK(grantOf(successor.onRequest(*early.poll(now), now)).count == 0);
     successor.onHandover(handover, now);
     PermitHolder other(target, InstanceId("other"), 1, limits, settings, now);
     other.setWaiting(1);
@@ -487,3 +491,19 @@
     holder.onGrant(foreign, now + 4s);
     CHECK(holder.free(now + 4s) == 0);
 }
+
+TEST_CASE("a floor share that moved to another daemon stays charged until its requests have ended")
+{
+    const TimePoint now(1000s);
+    PermitSettings settings;
+    PermitIssuer issuer(target, coldOnly(2), settings, now);
+    issuer.onHandover({ target, 1, 2, {}, true }, now);
+    issuer.setFloors({ InstanceId("a") }, now);
+    CHECK(issuer.charged() == 1);
+    issuer.setFloors({ InstanceId("a") }, now);
+    CHECK(issuer.charged() == 1);
+    issuer.setFloors({ InstanceId("b") }, now);
+    CHECK(issuer.charged() == 2);
+    issuer.poll(now + settings.orphanHold + settings.term + settings.margin);
+    CHECK(issuer.charged() == 1);
+}
