Recorded orders are not submitted each tick, and by others if their taker is gone

Cause: a daemon submitted its provisional orders again on each control step until they were read back; if it died before, nobody recorded them. Change: one submission, again after 5 s; other daemons submit an order that is still provisional after 5 s.

--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -14,6 +14,8 @@
     constexpr Duration controlInterval = std::chrono::milliseconds(100);
     constexpr Duration stateRequestInterval = std::chrono::milliseconds(500);
     constexpr Duration loadInterval = std::chrono::seconds(1);
+    /// Time after which a provisional order that is still not recorded is submitted, by any daemon.
+    constexpr Duration orderGrace = std::chrono::seconds(5);
     constexpr std::uint32_t operatorThreads = 8;
     /// Name of the lease whose holder writes snapshots and gives orders.
     constexpr const char* coordinatorLease = "coordinator";
@@ -330,10 +332,18 @@
         if (this->control.isReady() && !this->control.isOutage() && !isPending(latch.key))
             this->mesh.retireLatch(Topic::ProvisionalOrder, latch.key);
     }
+    std::erase_if(this->orderSubmitAt, [&](const auto& entry) { return !isPending(entry.first); });
+    if (this->control.isOutage() || !this->control.isReady())
+        return;
+    const auto now = monotonicNow();
     for (const auto& order : pending) {
-        const bool isOwn = order.origin.instance == this->mesh.self();
-        if (isOwn && !this->control.isOutage() && this->control.isReady())
-            (void)this->control.submit("DrainOrder", order);
+        // The daemon that took the order records it; others only if it seems to be gone.
+        const auto grace = order.origin.instance == this->mesh.self() ? Duration(0) : orderGrace;
+        auto& submitAt = this->orderSubmitAt.try_emplace(orderKey(order), now + grace).first->second;
+        if (now < submitAt)
+            continue;
+        submitAt = now + orderGrace;
+        (void)this->control.submit("DrainOrder", order);
     }
 }
 
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -105,6 +106,7 @@
     std::shared_ptr<const CatalogView> configured;
     LeaseHolder lease;
     Random random;
+    std::map<std::string, TimePoint> orderSubmitAt;
     TimePoint nextStateRequest;
     TimePoint nextLoad;
     std::thread controlThread;
--- a/src/daemon/upstream_monitor.cc
+++ b/src/daemon/upstream_monitor.cc
@@ -43,8 +43,8 @@
     this->directory.handlePosted<ChainPlaced>("ChainKnown", [this](const ChainPlaced& placed) {
         const std::lock_guard lock(this->mutex);
         const auto found = this->watched.find(placed.upstream);
-        if (found != this->watched.end() && found->second.feed)
-            found->second.feed->place(chainHashes(placed.hashes), monotonicNow());
+        if (found != this->watched.end() && found->second.feed && !placed.hashes.empty())
+            found->second.feed->place(ChainHash { placed.hashes.front() }, chainHashes(placed.hashes), monotonicNow());
     });
 }
 
