A daemon is ready once it has permits; refusals say 'not run' where nothing was sent; orders are apart by account

Cause: three faults that the process tests showed. (1) A fresh site grants no permits for 8 to 10 s, yet /readyz was 200 at once, and the first prompt got 503 'unknown' after 7 s. (2) An order during an outage of the log was answered after 10 s with 'unknown', though this daemon had not dispatched it and never would. (3) The raw idempotency key went to the plain service, so two accounts with one key met the same call there. Ruled out for (1): engines, which answer at once; the wait is the owners' guard against a former owner's grants. Change: a phase Warming, in which a daemon may own things and is named to no caller, until it has had a permit of each service or 20 s have passed; a call that was never dispatched is 'not run', scope 'this request', after 1 s while the log is known to fail; a dispatch whose caller has its answer is refused; the upstream's key is a digest of account, service and key.

--- a/include/goldcrestwood/membership_messages.h
+++ b/include/goldcrestwood/membership_messages.h
@@ -67,6 +67,7 @@
     Isolated, ///< Cannot know of take-outs; takes no new work.
     Leaving, ///< Still accepts, but is to be named to no caller.
     Left, ///< Has ended by plan.
+    Warming, ///< May own things, and has no permits yet; is named to no caller.
 };
 
 /// @return The name of @p value as in the schema.
--- a/src/daemon/claim_service.cc
+++ b/src/daemon/claim_service.cc
@@ -10,6 +10,8 @@
 
     constexpr Duration stepInterval = std::chrono::milliseconds(50);
     constexpr Duration streamsInterval = std::chrono::milliseconds(200);
+    /// Longest wait for a verdict while the log fails: only an outcome that its fold holds already can come.
+    constexpr Duration outageTimeout = std::chrono::seconds(1);
     /// Time that the caller's thread waits beyond its deadline for the final answer.
     constexpr Duration answerGrace = std::chrono::seconds(1);
 
@@ -52,11 +54,13 @@
     return std::exchange(this->replies, {});
 }
 
-ClaimService::ClaimService(const Settings& daemonSettings, PeerMesh& peerMesh, PeerDirectory& peerDirectory, Metrics& processMetrics)
+ClaimService::ClaimService(const Settings& daemonSettings, PeerMesh& peerMesh, PeerDirectory& peerDirectory, Metrics& processMetrics,
+    std::function<bool()> logOutage)
     : settings(daemonSettings)
     , mesh(peerMesh)
     , directory(peerDirectory)
     , metrics(processMetrics)
+    , isLogOutage(std::move(logOutage))
     , claimant(ClaimantSettings(), peerMesh.self(), peerMesh.incarnation())
     , random(peerMesh.incarnation())
 {
@@ -245,6 +249,8 @@
         } else if (const auto* dispatch = std::get_if<Dispatch>(&action)) {
             if (const auto request = this->requestOf.find(dispatch->id); request != this->requestOf.end())
                 this->mailboxes[request->second].dispatch = *dispatch;
+            else
+                this->refuseDispatch(dispatch->id);
         } else if (const auto* answer = std::get_if<AnswerCaller>(&action)) {
             if (const auto mailbox = this->mailboxes.find(answer->request); mailbox != this->mailboxes.end())
                 mailbox->second.answer = answer->answer;
@@ -259,11 +265,21 @@
         this->changed.notify_all();
 }
 
+void ClaimService::refuseDispatch(const ClaimId& id)
+{
+    // The caller has its answer already: the call must not run any more.
+    this->enqueue([this, id] {
+        const std::lock_guard lock(this->mutex);
+        this->carryOut(this->claimant.onDispatchResult(id, DispatchNotSent(), monotonicNow(), this->random));
+    });
+}
+
 ClaimAnswer ClaimService::execute(const ClaimedCall& call, const DispatchCall& dispatch, const StatusQuery& status)
 {
+    const auto timeout = this->isLogOutage() ? std::min(call.timeout, outageTimeout) : call.timeout;
     std::unique_lock lock(this->mutex);
     const auto now = monotonicNow();
-    const auto deadline = now + call.timeout;
+    const auto deadline = now + timeout;
     const auto request = ++this->lastRequest;
     this->mailboxes[request].key = call.key;
     const auto actions = this->claimant.begin(request, call.key, call.bodyHash, deadline, now, this->random);
@@ -289,8 +305,11 @@
     }
     auto answer = mailbox().answer.value_or(AnswerUnknown { std::chrono::seconds(1) });
     const auto holder = mailbox().holder;
+    const bool dispatched = mailbox().dispatch.has_value();
     this->mailboxes.erase(request);
     std::erase_if(this->requestOf, [request](const auto& entry) { return entry.second == request; });
+    if (const auto* unknown = std::get_if<AnswerUnknown>(&answer); unknown && !dispatched && !holder)
+        return AnswerNotRun { NotRunScope::Request, unknown->retryAfter };
     if (!std::holds_alternative<AnswerUnknown>(answer) || !holder)
         return answer;
     lock.unlock();
--- a/src/daemon/claim_service.h
+++ b/src/daemon/claim_service.h
@@ -69,7 +69,8 @@
 class ClaimService {
 public:
     /// @param settings, mesh, directory, metrics Must outlive the service.
-    ClaimService(const Settings& settings, PeerMesh& mesh, PeerDirectory& directory, Metrics& metrics);
+    /// @param logOutage Tells whether the platform's log is failing.
+    ClaimService(const Settings& settings, PeerMesh& mesh, PeerDirectory& directory, Metrics& metrics, std::function<bool()> logOutage);
     ~ClaimService();
 
     void start();
@@ -105,6 +106,7 @@
     template <typename Message>
     void onOwnerRequest(const Message& message);
     void onReply(const ClaimReply& reply);
+    void refuseDispatch(const ClaimId& id);
     void enqueue(Outgoing outgoing);
     std::shared_ptr<ClaimJournal> journalOf(const ClaimKey& key);
 
@@ -112,6 +114,7 @@
     PeerMesh& mesh;
     PeerDirectory& directory;
     Metrics& metrics;
+    std::function<bool()> isLogOutage;
 
     std::mutex mutex;
     std::condition_variable changed;
--- a/src/daemon/completion_run.cc
+++ b/src/daemon/completion_run.cc
@@ -202,6 +202,7 @@
 StreamEnd CompletionRun::perform(const Step& step)
 {
     const auto& target = *this->attempt;
+    this->sent = true;
     const auto onPiece = [&](const EnginePiece& piece) { return this->onPiece(piece, step); };
     if (step.resume)
         return resumeRun(target.upstream.address, step.run.value, step.fromToken, this->waitLimit(), onPiece);
@@ -350,8 +351,9 @@
 {
     this->serving.metrics.count("goldcrestwood_completions_total", "result=\"failed\"");
     logWarning("stream_failed", { { "request", this->task.request.value }, { "reason", toString(error) } });
-    const auto executed = this->tokensSent > 0 ? Executed::Yes : Executed::Unknown;
-    const Problem problem { 503, "Upstream unavailable", toString(error), executed, std::chrono::seconds(1) };
+    const auto tried = this->tokensSent > 0 ? Executed::Yes : Executed::Unknown;
+    const auto executed = this->sent ? tried : Executed::No;
+    const Problem problem { 503, this->sent ? "Upstream unavailable" : "No capacity", toString(error), executed, std::chrono::seconds(1) };
     if (this->eventsBegun) {
         this->exchange.writeChunk(errorEvent(problem));
         this->exchange.endEvents();
--- a/src/daemon/completion_run.h
+++ b/src/daemon/completion_run.h
@@ -93,6 +93,8 @@
     std::uint32_t attempts = 0;
     std::uint64_t cachedTokens = 0;
     std::uint64_t tokensSent = 0;
+    /// Whether any upstream may have seen the request.
+    bool sent = false;
     bool eventsBegun = false;
     bool callerGone = false;
     TimePoint startedAt;
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-    constexpr std::size_t readChunkSize = 16 * 1024;
+    constexpr std::size_t readChunkSize = std::size_t { 16 } * 1024;
 
     const char* toString(Executed executed)
     {
--- a/src/daemon/journal_driver.h
+++ b/src/daemon/journal_driver.h
@@ -69,7 +69,7 @@
         , journal(journalSettings(platform), writer.instance, writer.incarnation, knownKinds())
         , assembler(snapshotSettings)
         , schedule(snapshotSettings)
-        , random(stableHash(streamName) ^ writer.incarnation)
+        , random(stableHash(this->stream) ^ writer.incarnation)
     {
     }
 
@@ -105,7 +105,7 @@
     tl::expected<RecordId, SubmitError> submit(const char* kind, const Message& message)
     {
         const std::lock_guard lock(this->mutex);
-        const auto id = this->journal.submit(kind, encode(message), monotonicNow());
+        auto id = this->journal.submit(kind, encode(message), monotonicNow());
         this->changed.notify_all();
         return id;
     }
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -14,6 +14,8 @@
     constexpr Duration controlInterval = std::chrono::milliseconds(100);
     constexpr Duration stateRequestInterval = std::chrono::milliseconds(500);
     constexpr Duration loadInterval = std::chrono::seconds(1);
+    /// A daemon is ready after this time even if some service has given it no permit.
+    constexpr Duration warmingLimit = std::chrono::seconds(20);
     /// Time after which a provisional order that is still not recorded is submitted, by any daemon.
     constexpr Duration orderGrace = std::chrono::seconds(5);
     constexpr std::uint32_t operatorThreads = 8;
@@ -50,7 +52,7 @@
     , transfers(this->mesh, this->directory, this->metrics)
     , routes(this->mesh, this->directory, this->permits, this->prefixes, this->transfers)
     , admission(this->permits, this->mesh, this->directory, this->metrics)
-    , claims(this->settings, this->mesh, this->directory, this->metrics)
+    , claims(this->settings, this->mesh, this->directory, this->metrics, [this] { return this->control.isOutage(); })
     , reaper(this->permits, this->directory)
     , monitor(this->mesh, this->directory, this->permits, this->prefixes, this->metrics)
     , serving { this->settings, this->metrics, this->mesh, this->permits, this->admission, this->prefixes, this->transfers, this->routes, this->reaper, this->tickets, this->view, this->cutStreams }
@@ -282,17 +284,25 @@
 void Node::updatePhase()
 {
     this->isolated = this->mesh.isIsolated();
-    const bool isReady = this->control.isReady();
-    if (isReady && !this->ready) {
+    const auto now = monotonicNow();
+    const bool holdsState = this->control.isReady() && this->configured;
+    if (holdsState && !this->warmingSince)
+        this->warmingSince = now;
+    const bool isWarm = holdsState && (this->permits.isWarm() || now - *this->warmingSince > warmingLimit);
+    if (isWarm && !this->ready) {
         this->ready = true;
         const std::lock_guard lock(this->shutdownMutex);
-        this->shutdown.onReady(monotonicNow());
-        logEvent("ready");
+        this->shutdown.onReady(now);
+        logEvent("ready", { { "warming_seconds", std::to_string(toSeconds(now - *this->warmingSince)) } });
     }
     if (this->leaving)
         return;
-    this->mesh.setPhase(!this->ready ? MemberPhase::Starting : this->isolated ? MemberPhase::Isolated
-                                                                              : MemberPhase::Ready);
+    if (!holdsState)
+        this->mesh.setPhase(MemberPhase::Starting);
+    else if (this->isolated)
+        this->mesh.setPhase(MemberPhase::Isolated);
+    else
+        this->mesh.setPhase(this->ready ? MemberPhase::Ready : MemberPhase::Warming);
 }
 
 void Node::onCell(const ChangedCell& cell)
@@ -354,7 +364,7 @@
         this->lease.observe(fold.leases(), now, this->random);
         return true;
     });
-    if (this->ready && !this->leaving) {
+    if (this->warmingSince && !this->leaving) {
         if (const auto record = this->lease.poll(monotonicNow())) {
             if (const auto* claim = std::get_if<LeaseClaim>(&*record))
                 (void)this->control.submit("LeaseClaim", *claim);
@@ -368,7 +378,7 @@
 void Node::askPeersForState()
 {
     const auto now = monotonicNow();
-    if (this->ready || now < this->nextStateRequest || !this->control.isOutage())
+    if (this->warmingSince || now < this->nextStateRequest || !this->control.isOutage())
         return;
     this->nextStateRequest = now + stateRequestInterval;
     const StateRequest request { this->control.name(), 0 };
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -106,6 +106,8 @@
     std::shared_ptr<const CatalogView> configured;
     LeaseHolder lease;
     Random random;
+    /// When this daemon first held a configuration.
+    std::optional<TimePoint> warmingSince;
     std::map<std::string, TimePoint> orderSubmitAt;
     TimePoint nextStateRequest;
     TimePoint nextLoad;
--- a/src/daemon/peer_mesh.cc
+++ b/src/daemon/peer_mesh.cc
@@ -37,11 +37,6 @@
         return { member.id, member.info.domain, member.info.region };
     }
 
-    bool mayOwn(const Member& member)
-    {
-        return member.isUsable() && member.info.phase == MemberPhase::Ready;
-    }
-
 } // namespace
 
 PeerMesh::PeerMesh(const Settings& daemonSettings, std::uint64_t incarnation, Metrics& processMetrics)
@@ -170,7 +165,7 @@
         this->gossip.onDead(member.id, now);
     else
         this->gossip.onAlive(member.id);
-    const auto changes = this->ownership.onMember(candidateOf(member), mayOwn(member), now);
+    const auto changes = this->ownership.onMember(candidateOf(member), member.isUsable(), now);
     news.ownership.insert(news.ownership.end(), changes.begin(), changes.end());
 }
 
--- a/src/daemon/permit_service.cc
+++ b/src/daemon/permit_service.cc
@@ -193,6 +193,16 @@
     this->waiting[service] = requests;
 }
 
+bool PermitService::isWarm()
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->warm)
+        return true;
+    const auto isServed = [this](const auto& item) { return this->warmServices.contains(item.second.service); };
+    this->warm = std::all_of(this->entries.begin(), this->entries.end(), isServed);
+    return this->warm;
+}
+
 std::vector<ServiceCapacity> PermitService::capacities()
 {
     const std::lock_guard lock(this->mutex);
@@ -204,6 +214,7 @@
             sum += entry.holder->inFlight() + entry.holder->free(now);
     }
     std::vector<ServiceCapacity> result;
+    result.reserve(sums.size());
     for (const auto& [service, requests] : sums)
         result.push_back({ service, requests });
     return result;
@@ -324,7 +335,10 @@
     if (!entry.holder || entry.owner.empty())
         return;
     const auto share = (this->waiting[entry.service] + preparedUpstreams - 1) / preparedUpstreams;
-    entry.holder->setWaiting(entry.queued + static_cast<std::uint32_t>(share));
+    const bool probing = !this->warm && !this->warmServices.contains(entry.service);
+    entry.holder->setWaiting(std::max(entry.queued + static_cast<std::uint32_t>(share), probing ? 1U : 0U));
+    if (!this->warm && entry.holder->inFlight() + entry.holder->free(now) > 0)
+        this->warmServices.insert(entry.service);
     if (const auto request = entry.holder->poll(now))
         outbox.requests.emplace_back(entry.owner, *request);
 }
--- a/src/daemon/permit_service.h
+++ b/src/daemon/permit_service.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -58,6 +59,9 @@
     /// @return Requests that could start there now.
     std::uint32_t free(const UpstreamId& upstream);
 
+    /// Until it is warm, a daemon asks for a permit at each upstream that it prepares.
+    /// @return Whether it has had a permit of each service since its start.
+    bool isWarm();
     /// Sets how many requests wait for a service.
     void setWaiting(const ServiceName& service, std::uint32_t requests);
     std::vector<ServiceCapacity> capacities();
@@ -110,6 +114,9 @@
     std::map<UpstreamId, Entry> entries;
     std::map<ServiceName, std::uint32_t> waiting;
     std::vector<InstanceId> floorMembers;
+    /// Services of which this daemon has had a permit.
+    std::set<ServiceName> warmServices;
+    bool warm = false;
     /// A holder has to give back permits now.
     bool urgent = false;
     bool stopping = false;
--- a/src/daemon/plain_handler.cc
+++ b/src/daemon/plain_handler.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "goldcrestwood/chain.h"
+
 namespace goldcrestwood {
 
 namespace {
@@ -13,6 +15,12 @@
     constexpr std::size_t repeatableAttempts = 2;
     constexpr Duration statusTimeout = std::chrono::seconds(1);
 
+    /// @return The key that the upstream sees: one for each account, service and key of a caller, and safe in a path.
+    std::string upstreamKeyOf(const ClaimKey& key)
+    {
+        return toString(ChainHash { key.high }) + toString(ChainHash { key.low });
+    }
+
     HttpResponse answerOf(const AnswerOutcome& answer)
     {
         const auto& outcome = answer.outcome;
@@ -29,7 +37,10 @@
 
     HttpResponse answerOf(const AnswerNotRun& answer)
     {
-        return problemResponse({ 503, "Not run", "the call was not run", Executed::No, answer.retryAfter });
+        const auto* detail = answer.scope == NotRunScope::Key
+            ? "no call with this key was run"
+            : "this request was not run; an earlier one with the same key may have been, so repeat with the same key";
+        return problemResponse({ 503, "Not run", detail, Executed::No, answer.retryAfter });
     }
 
     HttpResponse answerOf(const AnswerUnknown& answer)
@@ -126,19 +137,19 @@
 {
     const auto key = claimKey(account, call.service.name, idempotencyKey);
     const ClaimedCall claimed { key, claimBodyHash(call.path + "\n" + call.body), this->serving.settings.serving.callTimeout };
-    const auto dispatchCall = [&](const ClaimId& id) { return this->dispatch(call, key, id, idempotencyKey); };
-    const auto statusQuery = [&](const ClaimId& holder) { return this->askStatus(call, key, holder, idempotencyKey); };
+    const auto dispatchCall = [&](const ClaimId& id) { return this->dispatch(call, key, id); };
+    const auto statusQuery = [&](const ClaimId& holder) { return this->askStatus(call, key, holder); };
     const auto answer = this->claims.execute(claimed, dispatchCall, statusQuery);
     return std::visit([](const auto& known) { return answerOf(known); }, answer);
 }
 
-DispatchResult PlainHandler::dispatch(const Call& call, const ClaimKey& key, const ClaimId& id, const std::string& idempotencyKey)
+DispatchResult PlainHandler::dispatch(const Call& call, const ClaimKey& key, const ClaimId& id)
 {
     const auto upstream = this->pick(call.service.name, {});
     const auto permit = upstream ? this->serving.permits.acquire(upstream->id, call.service.firstTokenTarget) : std::nullopt;
     if (!permit)
         return DispatchNotSent {};
-    const HttpCall request { "POST", call.path, call.body, call.contentType, { { "Idempotency-Key", idempotencyKey } } };
+    const HttpCall request { "POST", call.path, call.body, call.contentType, { { "Idempotency-Key", upstreamKeyOf(key) } } };
     const auto result = httpCall(upstream->address, request, this->serving.settings.serving.callTimeout);
     this->serving.permits.release(upstream->id, *permit, result ? PermitEnd::Succeeded : PermitEnd::Failed);
     if (!result && result.error() == HttpFailure::NotSent)
@@ -149,12 +160,12 @@
 }
 
 std::optional<ClaimOutcome> PlainHandler::askStatus(
-    const Call& call, const ClaimKey& key, const ClaimId& holder, const std::string& idempotencyKey)
+    const Call& call, const ClaimKey& key, const ClaimId& holder)
 {
     const auto upstream = call.service.statusQuery ? this->pick(call.service.name, {}) : std::nullopt;
     if (!upstream)
         return std::nullopt;
-    const auto result = httpCall(upstream->address, { "GET", "/status/" + idempotencyKey, "", "", {} }, statusTimeout);
+    const auto result = httpCall(upstream->address, { "GET", "/status/" + upstreamKeyOf(key), "", "", {} }, statusTimeout);
     const auto data = result ? nlohmann::json::parse(result->body, nullptr, false) : nlohmann::json();
     if (!data.is_object() || !data.value("executed", false))
         return std::nullopt;
--- a/src/daemon/plain_handler.h
+++ b/src/daemon/plain_handler.h
@@ -32,8 +32,8 @@
     HttpResponse serveRepeatable(const Call& call);
     HttpResponse serveOnce(const Call& call, const ClientAccount& account, const std::string& idempotencyKey);
     std::optional<UpstreamEntry> pick(const ServiceName& service, const std::vector<UpstreamId>& avoid);
-    DispatchResult dispatch(const Call& call, const ClaimKey& key, const ClaimId& id, const std::string& idempotencyKey);
-    std::optional<ClaimOutcome> askStatus(const Call& call, const ClaimKey& key, const ClaimId& holder, const std::string& idempotencyKey);
+    DispatchResult dispatch(const Call& call, const ClaimKey& key, const ClaimId& id);
+    std::optional<ClaimOutcome> askStatus(const Call& call, const ClaimKey& key, const ClaimId& holder);
 
     Serving serving;
     ClaimService& claims;
--- a/src/daemon/transfer_service.cc
+++ b/src/daemon/transfer_service.cc
@@ -66,7 +66,7 @@
     this->threads.clear();
 }
 
-void TransferService::configure(std::shared_ptr<const CatalogView> view)
+void TransferService::configure(const std::shared_ptr<const CatalogView>& view)
 {
     const auto daemons = std::max<std::size_t>(1, this->mesh.regionMembers().size());
     const std::lock_guard lock(this->mutex);
--- a/src/daemon/transfer_service.h
+++ b/src/daemon/transfer_service.h
@@ -44,7 +44,7 @@
 
     void start();
     void stop();
-    void configure(std::shared_ptr<const CatalogView> view);
+    void configure(const std::shared_ptr<const CatalogView>& view);
 
     /// Imports blocks and waits for them, at most for `move.within`.
     /// @return The blocks that arrived, or nothing where the transfer was dropped.
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -23,7 +23,8 @@
 bool Member::isUsable() const
 {
     const bool live = this->state == MemberState::Alive || this->state == MemberState::Suspect;
-    return live && this->info.phase == MemberPhase::Ready;
+    const bool mayOwn = this->info.phase == MemberPhase::Ready || this->info.phase == MemberPhase::Warming;
+    return live && mayOwn;
 }
 
 Membership::Membership(
