--- a/support/control_cost.py
+++ b/support/control_cost.py
@@ -25,21 +25,23 @@
     return (int(fields[11]) + int(fields[12])) / TICK, resident, float(sent.group(1)) if sent else 0.0
 
 
-def measure(site, seconds, title):
+def measure(site, seconds, title, answers=None):
     before = [usage(daemon) for daemon in site.daemons]
+    answered = len(answers or [])
     time.sleep(seconds)
+    rate = (len(answers or []) - answered) / seconds / len(site.daemons)
     after = [usage(daemon) for daemon in site.daemons]
     core = max(now[0] - then[0] for now, then in zip(after, before)) / seconds
     sent = max(now[2] - then[2] for now, then in zip(after, before)) / seconds
     resident = max(now[1] for now in after)
-    print(f"{title:<28}{100 * core:>14.2f}{resident / 1024:>14.1f}{sent:>16.0f}")
+    print(f"{title:<28}{100 * core:>14.2f}{resident / 1024:>14.1f}{sent:>16.0f}{rate:>24.2f}")
 
 
-def keep_asking(site, number, stop):
+def keep_asking(site, number, stop, answers):
     caller = harness.Caller(site, site.plan.accounts[number][0])
     count = 0
     while not stop.is_set():
-        caller.complete(site.plan.services[0].name, demo.make_prompt(site.plan.name, 100 * number + count % 8, 6), 24, seed=1)
+        answers.append(caller.complete(site.plan.services[0].name, demo.make_prompt(site.plan.name, 100 * number + count % 8, 6), 24, seed=1))
         count += 1
 
 
@@ -50,13 +52,13 @@
     options = parser.parse_args()
     with harness.Site(harness.SITES[options.site]) as site:
         time.sleep(12)
-        print(f"{'largest of the daemons':<28}{'core %':>14}{'resident MiB':>14}{'peer bytes/s':>16}")
+        print(f"{'largest of the daemons':<28}{'core %':>14}{'resident MiB':>14}{'peer bytes/s':>16}{'requests/s and daemon':>24}")
         measure(site, options.seconds, "idle")
-        stop = threading.Event()
-        threads = [threading.Thread(target=keep_asking, args=(site, number, stop)) for number in range(6)]
+        stop, answers = threading.Event(), []
+        threads = [threading.Thread(target=keep_asking, args=(site, number, stop, answers)) for number in range(6)]
         for thread in threads:
             thread.start()
-        measure(site, options.seconds, "six callers")
+        measure(site, options.seconds, "six callers", answers)
         stop.set()
         for thread in threads:
             thread.join()
