--- a/support/test.sh
+++ b/support/test.sh
@@ -13,6 +13,6 @@
   ctest --test-dir "$dir" --output-on-failure -j "$(nproc)" --exclude-regex "^($known_red)\$"
 }
 if [ "${CI:-}" = true ]; then
-  build_and_test build-asan -DCMAKE_BUILD_TYPE=Debug -DGOLDCRESTWOOD_PROGRAMS=OFF -DGOLDCRESTWOOD_SANITIZE=address,undefined
+  build_and_test build-asan -DCMAKE_BUILD_TYPE=RelWithDebInfo -DGOLDCRESTWOOD_PROGRAMS=OFF -DGOLDCRESTWOOD_SANITIZE=address,undefined
 fi
 build_and_test build
