--- a/support/test.sh
+++ b/support/test.sh
@@ -5,14 +5,25 @@
 known_red=$(grep -E '^[a-z_]+$' KNOWN-RED.txt 2>/dev/null | paste -sd '|' || true)
 known_red=${known_red:-none}
 [ "$known_red" = none ] || cat KNOWN-RED.txt
-build_and_test() {
+
+build() {
   local dir=$1
   shift
   cmake -S . -B "$dir" -G Ninja "$@" >/dev/null
   cmake --build "$dir"
-  ctest --test-dir "$dir" --output-on-failure -j "$(nproc)" --exclude-regex "^($known_red)\$"
 }
+
+run_tests() {
+  local dir=$1
+  shift
+  ctest --test-dir "$dir" --output-on-failure --exclude-regex "^($known_red)\$" "$@"
+}
+
 if [ "${CI:-}" = true ]; then
-  build_and_test build-asan -DCMAKE_BUILD_TYPE=RelWithDebInfo -DGOLDCRESTWOOD_PROGRAMS=OFF -DGOLDCRESTWOOD_SANITIZE=address,undefined
+  build build-asan -DCMAKE_BUILD_TYPE=RelWithDebInfo -DGOLDCRESTWOOD_PROGRAMS=OFF -DGOLDCRESTWOOD_SANITIZE=address,undefined
+  run_tests build-asan -j "$(nproc)"
 fi
-build_and_test build
+build build
+run_tests build --label-exclude process -j "$(nproc)"
+# Each of these starts a whole site.
+run_tests build --label-regex process -j 3
