Answers of any length: the body limit is a number

Cause: Boost.Beast 1.74 refuses every body when the limit is none (log line 'body limit exceeded' on each plain answer). Ruled out: connections used again (failures on fresh ones as well).

--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -17,6 +17,7 @@
     constexpr std::uint64_t largestWholeAnswer = 8U << 20U;
     /// Extra answers to earlier requests that are skipped on one connection.
     constexpr int mostExtraAnswers = 3;
+    constexpr std::uint64_t unlimitedBody = std::uint64_t { 1 } << 50U;
     constexpr std::size_t pieceBytes = 16384;
     /// When to come back if nothing better is known.
     constexpr Duration defaultRetryAfter = std::chrono::milliseconds(300);
@@ -92,6 +93,7 @@
     std::string partialEvent;
     std::string lastEvent;
     const char* failure = "";
+    std::string detail; ///< The library's word for the failure.
 };
 
 Pipeline::Pipeline(EdgeState& edgeState, UpstreamPool& upstreamPool, ServiceQueues& serviceQueues)
@@ -231,6 +233,7 @@
         attempt.result = AttemptResult::Cancelled;
         attempt.isSent = attempt.provesNotRun = attempt.isRelayed = attempt.hadFirstByte = false;
         attempt.failure = "";
+        attempt.detail.clear();
         co_await this->attempt(exchange, attempt);
         const auto now = monotonicNow();
         if (exchange.isOver() && attempt.result == AttemptResult::Unreachable)
@@ -244,7 +247,7 @@
         const bool isGood = attempt.result == AttemptResult::Answered && attempt.isRelayed;
         edge::log(isGood ? LogClass::Routine : LogClass::Decision, "request_attempt",
             { { "request", exchange.info.id }, { "upstream", attempt.choice.upstream.value }, { "result", toString(attempt.result) },
-                { "status", static_cast<std::int64_t>(attempt.status) }, { "failure", attempt.failure }, { "send", static_cast<std::int64_t>(exchange.sends) },
+                { "status", static_cast<std::int64_t>(attempt.status) }, { "failure", attempt.failure }, { "detail", attempt.detail }, { "send", static_cast<std::int64_t>(exchange.sends) },
                 { "expected_ms", toMs(attempt.choice.expectedWait) }, { "missing", static_cast<std::int64_t>(attempt.choice.missingTokens) },
                 { "age_ms", toMs(now - exchange.received) }, { "client_gone", exchange.clientGone } });
         this->state.metrics.count("goldcrest_attempts_total", std::string("result=\"") + toString(attempt.result) + "\"");
@@ -346,12 +349,14 @@
     auto& link = *attempt.connection;
     for (int extra = 0; extra <= mostExtraAnswers; ++extra) {
         attempt.parser = std::make_unique<http::response_parser<http::buffer_body>>();
-        attempt.parser->body_limit(boost::none);
+        // Boost 1.74 refuses every body when its limit is none.
+        attempt.parser->body_limit(unlimitedBody);
         ErrorCode error;
         co_await http::async_read_header(link.stream, link.buffer, *attempt.parser, into(error));
         if (error) {
             attempt.result = AttemptResult::Unreachable;
             attempt.failure = error == http::error::end_of_stream ? "closed before an answer" : "broke before an answer";
+            attempt.detail = error.message();
             co_return false;
         }
         attempt.status = attempt.parser->get().result_int();
@@ -398,6 +403,7 @@
         if (error || body.size() > largestWholeAnswer) {
             attempt.result = AttemptResult::Unreachable;
             attempt.failure = "answer cut short";
+            attempt.detail = error.message();
             co_return;
         }
     }
@@ -504,6 +510,7 @@
         if (error) {
             attempt.result = AttemptResult::Unreachable;
             attempt.failure = "stream broke off";
+            attempt.detail = error.message();
             co_return;
         }
     }
