--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -101,6 +101,34 @@
     bool operator==(const FeedAnswer&) const = default;
 };
 
+/// An upstream that is taking new weights.
+struct OrderedUpstream {
+    /// The upstream.
+    UpstreamId upstream;
+    /// The model.
+    std::string model;
+    /// The weight version ordered.
+    std::uint64_t version = 0;
+
+    bool operator==(const OrderedUpstream&) const = default;
+};
+
+/// A record of the duty topic: who gives orders to upstreams, and what is going on.
+struct DutyRecord {
+    /// The daemon that wrote the record.
+    InstanceId holder;
+    /// Of the holder's process.
+    std::uint64_t incarnation = 0;
+    /// The holder's fencing number; 0 in the claim itself, whose offset gives it.
+    std::uint64_t fence = 0;
+    /// Upstreams under order; they get no new requests.
+    std::vector<OrderedUpstream> ordered;
+    /// Upstreams seen to have the version.
+    std::vector<OrderedUpstream> done;
+
+    bool operator==(const DutyRecord&) const = default;
+};
+
 template <>
 std::string encode(const UpstreamUse& message);
 template <>
@@ -126,5 +154,15 @@
 template <>
 tl::expected<FeedAnswer, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const FeedAnswer& message);
+template <>
+std::string encode(const OrderedUpstream& message);
+template <>
+tl::expected<OrderedUpstream, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const OrderedUpstream& message);
+template <>
+std::string encode(const DutyRecord& message);
+template <>
+tl::expected<DutyRecord, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const DutyRecord& message);
 
 } // namespace goldcrestwood
--- a/include/goldcrestwood/edge_settings.h
+++ b/include/goldcrestwood/edge_settings.h
@@ -18,6 +18,7 @@
     Duration drain = std::chrono::seconds(2); ///< After it a leaving upstream gets no new request.
     Duration grace = std::chrono::seconds(8); ///< From SIGTERM to SIGKILL.
     Duration lease = std::chrono::seconds(3); ///< Least time between orders of two holders.
+    bool fencesChecked = true; ///< Upstreams refuse orders with a lower fencing number.
     Duration weights = std::chrono::seconds(6); ///< By then no request begins on older weights.
     double retryRatio = 0.2; ///< Further sends as a share of requests, all daemons together.
     Duration retryWindow = std::chrono::seconds(10);
--- a/include/goldcrestwood/upstream_entry.h
+++ b/include/goldcrestwood/registry_entry.h
@@ -13,7 +13,7 @@
 namespace goldcrestwood {
 
 /// A registry entry of one incarnation of an upstream.
-struct UpstreamEntry {
+struct RegistryEntry {
     UpstreamId id;
     ServiceName service;
     std::string address; ///< IP:PORT.
@@ -25,7 +25,7 @@
     std::map<std::string, std::uint64_t> weights; ///< Weight version of each model.
     std::int64_t born = 0; ///< Start of the incarnation, Unix milliseconds; 0 where it does not tell.
 
-    bool operator==(const UpstreamEntry&) const = default;
+    bool operator==(const RegistryEntry&) const = default;
 };
 
 /// A model's weight version as the operator named it.
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -20,7 +20,7 @@
 #include "goldcrestwood/random.h"
 #include "goldcrestwood/time.h"
 #include "goldcrestwood/traffic.h"
-#include "goldcrestwood/upstream_entry.h"
+#include "goldcrestwood/registry_entry.h"
 
 namespace goldcrestwood {
 
@@ -52,6 +52,8 @@
     std::string model;
     /// Least weight version that the upstream must have.
     std::uint64_t leastWeights = 0;
+    /// Weight version that an upstream had better have.
+    std::uint64_t preferredWeights = 0;
 };
 
 /// Where a request goes.
@@ -87,7 +89,7 @@
     explicit UpstreamBoard(InstanceId self, SiteBounds bounds, BoardSettings settings = {});
 
     void setServices(const RouteTable& table);
-    void setUpstream(const UpstreamEntry& entry, TimePoint now);
+    void setUpstream(const RegistryEntry& entry, TimePoint now);
     void removeUpstream(const UpstreamId& id);
     void setEvacuated(std::set<FailureDomain> domains) { this->evacuated = std::move(domains); }
     /// Upstreams that are taking new weights; they get no new work meanwhile.
@@ -111,8 +113,10 @@
     /// @return Work in flight for the heartbeat; idle upstreams are left out.
     std::vector<UpstreamUse> ownUses() const;
     /// @return The entries of a service's upstreams that are not draining.
-    std::vector<UpstreamEntry> readyUpstreams(const ServiceName& service) const;
-    const std::map<UpstreamId, UpstreamEntry> entries() const;
+    std::vector<RegistryEntry> readyUpstreams(const ServiceName& service) const;
+    const std::map<UpstreamId, RegistryEntry> entries() const;
+    /// @return Requests of all daemons in flight at an upstream, as last heard.
+    std::uint32_t requestsAt(const UpstreamId& id) const;
     PartCache* cacheOf(const UpstreamId& id);
 
 private:
@@ -126,7 +130,7 @@
         TimePoint at;
     };
     struct Upstream {
-        UpstreamEntry entry;
+        RegistryEntry entry;
         TimePoint coldUntil;
         Load own;
         std::map<InstanceId, PeerUse> peers;
--- /dev/null
+++ b/include/goldcrestwood/weight_plan.h
@@ -0,0 +1,75 @@
+#pragma once
+
+/// @file
+/// Which model replicas take new weights next, so that all have them in time and enough of them serve meanwhile.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "goldcrestwood/edge_messages.h"
+#include "goldcrestwood/names.h"
+#include "goldcrestwood/time.h"
+#include "goldcrestwood/registry_entry.h"
+
+namespace goldcrestwood {
+
+struct WeightPlanSettings {
+    /// Replicas of a service that take weights at the same time, as a share; a load waits for the runs of its replica first.
+    double share = 1.0 / 3;
+    /// At least so many: the weight store serves two loads at full speed.
+    std::size_t least = 2;
+    /// An order that shows no effect for so long is given again.
+    Duration repeat = std::chrono::milliseconds(700);
+    /// A replica that does not report for so long leaves its place to another.
+    Duration silence = std::chrono::milliseconds(1500);
+};
+
+/// A replica and the number of requests in flight there.
+struct WeightCandidate {
+    UpstreamId upstream;
+    std::uint64_t version = 0;
+    std::uint32_t requests = 0;
+};
+
+/// Progress of one model's move to a version, at the holder.
+class WeightPlan {
+public:
+    explicit WeightPlan(NamedWeights planTarget, WeightPlanSettings planSettings = {})
+        : target(std::move(planTarget))
+        , settings(planSettings)
+    {
+    }
+
+    /// @param candidates All ready replicas of the model.
+    /// @return Replicas that join those under order now, the least busy first.
+    std::vector<UpstreamId> start(const std::vector<WeightCandidate>& candidates, TimePoint now);
+
+    /// @return Whether an order for @p upstream should leave now.
+    bool isOrderDue(const UpstreamId& upstream, TimePoint now) const;
+    void onOrderSent(const UpstreamId& upstream, TimePoint now);
+    /// @param version What the replica reports.
+    void onReport(const UpstreamId& upstream, std::uint64_t version, bool isBusy, TimePoint now);
+    /// Replicas that are gone or silent free their places.
+    void expire(const std::set<UpstreamId>& present, TimePoint now);
+
+    const NamedWeights& weights() const { return this->target; }
+    std::vector<OrderedUpstream> ordered() const;
+    const std::vector<OrderedUpstream>& done() const { return this->finished; }
+
+private:
+    struct Progress {
+        std::optional<TimePoint> orderSent;
+        TimePoint lastReport;
+    };
+
+    NamedWeights target;
+    WeightPlanSettings settings;
+    std::map<UpstreamId, Progress> running;
+    std::map<UpstreamId, TimePoint> silent; ///< Passed over for a while.
+    std::vector<OrderedUpstream> finished;
+};
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/src/duty_lease.cc
@@ -0,0 +1,75 @@
+#include "goldcrestwood/duty_lease.h"
+
+#include <algorithm>
+
+namespace goldcrestwood {
+
+DutyLease::DutyLease(InstanceId instance, std::uint64_t processIncarnation, DutyLeaseSettings leaseSettings)
+    : self(std::move(instance))
+    , incarnation(processIncarnation)
+    , settings(leaseSettings)
+{
+}
+
+void DutyLease::onRecord(const DutyRecord& record, std::uint64_t offset, TimePoint now)
+{
+    if (offset < this->readTo)
+        return;
+    this->lastRecord = record;
+    this->lastSeen = now;
+    this->readTo = offset + 1;
+    if (!this->isLastHolder())
+        this->ownFence = 0;
+}
+
+void DutyLease::onReadTo(std::uint64_t end)
+{
+    this->readTo = std::max(this->readTo, end);
+    this->upToDate = true;
+}
+
+bool DutyLease::isLastHolder() const
+{
+    return this->lastRecord && this->lastRecord->holder == this->self && this->lastRecord->incarnation == this->incarnation;
+}
+
+bool DutyLease::mayClaim(bool holderSeemsWell, TimePoint now) const
+{
+    if (!this->upToDate)
+        return false;
+    if (!this->lastRecord || this->isLastHolder())
+        return true;
+    // The last holder may give orders until its term ends, counted from before its record was seen here.
+    const auto termEnd = this->lastSeen + this->settings.term + this->settings.margin;
+    if (this->settings.upstreamsCheckFences && !holderSeemsWell)
+        return now >= termEnd;
+    return now >= termEnd + this->settings.turn;
+}
+
+void DutyLease::onAppended(const DutyRecord& record, std::uint64_t offset, TimePoint sent)
+{
+    this->lastRecord = record;
+    this->lastSeen = sent;
+    this->readTo = offset + 1;
+    if (this->ownFence == 0)
+        this->ownFence = offset + 1;
+    this->orderUntil = sent + this->settings.term;
+    this->lastSent = sent;
+}
+
+void DutyLease::onAppendFailed()
+{
+    this->upToDate = false;
+}
+
+bool DutyLease::mayOrder(TimePoint now) const
+{
+    return this->ownFence > 0 && this->isLastHolder() && now < this->orderUntil;
+}
+
+bool DutyLease::isRenewalDue(TimePoint now) const
+{
+    return now - this->lastSent >= this->settings.renewal;
+}
+
+} // namespace goldcrestwood
--- a/src/edge/client_session.cc
+++ b/src/edge/client_session.cc
@@ -134,7 +134,7 @@
         if (!co_await this->readRequest(stream, buffer, parser))
             break;
         stream.expires_never();
-        Exchange exchange(stream);
+        ClientExchange exchange(stream);
         exchange.received = monotonicNow();
         exchange.keepClient = parser.keep_alive();
         exchange.request = parser.release();
--- /dev/null
+++ b/src/edge/duty_runner.cc
@@ -0,0 +1,276 @@
+#include "edge/duty_runner.h"
+
+#include <ctime>
+
+#include "daemon/clock.h"
+#include "edge/log.h"
+#include "goldcrestwood/hash.h"
+#include "platform/store_calls.h"
+
+namespace goldcrestwood {
+
+namespace {
+
+    using edge::LogClass;
+
+    /// Own topic of the system at the store.
+    constexpr const char* dutyTopic = "goldcrestwood.duty";
+    constexpr Duration idleInterval = std::chrono::milliseconds(50);
+    constexpr Duration workInterval = std::chrono::milliseconds(60);
+    constexpr Duration answerLimit = std::chrono::milliseconds(900);
+    /// How long the store holds a read of somebody else's progress.
+    constexpr Duration followHold = std::chrono::milliseconds(500);
+    constexpr Duration upstreamLimit = std::chrono::milliseconds(500);
+    /// Time between two questions to a replica that takes weights.
+    constexpr Duration reportInterval = std::chrono::milliseconds(100);
+    /// Each daemon further down the ranking waits so much longer before it claims, so that one append is enough.
+    constexpr Duration rankDelay = std::chrono::milliseconds(150);
+
+    /// @return The time by a clock that counts the suspension of the machine: a lease goes on meanwhile.
+    TimePoint suspensionAwareNow()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+    }
+
+} // namespace
+
+DutyRunner::DutyRunner(EdgeState& edgeState, asio::any_io_executor loop, ServiceQueues& serviceQueues, const PeerLink& peerLink)
+    : state(edgeState)
+    , executor(loop)
+    , queues(serviceQueues)
+    , peers(peerLink)
+    , store(loop, edgeState.settings.storeAddress)
+    , lease(edgeState.settings.instance, edgeState.incarnation,
+          DutyLeaseSettings { .turn = edgeState.settings.bounds.lease, .upstreamsCheckFences = edgeState.settings.bounds.fencesChecked })
+{
+}
+
+std::vector<WeightCandidate> DutyRunner::candidates(const std::string& model) const
+{
+    std::vector<WeightCandidate> result;
+    for (const auto& [id, entry] : this->state.board.entries())
+        if (const auto weights = entry.weights.find(model); weights != entry.weights.end() && !entry.isDraining)
+            result.push_back({ id, weights->second, this->state.board.requestsAt(id) });
+    return result;
+}
+
+std::optional<NamedWeights> DutyRunner::unfinished() const
+{
+    for (const auto& [model, target] : this->state.weightTargets)
+        for (const auto& candidate : this->candidates(model))
+            if (candidate.version < target.version)
+                return NamedWeights { model, target.version };
+    return std::nullopt;
+}
+
+bool DutyRunner::holderSeemsWell() const
+{
+    if (!this->lease.last())
+        return false;
+    for (const auto* report : this->peers.view().live(monotonicNow()))
+        if (report->heartbeat.instance == this->lease.last()->holder)
+            return report->heartbeat.readsStore && report->heartbeat.isReady;
+    return false;
+}
+
+bool DutyRunner::isMyTurn()
+{
+    std::vector<InstanceId> daemons { this->state.settings.instance };
+    for (const auto* report : this->peers.view().live(monotonicNow()))
+        if (report->heartbeat.readsStore && report->heartbeat.isReady)
+            daemons.push_back(report->heartbeat.instance);
+    const auto ranking = rendezvousRank(stableHash(dutyTopic), daemons, daemons.size());
+    const auto rank = std::find(ranking.begin(), ranking.end(), std::size_t { 0 }) - ranking.begin();
+    return monotonicNow() - *this->workSeen >= rankDelay * rank;
+}
+
+DutyRecord DutyRunner::record() const
+{
+    DutyRecord record { this->state.settings.instance, this->state.incarnation, this->lease.fence(), {}, {} };
+    if (this->plan) {
+        record.ordered = this->plan->ordered();
+        record.done = this->plan->done();
+    }
+    return record;
+}
+
+void DutyRunner::believe(const DutyRecord& record)
+{
+    std::set<UpstreamId> ordered;
+    for (const auto& entry : record.ordered)
+        ordered.insert(entry.upstream);
+    this->state.board.setOrdered(std::move(ordered));
+    for (const auto& entry : record.done)
+        this->state.board.setWeights(entry.upstream, entry.model, entry.version);
+    this->queues.dispatchAll();
+}
+
+Task<bool> DutyRunner::readTopic(Duration hold)
+{
+    const auto from = this->lease.end();
+    const auto call = platform::readCall(dutyTopic, from, hold);
+    const auto answer = co_await this->store.call(call, hold + answerLimit);
+    if (!answer || (answer->status != 200 && answer->status != 404 && answer->status != 410))
+        co_return false;
+    if (answer->status == 404) {
+        this->lease.onReadTo(0);
+        co_return true;
+    }
+    if (answer->status == 410) {
+        // The records are too old to matter; go on at the end.
+        this->lease.onReadTo(platform::decodeAppend(*answer).end.value_or(from));
+        co_return true;
+    }
+    const auto slice = platform::decodeSlice(answer->body);
+    if (!slice)
+        co_return false;
+    auto offset = from;
+    for (const auto& raw : slice->records) {
+        if (const auto record = decode<DutyRecord>(raw)) {
+            this->lease.onRecord(*record, offset, suspensionAwareNow());
+            this->believe(*record);
+        }
+        ++offset;
+    }
+    this->lease.onReadTo(slice->records.empty() ? slice->end : offset);
+    co_return true;
+}
+
+Task<bool> DutyRunner::append(const DutyRecord& record)
+{
+    const auto sent = suspensionAwareNow();
+    // Built apart from the awaiting expression: g++ 12 cannot compile an initializer list there.
+    const std::vector<std::string> records(1, encode(record));
+    const auto call = platform::appendCall(dutyTopic, records, this->lease.end());
+    const auto answer = co_await this->store.call(call, answerLimit);
+    const auto outcome = answer ? platform::decodeAppend(*answer) : platform::AppendAnswer {};
+    if (!outcome.isDone) {
+        edge::log(LogClass::Decision, "duty_append_failed",
+            { { "status", static_cast<std::int64_t>(answer ? answer->status : 0) }, { "end", static_cast<std::int64_t>(this->lease.end()) } });
+        this->lease.onAppendFailed();
+        co_return false;
+    }
+    this->lease.onAppended(record, outcome.offset, sent);
+    this->believe(record);
+    co_return true;
+}
+
+Task<> DutyRunner::run()
+{
+    asio::steady_timer timer(this->executor);
+    while (true) {
+        ErrorCode ignored;
+        timer.expires_after(idleInterval);
+        co_await timer.async_wait(into(ignored));
+        const auto target = this->unfinished();
+        if (!target) {
+            this->workSeen.reset();
+            this->plan.reset();
+            this->state.board.setOrdered({});
+            continue;
+        }
+        if (!this->workSeen)
+            this->workSeen = monotonicNow();
+        if (this->state.isStopping && !this->lease.isLastHolder()) {
+            co_await this->follow();
+            continue;
+        }
+        if (this->lease.mustRead()) {
+            const bool isRead = co_await this->readTopic(Duration(0));
+            if (!isRead)
+                continue;
+        }
+        if (this->lease.isLastHolder() || (this->lease.mayClaim(this->holderSeemsWell(), suspensionAwareNow()) && this->isMyTurn()))
+            co_await this->work(*target);
+        else
+            co_await this->follow();
+    }
+}
+
+Task<> DutyRunner::follow()
+{
+    static_cast<void>(co_await this->readTopic(followHold));
+}
+
+Task<> DutyRunner::work(const NamedWeights& target)
+{
+    if (!this->plan || this->plan->weights() != target)
+        this->plan.emplace(target);
+    const auto now = monotonicNow();
+    const auto all = this->candidates(target.model);
+    std::set<UpstreamId> present;
+    for (const auto& candidate : all)
+        present.insert(candidate.upstream);
+    this->plan->expire(present, now);
+    const auto started = this->plan->start(all, now);
+    const auto doneBefore = this->lease.last() ? this->lease.last()->done.size() : 0;
+    const bool hasNews = !started.empty() || this->plan->done().size() != doneBefore;
+    const auto fenceBefore = this->lease.fence();
+    if (hasNews || this->lease.isRenewalDue(suspensionAwareNow()) || !this->lease.mayOrder(suspensionAwareNow())) {
+        const auto next = this->record();
+        const bool isAppended = co_await this->append(next);
+        if (!isAppended)
+            co_return;
+    }
+    if (fenceBefore != this->lease.fence())
+        edge::log(LogClass::Decision, "duty_claimed",
+            { { "fence", static_cast<std::int64_t>(this->lease.fence()) }, { "model", target.model }, { "version", static_cast<std::int64_t>(target.version) } });
+    for (const auto& entry : this->plan->ordered())
+        if (this->driven.insert(entry.upstream).second)
+            asio::co_spawn(this->executor, this->drive(entry.upstream), asio::detached);
+    asio::steady_timer timer(this->executor);
+    timer.expires_after(workInterval);
+    ErrorCode ignored;
+    co_await timer.async_wait(into(ignored));
+}
+
+Task<> DutyRunner::drive(UpstreamId upstream)
+{
+    const auto entries = this->state.board.entries();
+    const auto entry = entries.find(upstream);
+    if (entry == entries.end()) {
+        this->driven.erase(upstream);
+        co_return;
+    }
+    HttpCaller caller(this->executor, entry->second.address);
+    asio::steady_timer timer(this->executor);
+    const auto isRunning = [&] {
+        if (!this->plan)
+            return false;
+        const auto ordered = this->plan->ordered();
+        return std::any_of(ordered.begin(), ordered.end(), [&](const auto& one) { return one.upstream == upstream; });
+    };
+    while (isRunning()) {
+        const auto question = platform::reportCall();
+        const auto answer = co_await caller.call(question, upstreamLimit);
+        if (!isRunning())
+            break;
+        const auto report = answer && answer->status == 200 ? platform::decodeReport(answer->body)
+                                                            : tl::unexpected(Findings { { {}, "no report" } });
+        const auto target = this->plan->weights();
+        if (report) {
+            const auto version = report->weights.find(target.model);
+            this->plan->onReport(upstream, version == report->weights.end() ? 0 : version->second, report->isBusy, monotonicNow());
+            if (!isRunning())
+                break;
+            if (!report->isBusy && this->plan->isOrderDue(upstream, monotonicNow()) && this->lease.mayOrder(suspensionAwareNow())) {
+                this->plan->onOrderSent(upstream, monotonicNow());
+                const platform::WeightOrder order { target, platform::WeightStrategy::Block, this->state.settings.instance.value, this->lease.fence(), report->orders };
+                const auto call = platform::orderCall(order, upstream.value);
+                const auto accepted = co_await caller.call(call, upstreamLimit);
+                edge::log(LogClass::Decision, "weights_ordered",
+                    { { "upstream", upstream.value }, { "model", target.model }, { "version", static_cast<std::int64_t>(target.version) },
+                        { "fence", static_cast<std::int64_t>(order.fence) }, { "status", static_cast<std::int64_t>(accepted ? accepted->status : 0) },
+                        { "orders_seen", static_cast<std::int64_t>(report->orders) } });
+            }
+        }
+        timer.expires_after(reportInterval);
+        ErrorCode ignored;
+        co_await timer.async_wait(into(ignored));
+    }
+    this->driven.erase(upstream);
+}
+
+} // namespace goldcrestwood
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -56,6 +56,7 @@
     , operatorReader(this->state, ioContext.get_executor(), platform::operatorTopic, this->state.operatorFeed, &believeOperator)
     , registryReader(this->state, ioContext.get_executor(), platform::registryTopic, this->state.registryFeed, &believeRegistry)
     , peers(this->state, ioContext.get_executor(), this->queues, this->operatorReader, this->registryReader)
+    , duty(this->state, ioContext.get_executor(), this->queues, this->peers)
     , front(ioContext)
     , ready(ioContext)
     , directory(ioContext)
@@ -100,6 +101,7 @@
     spawn(this->peers.receiveHeartbeats());
     spawn(this->peers.acceptQueries());
     spawn(this->peers.catchUp());
+    spawn(this->duty.run());
     spawn(this->watchSignals());
     spawn(this->sweep());
     edge::log(edge::LogClass::Lifecycle, "started",
--- a/src/edge/edge_server.h
+++ b/src/edge/edge_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "edge/client_session.h"
+#include "edge/duty_runner.h"
 #include "edge/edge_state.h"
 #include "edge/fact_reader.h"
 #include "edge/net.h"
@@ -42,6 +43,7 @@
     FactReader operatorReader;
     FactReader registryReader;
     PeerLink peers;
+    DutyRunner duty;
     tcp::acceptor front;
     tcp::acceptor ready;
     tcp::acceptor directory;
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "daemon/clock.h"
 #include "daemon/metrics.h"
 #include "goldcrestwood/edge_settings.h"
 #include "goldcrestwood/keyed_feed.h"
@@ -30,6 +31,7 @@
         , board(settings.instance, settings.bounds)
         , random(seed)
     {
+        this->incarnation = static_cast<std::uint64_t>(wallClock().count());
     }
 
     SendBudget& sendBudget(const ServiceName& service)
@@ -41,6 +43,7 @@
     bool isReady() const { return this->routes != nullptr && this->registryFeed.isKnown() && !this->isStopping; }
 
     EdgeSettings settings;
+    std::uint64_t incarnation = 0; ///< Start of the process, Unix microseconds.
     std::shared_ptr<const RouteTable> routes; ///< Null until a configuration is known.
     UpstreamBoard board;
     KeyedFeed operatorFeed;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -16,8 +16,8 @@
 namespace goldcrestwood {
 
 /// State of one request from its last byte read to its last byte answered.
-struct Exchange {
-    explicit Exchange(beast::tcp_stream& stream)
+struct ClientExchange {
+    explicit ClientExchange(beast::tcp_stream& stream)
         : client(stream)
         , limit(stream.get_executor())
         , queued(stream.get_executor())
--- a/src/edge/fact_reader.cc
+++ b/src/edge/fact_reader.cc
@@ -70,7 +70,8 @@
     std::optional<std::uint64_t> listedUpTo;
     std::string after;
     while (true) {
-        const auto answer = co_await this->caller.call(platform::newestCall(this->topic, after), answerLimit);
+        const auto call = platform::newestCall(this->topic, after);
+        const auto answer = co_await this->caller.call(call, answerLimit);
         if (!answer || answer->status != 200)
             co_return false;
         auto page = platform::decodeListing(answer->body);
@@ -94,7 +95,8 @@
 Task<bool> FactReader::readOn()
 {
     const auto from = this->feed.end();
-    const auto answer = co_await this->caller.call(platform::readCall(this->topic, from, readHold), readHold + answerLimit);
+    const auto call = platform::readCall(this->topic, from, readHold);
+    const auto answer = co_await this->caller.call(call, readHold + answerLimit);
     if (!answer)
         co_return false;
     if (answer->status == 410) {
--- a/src/edge/http_call.cc
+++ b/src/edge/http_call.cc
@@ -19,7 +19,7 @@
 {
 }
 
-Task<std::optional<HttpAnswer>> HttpCaller::call(const HttpCall& call, Duration limit)
+Task<std::optional<HttpAnswer>> HttpCaller::call(const OutgoingCall& call, Duration limit)
 {
     auto answer = co_await this->attempt(call, limit);
     if (!answer)
@@ -33,7 +33,7 @@
         this->connection->abort();
 }
 
-Task<std::optional<HttpAnswer>> HttpCaller::attempt(const HttpCall& call, Duration limit)
+Task<std::optional<HttpAnswer>> HttpCaller::attempt(const OutgoingCall& call, Duration limit)
 {
     const auto end = monotonicNow() + limit;
     if (!this->connection) {
--- a/src/edge/http_call.h
+++ b/src/edge/http_call.h
@@ -12,7 +12,7 @@
 namespace goldcrestwood {
 
 /// A call as its maker sees it.
-struct HttpCall {
+struct OutgoingCall {
     http::verb method = http::verb::get;
     std::string target;
     std::string body;
@@ -34,13 +34,13 @@
 
     /// @param limit For the whole call, connecting included.
     /// @return The answer, or nothing if there was none within the limit: the call may have been carried out.
-    Task<std::optional<HttpAnswer>> call(const HttpCall& call, Duration limit);
+    Task<std::optional<HttpAnswer>> call(const OutgoingCall& call, Duration limit);
 
     /// Ends a call in progress.
     void abort();
 
 private:
-    Task<std::optional<HttpAnswer>> attempt(const HttpCall& call, Duration limit);
+    Task<std::optional<HttpAnswer>> attempt(const OutgoingCall& call, Duration limit);
 
     asio::any_io_executor executor;
     std::string address;
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -78,7 +78,6 @@
     , registryReader(registry)
     , datagrams(loop)
     , acceptor(loop)
-    , incarnation(static_cast<std::uint64_t>(wallClock().count()))
 {
     for (const auto& seed : edgeState.settings.seeds)
         this->addresses.insert(seed);
@@ -105,7 +104,7 @@
 {
     EdgeHeartbeat message;
     message.instance = this->state.settings.instance;
-    message.incarnation = this->incarnation;
+    message.incarnation = this->state.incarnation;
     message.sequence = ++this->sequence;
     message.domain = this->state.settings.domain;
     message.frontAddress = this->state.settings.frontAddress;
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -49,7 +49,6 @@
     tcp::acceptor acceptor;
     DaemonView daemons;
     std::set<std::string> addresses; ///< Peer addresses that were ever heard of.
-    std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     TimePoint behindSince;
     bool isBehind = false;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -24,6 +24,10 @@
     /// Nobody waits for longer than a caller that names no limit.
     constexpr Duration longestWait = std::chrono::seconds(60);
     constexpr unsigned misdirected = 421;
+    /// A request may wait at a replica for about so long before it begins; it must not begin on old weights by then.
+    constexpr Duration weightsMargin = std::chrono::milliseconds(1800);
+    /// From then on answers on old weights are worth less to callers.
+    constexpr Duration weightsPreference = std::chrono::milliseconds(1300);
 
     const char* toString(AttemptResult result)
     {
@@ -103,7 +107,7 @@
 {
 }
 
-Task<> Pipeline::reject(Exchange& exchange, unsigned status, const char* reason, std::optional<Duration> retryAfter)
+Task<> Pipeline::reject(ClientExchange& exchange, unsigned status, const char* reason, std::optional<Duration> retryAfter)
 {
     http::response<http::string_body> response { http::int_to_status(status), 11 };
     response.result(status);
@@ -130,7 +134,7 @@
         exchange.keepClient = false;
 }
 
-bool Pipeline::admit(Exchange& exchange, unsigned& status, const char*& reason)
+bool Pipeline::admit(ClientExchange& exchange, unsigned& status, const char*& reason)
 {
     exchange.table = this->state.routes;
     if (!exchange.table) {
@@ -157,7 +161,7 @@
     return true;
 }
 
-Task<> Pipeline::serve(Exchange& exchange)
+Task<> Pipeline::serve(ClientExchange& exchange)
 {
     unsigned status = 0;
     const char* reason = "";
@@ -179,6 +183,13 @@
     placement.outputTokens = exchange.info.outputTokens;
     placement.rank = exchange.rank;
     placement.model = exchange.info.model;
+    if (const auto target = this->state.weightTargets.find(placement.model); target != this->state.weightTargets.end()) {
+        const auto age = exchange.received - target->second.learned;
+        if (age >= this->state.settings.bounds.weights - weightsMargin)
+            placement.leastWeights = target->second.version;
+        else if (age >= weightsPreference)
+            placement.preferredWeights = target->second.version;
+    }
     if (exchange.account != nullptr && exchange.account->isIsolated)
         placement.scope = "account-" + exchange.account->name.value;
     else
@@ -196,7 +207,7 @@
     exchange.limit.cancel();
 }
 
-http::request<http::string_body> Pipeline::upstreamRequest(const Exchange& exchange, const PlacementChoice& choice, const std::string& lastEvent) const
+http::request<http::string_body> Pipeline::upstreamRequest(const ClientExchange& exchange, const PlacementChoice& choice, const std::string& lastEvent) const
 {
     platform::UpstreamHeaders headers;
     headers.expectInstance = choice.upstream.value;
@@ -214,7 +225,7 @@
     return platform::encodeForUpstream(exchange.request, headers);
 }
 
-Task<> Pipeline::run(Exchange& exchange)
+Task<> Pipeline::run(ClientExchange& exchange)
 {
     Attempt attempt;
     while (true) {
@@ -261,7 +272,7 @@
         monotonicNow() - exchange.received);
 }
 
-bool Pipeline::maySendAgain(Exchange& exchange, const Attempt& attempt)
+bool Pipeline::maySendAgain(ClientExchange& exchange, const Attempt& attempt)
 {
     const bool isProvedUnrun = !attempt.isSent || attempt.provesNotRun;
     if (!isProvedUnrun && (!exchange.route->isRepeatable() || exchange.runs >= exchange.route->attempts))
@@ -272,7 +283,7 @@
     return !attempt.isSent || this->state.sendBudget(exchange.placement.service).tryTake(monotonicNow());
 }
 
-Task<> Pipeline::giveUp(Exchange& exchange, const Attempt& attempt)
+Task<> Pipeline::giveUp(ClientExchange& exchange, const Attempt& attempt)
 {
     if (exchange.clientGone || exchange.headSent) {
         // An answer that ends early must not look complete.
@@ -296,7 +307,7 @@
         co_await this->reject(exchange, 503, attempt.failure[0] == '\0' ? "not started in time" : attempt.failure, defaultRetryAfter);
 }
 
-Task<ConnectionPtr> Pipeline::openConnection(Exchange& exchange, const std::string& address)
+Task<ConnectionPtr> Pipeline::openConnection(ClientExchange& exchange, const std::string& address)
 {
     if (auto idle = this->pool.takeIdle(address, monotonicNow()))
         co_return idle;
@@ -309,7 +320,7 @@
     co_return connection;
 }
 
-Task<> Pipeline::attempt(Exchange& exchange, Attempt& attempt)
+Task<> Pipeline::attempt(ClientExchange& exchange, Attempt& attempt)
 {
     attempt.connection = co_await this->openConnection(exchange, attempt.choice.address);
     if (exchange.isOver())
@@ -344,7 +355,7 @@
     attempt.parser = nullptr;
 }
 
-Task<bool> Pipeline::readHead(Exchange& exchange, Attempt& attempt)
+Task<bool> Pipeline::readHead(ClientExchange& exchange, Attempt& attempt)
 {
     auto& link = *attempt.connection;
     for (int extra = 0; extra <= mostExtraAnswers; ++extra) {
@@ -386,7 +397,7 @@
     co_return false;
 }
 
-Task<> Pipeline::relayWhole(Exchange& exchange, Attempt& attempt)
+Task<> Pipeline::relayWhole(ClientExchange& exchange, Attempt& attempt)
 {
     auto& link = *attempt.connection;
     std::string body;
@@ -435,7 +446,7 @@
     co_await this->forwardHeldAnswer(exchange, attempt);
 }
 
-Task<> Pipeline::forwardHeldAnswer(Exchange& exchange, Attempt& attempt)
+Task<> Pipeline::forwardHeldAnswer(ClientExchange& exchange, Attempt& attempt)
 {
     auto& response = *attempt.held;
     response.keep_alive(exchange.keepClient && !this->state.isStopping);
@@ -448,7 +459,7 @@
         exchange.keepClient = false;
 }
 
-Task<bool> Pipeline::writeStreamPiece(Exchange& exchange, Attempt& attempt, const char* data, std::size_t size, bool more)
+Task<bool> Pipeline::writeStreamPiece(ClientExchange& exchange, Attempt& attempt, const char* data, std::size_t size, bool more)
 {
     auto& body = attempt.head->body();
     body.data = size == 0 ? nullptr : const_cast<char*>(data); // The library's body type serves reads and writes.
@@ -466,7 +477,7 @@
     co_return !error;
 }
 
-Task<> Pipeline::relayStream(Exchange& exchange, Attempt& attempt)
+Task<> Pipeline::relayStream(ClientExchange& exchange, Attempt& attempt)
 {
     auto& link = *attempt.connection;
     if (!attempt.head) {
@@ -499,12 +510,14 @@
             if (whole > 0) {
                 if (auto id = lastEventId({ attempt.partialEvent.data(), whole }); !id.empty())
                     attempt.lastEvent = std::move(id);
-                if (!co_await this->writeStreamPiece(exchange, attempt, attempt.partialEvent.data(), whole, true))
+                const bool isWritten = co_await this->writeStreamPiece(exchange, attempt, attempt.partialEvent.data(), whole, true);
+                if (!isWritten)
                     co_return;
                 attempt.partialEvent.erase(0, whole);
             }
         } else if (received > 0) {
-            if (!co_await this->writeStreamPiece(exchange, attempt, piece.data(), received, true))
+            const bool isWritten = co_await this->writeStreamPiece(exchange, attempt, piece.data(), received, true);
+            if (!isWritten)
                 co_return;
         }
         if (error) {
@@ -514,10 +527,13 @@
             co_return;
         }
     }
-    if (!attempt.partialEvent.empty()
-        && !co_await this->writeStreamPiece(exchange, attempt, attempt.partialEvent.data(), attempt.partialEvent.size(), true))
-        co_return;
-    if (!co_await this->writeStreamPiece(exchange, attempt, nullptr, 0, false))
+    if (!attempt.partialEvent.empty()) {
+        const bool isWritten = co_await this->writeStreamPiece(exchange, attempt, attempt.partialEvent.data(), attempt.partialEvent.size(), true);
+        if (!isWritten)
+            co_return;
+    }
+    const bool isEnded = co_await this->writeStreamPiece(exchange, attempt, nullptr, 0, false);
+    if (!isEnded)
         co_return;
     attempt.isRelayed = true;
     attempt.result = AttemptResult::Answered;
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -15,24 +15,24 @@
     Pipeline(EdgeState& state, UpstreamPool& pool, ServiceQueues& queues);
 
     /// Answers the request of @p exchange. On return the caller's connection is usable if keepClient is set.
-    Task<> serve(Exchange& exchange);
+    Task<> serve(ClientExchange& exchange);
 
 private:
     struct Attempt;
 
-    Task<> reject(Exchange& exchange, unsigned status, const char* reason, std::optional<Duration> retryAfter = std::nullopt);
-    bool admit(Exchange& exchange, unsigned& status, const char*& reason);
-    Task<> run(Exchange& exchange);
-    Task<> attempt(Exchange& exchange, Attempt& attempt);
-    Task<ConnectionPtr> openConnection(Exchange& exchange, const std::string& address);
-    Task<bool> readHead(Exchange& exchange, Attempt& attempt);
-    Task<> relayWhole(Exchange& exchange, Attempt& attempt);
-    Task<> relayStream(Exchange& exchange, Attempt& attempt);
-    Task<bool> writeStreamPiece(Exchange& exchange, Attempt& attempt, const char* data, std::size_t size, bool more);
-    Task<> forwardHeldAnswer(Exchange& exchange, Attempt& attempt);
-    bool maySendAgain(Exchange& exchange, const Attempt& attempt);
-    Task<> giveUp(Exchange& exchange, const Attempt& attempt);
-    http::request<http::string_body> upstreamRequest(const Exchange& exchange, const PlacementChoice& choice, const std::string& lastEvent) const;
+    Task<> reject(ClientExchange& exchange, unsigned status, const char* reason, std::optional<Duration> retryAfter = std::nullopt);
+    bool admit(ClientExchange& exchange, unsigned& status, const char*& reason);
+    Task<> run(ClientExchange& exchange);
+    Task<> attempt(ClientExchange& exchange, Attempt& attempt);
+    Task<ConnectionPtr> openConnection(ClientExchange& exchange, const std::string& address);
+    Task<bool> readHead(ClientExchange& exchange, Attempt& attempt);
+    Task<> relayWhole(ClientExchange& exchange, Attempt& attempt);
+    Task<> relayStream(ClientExchange& exchange, Attempt& attempt);
+    Task<bool> writeStreamPiece(ClientExchange& exchange, Attempt& attempt, const char* data, std::size_t size, bool more);
+    Task<> forwardHeldAnswer(ClientExchange& exchange, Attempt& attempt);
+    bool maySendAgain(ClientExchange& exchange, const Attempt& attempt);
+    Task<> giveUp(ClientExchange& exchange, const Attempt& attempt);
+    http::request<http::string_body> upstreamRequest(const ClientExchange& exchange, const PlacementChoice& choice, const std::string& lastEvent) const;
 
     EdgeState& state;
     UpstreamPool& pool;
--- a/src/edge/service_queue.cc
+++ b/src/edge/service_queue.cc
@@ -15,7 +15,7 @@
 
 } // namespace
 
-std::optional<PlacementChoice> ServiceQueues::tryAssign(Exchange& exchange, PlacementRefusal& refusal)
+std::optional<PlacementChoice> ServiceQueues::tryAssign(ClientExchange& exchange, PlacementRefusal& refusal)
 {
     const auto now = monotonicNow();
     auto choice = this->state.board.choose(exchange.placement, exchange.tried, now, refusal);
@@ -24,7 +24,7 @@
     return choice;
 }
 
-Task<std::optional<PlacementChoice>> ServiceQueues::place(Exchange& exchange, PlacementRefusal& refusal)
+Task<std::optional<PlacementChoice>> ServiceQueues::place(ClientExchange& exchange, PlacementRefusal& refusal)
 {
     auto& queue = this->queues[exchange.placement.service];
     const bool isFirst = queue.empty() || exchange.rank < queue.front()->rank;
--- a/src/edge/service_queue.h
+++ b/src/edge/service_queue.h
@@ -21,7 +21,7 @@
 
     /// Waits until an upstream is assigned, the patience of the request ends or nobody waits for it.
     /// @return The upstream, for which the board counts the request already; nothing if there is none.
-    Task<std::optional<PlacementChoice>> place(Exchange& exchange, PlacementRefusal& refusal);
+    Task<std::optional<PlacementChoice>> place(ClientExchange& exchange, PlacementRefusal& refusal);
 
     /// Something became free: assigns upstreams to those that wait for @p service.
     void dispatch(const ServiceName& service);
@@ -31,10 +31,10 @@
     std::size_t waiting() const;
 
 private:
-    std::optional<PlacementChoice> tryAssign(Exchange& exchange, PlacementRefusal& refusal);
+    std::optional<PlacementChoice> tryAssign(ClientExchange& exchange, PlacementRefusal& refusal);
 
     EdgeState& state;
-    std::map<ServiceName, std::list<Exchange*>> queues;
+    std::map<ServiceName, std::list<ClientExchange*>> queues;
 };
 
 } // namespace goldcrestwood
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -14,6 +14,8 @@
     constexpr double runningRequestMs = 0.6;
     /// Cost of a failure answer or a broken attempt, as a factor on a plain service's latency.
     constexpr double failureFactor = 8;
+    /// Cost of an answer on weights that were replaced, against one on the newest.
+    constexpr double oldWeightsFactor = 1.25;
     /// Latency assumed of a plain upstream that has not answered yet, milliseconds.
     constexpr double unknownLatencyMs = 20;
     /// Share of the parts that a prompt's preferred engine is assumed to hold without evidence.
@@ -60,7 +62,7 @@
             upstream.cache.setCapacity(service->engine->cacheTokens);
 }
 
-void UpstreamBoard::setUpstream(const UpstreamEntry& entry, TimePoint now)
+void UpstreamBoard::setUpstream(const RegistryEntry& entry, TimePoint now)
 {
     const auto [position, isNew] = this->upstreams.try_emplace(entry.id);
     auto& upstream = position->second;
@@ -213,11 +215,13 @@
             cost = latency * (1 + static_cast<double>(load.requests) / slots);
         }
         cost *= 1 + failureFactor * upstream.failureShare;
+        const auto known = upstream.entry.weights.find(request.model);
+        if (request.preferredWeights > 0 && (known == upstream.entry.weights.end() || known->second < request.preferredWeights))
+            cost *= oldWeightsFactor;
         if (cost < bestCost) {
             bestCost = cost;
-            const auto weights = upstream.entry.weights.find(request.model);
             best = PlacementChoice { upstream.entry.id, upstream.entry.address, missing, fromSeconds(cost / 1000), std::nullopt,
-                weights == upstream.entry.weights.end() ? 0 : weights->second };
+                known == upstream.entry.weights.end() ? 0 : known->second };
         }
     }
     return best;
@@ -302,9 +306,9 @@
     return uses;
 }
 
-std::vector<UpstreamEntry> UpstreamBoard::readyUpstreams(const ServiceName& service) const
+std::vector<RegistryEntry> UpstreamBoard::readyUpstreams(const ServiceName& service) const
 {
-    std::vector<UpstreamEntry> result;
+    std::vector<RegistryEntry> result;
     if (const auto ids = this->byService.find(service); ids != this->byService.end())
         for (const auto& id : ids->second)
             if (const auto& entry = this->upstreams.at(id).entry; !entry.isDraining)
@@ -312,14 +316,25 @@
     return result;
 }
 
-const std::map<UpstreamId, UpstreamEntry> UpstreamBoard::entries() const
+const std::map<UpstreamId, RegistryEntry> UpstreamBoard::entries() const
 {
-    std::map<UpstreamId, UpstreamEntry> result;
+    std::map<UpstreamId, RegistryEntry> result;
     for (const auto& [id, upstream] : this->upstreams)
         result.emplace(id, upstream.entry);
     return result;
 }
 
+std::uint32_t UpstreamBoard::requestsAt(const UpstreamId& id) const
+{
+    const auto found = this->upstreams.find(id);
+    if (found == this->upstreams.end())
+        return 0;
+    auto sum = found->second.own.requests;
+    for (const auto& [peer, report] : found->second.peers)
+        sum += report.use.requests;
+    return sum;
+}
+
 PartCache* UpstreamBoard::cacheOf(const UpstreamId& id)
 {
     const auto found = this->upstreams.find(id);
--- /dev/null
+++ b/src/weight_plan.cc
@@ -0,0 +1,76 @@
+#include "goldcrestwood/weight_plan.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace goldcrestwood {
+
+std::vector<UpstreamId> WeightPlan::start(const std::vector<WeightCandidate>& candidates, TimePoint now)
+{
+    const auto share = static_cast<std::size_t>(std::ceil(static_cast<double>(candidates.size()) * this->settings.share));
+    const auto places = std::max(this->settings.least, share);
+    std::vector<WeightCandidate> behind;
+    for (const auto& candidate : candidates) {
+        const auto passed = this->silent.find(candidate.upstream);
+        const bool isSilent = passed != this->silent.end() && now - passed->second < this->settings.silence;
+        if (candidate.version < this->target.version && !this->running.contains(candidate.upstream) && !isSilent)
+            behind.push_back(candidate);
+    }
+    std::sort(behind.begin(), behind.end(), [](const auto& left, const auto& right) { return left.requests < right.requests; });
+    std::vector<UpstreamId> started;
+    for (const auto& candidate : behind) {
+        if (this->running.size() >= places)
+            break;
+        this->running[candidate.upstream] = { std::nullopt, now };
+        started.push_back(candidate.upstream);
+    }
+    return started;
+}
+
+bool WeightPlan::isOrderDue(const UpstreamId& upstream, TimePoint now) const
+{
+    const auto found = this->running.find(upstream);
+    if (found == this->running.end())
+        return false;
+    return !found->second.orderSent || now - *found->second.orderSent >= this->settings.repeat;
+}
+
+void WeightPlan::onOrderSent(const UpstreamId& upstream, TimePoint now)
+{
+    if (const auto found = this->running.find(upstream); found != this->running.end())
+        found->second.orderSent = now;
+}
+
+void WeightPlan::onReport(const UpstreamId& upstream, std::uint64_t version, bool isBusy, TimePoint now)
+{
+    const auto found = this->running.find(upstream);
+    if (found == this->running.end())
+        return;
+    found->second.lastReport = now;
+    if (version >= this->target.version) {
+        this->running.erase(found);
+        this->finished.push_back({ upstream, this->target.model, version });
+    } else if (isBusy) {
+        found->second.orderSent = now; // Under way; no second order meanwhile.
+    }
+}
+
+void WeightPlan::expire(const std::set<UpstreamId>& present, TimePoint now)
+{
+    for (auto entry = this->running.begin(); entry != this->running.end();) {
+        const bool isSilent = now - entry->second.lastReport >= this->settings.silence;
+        if (isSilent)
+            this->silent[entry->first] = now;
+        entry = isSilent || !present.contains(entry->first) ? this->running.erase(entry) : std::next(entry);
+    }
+}
+
+std::vector<OrderedUpstream> WeightPlan::ordered() const
+{
+    std::vector<OrderedUpstream> result;
+    for (const auto& [upstream, progress] : this->running)
+        result.push_back({ upstream, this->target.model, this->target.version });
+    return result;
+}
+
+} // namespace goldcrestwood
--- /dev/null
+++ b/support/edge_site.py
@@ -0,0 +1,379 @@
+"""A small site in the users' protocol on loopback: a metadata store and replicas as threads, entry daemons as processes."""
+
+import base64
+import contextlib
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import signal
+import socket
+import struct
+import subprocess
+import tempfile
+import threading
+import time
+import urllib.parse
+
+BUILD = pathlib.Path(os.environ.get("GOLDCREST_BUILD", pathlib.Path(__file__).parents[1] / "build")).resolve()
+START_SECONDS = 20
+TOPICS = ("keyed.op", "keyed.servers", "keyed.status")
+
+
+class Server(http.server.ThreadingHTTPServer):
+    """An HTTP server that knows the object it speaks for."""
+
+    daemon_threads = True
+    request_queue_size = 128
+
+    def __init__(self, ip, owner, handler):
+        super().__init__((ip, 0), handler)
+        self.owner = owner
+        self.address = f"{ip}:{self.server_address[1]}"
+        threading.Thread(target=self.serve_forever, args=(0.02,), daemon=True).start()
+
+    def handle_error(self, request, client_address):
+        pass  # Daemons that are killed break connections.
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        pass
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def answer(self, status, body=b"", headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+        self.wfile.flush()
+
+
+class StoreHandler(Handler):
+    def do_GET(self):
+        store = self.server.owner
+        path, _, query = self.path.partition("?")
+        fields = dict(urllib.parse.parse_qsl(query))
+        if store.mode == "busy":
+            return self.answer(503)
+        if path == "/log-newest":
+            return self.answer(200, json.dumps(store.newest(fields["topic"])).encode())
+        if path == "/log-read":
+            return self.answer(200, store.read(fields["topic"], int(fields["from"]), int(fields.get("wait_ms", 0)) / 1000))
+        return self.answer(404)
+
+    def do_POST(self):
+        store = self.server.owner
+        path, _, query = self.path.partition("?")
+        fields = dict(urllib.parse.parse_qsl(query))
+        data = self.body()
+        if store.mode == "busy":
+            return self.answer(503)
+        if path != "/log-append":
+            return self.answer(404)
+        status, result = store.append(fields["topic"], data, int(fields["at"]) if "at" in fields else None)
+        return self.answer(status, json.dumps(result).encode())
+
+
+class Store:
+    """The platform's log: records in memory, held reads, appends on a condition."""
+
+    def __init__(self, ip="127.0.0.1"):
+        self.topics = {}
+        self.changed = threading.Condition()
+        self.mode = "up"
+        self.server = Server(ip, self, StoreHandler)
+        self.address = self.server.address
+
+    def put(self, topic, key, value):
+        """Writes a key of a keyed topic as the operator or a replica does; None removes it."""
+        body = b"" if value is None else json.dumps(value).encode()
+        record = bytes([len(key)]) + key.encode() + body
+        with self.changed:
+            self.topics.setdefault(topic, []).append(record)
+            self.changed.notify_all()
+
+    def append(self, topic, data, at):
+        records = []
+        while data:
+            (length,) = struct.unpack(">I", data[:4])
+            records.append(data[4:4 + length])
+            data = data[4 + length:]
+        with self.changed:
+            held = self.topics.setdefault(topic, [])
+            if at is not None and at != len(held):
+                return 412, {"end": len(held)}
+            offset = len(held)
+            held.extend(records)
+            self.changed.notify_all()
+            return 200, {"offset": offset, "end": len(held)}
+
+    def newest(self, topic):
+        with self.changed:
+            latest = {}
+            for offset, record in enumerate(self.topics.get(topic, [])):
+                key = record[1:1 + record[0]].decode()
+                latest[key] = (record[1 + record[0]:], offset)
+            items = [{"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+                     for key, (value, offset) in latest.items() if value]
+            return {"items": items, "more": False, "end": len(self.topics.get(topic, []))}
+
+    def read(self, topic, start, wait):
+        with self.changed:
+            self.changed.wait_for(lambda: len(self.topics.get(topic, [])) > start, wait)
+            held = self.topics.get(topic, [])
+            body = struct.pack(">QQ", len(held), 0)
+            for record in held[start:]:
+                body += struct.pack(">I", len(record)) + record
+            return body
+
+    def stop(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class ReplicaHandler(Handler):
+    def do_GET(self):
+        if self.path == "/report":
+            return self.answer(200, json.dumps(self.server.owner.report()).encode())
+        if self.path.startswith("/kv-"):
+            return self.answer(404)
+        return self.serve()
+
+    def do_POST(self):
+        if self.path == "/order":
+            return self.answer(self.server.owner.order(json.loads(self.body())))
+        return self.serve()
+
+    def serve(self):
+        replica = self.server.owner
+        body = self.body()
+        request = self.headers.get("X-Goldcrestwood-Request-Id", "")
+        headers = [("X-Goldcrestwood-Request-Id", request)]
+        if self.headers.get("X-Goldcrestwood-Expect-Instance") not in (None, replica.id):
+            return self.answer(421, headers=headers)
+        if replica.refuse > 0:
+            replica.refuse -= 1
+            return self.answer(503, headers=[*headers, ("X-Goldcrestwood-Not-Executed", "1")])
+        replica.requests.append((request, dict(self.headers.items()), body))
+        headers.append(("X-Goldcrestwood-Response-Seal", f"{replica.id}.{request}"))
+        time.sleep(replica.delay)
+        if replica.fail > 0:
+            replica.fail -= 1
+            return self.answer(500, b"failed", headers)
+        if replica.drop > 0:
+            replica.drop -= 1
+            self.close_connection = True
+            self.connection.shutdown(socket.SHUT_RDWR)
+            return None
+        if replica.kind != "streaming":
+            return self.answer(200, replica.id.encode() + b":" + body, headers)
+        return self.stream(replica, headers)
+
+    def stream(self, replica, headers):
+        self.send_response(200)
+        for name, value in (*headers, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")):
+            self.send_header(name, value)
+        self.end_headers()
+        first = int(self.headers.get("Last-Event-Id", 0)) + 1
+        for number in range(first, replica.pieces + 1):
+            if replica.cut_after and number > replica.cut_after:
+                replica.cut_after = 0
+                self.close_connection = True
+                self.connection.shutdown(socket.SHUT_RDWR)
+                return
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            self.wfile.flush()
+            time.sleep(replica.gap)
+        self.wfile.write(b"0\r\n\r\n")
+
+
+class Replica:
+    """An upstream: answers, streams, takes orders; its faults are set by the test."""
+
+    def __init__(self, store, number, service, kind, domain, slots=8):
+        self.id = f"i-{service}-{number}"
+        self.store, self.service, self.kind, self.domain, self.slots = store, service, kind, domain, slots
+        self.requests = []
+        self.orders = []
+        self.version = 1
+        self.load_seconds = 0.1
+        self.loading_until = 0.0
+        self.next_version = 1
+        self.refuse = self.fail = self.drop = self.cut_after = 0
+        self.delay, self.gap, self.pieces = 0.0, 0.0, 5
+        self.server = Server("127.0.0.1", self, ReplicaHandler)
+        self.address = self.server.address
+        self.register("ready")
+
+    def register(self, state, **fields):
+        entry = {"service": self.service, "addr": self.address, "zone": self.domain, "version": "v1", "slots": self.slots,
+                 "state": state, "cold_left_ms": 0, "seq": 1, "born": 1, **fields}
+        if self.kind == "streaming":
+            entry["models"] = [{"name": "m", "version": self.version, "adapters": []}]
+        self.store.put("keyed.servers", self.id, entry)
+
+    def leave(self):
+        self.store.put("keyed.servers", self.id, None)
+
+    def report(self):
+        if time.monotonic() >= self.loading_until and self.version != self.next_version:
+            self.version = self.next_version
+            self.register("ready")
+        return {"stage": "unified", "models": [{"name": "m", "version": self.version, "adapters": []}],
+                "busy": time.monotonic() < self.loading_until, "seq": len(self.orders), "queued": 0, "running": 0}
+
+    def order(self, order):
+        if order.get("expect") not in (None, len(self.orders)):
+            return 409
+        if any(order["fence"] < earlier["fence"] for _, earlier in self.orders):
+            return 412
+        self.orders.append((time.monotonic(), order))
+        self.next_version = order["version"]
+        self.loading_until = time.monotonic() + self.load_seconds
+        return 202
+
+
+CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        {"name": "stream", "host": "site.example", "path_prefix": "/stream/", "kind": "streaming", "timeout_ms": 5000, "goal_ms": 500,
+         "priority": 1, "service": "model", "attempts": 2, "public": False, "sticky": True, "resumable": True, "gap_aim_ms": 250},
+        {"name": "once", "host": "site.example", "path_prefix": "/once/", "kind": "unsafe", "timeout_ms": 2000, "goal_ms": 300,
+         "priority": 1, "service": "plain", "attempts": 1, "public": False, "sticky": False, "resumable": False},
+        {"name": "safe", "host": "site.example", "path_prefix": "/safe/", "kind": "safe", "timeout_ms": 2000, "goal_ms": 300,
+         "priority": 1, "service": "plain", "attempts": 2, "public": True, "sticky": False, "resumable": False},
+    ],
+    "services": [
+        {"name": "model", "health_path": "/healthz", "max_conns": 64, "cold_s": 0.0, "cold_per_s": 0.0,
+         "engine": {"slots": 8, "kv_tokens": 100000, "kv_bytes": 1000, "link_mbps": 1000.0, "max_inflight": 12, "models": [{"name": "m"}]}},
+        {"name": "plain", "health_path": "/healthz", "max_conns": 64, "cold_s": 0.0, "cold_per_s": 0.0},
+    ],
+    "limits": {"header_bytes": 8192, "max_body_bytes": 65536, "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
+    "tenants": [{"name": "first", "api_keys": ["key-one", "key-two"]}, {"name": "second", "api_keys": ["key-three"], "isolated": True}],
+}
+
+SETTINGS = """
+node = "{node}"
+zone = "{zone}"
+region = "here"
+ip = "{ip}"
+seeds = [{seeds}]
+[listen]
+front = "{ip}:7001"
+ready = "{ip}:7002"
+control = "{ip}:7000"
+directory = "{ip}:7003"
+[limits]
+cpu_share = 0.25
+memory_mb = 110
+[platform]
+addr = "{store}"
+[bounds]
+drain_ms = 2000
+grace_s = 4
+fence_required = true
+"""
+
+
+class Daemon:
+    """One entry daemon on a loopback address of its own."""
+
+    def __init__(self, number, store, folder, seeds):
+        self.node, self.ip = f"edge-{number}", f"127.31.0.{number}"
+        self.front, self.ready, self.directory, self.metrics = (f"{self.ip}:{port}" for port in (7001, 7002, 7003, 9464))
+        self.settings = folder / f"{self.node}.toml"
+        self.settings.write_text(SETTINGS.format(node=self.node, zone=f"zone-{number % 3}", ip=self.ip, store=store.address,
+                                                 seeds=", ".join(f'"{seed}:7000"' for seed in seeds)))
+        self.log_path = folder / f"{self.node}.log"
+        self.process = None
+
+    def start(self):
+        environment = {**os.environ, "GOLDCRESTWOOD_NODE_FILE": str(self.settings)}
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen([BUILD / "goldcrestd", "edge"], stdout=log, stderr=log, env=environment)
+        return self
+
+    def log_lines(self):
+        lines = []
+        for line in self.log_path.read_text().splitlines():
+            with contextlib.suppress(json.JSONDecodeError):
+                lines.append(json.loads(line))
+        return lines
+
+    def is_ready(self):
+        try:
+            return call(self.ready, "GET", "/readyz")[0] == 200
+        except OSError:
+            return False
+
+    def stop(self):
+        if self.process and self.process.poll() is None:
+            self.process.send_signal(signal.SIGKILL)
+            self.process.wait()
+
+
+class EdgeSite(contextlib.ExitStack):
+    """A store, replicas of a model and of a plain service, and daemons."""
+
+    def __init__(self, daemons=2, models=3, plain=2, configuration=None):
+        super().__init__()
+        self.folder = pathlib.Path(self.enter_context(tempfile.TemporaryDirectory()))
+        self.store = Store()
+        self.callback(self.store.stop)
+        self.store.put("keyed.op", "config", configuration or CONFIGURATION)
+        self.models = [Replica(self.store, number, "model", "streaming", f"zone-{number % 3}") for number in range(models)]
+        self.plain = [Replica(self.store, number, "plain", "plain", f"zone-{number % 3}") for number in range(plain)]
+        seeds = [f"127.31.0.{number + 1}" for number in range(daemons)]
+        self.daemons = [Daemon(number + 1, self.store, self.folder, seeds).start() for number in range(daemons)]
+        for daemon in self.daemons:
+            self.callback(daemon.stop)
+            wait_until(daemon.is_ready, f"{daemon.node} is ready", check=daemon.process)
+
+
+def wait_until(condition, what, seconds=START_SECONDS, check=None):
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        if value := condition():
+            return value
+        if check is not None and check.poll() is not None:
+            raise RuntimeError(f"{what}: the process ended with {check.returncode}")
+        time.sleep(0.02)
+    raise TimeoutError(f"{what}: not within {seconds} s")
+
+
+def call(address, method, path, body=None, headers=None, timeout=10):
+    """Returns status, headers and body of one call on a connection of its own."""
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return response.status, response.headers, response.read()
+    finally:
+        connection.close()
+
+
+counter = iter(range(1, 1 << 30))
+
+
+def request(daemon, path, body=None, key="key-one", method="POST", timeout=10, **headers):
+    """Sends a caller's request; header names are given with underscores. Returns its id, status, headers and body."""
+    identifier = f"{next(counter):016x}"
+    fields = {"Host": "site.example", "X-Goldcrestwood-Request-Id": identifier, "X-Goldcrestwood-Deadline-Ms": "4000"}
+    if key:
+        fields["X-Goldcrestwood-Key"] = key
+    fields.update({name.replace("_", "-"): value for name, value in headers.items()})
+    return identifier, *call(daemon.front, method, path, body, fields, timeout)
+
+
+PROMPT = {"X_Goldcrestwood_Model": "m", "X_Goldcrestwood_Token_Usage": "1000,40",
+          "X_Goldcrestwood_Prefix_Hash": "aa01:700,bb01:200,cc01:100"}
