Prompt parts are saved to and fetched from the stores of KV cache

Change: part directory from the stores' events, scope by weight version and sharing, one address for each part.

--- /dev/null
+++ b/include/goldcrestwood/part_directory.h
@@ -0,0 +1,86 @@
+#pragma once
+
+/// @file
+/// Which prompt parts lie whole in which store of KV cache.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "goldcrestwood/part_cache.h"
+#include "goldcrestwood/time.h"
+#include "goldcrestwood/traffic.h"
+
+namespace goldcrestwood {
+
+/// A part of which a store says how much it holds; 0 tokens: no more.
+struct StoredPart {
+    std::string scope;
+    std::string id;
+    std::uint32_t tokens = 0;
+
+    auto operator<=>(const StoredPart&) const = default;
+};
+
+struct PartDirectorySettings {
+    /// What was heard of a store counts for so long: a store that restarts may hold the same part half-written.
+    Duration knowledgeLifetime = std::chrono::milliseconds(1800);
+    /// After a restart nothing is saved for so long, so that no daemon still takes the old contents for whole.
+    Duration restartPause = std::chrono::milliseconds(2500);
+    /// A store is filled up to this share: what it holds for certain and what is on its way together.
+    double fillShare = 0.97;
+};
+
+/// Contents of the stores, from their events. A store drops nothing by itself, so what is known to be whole stays whole
+/// until the store restarts or the part is freed.
+class PartDirectory {
+public:
+    explicit PartDirectory(PartDirectorySettings directorySettings = {})
+        : settings(directorySettings)
+    {
+    }
+
+    void setStores(const std::vector<CacheStore>& configured);
+    std::vector<std::string> addresses() const;
+
+    /// All that a store holds, at a start or after a gap in its events.
+    void onListing(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& parts, TimePoint now);
+    /// @return Whether the events follow on what is known; if not, a listing is needed.
+    bool onEvents(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& changes, TimePoint now);
+    /// The store does not answer: nothing is known of it.
+    void onSilence(const std::string& address);
+
+    /// @return The address of a store that holds the whole part, one in @p near if there is one.
+    std::optional<std::string> find(const std::string& scope, const PromptPart& part, const FailureDomain& near, TimePoint now) const;
+
+    /// @return Where to save a part that no store holds; nothing if there is no room.
+    std::optional<std::string> placeFor(const std::string& scope, const PromptPart& part, TimePoint now) const;
+
+    /// @return Parts in a store whose scope begins with none of @p scopes in use.
+    std::vector<StoredPart> garbage(const std::string& address, const std::vector<std::string>& scopes) const;
+    /// @return The epoch of a store that is known, or nothing.
+    std::optional<std::uint64_t> epochOf(const std::string& address) const;
+    std::uint64_t heldTokens(const std::string& address) const;
+
+private:
+    struct Store {
+        CacheStore description;
+        bool isKnown = false;
+        std::uint64_t epoch = 0;
+        TimePoint heard;
+        std::optional<TimePoint> restarted;
+        std::uint64_t tokens = 0;
+        std::unordered_map<std::string, std::uint32_t> parts; ///< Tokens by scope and id.
+    };
+
+    bool isUsable(const Store& store, TimePoint now) const;
+    static void change(Store& store, const StoredPart& part);
+
+    PartDirectorySettings settings;
+    std::map<std::string, Store> stores;
+};
+
+} // namespace goldcrestwood
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -17,6 +17,7 @@
 #include "goldcrestwood/edge_settings.h"
 #include "goldcrestwood/names.h"
 #include "goldcrestwood/part_cache.h"
+#include "goldcrestwood/part_directory.h"
 #include "goldcrestwood/random.h"
 #include "goldcrestwood/time.h"
 #include "goldcrestwood/traffic.h"
@@ -44,7 +45,7 @@
 /// What a request asks of an upstream.
 struct PlacementRequest {
     ServiceName service;
-    std::string scope; ///< Cache blocks are shared within it: weight version and isolated account.
+    std::string sharing; ///< Callers among which cache blocks are shared: all, or an isolated account alone.
     std::vector<PromptPart> parts;
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0;
@@ -61,8 +62,12 @@
     UpstreamId upstream;
     std::string address;
     std::uint64_t missingTokens = 0; ///< Prompt tokens that the upstream is expected to read.
+    std::uint64_t movedTokens = 0; ///< Prompt tokens that are expected to come from stores.
     Duration expectedWait = Duration(0); ///< Until the first token or answer.
-    std::optional<std::string> fetchFrom; ///< Address from which missing blocks can be moved.
+    std::string scope; ///< Blocks are found only under the same scope: weight version and sharing.
+    /// For each prompt part the store that holds it whole, empty if the upstream is to read it; empty if there is none at all.
+    std::vector<std::string> fetchFrom;
+    std::vector<std::string> saveTo; ///< Likewise, where to save what no store holds.
     std::uint64_t weights = 0; ///< Weight version of the request's model there, as far as known.
 
     bool operator==(const PlacementChoice&) const = default;
@@ -86,7 +91,8 @@
 /// All upstreams of all services as one daemon sees them.
 class UpstreamBoard {
 public:
-    explicit UpstreamBoard(InstanceId self, SiteBounds bounds, BoardSettings settings = {});
+    /// @param parts What the stores of KV cache hold; outlives the board.
+    UpstreamBoard(InstanceId self, SiteBounds bounds, const PartDirectory& parts, BoardSettings settings = {});
 
     void setServices(const RouteTable& table);
     void setUpstream(const RegistryEntry& entry, TimePoint now);
@@ -146,11 +152,22 @@
     Load totalLoad(const Upstream& upstream, TimePoint now) const;
     bool isUsable(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const;
     bool takesCold(const Upstream& upstream, TimePoint now) const;
-    double promptCost(const Upstream& upstream, const Load& load, std::uint64_t missing) const;
+    /// How a prompt could be had at one engine.
+    struct Coverage {
+        std::uint64_t moved = 0;
+        std::uint64_t missing = 0;
+        double moveMs = 0;
+    };
+
+    Coverage cover(const Upstream& upstream, const PlacementRequest& request, const EngineLimits& engine, TimePoint now) const;
+    double promptCost(const Upstream& upstream, const Load& load, const Coverage& coverage) const;
+    bool isFull(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const;
+    void planCache(const Upstream& upstream, const PlacementRequest& request, PlacementChoice& choice, TimePoint now) const;
     const TrafficService* serviceOf(const ServiceName& name) const;
 
     InstanceId self;
     SiteBounds bounds;
+    const PartDirectory& parts;
     BoardSettings settings;
     std::map<ServiceName, TrafficService> services;
     std::map<UpstreamId, Upstream> upstreams;
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -31,6 +31,11 @@
                 { "routes", static_cast<std::int64_t>(configuration->routes.size()) } });
         state.routes = std::make_shared<const RouteTable>(std::move(*configuration));
         state.board.setServices(*state.routes);
+        std::vector<CacheStore> stores;
+        for (const auto& service : state.routes->configuration().services)
+            if (service.store)
+                stores.push_back(*service.store);
+        state.parts.setStores(stores);
     }
 
     void believeWeights(EdgeState& state, const KeyedRecord& record, const char* source)
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -57,6 +57,7 @@
     , registryReader(this->state, ioContext.get_executor(), platform::registryTopic, this->state.registryFeed, &believeRegistry)
     , peers(this->state, ioContext.get_executor(), this->queues, this->operatorReader, this->registryReader)
     , duty(this->state, ioContext.get_executor(), this->queues, this->peers)
+    , cacheWatch(this->state, ioContext.get_executor())
     , front(ioContext)
     , ready(ioContext)
     , directory(ioContext)
@@ -102,6 +103,7 @@
     spawn(this->peers.acceptQueries());
     spawn(this->peers.catchUp());
     spawn(this->duty.run());
+    spawn(this->cacheWatch.run());
     spawn(this->watchSignals());
     spawn(this->sweep());
     edge::log(edge::LogClass::Lifecycle, "started",
--- a/src/edge/edge_server.h
+++ b/src/edge/edge_server.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 
+#include "edge/cache_watch.h"
 #include "edge/client_session.h"
 #include "edge/duty_runner.h"
 #include "edge/edge_state.h"
@@ -44,6 +45,7 @@
     FactReader registryReader;
     PeerLink peers;
     DutyRunner duty;
+    CacheWatch cacheWatch;
     tcp::acceptor front;
     tcp::acceptor ready;
     tcp::acceptor directory;
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -12,6 +12,7 @@
 #include "daemon/metrics.h"
 #include "goldcrestwood/edge_settings.h"
 #include "goldcrestwood/keyed_feed.h"
+#include "goldcrestwood/part_directory.h"
 #include "goldcrestwood/random.h"
 #include "goldcrestwood/send_budget.h"
 #include "goldcrestwood/traffic.h"
@@ -28,7 +29,7 @@
 struct EdgeState {
     explicit EdgeState(EdgeSettings initial, std::uint64_t seed)
         : settings(std::move(initial))
-        , board(settings.instance, settings.bounds)
+        , board(settings.instance, settings.bounds, parts)
         , random(seed)
     {
         this->incarnation = static_cast<std::uint64_t>(wallClock().count());
@@ -45,6 +46,7 @@
     EdgeSettings settings;
     std::uint64_t incarnation = 0; ///< Start of the process, Unix microseconds.
     std::shared_ptr<const RouteTable> routes; ///< Null until a configuration is known.
+    PartDirectory parts;
     UpstreamBoard board;
     KeyedFeed operatorFeed;
     KeyedFeed registryFeed;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -191,9 +191,9 @@
             placement.preferredWeights = target->second.version;
     }
     if (exchange.account != nullptr && exchange.account->isIsolated)
-        placement.scope = "account-" + exchange.account->name.value;
+        placement.sharing = "account-" + exchange.account->name.value;
     else
-        placement.scope = "shared";
+        placement.sharing = "all";
     this->state.sendBudget(*service).onRequest(exchange.received);
 
     exchange.limit.expires_at(exchange.deadline);
@@ -218,9 +218,11 @@
     if (exchange.info.promptTokens > 0) {
         constexpr std::uint32_t leastUrgent = 9;
         headers.priority = std::min(exchange.rank, leastUrgent);
-        headers.cacheScope = exchange.placement.scope;
-        if (choice.fetchFrom)
-            headers.fetchFrom = *choice.fetchFrom;
+        headers.cacheScope = choice.scope;
+        headers.fetchFrom = platform::encodePartAddresses(choice.fetchFrom);
+        headers.saveTo = platform::encodePartAddresses(choice.saveTo);
+        if (choice.weights > 0)
+            headers.expectWeights = choice.weights;
     }
     return platform::encodeForUpstream(exchange.request, headers);
 }
@@ -419,6 +421,8 @@
         }
     }
     attempt.provesNotRun = attempt.answer.provesNotRun;
+    if (attempt.answer.weights && !exchange.placement.model.empty())
+        this->state.board.setWeights(attempt.choice.upstream, exchange.placement.model, *attempt.answer.weights);
     if (attempt.provesNotRun) {
         attempt.result = AttemptResult::Refused;
         attempt.failure = attempt.status == misdirected ? "another upstream has the address" : "refused by the upstream";
--- /dev/null
+++ b/src/part_directory.cc
@@ -0,0 +1,169 @@
+#include "goldcrestwood/part_directory.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "goldcrestwood/hash.h"
+
+namespace goldcrestwood {
+
+namespace {
+
+    constexpr char separator = '\n';
+
+    std::string keyOf(const std::string& scope, const std::string& id)
+    {
+        return scope + separator + id;
+    }
+
+    /// Rendezvous hashing in proportion to size.
+    double weightedScore(const std::string& key, const CacheStore& store)
+    {
+        constexpr double span = 18446744073709551616.0; // 2^64
+        const auto draw = (static_cast<double>(stableHash(key, stableHash(store.address))) + 1) / (span + 2);
+        return -static_cast<double>(std::max<std::uint64_t>(store.cacheTokens, 1)) / std::log(draw);
+    }
+
+} // namespace
+
+void PartDirectory::setStores(const std::vector<CacheStore>& configured)
+{
+    std::map<std::string, Store> next;
+    for (const auto& description : configured) {
+        auto& store = next[description.address];
+        if (const auto known = this->stores.find(description.address); known != this->stores.end())
+            store = std::move(known->second);
+        store.description = description;
+    }
+    this->stores = std::move(next);
+}
+
+std::vector<std::string> PartDirectory::addresses() const
+{
+    std::vector<std::string> result;
+    for (const auto& [address, store] : this->stores)
+        result.push_back(address);
+    return result;
+}
+
+void PartDirectory::change(Store& store, const StoredPart& part)
+{
+    auto& tokens = store.parts[keyOf(part.scope, part.id)];
+    store.tokens += part.tokens;
+    store.tokens -= tokens;
+    tokens = part.tokens;
+    if (tokens == 0)
+        store.parts.erase(keyOf(part.scope, part.id));
+}
+
+void PartDirectory::onListing(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& parts, TimePoint now)
+{
+    const auto found = this->stores.find(address);
+    if (found == this->stores.end())
+        return;
+    auto& store = found->second;
+    if (store.epoch != 0 && store.epoch != epoch)
+        store.restarted = now;
+    store.isKnown = true;
+    store.epoch = epoch;
+    store.heard = now;
+    store.parts.clear();
+    store.tokens = 0;
+    for (const auto& part : parts)
+        change(store, part);
+}
+
+bool PartDirectory::onEvents(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& changes, TimePoint now)
+{
+    const auto found = this->stores.find(address);
+    if (found == this->stores.end())
+        return true;
+    auto& store = found->second;
+    if (!store.isKnown || store.epoch != epoch) {
+        store.isKnown = false;
+        return false;
+    }
+    store.heard = now;
+    for (const auto& part : changes)
+        change(store, part);
+    return true;
+}
+
+void PartDirectory::onSilence(const std::string& address)
+{
+    if (const auto found = this->stores.find(address); found != this->stores.end())
+        found->second.isKnown = false;
+}
+
+bool PartDirectory::isUsable(const Store& store, TimePoint now) const
+{
+    return store.isKnown && now - store.heard <= this->settings.knowledgeLifetime;
+}
+
+std::optional<std::string> PartDirectory::find(
+    const std::string& scope, const PromptPart& part, const FailureDomain& near, TimePoint now) const
+{
+    const auto key = keyOf(scope, part.id);
+    std::optional<std::string> result;
+    for (const auto& [address, store] : this->stores) {
+        if (!this->isUsable(store, now))
+            continue;
+        const auto held = store.parts.find(key);
+        if (held == store.parts.end() || held->second < part.tokens)
+            continue;
+        result = address;
+        if (store.description.domain == near)
+            break;
+    }
+    return result;
+}
+
+std::optional<std::string> PartDirectory::placeFor(const std::string& scope, const PromptPart& part, TimePoint now) const
+{
+    const auto key = keyOf(scope, part.id);
+    std::optional<std::string> best;
+    double bestScore = 0;
+    for (const auto& [address, store] : this->stores) {
+        const bool isPaused = store.restarted && now - *store.restarted < this->settings.restartPause;
+        const auto room = static_cast<double>(store.description.cacheTokens) * this->settings.fillShare;
+        if (!this->isUsable(store, now) || isPaused || static_cast<double>(store.tokens + part.tokens) > room)
+            continue;
+        if (const auto score = weightedScore(key, store.description); score > bestScore) {
+            bestScore = score;
+            best = address;
+        }
+    }
+    return best;
+}
+
+std::vector<StoredPart> PartDirectory::garbage(const std::string& address, const std::vector<std::string>& scopes) const
+{
+    std::vector<StoredPart> result;
+    const auto found = this->stores.find(address);
+    if (found == this->stores.end() || !found->second.isKnown)
+        return result;
+    for (const auto& [key, tokens] : found->second.parts) {
+        const bool isUsed = std::any_of(scopes.begin(), scopes.end(), [&, &name = key](const auto& scope) { return name.starts_with(scope); });
+        if (isUsed)
+            continue;
+        const auto cut = key.find(separator);
+        result.push_back({ key.substr(0, cut), key.substr(cut + 1), tokens });
+    }
+    return result;
+}
+
+std::optional<std::uint64_t> PartDirectory::epochOf(const std::string& address) const
+{
+    const auto found = this->stores.find(address);
+    if (found == this->stores.end() || !found->second.isKnown)
+        return std::nullopt;
+    return found->second.epoch;
+}
+
+std::uint64_t PartDirectory::heldTokens(const std::string& address) const
+{
+    const auto found = this->stores.find(address);
+    return found == this->stores.end() ? 0 : found->second.tokens;
+}
+
+} // namespace goldcrestwood
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -18,8 +18,8 @@
     constexpr double oldWeightsFactor = 1.25;
     /// Latency assumed of a plain upstream that has not answered yet, milliseconds.
     constexpr double unknownLatencyMs = 20;
-    /// Share of the parts that a prompt's preferred engine is assumed to hold without evidence.
-    constexpr double assumedHeldShare = 0.5;
+    /// How much sooner another engine must answer than the one that the prompt's parts prefer, milliseconds.
+    constexpr double notPreferredMs = 12;
     /// Daemons that may come up unseen and send to the same cold upstream.
     constexpr std::size_t unseenDaemons = 2;
     /// Bounds of the learned slowness of an upstream.
@@ -39,14 +39,27 @@
         if (request.parts.empty())
             return {};
         const auto& part = request.parts.size() > 1 ? request.parts[request.parts.size() - 2] : request.parts.front();
-        return request.scope + '/' + part.id;
+        return request.sharing + '/' + part.id;
+    }
+
+    std::uint64_t weightsOf(const RegistryEntry& entry, const std::string& model)
+    {
+        const auto weights = entry.weights.find(model);
+        return weights == entry.weights.end() ? 0 : weights->second;
+    }
+
+    /// Blocks made under other weights or for others can't be found: their scope differs.
+    std::string scopeOf(std::uint64_t weights, const std::string& sharing)
+    {
+        return "w" + std::to_string(weights) + "." + sharing;
     }
 
 } // namespace
 
-UpstreamBoard::UpstreamBoard(InstanceId instance, SiteBounds siteBounds, BoardSettings boardSettings)
+UpstreamBoard::UpstreamBoard(InstanceId instance, SiteBounds siteBounds, const PartDirectory& directory, BoardSettings boardSettings)
     : self(std::move(instance))
     , bounds(siteBounds)
+    , parts(directory)
     , settings(boardSettings)
     , tokensPerMillisecond(boardSettings.prefillTokensPerMillisecond)
 {
@@ -147,10 +160,75 @@
     return this->takesCold(upstream, now);
 }
 
-double UpstreamBoard::promptCost(const Upstream& upstream, const Load& load, std::uint64_t missing) const
+UpstreamBoard::Coverage UpstreamBoard::cover(
+    const Upstream& upstream, const PlacementRequest& request, const EngineLimits& engine, TimePoint now) const
+{
+    const auto scope = scopeOf(weightsOf(upstream.entry, request.model), request.sharing);
+    const auto held = upstream.cache.heldTokens(scope, request.parts);
+    Coverage coverage;
+    std::uint64_t end = 0;
+    std::uint64_t covered = held;
+    for (const auto& part : request.parts) {
+        end += part.tokens;
+        if (end <= held)
+            continue;
+        // A part counts only if all parts before it are there.
+        if (!this->parts.find(scope, part, upstream.entry.domain, now))
+            break;
+        coverage.moved += part.tokens;
+        covered = end;
+    }
+    coverage.missing = request.promptTokens - std::min(covered, request.promptTokens);
+    if (engine.linkMegabits > 0)
+        coverage.moveMs = static_cast<double>(coverage.moved * engine.bytesPerToken) * 8 / (engine.linkMegabits * 1000);
+    return coverage;
+}
+
+double UpstreamBoard::promptCost(const Upstream& upstream, const Load& load, const Coverage& coverage) const
+{
+    const auto read = static_cast<double>(load.backlog + coverage.missing) / this->tokensPerMillisecond;
+    return (read + coverage.moveMs + load.requests * runningRequestMs) * upstream.slowness;
+}
+
+bool UpstreamBoard::isFull(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const
+{
+    if (engine == nullptr)
+        return load.requests >= 2 * std::max(1U, upstream.entry.slots);
+    if (load.requests >= upstream.entry.slots)
+        return true;
+    const auto memory = static_cast<double>(engine->cacheTokens) * this->settings.memoryShare;
+    const auto wanted = static_cast<double>(load.tokens + request.promptTokens + request.outputTokens);
+    if (load.requests > 0 && wanted > memory)
+        return true;
+    return load.backlog > 0 && static_cast<double>(load.backlog) / this->tokensPerMillisecond > toMs(this->settings.longestBacklog);
+}
+
+void UpstreamBoard::planCache(const Upstream& upstream, const PlacementRequest& request, PlacementChoice& choice, TimePoint now) const
 {
-    const auto read = static_cast<double>(load.backlog + missing) / this->tokensPerMillisecond;
-    return (read + load.requests * runningRequestMs) * upstream.slowness;
+    choice.weights = weightsOf(upstream.entry, request.model);
+    choice.scope = scopeOf(choice.weights, request.sharing);
+    if (choice.weights == 0 || request.parts.size() < 2)
+        return;
+    // The last part belongs to this request alone and does not return.
+    const auto shared = request.parts.size() - 1;
+    std::vector<std::string> fetch(request.parts.size());
+    std::vector<std::string> save(request.parts.size());
+    bool fetches = false;
+    bool saves = false;
+    for (std::size_t index = 0; index < shared; ++index) {
+        const auto& part = request.parts[index];
+        if (auto source = this->parts.find(choice.scope, part, upstream.entry.domain, now)) {
+            fetch[index] = std::move(*source);
+            fetches = true;
+        } else if (auto place = this->parts.placeFor(choice.scope, part, now)) {
+            save[index] = std::move(*place);
+            saves = true;
+        }
+    }
+    if (fetches)
+        choice.fetchFrom = std::move(fetch);
+    if (saves)
+        choice.saveTo = std::move(save);
 }
 
 const TrafficService* UpstreamBoard::serviceOf(const ServiceName& name) const
@@ -163,7 +241,7 @@
     const std::set<UpstreamId>& excluded, TimePoint now, PlacementRefusal& refusal)
 {
     const auto* service = this->serviceOf(request.service);
-    const bool isEngine = service != nullptr && service->engine.has_value();
+    const auto* engine = service != nullptr && service->engine ? &*service->engine : nullptr;
     const auto key = affinityKey(request);
     refusal = PlacementRefusal::NoUpstream;
 
@@ -178,52 +256,44 @@
     }
     // Upstreams that failed lately are a last resort.
     const bool anyHealthy = std::any_of(usable.begin(), usable.end(), [&](const auto* upstream) { return upstream->avoidUntil <= now; });
-    const auto preferred = key.empty() || names.empty() ? std::vector<std::size_t> {} : rendezvousRank(stableHash(key), names, 1);
+    const auto preferred = key.empty() || names.empty() ? usable.size() : rendezvousRank(stableHash(key), names, 1).front();
 
     std::optional<PlacementChoice> best;
+    const Upstream* chosen = nullptr;
     auto bestCost = std::numeric_limits<double>::infinity();
     for (std::size_t index = 0; index < usable.size(); ++index) {
         const auto& upstream = *usable[index];
         if (anyHealthy && upstream.avoidUntil > now)
             continue;
         const auto load = this->totalLoad(upstream, now);
+        if (this->isFull(upstream, load, request, engine)) {
+            refusal = PlacementRefusal::Full;
+            continue;
+        }
         double cost = 0;
-        std::uint64_t missing = 0;
-        if (isEngine) {
-            auto held = upstream.cache.heldTokens(request.scope, request.parts);
-            if (!preferred.empty() && preferred.front() == index && !request.parts.empty()) {
-                const auto shared = request.promptTokens - std::min<std::uint64_t>(request.promptTokens, request.parts.back().tokens);
-                held = std::max(held, static_cast<std::uint64_t>(static_cast<double>(shared) * assumedHeldShare));
-            }
-            missing = request.promptTokens - std::min(held, request.promptTokens);
-            const auto memory = static_cast<double>(service->engine->cacheTokens) * this->settings.memoryShare;
-            const bool isFull = load.requests >= upstream.entry.slots
-                || (load.requests > 0 && static_cast<double>(load.tokens + request.promptTokens + request.outputTokens) > memory)
-                || (load.backlog > 0 && static_cast<double>(load.backlog) / this->tokensPerMillisecond > toMs(this->settings.longestBacklog));
-            if (isFull) {
-                refusal = PlacementRefusal::Full;
-                continue;
-            }
-            cost = this->promptCost(upstream, load, missing);
+        Coverage coverage;
+        if (engine != nullptr) {
+            coverage = this->cover(upstream, request, *engine, now);
+            cost = this->promptCost(upstream, load, coverage);
+            // Other daemons' prompts with the same parts go to the same engine, which then most likely holds them.
+            if (preferred != index)
+                cost += notPreferredMs;
         } else {
             const auto latency = upstream.latencyMs > 0 ? upstream.latencyMs : unknownLatencyMs;
-            const auto slots = std::max(1U, upstream.entry.slots);
-            if (load.requests >= 2 * slots) {
-                refusal = PlacementRefusal::Full;
-                continue;
-            }
-            cost = latency * (1 + static_cast<double>(load.requests) / slots);
+            cost = latency * (1 + static_cast<double>(load.requests) / std::max(1U, upstream.entry.slots));
         }
         cost *= 1 + failureFactor * upstream.failureShare;
-        const auto known = upstream.entry.weights.find(request.model);
-        if (request.preferredWeights > 0 && (known == upstream.entry.weights.end() || known->second < request.preferredWeights))
+        if (weightsOf(upstream.entry, request.model) < request.preferredWeights)
             cost *= oldWeightsFactor;
         if (cost < bestCost) {
             bestCost = cost;
-            best = PlacementChoice { upstream.entry.id, upstream.entry.address, missing, fromSeconds(cost / 1000), std::nullopt,
-                known == upstream.entry.weights.end() ? 0 : known->second };
+            chosen = &upstream;
+            best = PlacementChoice { .upstream = upstream.entry.id, .address = upstream.entry.address, .missingTokens = coverage.missing,
+                .movedTokens = coverage.moved, .expectedWait = fromSeconds(cost / 1000) };
         }
     }
+    if (best && engine != nullptr)
+        this->planCache(*chosen, request, *best, now);
     return best;
 }
 
@@ -241,7 +311,7 @@
             upstream.coldSends.pop_front();
         upstream.coldSends.push_back(now);
     }
-    upstream.cache.use(request.scope, request.parts);
+    upstream.cache.use(choice.scope, request.parts);
 }
 
 void UpstreamBoard::onFirstByte(const PlacementChoice& choice, const PlacementRequest& request, Duration delay)
