Weights change after a short drain; stores are freed of old blocks; engines' events; slow stores passed over

Cause: 'block' held a third of the replicas for seconds while long runs ended; stores stayed full of blocks of replaced weights; one slow store held every prompt.

--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -27,8 +27,8 @@
     std::uint32_t requests = 0;
     /// Prompt and expected output tokens of these.
     std::uint64_t tokens = 0;
-    /// Prompt tokens that the upstream still has to read.
-    std::uint64_t backlog = 0;
+    /// Prompt tokens that the upstream still has to read, by rank of the request, the most urgent first.
+    std::vector<std::uint64_t> backlog;
 
     bool operator==(const UpstreamUse&) const = default;
 };
--- a/include/goldcrestwood/part_directory.h
+++ b/include/goldcrestwood/part_directory.h
@@ -53,14 +53,20 @@
     /// The store does not answer: nothing is known of it.
     void onSilence(const std::string& address);
 
-    /// @return The address of a store that holds the whole part, one in @p near if there is one.
-    std::optional<std::string> find(const std::string& scope, const PromptPart& part, const FailureDomain& near, TimePoint now) const;
+    /// A store that holds a part.
+    struct Source {
+        std::string address;
+        FailureDomain domain;
+    };
+
+    /// @return A store that holds the whole part, one in @p near if there is one.
+    std::optional<Source> find(const std::string& scope, const PromptPart& part, const FailureDomain& near, TimePoint now) const;
 
     /// @return Where to save a part that no store holds; nothing if there is no room.
     std::optional<std::string> placeFor(const std::string& scope, const PromptPart& part, TimePoint now) const;
 
-    /// @return Parts in a store whose scope begins with none of @p scopes in use.
-    std::vector<StoredPart> garbage(const std::string& address, const std::vector<std::string>& scopes) const;
+    /// @return Parts in a store whose scope begins with none of @p scopesInUse.
+    std::vector<StoredPart> garbage(const std::string& address, const std::vector<std::string>& scopesInUse) const;
     /// @return The epoch of a store that is known, or nothing.
     std::optional<std::uint64_t> epochOf(const std::string& address) const;
     std::uint64_t heldTokens(const std::string& address) const;
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -36,8 +36,9 @@
     double prefillTokensPerMillisecond = 60;
     /// Share of an engine's cache memory that running requests may fill before others wait: beyond it the engine preempts.
     double memoryShare = 0.92;
-    /// Reads that still wait at an engine before others wait here, where rank decides.
-    Duration longestBacklog = std::chrono::milliseconds(400);
+    /// Reads of equal or more urgent requests that may wait at an engine, as a share of a request's objective:
+    /// whatever waits beyond that waits here, where it can still go elsewhere.
+    double backlogShare = 0.6;
     /// Weight of a new sample in a moving average.
     double sampleWeight = 0.1;
 };
@@ -50,6 +51,7 @@
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0;
     std::uint32_t rank = 0;
+    Duration objective = std::chrono::seconds(1); ///< Time to the first token or answer that is still on time.
     std::string model;
     /// Least weight version that the upstream must have.
     std::uint64_t leastWeights = 0;
@@ -63,6 +65,8 @@
     std::string address;
     std::uint64_t missingTokens = 0; ///< Prompt tokens that the upstream is expected to read.
     std::uint64_t movedTokens = 0; ///< Prompt tokens that are expected to come from stores.
+    Duration readTime = Duration(0); ///< Part of the expected wait that is not for moves.
+    Duration moveTime = Duration(0); ///< Of the moves, at the full speed of the links.
     Duration expectedWait = Duration(0); ///< Until the first token or answer.
     std::string scope; ///< Blocks are found only under the same scope: weight version and sharing.
     /// For each prompt part the store that holds it whole, empty if the upstream is to read it; empty if there is none at all.
@@ -88,9 +92,15 @@
     Cancelled, ///< The caller left or the time was over; says nothing of the upstream.
 };
 
+/// @return How the scopes of all blocks begin that were made by @p model under @p version of its weights.
+std::string weightScope(const std::string& model, std::uint64_t version);
+
 /// All upstreams of all services as one daemon sees them.
 class UpstreamBoard {
 public:
+    /// Ranks that are told apart in work in flight; the last class holds all further ones.
+    static constexpr std::size_t rankClasses = 4;
+
     /// @param parts What the stores of KV cache hold; outlives the board.
     UpstreamBoard(InstanceId self, SiteBounds bounds, const PartDirectory& parts, BoardSettings settings = {});
 
@@ -113,7 +123,7 @@
     /// The request leaves for @p choice; balance it with finish().
     void begin(const PlacementChoice& choice, const PlacementRequest& request, TimePoint now);
     /// The first byte of the answer came @p delay after the request was sent.
-    void onFirstByte(const PlacementChoice& choice, const PlacementRequest& request, Duration delay);
+    void onFirstByte(const PlacementChoice& choice, const PlacementRequest& request, Duration delay, TimePoint now);
     void finish(const PlacementChoice& choice, const PlacementRequest& request, bool hadFirstByte, AttemptResult result, TimePoint now);
 
     /// @return Work in flight for the heartbeat; idle upstreams are left out.
@@ -123,18 +133,29 @@
     const std::map<UpstreamId, RegistryEntry> entries() const;
     /// @return Requests of all daemons in flight at an upstream, as last heard.
     std::uint32_t requestsAt(const UpstreamId& id) const;
+    /// @return Engines with their addresses.
+    std::vector<std::pair<UpstreamId, std::string>> engines() const;
     PartCache* cacheOf(const UpstreamId& id);
 
 private:
     struct Load {
         std::uint32_t requests = 0;
         std::uint64_t tokens = 0;
-        std::uint64_t backlog = 0;
+        /// Prompt tokens still to be read, by rank; an engine reads the more urgent first.
+        std::array<std::uint64_t, rankClasses> backlog {};
+
+        /// @return Tokens that are read before those of a request of @p rank, which is a class of its own here.
+        std::uint64_t backlogAhead(std::size_t rankClass) const;
     };
     struct PeerUse {
         UpstreamUse use;
         TimePoint at;
     };
+    /// How long moves from a store take against what its link would allow.
+    struct StoreSpeed {
+        double slowness = 1;
+        TimePoint sampled;
+    };
     struct Upstream {
         RegistryEntry entry;
         TimePoint coldUntil;
@@ -156,13 +177,17 @@
     struct Coverage {
         std::uint64_t moved = 0;
         std::uint64_t missing = 0;
-        double moveMs = 0;
+        double moveMs = 0; ///< As the stores are now.
+        double plainMoveMs = 0; ///< At the full speed of the links.
+        std::vector<std::string> sources; ///< By part; empty where the part is held or must be read.
     };
 
     Coverage cover(const Upstream& upstream, const PlacementRequest& request, const EngineLimits& engine, TimePoint now) const;
-    double promptCost(const Upstream& upstream, const Load& load, const Coverage& coverage) const;
+    double readCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing) const;
     bool isFull(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const;
-    void planCache(const Upstream& upstream, const PlacementRequest& request, PlacementChoice& choice, TimePoint now) const;
+    void planCache(const Upstream& upstream, const PlacementRequest& request, Coverage coverage, PlacementChoice& choice, TimePoint now) const;
+    double storeSlowness(const std::string& address, TimePoint now) const;
+    void learnMove(const PlacementChoice& choice, double measuredMs, TimePoint now);
     const TrafficService* serviceOf(const ServiceName& name) const;
 
     InstanceId self;
@@ -174,6 +199,7 @@
     std::map<ServiceName, std::set<UpstreamId>> byService;
     std::set<FailureDomain> evacuated;
     std::set<UpstreamId> ordered;
+    std::map<std::string, StoreSpeed> storeSpeeds;
     std::size_t daemons = 1;
     double tokensPerMillisecond;
 };
--- a/include/goldcrestwood/weight_plan.h
+++ b/include/goldcrestwood/weight_plan.h
@@ -21,6 +21,10 @@
     double share = 1.0 / 3;
     /// At least so many: the weight store serves two loads at full speed.
     std::size_t least = 2;
+    /// A replica takes its order when at most so many requests are left there, or after this time: the runs that
+    /// are left go on over the change, and what they make from then on is worth less to their callers.
+    std::uint32_t drainedRequests = 1;
+    Duration drainLimit = std::chrono::milliseconds(800);
     /// An order that shows no effect for so long is given again.
     Duration repeat = std::chrono::milliseconds(700);
     /// A replica that does not report for so long leaves its place to another.
@@ -48,7 +52,8 @@
     std::vector<UpstreamId> start(const std::vector<WeightCandidate>& candidates, TimePoint now);
 
     /// @return Whether an order for @p upstream should leave now.
-    bool isOrderDue(const UpstreamId& upstream, TimePoint now) const;
+    /// @param requests In flight at the replica, as far as known.
+    bool isOrderDue(const UpstreamId& upstream, std::uint32_t requests, TimePoint now) const;
     void onOrderSent(const UpstreamId& upstream, TimePoint now);
     /// @param version What the replica reports.
     void onReport(const UpstreamId& upstream, std::uint64_t version, bool isBusy, TimePoint now);
@@ -61,6 +66,7 @@
 
 private:
     struct Progress {
+        TimePoint started;
         std::optional<TimePoint> orderSent;
         TimePoint lastReport;
     };
--- a/src/edge/cache_watch.cc
+++ b/src/edge/cache_watch.cc
@@ -16,6 +16,9 @@
     constexpr Duration answerLimit = std::chrono::milliseconds(500);
     /// Between two calls, so that events come in batches.
     constexpr Duration batchPause = std::chrono::milliseconds(200);
+    constexpr Duration collectInterval = std::chrono::seconds(1);
+    /// Blocks of weights that no engine has had for so long are read by nobody: runs and moves end sooner.
+    constexpr Duration unusedPeriod = std::chrono::seconds(3);
     constexpr Duration failurePause = std::chrono::milliseconds(300);
 
 } // namespace
@@ -27,6 +30,10 @@
         for (const auto& address : this->state.parts.addresses())
             if (this->followed.insert(address).second)
                 asio::co_spawn(this->executor, this->follow(address), asio::detached);
+        for (const auto& [id, address] : this->state.board.engines())
+            if (this->followedEngines.insert(id).second)
+                asio::co_spawn(this->executor, this->followEngine(id, address), asio::detached);
+        this->collectGarbage();
         timer.expires_after(lookInterval);
         ErrorCode ignored;
         co_await timer.async_wait(into(ignored));
@@ -93,4 +100,74 @@
     co_return true;
 }
 
+Task<> CacheWatch::followEngine(UpstreamId upstream, std::string address)
+{
+    HttpCaller caller(this->executor, address);
+    asio::steady_timer timer(this->executor);
+    std::uint64_t next = 0;
+    std::uint64_t epoch = 0;
+    while (this->state.board.cacheOf(upstream) != nullptr) {
+        const bool isGood = co_await this->readEngine(caller, upstream, next, epoch);
+        timer.expires_after(isGood ? batchPause : failurePause);
+        ErrorCode ignored;
+        co_await timer.async_wait(into(ignored));
+    }
+    this->followedEngines.erase(upstream);
+}
+
+Task<bool> CacheWatch::readEngine(HttpCaller& caller, UpstreamId upstream, std::uint64_t& next, std::uint64_t& epoch)
+{
+    const auto call = platform::cacheEventsCall(next, eventsHold);
+    const auto answer = co_await caller.call(call, eventsHold + answerLimit);
+    if (!answer || answer->status != 200)
+        co_return false;
+    const auto events = platform::decodeCacheEvents(answer->body);
+    auto* cache = this->state.board.cacheOf(upstream);
+    if (!events || cache == nullptr)
+        co_return false;
+    // A wrong belief about an engine costs a read, no more: a gap is no reason to stall the engine with a listing.
+    if (epoch != 0 && epoch != events->epoch)
+        cache->clear();
+    epoch = events->epoch;
+    next = events->next;
+    for (const auto& change : events->changes) {
+        cache->add(change.scope, change.id, change.tokens);
+        cache->shrink(change.scope, change.id, change.tokens);
+    }
+    co_return true;
+}
+
+void CacheWatch::collectGarbage()
+{
+    const auto now = monotonicNow();
+    for (const auto& [id, entry] : this->state.board.entries())
+        for (const auto& [model, version] : entry.weights)
+            this->scopesSeen[weightScope(model, version)] = now;
+    if (now - this->collected < collectInterval || this->scopesSeen.empty() || !this->state.readsStore)
+        return;
+    this->collected = now;
+    std::vector<std::string> inUse;
+    for (const auto& [scope, seen] : this->scopesSeen)
+        if (now - seen < unusedPeriod)
+            inUse.push_back(scope);
+    if (inUse.empty())
+        return;
+    for (const auto& address : this->state.parts.addresses()) {
+        auto parts = this->state.parts.garbage(address, inUse);
+        const auto epoch = this->state.parts.epochOf(address);
+        if (!parts.empty() && epoch)
+            asio::co_spawn(this->executor, this->freeGarbage(address, std::move(parts), *epoch), asio::detached);
+    }
+}
+
+Task<> CacheWatch::freeGarbage(std::string address, std::vector<StoredPart> parts, std::uint64_t epoch)
+{
+    // Several daemons may free the same parts: nobody reads them any more, and nothing is saved under their scope.
+    HttpCaller caller(this->executor, address);
+    const auto call = platform::cacheFreeCall(parts, epoch);
+    const auto answer = co_await caller.call(call, answerLimit);
+    edge::log(edge::LogClass::Decision, "cache_parts_freed",
+        { { "store", address }, { "parts", static_cast<std::int64_t>(parts.size()) }, { "status", static_cast<std::int64_t>(answer ? answer->status : 0) } });
+}
+
 } // namespace goldcrestwood
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -255,9 +255,9 @@
             this->plan->onReport(upstream, version == report->weights.end() ? 0 : version->second, report->isBusy, monotonicNow());
             if (!isRunning())
                 break;
-            if (!report->isBusy && this->plan->isOrderDue(upstream, monotonicNow()) && this->lease.mayOrder(suspensionAwareNow())) {
+            if (!report->isBusy && this->plan->isOrderDue(upstream, this->state.board.requestsAt(upstream), monotonicNow()) && this->lease.mayOrder(suspensionAwareNow())) {
                 this->plan->onOrderSent(upstream, monotonicNow());
-                const platform::WeightOrder order { target, platform::WeightStrategy::Block, this->state.settings.instance.value, this->lease.fence(), report->orders };
+                const platform::WeightOrder order { target, platform::WeightStrategy::Retain, this->state.settings.instance.value, this->lease.fence(), report->orders };
                 const auto call = platform::orderCall(order, upstream.value);
                 const auto accepted = co_await caller.call(call, upstreamLimit);
                 edge::log(LogClass::Decision, "weights_ordered",
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -182,6 +182,7 @@
     placement.promptTokens = exchange.info.promptTokens;
     placement.outputTokens = exchange.info.outputTokens;
     placement.rank = exchange.rank;
+    placement.objective = exchange.route->objective;
     placement.model = exchange.info.model;
     if (const auto target = this->state.weightTargets.find(placement.model); target != this->state.weightTargets.end()) {
         const auto age = exchange.received - target->second.learned;
@@ -344,7 +345,7 @@
     const bool hasHead = co_await this->readHead(exchange, attempt);
     if (hasHead) {
         attempt.hadFirstByte = true;
-        this->state.board.onFirstByte(attempt.choice, exchange.placement, monotonicNow() - sent);
+        this->state.board.onFirstByte(attempt.choice, exchange.placement, monotonicNow() - sent, monotonicNow());
         if (exchange.route->kind == RequestKind::Stream && attempt.status < 300)
             co_await this->relayStream(exchange, attempt);
         else
--- a/src/part_directory.cc
+++ b/src/part_directory.cc
@@ -100,18 +100,18 @@
     return store.isKnown && now - store.heard <= this->settings.knowledgeLifetime;
 }
 
-std::optional<std::string> PartDirectory::find(
+std::optional<PartDirectory::Source> PartDirectory::find(
     const std::string& scope, const PromptPart& part, const FailureDomain& near, TimePoint now) const
 {
     const auto key = keyOf(scope, part.id);
-    std::optional<std::string> result;
+    std::optional<Source> result;
     for (const auto& [address, store] : this->stores) {
         if (!this->isUsable(store, now))
             continue;
         const auto held = store.parts.find(key);
         if (held == store.parts.end() || held->second < part.tokens)
             continue;
-        result = address;
+        result = Source { address, store.description.domain };
         if (store.description.domain == near)
             break;
     }
@@ -136,14 +136,14 @@
     return best;
 }
 
-std::vector<StoredPart> PartDirectory::garbage(const std::string& address, const std::vector<std::string>& scopes) const
+std::vector<StoredPart> PartDirectory::garbage(const std::string& address, const std::vector<std::string>& scopesInUse) const
 {
     std::vector<StoredPart> result;
     const auto found = this->stores.find(address);
     if (found == this->stores.end() || !found->second.isKnown)
         return result;
     for (const auto& [key, tokens] : found->second.parts) {
-        const bool isUsed = std::any_of(scopes.begin(), scopes.end(), [&, &name = key](const auto& scope) { return name.starts_with(scope); });
+        const bool isUsed = std::any_of(scopesInUse.begin(), scopesInUse.end(), [&, &name = key](const auto& scope) { return name.starts_with(scope); });
         if (isUsed)
             continue;
         const auto cut = key.find(separator);
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <numeric>
 
 #include "goldcrestwood/hash.h"
 
@@ -28,6 +29,19 @@
     /// Only reads of this many tokens tell the rate from fixed costs.
     constexpr std::uint64_t sampleTokens = 400;
 
+    /// Transfers between failure domains take twice as long.
+    constexpr double farMoveFactor = 2;
+    /// How much slower than reading a move may be and still be preferred: reading takes the engine from others.
+    constexpr double readPreference = 3;
+    /// A store's slowness is forgotten at this rate.
+    constexpr double storeSlownessHalfLifeSeconds = 1.5;
+    constexpr double moveSampleWeight = 0.25;
+
+    std::size_t rankClassOf(std::uint32_t rank)
+    {
+        return std::min<std::size_t>(rank, UpstreamBoard::rankClasses - 1);
+    }
+
     double toMs(Duration duration)
     {
         return toSeconds(duration) * 1000;
@@ -49,13 +63,18 @@
     }
 
     /// Blocks made under other weights or for others can't be found: their scope differs.
-    std::string scopeOf(std::uint64_t weights, const std::string& sharing)
+    std::string scopeOf(const RegistryEntry& entry, const PlacementRequest& request)
     {
-        return "w" + std::to_string(weights) + "." + sharing;
+        return weightScope(request.model, weightsOf(entry, request.model)) + request.sharing;
     }
 
 } // namespace
 
+std::string weightScope(const std::string& model, std::uint64_t version)
+{
+    return model + "/w" + std::to_string(version) + "/";
+}
+
 UpstreamBoard::UpstreamBoard(InstanceId instance, SiteBounds siteBounds, const PartDirectory& directory, BoardSettings boardSettings)
     : self(std::move(instance))
     , bounds(siteBounds)
@@ -121,6 +140,11 @@
             found->second.peers[peer] = { use, now };
 }
 
+std::uint64_t UpstreamBoard::Load::backlogAhead(std::size_t rankClass) const
+{
+    return std::accumulate(this->backlog.begin(), this->backlog.begin() + static_cast<std::ptrdiff_t>(rankClass) + 1, std::uint64_t { 0 });
+}
+
 UpstreamBoard::Load UpstreamBoard::totalLoad(const Upstream& upstream, TimePoint now) const
 {
     auto load = upstream.own;
@@ -129,7 +153,8 @@
             continue;
         load.requests += report.use.requests;
         load.tokens += report.use.tokens;
-        load.backlog += report.use.backlog;
+        for (std::size_t rank = 0; rank < std::min(rankClasses, report.use.backlog.size()); ++rank)
+            load.backlog[rank] += report.use.backlog[rank];
     }
     return load;
 }
@@ -160,34 +185,69 @@
     return this->takesCold(upstream, now);
 }
 
+double UpstreamBoard::storeSlowness(const std::string& address, TimePoint now) const
+{
+    const auto found = this->storeSpeeds.find(address);
+    if (found == this->storeSpeeds.end())
+        return 1;
+    // Without new samples the belief fades, so that the store is tried again.
+    const auto age = toSeconds(now - found->second.sampled);
+    return 1 + (found->second.slowness - 1) * std::exp2(-age / storeSlownessHalfLifeSeconds);
+}
+
+void UpstreamBoard::learnMove(const PlacementChoice& choice, double measuredMs, TimePoint now)
+{
+    const auto largest = std::find_if(choice.fetchFrom.begin(), choice.fetchFrom.end(), [](const auto& address) { return !address.empty(); });
+    if (largest == choice.fetchFrom.end() || choice.moveTime <= Duration(0))
+        return;
+    for (const auto& address : choice.fetchFrom) {
+        if (address.empty())
+            continue;
+        auto& speed = this->storeSpeeds[address];
+        const auto ratio = std::clamp(measuredMs / toMs(choice.moveTime), 1.0, mostSlowness);
+        speed.slowness = this->storeSlowness(address, now) * (1 - moveSampleWeight) + ratio * moveSampleWeight;
+        speed.sampled = now;
+    }
+}
+
 UpstreamBoard::Coverage UpstreamBoard::cover(
     const Upstream& upstream, const PlacementRequest& request, const EngineLimits& engine, TimePoint now) const
 {
-    const auto scope = scopeOf(weightsOf(upstream.entry, request.model), request.sharing);
+    const auto scope = scopeOf(upstream.entry, request);
     const auto held = upstream.cache.heldTokens(scope, request.parts);
     Coverage coverage;
+    coverage.sources.resize(request.parts.size());
     std::uint64_t end = 0;
     std::uint64_t covered = held;
-    for (const auto& part : request.parts) {
+    for (std::size_t index = 0; index + 1 < request.parts.size(); ++index) {
+        const auto& part = request.parts[index];
         end += part.tokens;
         if (end <= held)
             continue;
         // A part counts only if all parts before it are there.
-        if (!this->parts.find(scope, part, upstream.entry.domain, now))
+        const auto source = this->parts.find(scope, part, upstream.entry.domain, now);
+        if (!source)
+            break;
+        const auto far = source->domain == upstream.entry.domain ? 1.0 : farMoveFactor;
+        const auto moveMs = engine.linkMegabits > 0 ? static_cast<double>(part.tokens * engine.bytesPerToken) * 8 / (engine.linkMegabits * 1000) * far : 0;
+        // Moving costs the link's time only, reading the engine's: read only if moving is much slower.
+        const auto readMs = part.tokens / this->tokensPerMillisecond;
+        if (moveMs * this->storeSlowness(source->address, now) > readMs * readPreference)
             break;
         coverage.moved += part.tokens;
+        coverage.moveMs += moveMs * this->storeSlowness(source->address, now);
+        coverage.plainMoveMs += moveMs;
+        coverage.sources[index] = source->address;
         covered = end;
     }
     coverage.missing = request.promptTokens - std::min(covered, request.promptTokens);
-    if (engine.linkMegabits > 0)
-        coverage.moveMs = static_cast<double>(coverage.moved * engine.bytesPerToken) * 8 / (engine.linkMegabits * 1000);
     return coverage;
 }
 
-double UpstreamBoard::promptCost(const Upstream& upstream, const Load& load, const Coverage& coverage) const
+double UpstreamBoard::readCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing) const
 {
-    const auto read = static_cast<double>(load.backlog + coverage.missing) / this->tokensPerMillisecond;
-    return (read + coverage.moveMs + load.requests * runningRequestMs) * upstream.slowness;
+    const auto read = static_cast<double>(load.backlogAhead(rankClassOf(request.rank)) + missing) / this->tokensPerMillisecond;
+    return (read + load.requests * runningRequestMs) * upstream.slowness;
 }
 
 bool UpstreamBoard::isFull(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const
@@ -200,33 +260,33 @@
     const auto wanted = static_cast<double>(load.tokens + request.promptTokens + request.outputTokens);
     if (load.requests > 0 && wanted > memory)
         return true;
-    return load.backlog > 0 && static_cast<double>(load.backlog) / this->tokensPerMillisecond > toMs(this->settings.longestBacklog);
+    const auto ahead = static_cast<double>(load.backlogAhead(rankClassOf(request.rank)));
+    return ahead > 0 && ahead / this->tokensPerMillisecond * upstream.slowness > toMs(request.objective) * this->settings.backlogShare;
 }
 
-void UpstreamBoard::planCache(const Upstream& upstream, const PlacementRequest& request, PlacementChoice& choice, TimePoint now) const
+void UpstreamBoard::planCache(
+    const Upstream& upstream, const PlacementRequest& request, Coverage coverage, PlacementChoice& choice, TimePoint now) const
 {
     choice.weights = weightsOf(upstream.entry, request.model);
-    choice.scope = scopeOf(choice.weights, request.sharing);
+    choice.scope = scopeOf(upstream.entry, request);
+    choice.movedTokens = coverage.moved;
+    choice.moveTime = fromSeconds(coverage.plainMoveMs / 1000);
     if (choice.weights == 0 || request.parts.size() < 2)
         return;
     // The last part belongs to this request alone and does not return.
-    const auto shared = request.parts.size() - 1;
-    std::vector<std::string> fetch(request.parts.size());
     std::vector<std::string> save(request.parts.size());
-    bool fetches = false;
     bool saves = false;
-    for (std::size_t index = 0; index < shared; ++index) {
+    for (std::size_t index = 0; index + 1 < request.parts.size(); ++index) {
         const auto& part = request.parts[index];
-        if (auto source = this->parts.find(choice.scope, part, upstream.entry.domain, now)) {
-            fetch[index] = std::move(*source);
-            fetches = true;
-        } else if (auto place = this->parts.placeFor(choice.scope, part, now)) {
+        if (this->parts.find(choice.scope, part, upstream.entry.domain, now))
+            continue;
+        if (auto place = this->parts.placeFor(choice.scope, part, now)) {
             save[index] = std::move(*place);
             saves = true;
         }
     }
-    if (fetches)
-        choice.fetchFrom = std::move(fetch);
+    if (coverage.moved > 0)
+        choice.fetchFrom = std::move(coverage.sources);
     if (saves)
         choice.saveTo = std::move(save);
 }
@@ -259,6 +319,7 @@
     const auto preferred = key.empty() || names.empty() ? usable.size() : rendezvousRank(stableHash(key), names, 1).front();
 
     std::optional<PlacementChoice> best;
+    Coverage bestCoverage;
     const Upstream* chosen = nullptr;
     auto bestCost = std::numeric_limits<double>::infinity();
     for (std::size_t index = 0; index < usable.size(); ++index) {
@@ -271,10 +332,12 @@
             continue;
         }
         double cost = 0;
+        double readMs = 0;
         Coverage coverage;
         if (engine != nullptr) {
             coverage = this->cover(upstream, request, *engine, now);
-            cost = this->promptCost(upstream, load, coverage);
+            readMs = this->readCost(upstream, load, request, coverage.missing);
+            cost = readMs + coverage.moveMs;
             // Other daemons' prompts with the same parts go to the same engine, which then most likely holds them.
             if (preferred != index)
                 cost += notPreferredMs;
@@ -289,11 +352,12 @@
             bestCost = cost;
             chosen = &upstream;
             best = PlacementChoice { .upstream = upstream.entry.id, .address = upstream.entry.address, .missingTokens = coverage.missing,
-                .movedTokens = coverage.moved, .expectedWait = fromSeconds(cost / 1000) };
+                .readTime = fromSeconds(readMs / 1000), .expectedWait = fromSeconds(cost / 1000) };
+            bestCoverage = std::move(coverage);
         }
     }
     if (best && engine != nullptr)
-        this->planCache(*chosen, request, *best, now);
+        this->planCache(*chosen, request, std::move(bestCoverage), *best, now);
     return best;
 }
 
@@ -305,7 +369,7 @@
     auto& upstream = found->second;
     ++upstream.own.requests;
     upstream.own.tokens += request.promptTokens + request.outputTokens;
-    upstream.own.backlog += choice.missingTokens;
+    upstream.own.backlog[rankClassOf(request.rank)] += choice.missingTokens;
     if (now < upstream.coldUntil) {
         while (!upstream.coldSends.empty() && now - upstream.coldSends.front() > std::chrono::milliseconds(1100))
             upstream.coldSends.pop_front();
@@ -314,21 +378,26 @@
     upstream.cache.use(choice.scope, request.parts);
 }
 
-void UpstreamBoard::onFirstByte(const PlacementChoice& choice, const PlacementRequest& request, Duration delay)
+void UpstreamBoard::onFirstByte(const PlacementChoice& choice, const PlacementRequest& request, Duration delay, TimePoint now)
 {
     const auto found = this->upstreams.find(choice.upstream);
     if (found == this->upstreams.end())
         return;
     auto& upstream = found->second;
-    upstream.own.backlog -= std::min(upstream.own.backlog, choice.missingTokens);
+    auto& backlog = upstream.own.backlog[rankClassOf(request.rank)];
+    backlog -= std::min(backlog, choice.missingTokens);
     const auto weight = this->settings.sampleWeight;
     if (request.promptTokens == 0) {
         upstream.latencyMs = upstream.latencyMs == 0 ? toMs(delay) : upstream.latencyMs * (1 - weight) + toMs(delay) * weight;
         return;
     }
+    if (choice.movedTokens >= sampleTokens) {
+        this->learnMove(choice, toMs(delay - choice.readTime), now);
+        return;
+    }
     if (choice.missingTokens < sampleTokens)
         return;
-    const auto expected = std::max(1.0, toMs(choice.expectedWait) / upstream.slowness);
+    const auto expected = std::max(1.0, toMs(choice.readTime) / upstream.slowness);
     const auto ratio = std::clamp(toMs(delay) / expected, leastSlowness, mostSlowness);
     upstream.slowness = std::clamp(upstream.slowness * (1 - weight) + ratio * weight, leastSlowness, mostSlowness);
 }
@@ -341,8 +410,9 @@
     auto& upstream = found->second;
     upstream.own.requests -= std::min(upstream.own.requests, 1U);
     upstream.own.tokens -= std::min(upstream.own.tokens, request.promptTokens + request.outputTokens);
+    auto& backlog = upstream.own.backlog[rankClassOf(request.rank)];
     if (!hadFirstByte)
-        upstream.own.backlog -= std::min(upstream.own.backlog, choice.missingTokens);
+        backlog -= std::min(backlog, choice.missingTokens);
     const auto weight = this->settings.sampleWeight;
     switch (result) {
     case AttemptResult::Answered:
@@ -372,7 +442,7 @@
     std::vector<UpstreamUse> uses;
     for (const auto& [id, upstream] : this->upstreams)
         if (upstream.own.requests > 0)
-            uses.push_back({ id, upstream.own.requests, upstream.own.tokens, upstream.own.backlog });
+            uses.push_back({ id, upstream.own.requests, upstream.own.tokens, { upstream.own.backlog.begin(), upstream.own.backlog.end() } });
     return uses;
 }
 
@@ -405,6 +475,15 @@
     return sum;
 }
 
+std::vector<std::pair<UpstreamId, std::string>> UpstreamBoard::engines() const
+{
+    std::vector<std::pair<UpstreamId, std::string>> result;
+    for (const auto& [id, upstream] : this->upstreams)
+        if (const auto* service = this->serviceOf(upstream.entry.service); service != nullptr && service->engine)
+            result.emplace_back(id, upstream.entry.address);
+    return result;
+}
+
 PartCache* UpstreamBoard::cacheOf(const UpstreamId& id)
 {
     const auto found = this->upstreams.find(id);
--- a/src/weight_plan.cc
+++ b/src/weight_plan.cc
@@ -21,18 +21,21 @@
     for (const auto& candidate : behind) {
         if (this->running.size() >= places)
             break;
-        this->running[candidate.upstream] = { std::nullopt, now };
+        this->running[candidate.upstream] = { now, std::nullopt, now };
         started.push_back(candidate.upstream);
     }
     return started;
 }
 
-bool WeightPlan::isOrderDue(const UpstreamId& upstream, TimePoint now) const
+bool WeightPlan::isOrderDue(const UpstreamId& upstream, std::uint32_t requests, TimePoint now) const
 {
     const auto found = this->running.find(upstream);
     if (found == this->running.end())
         return false;
-    return !found->second.orderSent || now - *found->second.orderSent >= this->settings.repeat;
+    const auto& progress = found->second;
+    if (progress.orderSent)
+        return now - *progress.orderSent >= this->settings.repeat;
+    return requests <= this->settings.drainedRequests || now - progress.started >= this->settings.drainLimit;
 }
 
 void WeightPlan::onOrderSent(const UpstreamId& upstream, TimePoint now)
