--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -45,10 +45,8 @@
             reportFindings(source, weights.error());
             return;
         }
-        auto& target = state.weightTargets[weights->model];
-        if (weights->version <= target.version)
+        if (!state.weightTargets[weights->model].name(weights->version, monotonicNow()))
             return;
-        target = { weights->version, monotonicNow() };
         edge::log(LogClass::Decision, "weights_named",
             { { "model", weights->model }, { "version", static_cast<std::int64_t>(weights->version) }, { "source", source } });
     }
--- a/src/edge/client_session.cc
+++ b/src/edge/client_session.cc
@@ -81,7 +81,9 @@
     if (buffer.size() == 0) {
         stream.expires_after(this->state.isStopping ? stoppingIdle : bounds.idleTimeout);
         constexpr std::size_t firstRead = 4096;
+        this->idle.insert(&stream);
         const auto received = co_await stream.async_read_some(buffer.prepare(firstRead), into(error));
+        this->idle.erase(&stream);
         if (error)
             co_return false;
         buffer.commit(received);
@@ -106,6 +108,14 @@
     co_return false;
 }
 
+void ClientSessions::closeIdle()
+{
+    for (auto* stream : this->idle) {
+        ErrorCode ignored;
+        stream->socket().close(ignored);
+    }
+}
+
 Task<> ClientSessions::answerBadRequest(beast::tcp_stream& stream, ErrorCode error)
 {
     http::response<http::string_body> response;
@@ -148,7 +158,8 @@
             co_await this->pipeline.serve(exchange);
         }
         --this->activeRequests;
-        isOpen = exchange.keepClient && !exchange.clientGone;
+        // A stream that began before the stop promised to keep its connection; another request would come too late.
+        isOpen = exchange.keepClient && !exchange.clientGone && !this->state.isStopping;
     }
     ErrorCode ignored;
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
--- a/src/edge/client_session.h
+++ b/src/edge/client_session.h
@@ -3,6 +3,8 @@
 /// @file
 /// A caller's connection: reads requests one after the other and has each served.
 
+#include <set>
+
 #include "edge/edge_state.h"
 #include "edge/net.h"
 #include "edge/pipeline.h"
@@ -21,6 +23,9 @@
     /// Serves @p socket until it closes.
     Task<> serve(tcp::socket socket);
 
+    /// Closes the connections on which no request is under way.
+    void closeIdle();
+
     /// @return Requests that are being served.
     std::size_t active() const { return this->activeRequests; }
 
@@ -33,6 +38,7 @@
 
     EdgeState& state;
     Pipeline& pipeline;
+    std::set<beast::tcp_stream*> idle; ///< Connections that wait for a request.
     std::size_t activeRequests = 0;
 };
 
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -60,8 +60,8 @@
 {
     for (const auto& [model, target] : this->state.weightTargets)
         for (const auto& candidate : this->candidates(model))
-            if (candidate.version < target.version)
-                return NamedWeights { model, target.version };
+            if (candidate.version < target.newest())
+                return NamedWeights { model, target.newest() };
     return std::nullopt;
 }
 
@@ -83,7 +83,7 @@
             daemons.push_back(report->heartbeat.instance);
     const auto ranking = rendezvousRank(stableHash(dutyTopic), daemons, daemons.size());
     const auto rank = std::find(ranking.begin(), ranking.end(), std::size_t { 0 }) - ranking.begin();
-    return monotonicNow() - *this->workSeen >= rankDelay * rank;
+    return monotonicNow() - *this->claimableSince >= rankDelay * rank;
 }
 
 DutyRecord DutyRunner::record() const
@@ -166,15 +166,13 @@
         co_await timer.async_wait(into(ignored));
         const auto target = this->unfinished();
         if (!target) {
-            this->workSeen.reset();
+            this->claimableSince.reset();
             this->plan.reset();
             this->state.board.setOrdered({});
             continue;
         }
-        if (!this->workSeen)
-            this->workSeen = monotonicNow();
         if (this->state.isStopping && !this->lease.isLastHolder()) {
-            co_await this->follow();
+            co_await this->follow(followHold);
             continue;
         }
         if (this->lease.mustRead()) {
@@ -182,16 +180,22 @@
             if (!isRead)
                 continue;
         }
-        if (this->lease.isLastHolder() || (this->lease.mayClaim(this->holderSeemsWell(), suspensionAwareNow()) && this->isMyTurn()))
+        const bool mayClaim = this->lease.mayClaim(this->holderSeemsWell(), suspensionAwareNow());
+        if (!mayClaim)
+            this->claimableSince.reset();
+        else if (!this->claimableSince)
+            this->claimableSince = monotonicNow();
+        if (this->lease.isLastHolder() || (mayClaim && this->isMyTurn()))
             co_await this->work(*target);
         else
-            co_await this->follow();
+            co_await this->follow(mayClaim ? rankDelay : followHold);
     }
 }
 
-Task<> DutyRunner::follow()
+Task<> DutyRunner::follow(Duration hold)
 {
-    static_cast<void>(co_await this->readTopic(followHold));
+    // A read that fails is made again by the loop.
+    static_cast<void>(co_await this->readTopic(hold));
 }
 
 Task<> DutyRunner::work(const NamedWeights& target)
--- a/src/edge/duty_runner.h
+++ b/src/edge/duty_runner.h
@@ -25,7 +25,7 @@
 private:
     std::vector<WeightCandidate> candidates(const std::string& model) const;
     std::optional<NamedWeights> unfinished() const;
-    Task<> follow();
+    Task<> follow(Duration hold);
     Task<> work(const NamedWeights& target);
     Task<bool> append(const DutyRecord& record);
     Task<bool> readTopic(Duration hold);
@@ -43,7 +43,7 @@
     DutyLease lease;
     std::optional<WeightPlan> plan;
     std::set<UpstreamId> driven; ///< Upstreams for which a coroutine runs.
-    std::optional<TimePoint> workSeen; ///< When the present work was first seen.
+    std::optional<TimePoint> claimableSince; ///< Since when this daemon might claim the duty.
 };
 
 } // namespace goldcrestwood
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -25,6 +25,8 @@
     constexpr Duration sweepInterval = std::chrono::milliseconds(50);
     /// After a SIGTERM callers still come for as long as they keep the directory's answer.
     constexpr Duration leastStop = std::chrono::milliseconds(2500);
+    /// Callers whose directory answer is old come on new connections; kept ones are closed when they are idle.
+    constexpr Duration idleClose = std::chrono::milliseconds(300);
     /// The process ends so long before it would be killed.
     constexpr Duration stopMargin = std::chrono::milliseconds(400);
 
@@ -244,6 +246,11 @@
     while (monotonicNow() < last && (this->sessions.active() > 0 || monotonicNow() - begun < leastStop)) {
         timer.expires_after(std::chrono::milliseconds(50));
         co_await timer.async_wait(into(ignored));
+        if (monotonicNow() - begun >= idleClose)
+            this->sessions.closeIdle();
+        // A request that came later could not be answered before the end.
+        if (monotonicNow() - begun >= leastStop)
+            this->front.close(ignored);
     }
     edge::log(edge::LogClass::Lifecycle, "stopped", { { "active", static_cast<std::int64_t>(this->sessions.active()) } });
     this->loop.stop();
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -26,6 +26,34 @@
     TimePoint learned;
 };
 
+/// The versions of one model's weights, in the order in which they were named.
+class WeightTargets {
+public:
+    /// @return Whether @p version is newer than all before.
+    bool name(std::uint64_t version, TimePoint now)
+    {
+        if (version <= this->newest())
+            return false;
+        this->targets.push_back({ version, now });
+        return true;
+    }
+
+    std::uint64_t newest() const { return this->targets.empty() ? 0 : this->targets.back().version; }
+
+    /// @return The newest version that was known @p age ago; 0 if there is none.
+    std::uint64_t knownFor(Duration age, TimePoint now) const
+    {
+        std::uint64_t version = 0;
+        for (const auto& target : this->targets)
+            if (now - target.learned >= age)
+                version = target.version;
+        return version;
+    }
+
+private:
+    std::vector<WeightTarget> targets;
+};
+
 struct EdgeState {
     explicit EdgeState(EdgeSettings initial, std::uint64_t seed)
         : settings(std::move(initial))
@@ -50,7 +78,7 @@
     UpstreamBoard board;
     KeyedFeed operatorFeed;
     KeyedFeed registryFeed;
-    std::map<std::string, WeightTarget> weightTargets; ///< By model.
+    std::map<std::string, WeightTargets> weightTargets; ///< By model.
     std::set<FailureDomain> evacuated;
     bool isStopping = false;
     TimePoint storeContact; ///< Last answer of the store.
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -185,11 +185,8 @@
     placement.objective = exchange.route->objective;
     placement.model = exchange.info.model;
     if (const auto target = this->state.weightTargets.find(placement.model); target != this->state.weightTargets.end()) {
-        const auto age = exchange.received - target->second.learned;
-        if (age >= this->state.settings.bounds.weights - weightsMargin)
-            placement.leastWeights = target->second.version;
-        else if (age >= weightsPreference)
-            placement.preferredWeights = target->second.version;
+        placement.leastWeights = target->second.knownFor(this->state.settings.bounds.weights - weightsMargin, exchange.received);
+        placement.preferredWeights = target->second.knownFor(weightsPreference, exchange.received);
     }
     if (exchange.account != nullptr && exchange.account->isIsolated)
         placement.sharing = "account-" + exchange.account->name.value;
