--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -195,13 +195,16 @@
     this->state.sendBudget(*service).onRequest(exchange.received);
 
     exchange.limit.expires_at(exchange.deadline);
-    exchange.limit.async_wait([&exchange](ErrorCode error) {
-        if (error)
+    // A timer that has fired cannot be cancelled any more; its handler may run after the request has ended.
+    const auto isServed = std::make_shared<bool>(false);
+    exchange.limit.async_wait([&exchange, isServed](ErrorCode error) {
+        if (error || *isServed)
             return;
         exchange.timedOut = true;
         exchange.interrupt();
     });
     co_await this->run(exchange);
+    *isServed = true;
     exchange.limit.cancel();
 }
 
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -351,8 +351,12 @@
         if (cost < bestCost) {
             bestCost = cost;
             chosen = &upstream;
-            best = PlacementChoice { .upstream = upstream.entry.id, .address = upstream.entry.address, .missingTokens = coverage.missing,
-                .readTime = fromSeconds(readMs / 1000), .expectedWait = fromSeconds(cost / 1000) };
+            best.emplace();
+            best->upstream = upstream.entry.id;
+            best->address = upstream.entry.address;
+            best->missingTokens = coverage.missing;
+            best->readTime = fromSeconds(readMs / 1000);
+            best->expectedWait = fromSeconds(cost / 1000);
             bestCoverage = std::move(coverage);
         }
     }
--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -61,7 +61,7 @@
         store = self.server.owner
         path, _, query = self.path.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
-        if store.mode == "busy":
+        if store.is_away(self.server.address):
             return self.answer(503)
         if path == "/log-newest":
             return self.answer(200, json.dumps(store.newest(fields["topic"])).encode())
@@ -74,7 +74,7 @@
         path, _, query = self.path.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
         data = self.body()
-        if store.mode == "busy":
+        if store.is_away(self.server.address):
             return self.answer(503)
         if path != "/log-append":
             return self.answer(404)
@@ -85,12 +85,21 @@
 class Store:
     """The platform's log: records in memory, held reads, appends on a condition."""
 
-    def __init__(self, ip="127.0.0.1"):
+    def __init__(self):
         self.topics = {}
         self.changed = threading.Condition()
         self.mode = "up"
-        self.server = Server(ip, self, StoreHandler)
-        self.address = self.server.address
+        self.refused = set()
+        self.doors = []
+
+    def is_away(self, address):
+        """Whether calls get 503: all, or those at the address of one daemon."""
+        return self.mode == "busy" or address in self.refused
+
+    def door(self):
+        """A further address, so that one daemon can be refused alone."""
+        self.doors.append(Server("127.0.0.1", self, StoreHandler))
+        return self.doors[-1].address
 
     def put(self, topic, key, value):
         """Writes a key of a keyed topic as the operator or a replica does; None removes it."""
@@ -135,8 +144,9 @@
             return body
 
     def stop(self):
-        self.server.shutdown()
-        self.server.server_close()
+        for server in self.doors:
+            server.shutdown()
+            server.server_close()
 
 
 class ReplicaHandler(Handler):
@@ -290,8 +300,9 @@
     def __init__(self, number, store, folder, seeds):
         self.node, self.ip = f"edge-{number}", f"127.31.0.{number}"
         self.front, self.ready, self.directory, self.metrics = (f"{self.ip}:{port}" for port in (7001, 7002, 7003, 9464))
+        self.store_address = store.door()
         self.settings = folder / f"{self.node}.toml"
-        self.settings.write_text(SETTINGS.format(node=self.node, zone=f"zone-{number % 3}", ip=self.ip, store=store.address,
+        self.settings.write_text(SETTINGS.format(node=self.node, zone=f"zone-{number % 3}", ip=self.ip, store=self.store_address,
                                                  seeds=", ".join(f'"{seed}:7000"' for seed in seeds)))
         self.log_path = folder / f"{self.node}.log"
         self.process = None
--- /dev/null
+++ b/test/keyed_feed_test.cc
@@ -0,0 +1,76 @@
+#include <catch2/catch.hpp>
+
+#include <random>
+
+#include "goldcrestwood/keyed_feed.h"
+
+using namespace goldcrestwood;
+
+namespace {
+
+KeyedRecord record(const char* key, const char* value, std::uint64_t offset)
+{
+    return { key, std::string(value), offset };
+}
+
+} // namespace
+
+TEST_CASE("a record older than the one held changes nothing")
+{
+    KeyedFeed feed;
+    feed.apply({ record("config", "two", 7) }, 8);
+    CHECK(feed.apply({ record("config", "one", 3) }, 4).empty());
+    CHECK(feed.end() == 8);
+    CHECK(feed.since(0) == std::vector { record("config", "two", 7) });
+}
+
+TEST_CASE("a stale listing neither removes nor reverts what is newer")
+{
+    KeyedFeed feed;
+    feed.apply({ record("a", "one", 0), record("b", "two", 5) }, 6);
+    // The listing was made when the topic ended at 3, before b was written.
+    CHECK(feed.applyListing({ record("a", "one", 0) }, 3).empty());
+    CHECK(feed.end() == 6);
+    CHECK(feed.since(0).size() == 2);
+}
+
+TEST_CASE("a key that a newer listing lacks is gone, and a late read does not bring it back")
+{
+    KeyedFeed feed;
+    feed.apply({ record("a", "one", 0) }, 1);
+    const auto news = feed.applyListing({}, 4);
+    REQUIRE(news.size() == 1);
+    CHECK_FALSE(news.front().value.has_value());
+    CHECK(feed.apply({ record("a", "one", 0) }, 1).empty());
+    CHECK(feed.apply({ record("a", "again", 5) }, 6).size() == 1);
+}
+
+TEST_CASE("store and peers in any order, twice and in part, end in the newest records")
+{
+    // Each round applies the same history in another order through another mix of reads; the outcome is the same.
+    const std::vector<KeyedRecord> history { record("a", "1", 0), record("b", "1", 1), record("a", "2", 2), { "b", std::nullopt, 3 },
+        record("c", "1", 4), record("a", "3", 5), record("b", "2", 6) };
+    for (unsigned seed = 0; seed < 200; ++seed) {
+        std::mt19937 random(seed);
+        KeyedFeed feed;
+        std::uint64_t highest = 0;
+        std::string lastA;
+        for (int step = 0; step < 30; ++step) {
+            const auto first = random() % history.size();
+            const auto count = random() % (history.size() - first) + 1;
+            const std::vector<KeyedRecord> slice(history.begin() + first, history.begin() + first + count);
+            for (const auto& news : feed.apply(slice, 0)) {
+                INFO("seed " << seed << " step " << step);
+                if (news.key == "a" && news.value) {
+                    CHECK(*news.value >= lastA);
+                    lastA = *news.value;
+                }
+                highest = std::max(highest, news.offset);
+            }
+        }
+        feed.apply(history, history.size());
+        const auto held = feed.since(0);
+        REQUIRE(held.size() == 3);
+        CHECK(held.back() == record("b", "2", 6));
+    }
+}
--- /dev/null
+++ b/test/part_directory_test.cc
@@ -0,0 +1,79 @@
+#include <catch2/catch.hpp>
+
+#include "goldcrestwood/part_directory.h"
+
+using namespace goldcrestwood;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start { 100s };
+const FailureDomain north("north");
+const FailureDomain south("south");
+
+PartDirectory twoStores()
+{
+    PartDirectory directory;
+    directory.setStores({ { "s1", north, 1000 }, { "s2", south, 3000 } });
+    directory.onListing("s1", 7, {}, start);
+    directory.onListing("s2", 8, {}, start);
+    return directory;
+}
+
+} // namespace
+
+TEST_CASE("only a part that is whole in a known store is fetched")
+{
+    auto directory = twoStores();
+    const PromptPart part { "aa", 100 };
+    CHECK_FALSE(directory.find("m/w1/all", part, north, start));
+    REQUIRE(directory.onEvents("s1", 7, { { "m/w1/all", "aa", 60 } }, start));
+    CHECK_FALSE(directory.find("m/w1/all", part, north, start));
+    directory.onEvents("s1", 7, { { "m/w1/all", "aa", 100 } }, start);
+    CHECK(directory.find("m/w1/all", part, north, start)->address == "s1");
+    // Another weight version or account finds nothing.
+    CHECK_FALSE(directory.find("m/w2/all", part, north, start));
+    CHECK_FALSE(directory.find("m/w1/account-x", part, north, start));
+}
+
+TEST_CASE("a store that is silent or restarted is not read, and not filled until all have noticed")
+{
+    auto directory = twoStores();
+    const PromptPart part { "aa", 100 };
+    directory.onEvents("s1", 7, { { "m/w1/all", "aa", 100 } }, start);
+    CHECK_FALSE(directory.find("m/w1/all", part, north, start + 1900ms));
+    directory.onEvents("s1", 7, {}, start + 2s);
+    CHECK(directory.find("m/w1/all", part, north, start + 2s));
+    directory.onSilence("s1");
+    CHECK_FALSE(directory.find("m/w1/all", part, north, start + 2s));
+    CHECK_FALSE(directory.onEvents("s1", 9, {}, start + 3s));
+    directory.onListing("s1", 9, {}, start + 3s);
+    directory.onSilence("s2");
+    CHECK_FALSE(directory.placeFor("m/w1/all", part, start + 4s));
+    directory.onEvents("s1", 9, {}, start + 5600ms);
+    CHECK(directory.placeFor("m/w1/all", part, start + 5600ms) == "s1");
+}
+
+TEST_CASE("parts spread over the stores by size, and a full store takes no more")
+{
+    auto directory = twoStores();
+    int first = 0;
+    constexpr int parts = 1000;
+    for (int number = 0; number < parts; ++number)
+        first += directory.placeFor("m/w1/all", { std::to_string(number), 10 }, start) == "s1" ? 1 : 0;
+    CHECK(first > parts / 5);
+    CHECK(first < parts * 3 / 10);
+    directory.onEvents("s2", 8, { { "m/w1/all", "big", 2950 } }, start);
+    CHECK(directory.placeFor("m/w1/all", { "x", 100 }, start) == "s1");
+    CHECK_FALSE(directory.placeFor("m/w1/all", { "x", 1100 }, start));
+}
+
+TEST_CASE("blocks of replaced weights are garbage, and a freed part is forgotten")
+{
+    auto directory = twoStores();
+    directory.onEvents("s1", 7, { { "m/w1/all", "aa", 100 }, { "m/w2/all", "aa", 100 } }, start);
+    CHECK(directory.garbage("s1", { "m/w2/" }) == std::vector { StoredPart { "m/w1/all", "aa", 100 } });
+    directory.onEvents("s1", 7, { { "m/w1/all", "aa", 0 } }, start);
+    CHECK(directory.garbage("s1", { "m/w2/" }).empty());
+    CHECK(directory.heldTokens("s1") == 100);
+}
--- /dev/null
+++ b/test/platform/decode_test.cc
@@ -0,0 +1,128 @@
+#include <catch2/catch.hpp>
+
+#include "platform/decode.h"
+#include "platform/headers.h"
+#include "platform/names.h"
+#include "platform/settings.h"
+
+using namespace goldcrestwood;
+
+TEST_CASE("a configuration is decoded once into typed fields")
+{
+    const auto configuration = platform::decodeConfiguration(R"({"version":7,
+        "routes":[{"name":"r","host":"h","path_prefix":"/a/","kind":"streaming","timeout_ms":10000,"goal_ms":300,"priority":1,
+          "backends":[{"service":"s","weight":90},{"service":"t","weight":10}],"attempts":2,"public":false,"resumable":true,"gap_aim_ms":250},
+          {"host":"h","path_prefix":"/b/","kind":"safe","service":"t"}],
+        "services":[{"name":"s","max_conns":360,"cold_per_s":17.0,"engine":{"slots":64,"kv_tokens":107588,"kv_bytes":327680,"link_mbps":740000.0}},
+          {"name":"c","kv_store_addr":"10.0.0.1:80","zone":"z","kv_tokens":5}],
+        "limits":{"header_bytes":100,"max_body_bytes":200,"header_timeout_ms":300,"idle_timeout_ms":400},
+        "tenants":[{"name":"one","api_keys":["k"],"priority":2,"isolated":true}]})");
+    REQUIRE(configuration);
+    CHECK(configuration->version == 7);
+    CHECK(configuration->routes[0].kind == RequestKind::Stream);
+    CHECK(configuration->routes[0].isRepeatable());
+    CHECK(configuration->routes[0].backends.size() == 2);
+    CHECK(configuration->routes[1].kind == RequestKind::Idempotent);
+    CHECK(configuration->routes[1].attempts == 1);
+    CHECK(configuration->services[0].engine->cacheTokens == 107588);
+    CHECK(configuration->services[1].store->address == "10.0.0.1:80");
+    CHECK(configuration->limits.idleTimeout == std::chrono::milliseconds(400));
+    CHECK(configuration->accounts[0].isIsolated);
+    CHECK(configuration->hasAccounts);
+}
+
+TEST_CASE("all findings of a bad configuration are reported, each with its place")
+{
+    const auto configuration = platform::decodeConfiguration(R"({"version":"x","routes":[{"host":1,"path_prefix":"/a/","kind":"safe"}],"tenants":{}})");
+    REQUIRE_FALSE(configuration);
+    std::string all;
+    for (const auto& finding : configuration.error())
+        all += toString(finding) + "\n";
+    CHECK(all.find("config.version") != std::string::npos);
+    CHECK(all.find("config.routes.0.host") != std::string::npos);
+    CHECK(all.find("config.tenants") != std::string::npos);
+    CHECK_FALSE(platform::decodeConfiguration("{"));
+}
+
+TEST_CASE("an entry that cannot be read names no upstream")
+{
+    const char* good = R"({"service":"s","addr":"10.0.0.1:80","zone":"z","version":"v1","slots":64,"state":"ready","cold_left_ms":1500,
+        "models":[{"name":"m","version":3,"adapters":[]}],"seq":4,"born":17,"new_field":{}})";
+    const auto entry = platform::decodeUpstream("i-1", good);
+    REQUIRE(entry);
+    CHECK(entry->coldLeft == std::chrono::milliseconds(1500));
+    CHECK(entry->weights.at("m") == 3);
+    CHECK(entry->born == 17);
+    for (const char* bad : { "", "[]", R"({"service":"s"})", R"({"service":"s","addr":"a","zone":"z","slots":"many","state":"ready"})",
+             R"({"service":"s","addr":"a","zone":"z","slots":1,"state":"asleep"})", "\xff\xfe" })
+        CHECK_FALSE(platform::decodeUpstream("i-1", bad));
+}
+
+TEST_CASE("slices and keyed records are taken apart, torn ones refused")
+{
+    const std::string header = std::string(7, '\0') + "\x05" + std::string(7, '\0') + "\x02";
+    const auto slice = platform::decodeSlice(header + platform::encodeRecords({ "ab", "" }));
+    REQUIRE(slice);
+    CHECK(slice->end == 5);
+    CHECK(slice->first == 2);
+    CHECK(slice->records == std::vector<std::string> { "ab", "" });
+    CHECK_FALSE(platform::decodeSlice("short"));
+    CHECK_FALSE(platform::decodeSlice(header + std::string("\0\0\0\x09x", 5)));
+    CHECK(platform::decodeKeyed("\x01kvalue", 3) == KeyedRecord { "k", "value", 3 });
+    CHECK(platform::decodeKeyed("\x01k", 3) == KeyedRecord { "k", std::nullopt, 3 });
+    CHECK_FALSE(platform::decodeKeyed("\x09k", 3));
+}
+
+TEST_CASE("values of a listing are base64 of any length")
+{
+    const auto page = platform::decodeListing(
+        R"({"items":[{"key":"a","value":"YQ==","offset":1},{"key":"b","value":"YWI=","offset":2},{"key":"c","value":"YWJj","offset":3}],"more":false,"end":4})");
+    REQUIRE(page);
+    CHECK(page->records[0].value == "a");
+    CHECK(page->records[1].value == "ab");
+    CHECK(page->records[2].value == "abc");
+    CHECK_FALSE(platform::decodeListing(R"({"items":[{"key":"a","value":"====","offset":1}],"end":4})"));
+}
+
+TEST_CASE("nothing that only the system may say is taken from a caller")
+{
+    http::request<http::string_body> request { http::verb::post, "/a/b?c", 11 };
+    for (const auto* name : platform::systemHeaders)
+        request.set(name, "forged");
+    request.set("Connection", "keep-alive, X-Hop");
+    request.set("X-Hop", "1");
+    request.set("X-Kept", "yes");
+    request.set(platform::requestIdHeader, "id");
+    request.body() = "body";
+    request.prepare_payload();
+    platform::UpstreamHeaders headers;
+    headers.account = "one";
+    headers.timeLeft = std::chrono::milliseconds(1234);
+    const auto sent = platform::encodeForUpstream(request, headers);
+    CHECK(sent.target() == "/a/b?c");
+    CHECK(sent.body() == "body");
+    CHECK(sent["X-Kept"] == "yes");
+    CHECK(sent[platform::requestIdHeader] == "id");
+    CHECK(sent[platform::accountHeader] == "one");
+    CHECK(sent[platform::deadlineHeader] == "1234");
+    CHECK(sent.find("X-Hop") == sent.end());
+    for (const auto* name : platform::systemHeaders)
+        CHECK(sent[name] != "forged");
+}
+
+TEST_CASE("settings report every field that is wrong with its line")
+{
+    const auto good = platform::decodeSettings("node='n'\nzone='z'\nregion='r'\nip='1.2.3.4'\nseeds=['1.2.3.4:1','1.2.3.5:1']\n[listen]\nfront='1.2.3.4:3'\n"
+                                               "ready='1.2.3.4:4'\ncontrol='1.2.3.4:1'\ndirectory='1.2.3.4:5'\n[limits]\ncpu_share=0.25\nmemory_mb=110\n"
+                                               "[platform]\naddr='9.9.9.9:1'\n[bounds]\ngrace_s=8\nretry_ratio=0.2\nfence_required=false\n[unknown]\nx=1\n",
+        "node.toml");
+    REQUIRE(good);
+    CHECK(good->seeds == std::vector<std::string> { "1.2.3.5:1" });
+    CHECK(good->bounds.grace == std::chrono::seconds(8));
+    CHECK_FALSE(good->bounds.fencesChecked);
+    const auto bad = platform::decodeSettings("node=1\nzone='z'\nregion='r'\nip='i'\n[limits]\nmemory_mb='x'\n[listen]\n[bounds]\n", "node.toml");
+    REQUIRE_FALSE(bad);
+    CHECK(bad.error().size() >= 6);
+    CHECK(toString(bad.error().front()).find("node.toml:1:") == 0);
+    CHECK_FALSE(platform::decodeSettings("= 1", "node.toml"));
+}
--- /dev/null
+++ b/test/process/edge_test.py
@@ -0,0 +1,166 @@
+"""The entry daemon on the platform: whole requests through real processes, with the store and replicas as stand-ins."""
+
+import copy
+import http.client
+import json
+import signal
+import threading
+import time
+import unittest
+
+import edge_site as site
+
+# The bound on how long a change may take to be in force everywhere.
+CHANGE_SECONDS = 2
+
+
+class EdgeTest(unittest.TestCase):
+    def start(self, **plan):
+        return self.enterContext(site.EdgeSite(**plan))
+
+    def test_answers_are_whole_and_callers_cannot_forge(self):
+        here = self.start(daemons=1)
+        identifier, status, headers, body = site.request(
+            here.daemons[0], "/once/a?b=c", b"order", X_Goldcrestwood_Tenant="second", X_Goldcrestwood_Hold="h")
+        self.assertEqual(status, 200)
+        self.assertIn(identifier, headers["X-Goldcrestwood-Response-Seal"])
+        self.assertTrue(body.endswith(b":order"))
+        seen = [fields for replica in here.plain for request, fields, _ in replica.requests if request == identifier]
+        self.assertEqual(len(seen), 1)
+        self.assertEqual(seen[0]["X-Goldcrestwood-Tenant"], "first")
+        self.assertNotIn("X-Goldcrestwood-Hold", seen[0])
+        self.assertNotIn("X-Goldcrestwood-Key", seen[0])
+        self.assertLessEqual(int(seen[0]["X-Goldcrestwood-Deadline-Ms"]), 4000)
+
+    def test_refusals_name_the_reason(self):
+        here = self.start(daemons=1)
+        daemon = here.daemons[0]
+        self.assertEqual(site.request(daemon, "/none/")[1], 404)
+        self.assertEqual(site.request(daemon, "/once/", key="wrong")[1], 401)
+        self.assertEqual(site.request(daemon, "/safe/", key=None)[1], 200)
+        self.assertEqual(site.request(daemon, "/once/", b"x" * 70000)[1], 413)
+        self.assertEqual(site.request(daemon, "/once/", X_Large="y" * 9000)[1], 431)
+        self.assertEqual(sum(len(replica.requests) for replica in here.plain), 1)
+
+    def test_a_broken_stream_goes_on_elsewhere_without_a_gap(self):
+        here = self.start(daemons=1)
+        for replica in here.models:
+            replica.pieces, replica.cut_after = 30, 11
+        here.models[0].cut_after = 0
+        for _ in range(3):
+            _, status, _, body = site.request(here.daemons[0], "/stream/a", b"p", **site.PROMPT)
+            self.assertEqual(status, 200)
+            pieces = [line for line in body.decode().splitlines() if line.startswith("id:")]
+            self.assertEqual(pieces, [f"id: {number}" for number in range(1, 31)])
+
+    def test_at_most_once_is_sent_again_only_if_it_did_not_run(self):
+        here = self.start(daemons=1)
+        for replica in here.plain:
+            replica.refuse = 1
+        here.plain[1].refuse = 0
+        identifier, status, _, _ = site.request(here.daemons[0], "/once/a", b"x")
+        self.assertEqual(status, 200)
+        for replica in here.plain:
+            replica.refuse, replica.drop = 0, 5
+        identifier, status, _, _ = site.request(here.daemons[0], "/once/b", b"x")
+        self.assertEqual(status, 502, "it may have run, so nothing is promised")
+        runs = [request for replica in here.plain for request, _, _ in replica.requests if request == identifier]
+        self.assertEqual(len(runs), 1)
+
+    def test_a_failed_read_is_repeated(self):
+        here = self.start(daemons=1)
+        here.plain[0].fail = 1
+        here.plain[1].fail = 0
+        for _ in range(4):
+            self.assertEqual(site.request(here.daemons[0], "/safe/a", key=None, method="GET")[1], 200)
+
+    def test_a_change_is_in_force_everywhere_and_survives_an_outage(self):
+        here = self.start(daemons=3)
+        changed = copy.deepcopy(site.CONFIGURATION)
+        changed["version"] = 2
+        changed["tenants"][0]["api_keys"] = ["key-one"]
+        here.store.put("keyed.op", "config", changed)
+        site.wait_until(lambda: all(site.request(daemon, "/once/a", b"", key="key-two")[1] == 401 for daemon in here.daemons),
+                        "a removed key is refused", CHANGE_SECONDS)
+        here.store.mode = "busy"
+        here.daemons[0].stop()
+        here.daemons[0].start()
+        # The store is away: the daemon learns from a peer what is in force.
+        site.wait_until(here.daemons[0].is_ready, "ready without the store")
+        self.assertEqual(site.request(here.daemons[0], "/once/a", b"", key="key-two")[1], 401)
+        self.assertEqual(site.request(here.daemons[0], "/once/a", b"")[1], 200)
+
+    def test_a_daemon_that_the_store_refuses_learns_from_its_peers(self):
+        here = self.start(daemons=2)
+        here.store.refused = {here.daemons[0].store_address}
+        changed = copy.deepcopy(site.CONFIGURATION)
+        changed["version"] = 2
+        changed["routes"] = changed["routes"][1:]
+        time.sleep(0.2)
+        here.store.put("keyed.op", "config", changed)
+        site.wait_until(lambda: site.request(here.daemons[0], "/stream/a", **site.PROMPT)[1] == 404, "a removed route is gone", 4)
+
+    def test_weights_reach_all_replicas_by_orders_of_one_holder(self):
+        here = self.start(daemons=3, models=4)
+        here.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        site.wait_until(lambda: all(replica.version == 2 for replica in here.models), "version 2", 6)
+        holders = {order["holder"] for replica in here.models for _, order in replica.orders}
+        self.assertEqual(len(holders), 1)
+        self.assertTrue(all(len(replica.orders) == 1 for replica in here.models))
+        holder = next(daemon for daemon in here.daemons if daemon.node in holders)
+        holder.process.send_signal(signal.SIGSTOP)
+        here.store.put("keyed.op", "version/m", {"model": "m", "version": 3})
+        site.wait_until(lambda: all(replica.version == 3 for replica in here.models), "version 3 by another holder", 10)
+        fences = [order["fence"] for replica in here.models for _, order in replica.orders]
+        self.assertEqual(len(set(fences)), 2)
+        holder.process.send_signal(signal.SIGCONT)
+
+    def test_a_planned_stop_cuts_no_stream_and_takes_no_late_request(self):
+        here = self.start(daemons=2)
+        for replica in here.models:
+            replica.pieces, replica.gap = 20, 0.05
+        daemon = here.daemons[0]
+        answers = []
+        jobs = [threading.Thread(target=lambda: answers.append(site.request(daemon, "/stream/a", b"p", **site.PROMPT)[3])) for _ in range(4)]
+        for job in jobs:
+            job.start()
+        time.sleep(0.3)
+        daemon.process.send_signal(signal.SIGTERM)
+        site.wait_until(lambda: not daemon.is_ready(), "not ready", 1)
+        status, _, body = site.call(here.daemons[1].directory, "GET", "/resolve?name=site.example&zone=zone-1")
+        self.assertEqual(json.loads(body)["addrs"], [here.daemons[1].front])
+        for job in jobs:
+            job.join()
+        self.assertEqual([answer.count(b"id:") for answer in answers], [20] * 4)
+        self.assertEqual(daemon.process.wait(5), 0)
+
+    def test_a_caller_that_leaves_ends_its_run(self):
+        here = self.start(daemons=1)
+        for replica in here.models:
+            replica.pieces, replica.gap = 100, 0.05
+        host, _, port = here.daemons[0].front.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port))
+        fields = {name.replace("_", "-"): value for name, value in site.PROMPT.items()}
+        connection.request("POST", "/stream/a", b"p", {"Host": "site.example", "X-Goldcrestwood-Request-Id": "gone", **fields,
+                                                       "X-Goldcrestwood-Key": "key-one", "X-Goldcrestwood-Deadline-Ms": "5000"})
+        connection.getresponse().read(10)
+        connection.close()
+
+        def ended():
+            lines = here.daemons[0].log_lines()
+            return any(line.get("request") == "gone" and line.get("client_gone") for line in lines)
+        site.wait_until(ended, "the attempt ends", 1)
+
+    def test_logs_metrics_and_state_tell_what_happened(self):
+        here = self.start(daemons=1)
+        identifier = site.request(here.daemons[0], "/once/", key="wrong")[0]
+        lines = [line for line in here.daemons[0].log_lines() if line.get("request") == identifier]
+        self.assertEqual([(line["event"], line["status"], line["reason"]) for line in lines], [("request_rejected", 401, "unknown key")])
+        self.assertIn(b"goldcrest_rejected_total", site.call(here.daemons[0].metrics, "GET", "/metrics")[2])
+        state = json.loads(site.call(here.daemons[0].metrics, "GET", "/state")[2])
+        self.assertEqual(state["configuration"], 1)
+        self.assertEqual(len(state["upstreams"]), 5)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/test/send_budget_test.cc
@@ -0,0 +1,47 @@
+#include <catch2/catch.hpp>
+
+#include "goldcrestwood/send_budget.h"
+
+using namespace goldcrestwood;
+using namespace std::chrono_literals;
+
+TEST_CASE("all daemons together stay within the site's budget when every answer fails")
+{
+    // Load pattern: 100 requests a second over seven daemons for half a minute, each of which would be sent again.
+    SiteBounds bounds;
+    constexpr std::size_t daemons = 7;
+    std::vector<SendBudget> budgets(daemons, SendBudget(bounds));
+    for (auto& budget : budgets)
+        budget.setDaemons(daemons);
+    std::vector<TimePoint> sends;
+    std::vector<TimePoint> requests;
+    const TimePoint start { 100s };
+    for (int number = 0; number < 3000; ++number) {
+        const auto now = start + number * 10ms;
+        auto& budget = budgets[static_cast<std::size_t>(number) % daemons];
+        budget.onRequest(now);
+        requests.push_back(now);
+        if (budget.tryTake(now))
+            sends.push_back(now);
+        const auto inWindow = [&](const std::vector<TimePoint>& times) {
+            return static_cast<double>(std::count_if(times.begin(), times.end(), [&](TimePoint time) { return now - time < bounds.retryWindow; }));
+        };
+        REQUIRE(inWindow(sends) <= bounds.retryRatio * inWindow(requests) + bounds.retrySlack);
+    }
+    // The budget is of use: more than a tenth of the requests had a second chance.
+    CHECK(sends.size() > 300);
+}
+
+TEST_CASE("what was taken comes back after the window")
+{
+    SiteBounds bounds;
+    bounds.retrySlack = 30;
+    SendBudget budget(bounds);
+    const TimePoint start { 100s };
+    int taken = 0;
+    while (budget.tryTake(start))
+        ++taken;
+    CHECK(taken > 0);
+    CHECK_FALSE(budget.tryTake(start + 9s));
+    CHECK(budget.tryTake(start + 10100ms));
+}
--- /dev/null
+++ b/test/upstream_board_test.cc
@@ -0,0 +1,286 @@
+#include <catch2/catch.hpp>
+
+#include "goldcrestwood/upstream_board.h"
+
+using namespace goldcrestwood;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start { 100s };
+const ServiceName model("model");
+const ServiceName plain("plain");
+
+RouteTable services(double coldPerSecond = 0)
+{
+    TrafficConfiguration configuration;
+    configuration.services.push_back({ model, "", 360, coldPerSecond, EngineLimits { 64, 100000, 300000, 700000 }, std::nullopt });
+    configuration.services.push_back({ plain, "", 96, coldPerSecond, std::nullopt, std::nullopt });
+    return RouteTable(configuration);
+}
+
+RegistryEntry entryOf(int number, const ServiceName& service, const char* domain = "north")
+{
+    const auto text = std::to_string(number);
+    RegistryEntry entry;
+    entry.id = UpstreamId(service.value + text);
+    entry.service = service;
+    entry.address = "10.0.0." + text + ":80";
+    entry.domain = FailureDomain(domain);
+    entry.slots = service == model ? 64 : 6;
+    entry.weights = { { "m", 1 } };
+    entry.born = 1;
+    return entry;
+}
+
+PlacementRequest prompt(std::uint64_t tokens, const char* subject, std::uint32_t rank = 1)
+{
+    PlacementRequest request;
+    request.service = model;
+    request.sharing = "all";
+    request.parts = { { "common", 100 }, { subject, static_cast<std::uint32_t>(tokens - 200) }, { std::string("own-") + subject, 100 } };
+    request.promptTokens = tokens;
+    request.outputTokens = 100;
+    request.rank = rank;
+    request.objective = 500ms;
+    request.model = "m";
+    return request;
+}
+
+PlacementChoice choiceOf(const char* upstream)
+{
+    PlacementChoice choice;
+    choice.upstream = UpstreamId(upstream);
+    return choice;
+}
+
+/// A board with its directory; the board keeps a reference to it.
+struct Site {
+    explicit Site(double coldPerSecond = 0)
+    {
+        this->board.setServices(services(coldPerSecond));
+    }
+
+    std::optional<PlacementChoice> choose(const PlacementRequest& request, TimePoint now = start, const std::set<UpstreamId>& tried = {})
+    {
+        return this->board.choose(request, tried, now, this->refusal);
+    }
+
+    PartDirectory parts;
+    UpstreamBoard board { InstanceId("self"), SiteBounds {}, this->parts };
+    PlacementRefusal refusal = PlacementRefusal::NoUpstream;
+};
+
+} // namespace
+
+TEST_CASE("draining, evacuated, ordered and unknown upstreams get nothing")
+{
+    Site site;
+    PlacementRequest request;
+    request.service = plain;
+    CHECK_FALSE(site.choose(request));
+    site.board.setUpstream(entryOf(1, plain), start);
+    CHECK(site.choose(request)->upstream == UpstreamId("plain1"));
+    site.board.setEvacuated({ FailureDomain("north") });
+    CHECK_FALSE(site.choose(request));
+    site.board.setEvacuated({});
+    site.board.setOrdered({ UpstreamId("plain1") });
+    CHECK_FALSE(site.choose(request));
+    site.board.setOrdered({});
+    auto draining = entryOf(1, plain);
+    draining.isDraining = true;
+    site.board.setUpstream(draining, start);
+    CHECK_FALSE(site.choose(request));
+    CHECK(site.refusal == PlacementRefusal::NoUpstream);
+}
+
+TEST_CASE("prompts with the same subject meet at one engine until it is busy")
+{
+    Site site;
+    for (int number = 1; number <= 9; ++number)
+        site.board.setUpstream(entryOf(number, model), start);
+    const auto request = prompt(2000, "rulebook");
+    const auto first = site.choose(request);
+    REQUIRE(first);
+    site.board.begin(*first, request, start);
+    site.board.onFirstByte(*first, request, 40ms, start);
+    site.board.finish(*first, request, true, AttemptResult::Answered, start);
+    const auto second = site.choose(request);
+    CHECK(second->upstream == first->upstream);
+    CHECK(second->missingTokens == 0);
+    // Load pattern: a hot prompt. Others take over once the reads that wait there cost more than reading it again.
+    std::set<UpstreamId> used;
+    for (int number = 0; number < 12; ++number) {
+        const auto big = prompt(8000, ("other" + std::to_string(number)).c_str());
+        PlacementChoice forced = *first;
+        forced.missingTokens = 8000;
+        site.board.begin(forced, big, start);
+    }
+    CHECK(site.choose(request)->upstream != first->upstream);
+}
+
+TEST_CASE("reads of less urgent requests do not hold up a more urgent one, those of its rank do")
+{
+    Site site;
+    site.board.setUpstream(entryOf(1, model), start);
+    const auto large = prompt(20000, "large", 2);
+    const auto choice = site.choose(large);
+    REQUIRE(choice);
+    site.board.begin(*choice, large, start);
+    const auto urgent = prompt(2000, "urgent", 0);
+    CHECK(site.choose(urgent));
+    // 20,000 tokens take longer to read than half of the objective leaves.
+    CHECK_FALSE(site.choose(prompt(2000, "same", 2)));
+    CHECK(site.refusal == PlacementRefusal::Full);
+}
+
+TEST_CASE("peers' work in flight counts, and fades when they fall silent")
+{
+    Site site;
+    site.board.setUpstream(entryOf(1, plain), start);
+    PlacementRequest request;
+    request.service = plain;
+    site.board.onPeerUse(InstanceId("peer"), { { UpstreamId("plain1"), 12, 0, {} } }, start);
+    CHECK_FALSE(site.choose(request));
+    CHECK(site.refusal == PlacementRefusal::Full);
+    CHECK(site.choose(request, start + 1300ms));
+}
+
+TEST_CASE("requests larger than the memory that is left wait, but an idle engine takes any")
+{
+    Site site;
+    site.board.setUpstream(entryOf(1, model), start);
+    const auto huge = prompt(99000, "huge", 0);
+    REQUIRE(site.choose(huge));
+    const auto small = prompt(300, "small", 0);
+    const auto choice = site.choose(small);
+    site.board.begin(*choice, small, start);
+    CHECK_FALSE(site.choose(huge));
+    CHECK(site.refusal == PlacementRefusal::Full);
+}
+
+TEST_CASE("a cold upstream gets no more from all daemons together than it bears")
+{
+    // Load pattern: a failure domain comes back cold while seven daemons have more work than the rest can take.
+    constexpr double coldPerSecond = 17;
+    constexpr std::size_t daemons = 7;
+    std::vector<std::unique_ptr<Site>> sites;
+    for (std::size_t number = 0; number < daemons; ++number) {
+        sites.push_back(std::make_unique<Site>(coldPerSecond));
+        sites.back()->board.setDaemons(daemons);
+        auto cold = entryOf(1, plain);
+        cold.coldLeft = 3s;
+        sites.back()->board.setUpstream(cold, start);
+    }
+    PlacementRequest request;
+    request.service = plain;
+    std::vector<TimePoint> sends;
+    for (auto now = start; now < start + 3s; now += 2ms)
+        for (auto& site : sites)
+            if (const auto choice = site->choose(request, now)) {
+                site->board.begin(*choice, request, now);
+                site->board.finish(*choice, request, true, AttemptResult::Answered, now);
+                sends.push_back(now);
+            }
+    const SiteBounds bounds;
+    for (const auto sent : sends) {
+        const auto inSecond = std::count_if(sends.begin(), sends.end(), [&](TimePoint other) { return other <= sent && sent - other < 1s; });
+        REQUIRE(static_cast<double>(inSecond) <= coldPerSecond * bounds.coldOver + bounds.coldSlack);
+    }
+    CHECK(sends.size() >= 30);
+    CHECK(sites.front()->choose(request, start + 3s));
+}
+
+TEST_CASE("an upstream that cannot be reached is avoided for longer each time, but used when there is no other")
+{
+    Site site;
+    site.board.setUpstream(entryOf(1, plain), start);
+    site.board.setUpstream(entryOf(2, plain), start);
+    PlacementRequest request;
+    request.service = plain;
+    const auto one = choiceOf("plain1");
+    auto now = start;
+    for (int failure = 0; failure < 3; ++failure) {
+        site.board.begin(one, request, now);
+        site.board.finish(one, request, false, AttemptResult::Unreachable, now);
+    }
+    CHECK(site.choose(request, now + 900ms)->upstream == UpstreamId("plain2"));
+    CHECK(site.choose(request, now + 900ms, { UpstreamId("plain2") })->upstream == UpstreamId("plain1"));
+    CHECK(site.choose(request, now + 1100ms)->upstream == UpstreamId("plain1"));
+}
+
+TEST_CASE("an upstream that fails part of its requests gets fewer")
+{
+    Site site;
+    site.board.setUpstream(entryOf(1, plain), start);
+    site.board.setUpstream(entryOf(2, plain), start);
+    PlacementRequest request;
+    request.service = plain;
+    const auto grey = choiceOf("plain1");
+    for (int number = 0; number < 5; ++number) {
+        site.board.begin(grey, request, start);
+        site.board.finish(grey, request, true, AttemptResult::FailureAnswer, start);
+    }
+    CHECK(site.choose(request)->upstream == UpstreamId("plain2"));
+}
+
+TEST_CASE("from a time on only upstreams with the newer weights are used")
+{
+    Site site;
+    site.board.setUpstream(entryOf(1, model), start);
+    auto request = prompt(1000, "x");
+    request.leastWeights = 2;
+    CHECK_FALSE(site.choose(request));
+    site.board.setWeights(UpstreamId("model1"), "m", 2);
+    const auto choice = site.choose(request);
+    REQUIRE(choice);
+    CHECK(choice->weights == 2);
+    CHECK(choice->scope == "m/w2/all");
+}
+
+TEST_CASE("parts come from stores, what no store holds is saved, and the request's own part is neither")
+{
+    Site site;
+    site.parts.setStores({ { "s1", FailureDomain("north"), 1000000 } });
+    site.parts.onListing("s1", 1, { { "m/w1/all", "common", 100 } }, start);
+    site.board.setUpstream(entryOf(1, model), start);
+    const auto choice = site.choose(prompt(2000, "subject"));
+    REQUIRE(choice);
+    CHECK(choice->fetchFrom == std::vector<std::string> { "s1", "", "" });
+    CHECK(choice->saveTo == std::vector<std::string> { "", "s1", "" });
+    CHECK(choice->movedTokens == 100);
+    CHECK(choice->missingTokens == 1900);
+}
+
+TEST_CASE("a store whose moves take many times as long is passed over until the belief fades")
+{
+    Site site;
+    site.parts.setStores({ { "s1", FailureDomain("north"), 1000000 } });
+    site.parts.onListing("s1", 1, { { "m/w1/all", "common", 100 }, { "m/w1/all", "subject", 7800 } }, start);
+    site.board.setUpstream(entryOf(1, model), start);
+    const auto request = prompt(8000, "subject");
+    auto choice = site.choose(request);
+    REQUIRE(choice->movedTokens == 7900);
+    for (int number = 0; number < 20; ++number)
+        site.board.onFirstByte(*choice, request, 1500ms, start);
+    CHECK(site.choose(request)->movedTokens < 7900);
+    site.parts.onEvents("s1", 1, {}, start + 10s);
+    CHECK(site.choose(request, start + 10s)->movedTokens == 7900);
+}
+
+TEST_CASE("a restarted upstream holds nothing of before")
+{
+    Site site;
+    site.board.setUpstream(entryOf(1, model), start);
+    const auto request = prompt(2000, "x");
+    const auto choice = site.choose(request);
+    site.board.begin(*choice, request, start);
+    CHECK(site.choose(request)->missingTokens == 0);
+    auto restarted = entryOf(1, model);
+    restarted.born = 2;
+    site.board.setUpstream(restarted, start);
+    CHECK(site.choose(request)->missingTokens == 2000);
+    // What is in flight still balances.
+    site.board.finish(*choice, request, false, AttemptResult::Cancelled, start);
+    CHECK(site.board.ownUses().empty());
+}
--- /dev/null
+++ b/test/weight_plan_test.cc
@@ -0,0 +1,81 @@
+#include <catch2/catch.hpp>
+
+#include "goldcrestwood/weight_plan.h"
+
+using namespace goldcrestwood;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start { 100s };
+
+std::vector<WeightCandidate> nine()
+{
+    std::vector<WeightCandidate> result;
+    for (std::uint32_t number = 0; number < 9; ++number)
+        result.push_back({ UpstreamId("r" + std::to_string(number)), 1, 9 - number });
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("a third of the replicas changes at a time, the least busy first")
+{
+    WeightPlan plan({ "m", 2 });
+    const auto first = plan.start(nine(), start);
+    CHECK(first == std::vector { UpstreamId("r8"), UpstreamId("r7"), UpstreamId("r6") });
+    CHECK(plan.start(nine(), start).empty());
+    plan.onReport(UpstreamId("r7"), 2, false, start + 1s);
+    auto later = nine();
+    later[7].version = 2;
+    CHECK(plan.start(later, start + 1s) == std::vector { UpstreamId("r5") });
+    CHECK(plan.done().size() == 1);
+}
+
+TEST_CASE("few replicas still change two at a time")
+{
+    WeightPlan plan({ "m", 2 });
+    auto candidates = nine();
+    candidates.resize(3);
+    CHECK(plan.start(candidates, start).size() == 2);
+}
+
+TEST_CASE("an order waits for the runs of its replica, but not for long")
+{
+    WeightPlan plan({ "m", 2 });
+    plan.start(nine(), start);
+    const UpstreamId replica("r8");
+    CHECK_FALSE(plan.isOrderDue(replica, 5, start + 100ms));
+    CHECK(plan.isOrderDue(replica, 1, start + 100ms));
+    CHECK(plan.isOrderDue(replica, 5, start + 800ms));
+    CHECK_FALSE(plan.isOrderDue(UpstreamId("r0"), 0, start + 800ms));
+}
+
+TEST_CASE("an order without effect is repeated, one under way is not")
+{
+    WeightPlan plan({ "m", 2 });
+    plan.start(nine(), start);
+    const UpstreamId replica("r8");
+    plan.onOrderSent(replica, start);
+    CHECK_FALSE(plan.isOrderDue(replica, 0, start + 600ms));
+    plan.onReport(replica, 1, true, start + 600ms);
+    CHECK_FALSE(plan.isOrderDue(replica, 0, start + 1200ms));
+    plan.onReport(replica, 1, false, start + 1300ms);
+    CHECK(plan.isOrderDue(replica, 0, start + 1300ms));
+}
+
+TEST_CASE("a replica that is gone or silent frees its place")
+{
+    WeightPlan plan({ "m", 2 });
+    plan.start(nine(), start);
+    std::set<UpstreamId> present;
+    for (const auto& candidate : nine())
+        present.insert(candidate.upstream);
+    present.erase(UpstreamId("r8"));
+    plan.onReport(UpstreamId("r7"), 1, true, start + 1s);
+    plan.expire(present, start + 1600ms);
+    CHECK(plan.ordered().size() == 1);
+    // The silent one is passed over for a while.
+    const auto next = plan.start(nine(), start + 1600ms);
+    CHECK(std::find(next.begin(), next.end(), UpstreamId("r6")) == next.end());
+}
