--- a/include/goldcrestwood/part_cache.h
+++ b/include/goldcrestwood/part_cache.h
@@ -28,6 +28,9 @@
     /// @return Tokens of the prompt's leading parts that are held.
     std::uint64_t heldTokens(const std::string& scope, const std::vector<PromptPart>& parts) const;
 
+    /// @return Whether the whole part is held.
+    bool holds(const std::string& scope, const PromptPart& part) const;
+
     /// The engine read or used all @p parts now.
     void use(const std::string& scope, const std::vector<PromptPart>& parts);
 
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -152,9 +152,9 @@
         TimePoint at;
     };
     /// How long moves from a store take against what its link would allow.
-    struct StoreSpeed {
+    struct MoveSample {
+        TimePoint at;
         double slowness = 1;
-        TimePoint sampled;
     };
     struct Upstream {
         RegistryEntry entry;
@@ -186,6 +186,9 @@
     double readCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing) const;
     bool isFull(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const;
     void planCache(const Upstream& upstream, const PlacementRequest& request, Coverage coverage, PlacementChoice& choice, TimePoint now) const;
+    /// @return Whence @p part can be moved to @p upstream: a store, or another engine that holds it.
+    std::optional<PartDirectory::Source> sourceOf(
+        const Upstream& upstream, const std::string& scope, const PromptPart& part, TimePoint now) const;
     double storeSlowness(const std::string& address, TimePoint now) const;
     void learnMove(const PlacementChoice& choice, double measuredMs, TimePoint now);
     const TrafficService* serviceOf(const ServiceName& name) const;
@@ -199,7 +202,7 @@
     std::map<ServiceName, std::set<UpstreamId>> byService;
     std::set<FailureDomain> evacuated;
     std::set<UpstreamId> ordered;
-    std::map<std::string, StoreSpeed> storeSpeeds;
+    std::map<std::string, std::deque<MoveSample>> moveSamples; ///< By the address that blocks came from.
     std::size_t daemons = 1;
     double tokensPerMillisecond;
 };
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -263,6 +263,8 @@
             { { "request", exchange.info.id }, { "upstream", attempt.choice.upstream.value }, { "result", toString(attempt.result) },
                 { "status", static_cast<std::int64_t>(attempt.status) }, { "failure", attempt.failure }, { "detail", attempt.detail }, { "send", static_cast<std::int64_t>(exchange.sends) },
                 { "expected_ms", toMs(attempt.choice.expectedWait) }, { "missing", static_cast<std::int64_t>(attempt.choice.missingTokens) },
+                { "moved", static_cast<std::int64_t>(attempt.choice.movedTokens) }, { "prompt", static_cast<std::int64_t>(exchange.info.promptTokens) },
+                { "own", static_cast<std::int64_t>(exchange.info.parts.empty() ? 0 : exchange.info.parts.back().tokens) }, { "saves", !attempt.choice.saveTo.empty() },
                 { "age_ms", toMs(now - exchange.received) }, { "client_gone", exchange.clientGone } });
         this->state.metrics.count("goldcrest_attempts_total", std::string("result=\"") + toString(attempt.result) + "\"");
         if (attempt.isRelayed || exchange.isOver() || !this->maySendAgain(exchange, attempt))
--- a/src/part_cache.cc
+++ b/src/part_cache.cc
@@ -31,6 +31,12 @@
     return sum;
 }
 
+bool PartCache::holds(const std::string& scope, const PromptPart& part) const
+{
+    const auto found = this->index.find(keyOf(scope, part.id));
+    return found != this->index.end() && found->second->tokens >= part.tokens;
+}
+
 void PartCache::use(const std::string& scope, const std::vector<PromptPart>& parts)
 {
     // From the last to the first, so that a prompt's head is evicted after its tail.
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -33,9 +33,12 @@
     constexpr double farMoveFactor = 2;
     /// How much slower than reading a move may be and still be preferred: reading takes the engine from others.
     constexpr double readPreference = 3;
-    /// A store's slowness is forgotten at this rate.
-    constexpr double storeSlownessHalfLifeSeconds = 1.5;
-    constexpr double moveSampleWeight = 0.25;
+    /// Moves that tell of a source's speed, and for how long: after it the source is tried again.
+    constexpr Duration moveSampleLifetime = std::chrono::seconds(2);
+    constexpr std::size_t leastMoveSamples = 3;
+    constexpr std::size_t mostMoveSamples = 8;
+    /// Chance that the preferred engine holds or is just reading what nobody is known to hold.
+    constexpr double preferredHoldsChance = 0.5;
 
     std::size_t rankClassOf(std::uint32_t rank)
     {
@@ -187,29 +190,53 @@
 
 double UpstreamBoard::storeSlowness(const std::string& address, TimePoint now) const
 {
-    const auto found = this->storeSpeeds.find(address);
-    if (found == this->storeSpeeds.end())
+    const auto found = this->moveSamples.find(address);
+    if (found == this->moveSamples.end())
         return 1;
-    // Without new samples the belief fades, so that the store is tried again.
-    const auto age = toSeconds(now - found->second.sampled);
-    return 1 + (found->second.slowness - 1) * std::exp2(-age / storeSlownessHalfLifeSeconds);
+    // A busy engine delays some of its requests, a slow source delays all that come from it: the least delay tells.
+    double least = mostSlowness;
+    std::size_t count = 0;
+    for (const auto& sample : found->second) {
+        if (now - sample.at > moveSampleLifetime)
+            continue;
+        least = std::min(least, sample.slowness);
+        ++count;
+    }
+    return count < leastMoveSamples ? 1 : least;
 }
 
 void UpstreamBoard::learnMove(const PlacementChoice& choice, double measuredMs, TimePoint now)
 {
-    const auto largest = std::find_if(choice.fetchFrom.begin(), choice.fetchFrom.end(), [](const auto& address) { return !address.empty(); });
-    if (largest == choice.fetchFrom.end() || choice.moveTime <= Duration(0))
+    if (choice.moveTime <= Duration(0))
         return;
+    const auto slowness = std::clamp(measuredMs / toMs(choice.moveTime), 1.0, mostSlowness);
     for (const auto& address : choice.fetchFrom) {
         if (address.empty())
             continue;
-        auto& speed = this->storeSpeeds[address];
-        const auto ratio = std::clamp(measuredMs / toMs(choice.moveTime), 1.0, mostSlowness);
-        speed.slowness = this->storeSlowness(address, now) * (1 - moveSampleWeight) + ratio * moveSampleWeight;
-        speed.sampled = now;
+        auto& samples = this->moveSamples[address];
+        samples.push_back({ now, slowness });
+        if (samples.size() > mostMoveSamples)
+            samples.pop_front();
     }
 }
 
+std::optional<PartDirectory::Source> UpstreamBoard::sourceOf(
+    const Upstream& upstream, const std::string& scope, const PromptPart& part, TimePoint now) const
+{
+    if (auto store = this->parts.find(scope, part, upstream.entry.domain, now))
+        return store;
+    std::optional<PartDirectory::Source> result;
+    for (const auto& id : this->byService.at(upstream.entry.service)) {
+        const auto& other = this->upstreams.at(id);
+        if (&other == &upstream || other.avoidUntil > now || !other.cache.holds(scope, part))
+            continue;
+        result = PartDirectory::Source { other.entry.address, other.entry.domain };
+        if (other.entry.domain == upstream.entry.domain)
+            break;
+    }
+    return result;
+}
+
 UpstreamBoard::Coverage UpstreamBoard::cover(
     const Upstream& upstream, const PlacementRequest& request, const EngineLimits& engine, TimePoint now) const
 {
@@ -225,7 +252,7 @@
         if (end <= held)
             continue;
         // A part counts only if all parts before it are there.
-        const auto source = this->parts.find(scope, part, upstream.entry.domain, now);
+        const auto source = this->sourceOf(upstream, scope, part, now);
         if (!source)
             break;
         const auto far = source->domain == upstream.entry.domain ? 1.0 : farMoveFactor;
@@ -339,8 +366,11 @@
             readMs = this->readCost(upstream, load, request, coverage.missing);
             cost = readMs + coverage.moveMs;
             // Other daemons' prompts with the same parts go to the same engine, which then most likely holds them.
-            if (preferred != index)
-                cost += notPreferredMs;
+            if (preferred != index) {
+                const auto own = request.parts.empty() ? 0 : request.parts.back().tokens;
+                const auto shared = coverage.missing - std::min<std::uint64_t>(coverage.missing, own);
+                cost += std::max(notPreferredMs, preferredHoldsChance * static_cast<double>(shared) / this->tokensPerMillisecond);
+            }
         } else {
             const auto latency = upstream.latencyMs > 0 ? upstream.latencyMs : unknownLatencyMs;
             cost = latency * (1 + static_cast<double>(load.requests) / std::max(1U, upstream.entry.slots));
