--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -249,8 +249,12 @@
     for (std::size_t index = 0; index + 1 < request.parts.size(); ++index) {
         const auto& part = request.parts[index];
         end += part.tokens;
-        if (end <= held)
+        if (end <= held) {
+            // The belief may be wrong; naming a source costs nothing where the part is held.
+            if (const auto source = this->sourceOf(upstream, scope, part, now))
+                coverage.sources[index] = source->address;
             continue;
+        }
         // A part counts only if all parts before it are there.
         const auto source = this->sourceOf(upstream, scope, part, now);
         if (!source)
@@ -312,7 +316,7 @@
             saves = true;
         }
     }
-    if (coverage.moved > 0)
+    if (std::any_of(coverage.sources.begin(), coverage.sources.end(), [](const auto& source) { return !source.empty(); }))
         choice.fetchFrom = std::move(coverage.sources);
     if (saves)
         choice.saveTo = std::move(save);
