--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -73,6 +73,7 @@
     std::vector<std::string> fetchFrom;
     std::vector<std::string> saveTo; ///< Likewise, where to save what no store holds.
     std::uint64_t weights = 0; ///< Weight version of the request's model there, as far as known.
+    TimePoint chosen; ///< When the choice was made.
 
     bool operator==(const PlacementChoice&) const = default;
 };
@@ -186,11 +187,18 @@
     double readCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing) const;
     bool isFull(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const;
     void planCache(const Upstream& upstream, const PlacementRequest& request, Coverage coverage, PlacementChoice& choice, TimePoint now) const;
-    /// @return Whence @p part can be moved to @p upstream: a store, or another engine that holds it.
-    std::optional<PartDirectory::Source> sourceOf(
-        const Upstream& upstream, const std::string& scope, const PromptPart& part, TimePoint now) const;
-    double storeSlowness(const std::string& address, TimePoint now) const;
+    /// Whence a part can be moved, and how long that takes.
+    struct Move {
+        std::string source;
+        double plainMs = 0; ///< At the full speed of the links.
+        double expectedMs = 0; ///< As the source is now.
+    };
+
+    /// @return The fastest way to move @p part to @p upstream from a store or another engine, if any holds it.
+    std::optional<Move> moveOf(const Upstream& upstream, const std::string& scope, const PromptPart& part, const EngineLimits& engine, TimePoint now) const;
+    double expectedMove(const std::string& address, double plainMs, TimePoint now) const;
     void learnMove(const PlacementChoice& choice, double measuredMs, TimePoint now);
+    void settleMoves(const PlacementChoice& choice);
     const TrafficService* serviceOf(const ServiceName& name) const;
 
     InstanceId self;
@@ -202,7 +210,17 @@
     std::map<ServiceName, std::set<UpstreamId>> byService;
     std::set<FailureDomain> evacuated;
     std::set<UpstreamId> ordered;
-    std::map<std::string, std::deque<MoveSample>> moveSamples; ///< By the address that blocks came from.
+    /// A move that was asked for and has not shown an effect yet.
+    struct PendingMove {
+        TimePoint sent;
+        double plainMs = 0;
+    };
+    /// An address that blocks come from.
+    struct MoveSource {
+        std::deque<MoveSample> samples;
+        std::vector<PendingMove> pending;
+    };
+    std::map<std::string, MoveSource> moveSources;
     std::size_t daemons = 1;
     double tokensPerMillisecond;
 };
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -37,6 +37,8 @@
     constexpr Duration moveSampleLifetime = std::chrono::seconds(2);
     constexpr std::size_t leastMoveSamples = 3;
     constexpr std::size_t mostMoveSamples = 8;
+    /// A move may take so much longer than its links need before it counts as overdue, milliseconds.
+    constexpr double overdueMs = 120;
     /// Chance that the preferred engine holds or is just reading what nobody is known to hold.
     constexpr double preferredHoldsChance = 0.5;
 
@@ -188,21 +190,33 @@
     return this->takesCold(upstream, now);
 }
 
-double UpstreamBoard::storeSlowness(const std::string& address, TimePoint now) const
+double UpstreamBoard::expectedMove(const std::string& address, double plainMs, TimePoint now) const
 {
-    const auto found = this->moveSamples.find(address);
-    if (found == this->moveSamples.end())
-        return 1;
+    const auto found = this->moveSources.find(address);
+    if (found == this->moveSources.end())
+        return plainMs;
+    const auto& source = found->second;
     // A busy engine delays some of its requests, a slow source delays all that come from it: the least delay tells.
     double least = mostSlowness;
     std::size_t count = 0;
-    for (const auto& sample : found->second) {
+    for (const auto& sample : source.samples) {
         if (now - sample.at > moveSampleLifetime)
             continue;
         least = std::min(least, sample.slowness);
         ++count;
     }
-    return count < leastMoveSamples ? 1 : least;
+    const auto slowness = count < leastMoveSamples ? 1 : least;
+    // Moves that wait there already go first. Once several are overdue the source stands still, before any sample says so.
+    double queued = 0;
+    double overdue = 0;
+    double mostOverdue = 0;
+    for (const auto& move : source.pending) {
+        queued += move.plainMs;
+        const auto late = toMs(now - move.sent) - move.plainMs * slowness - overdueMs;
+        overdue = std::max(overdue, std::min(late, mostOverdue));
+        mostOverdue = std::max(mostOverdue, late);
+    }
+    return (plainMs + queued) * slowness + overdue;
 }
 
 void UpstreamBoard::learnMove(const PlacementChoice& choice, double measuredMs, TimePoint now)
@@ -213,28 +227,42 @@
     for (const auto& address : choice.fetchFrom) {
         if (address.empty())
             continue;
-        auto& samples = this->moveSamples[address];
+        auto& samples = this->moveSources[address].samples;
         samples.push_back({ now, slowness });
         if (samples.size() > mostMoveSamples)
             samples.pop_front();
     }
 }
 
-std::optional<PartDirectory::Source> UpstreamBoard::sourceOf(
-    const Upstream& upstream, const std::string& scope, const PromptPart& part, TimePoint now) const
+void UpstreamBoard::settleMoves(const PlacementChoice& choice)
 {
-    if (auto store = this->parts.find(scope, part, upstream.entry.domain, now))
-        return store;
-    std::optional<PartDirectory::Source> result;
+    for (const auto& address : choice.fetchFrom)
+        if (const auto found = this->moveSources.find(address); found != this->moveSources.end())
+            std::erase_if(found->second.pending, [&](const auto& move) { return move.sent == choice.chosen; });
+}
+
+std::optional<UpstreamBoard::Move> UpstreamBoard::moveOf(
+    const Upstream& upstream, const std::string& scope, const PromptPart& part, const EngineLimits& engine, TimePoint now) const
+{
+    const auto bits = static_cast<double>(part.tokens * engine.bytesPerToken) * 8;
+    const auto nearMs = engine.linkMegabits > 0 ? bits / (engine.linkMegabits * 1000) : 0;
+    std::optional<Move> best;
+    const auto consider = [&](const std::string& address, const FailureDomain& domain) {
+        const auto plainMs = nearMs * (domain == upstream.entry.domain ? 1.0 : farMoveFactor);
+        const auto expectedMs = this->expectedMove(address, plainMs, now);
+        if (!best || expectedMs < best->expectedMs)
+            best = Move { address, plainMs, expectedMs };
+    };
+    if (const auto store = this->parts.find(scope, part, upstream.entry.domain, now))
+        consider(store->address, store->domain);
+    if (best && best->expectedMs <= best->plainMs)
+        return best;
     for (const auto& id : this->byService.at(upstream.entry.service)) {
         const auto& other = this->upstreams.at(id);
-        if (&other == &upstream || other.avoidUntil > now || !other.cache.holds(scope, part))
-            continue;
-        result = PartDirectory::Source { other.entry.address, other.entry.domain };
-        if (other.entry.domain == upstream.entry.domain)
-            break;
+        if (&other != &upstream && other.avoidUntil <= now && other.cache.holds(scope, part))
+            consider(other.entry.address, other.entry.domain);
     }
-    return result;
+    return best;
 }
 
 UpstreamBoard::Coverage UpstreamBoard::cover(
@@ -251,24 +279,19 @@
         end += part.tokens;
         if (end <= held) {
             // The belief may be wrong; naming a source costs nothing where the part is held.
-            if (const auto source = this->sourceOf(upstream, scope, part, now))
-                coverage.sources[index] = source->address;
+            if (const auto move = this->moveOf(upstream, scope, part, engine, now))
+                coverage.sources[index] = move->source;
             continue;
         }
         // A part counts only if all parts before it are there.
-        const auto source = this->sourceOf(upstream, scope, part, now);
-        if (!source)
-            break;
-        const auto far = source->domain == upstream.entry.domain ? 1.0 : farMoveFactor;
-        const auto moveMs = engine.linkMegabits > 0 ? static_cast<double>(part.tokens * engine.bytesPerToken) * 8 / (engine.linkMegabits * 1000) * far : 0;
-        // Moving costs the link's time only, reading the engine's: read only if moving is much slower.
-        const auto readMs = part.tokens / this->tokensPerMillisecond;
-        if (moveMs * this->storeSlowness(source->address, now) > readMs * readPreference)
+        const auto move = this->moveOf(upstream, scope, part, engine, now);
+        // Moving costs the links' time only, reading the engine's: read only if moving is much slower.
+        if (!move || move->expectedMs > part.tokens / this->tokensPerMillisecond * readPreference)
             break;
         coverage.moved += part.tokens;
-        coverage.moveMs += moveMs * this->storeSlowness(source->address, now);
-        coverage.plainMoveMs += moveMs;
-        coverage.sources[index] = source->address;
+        coverage.moveMs += move->expectedMs;
+        coverage.plainMoveMs += move->plainMs;
+        coverage.sources[index] = move->source;
         covered = end;
     }
     coverage.missing = request.promptTokens - std::min(covered, request.promptTokens);
@@ -388,6 +411,7 @@
             best.emplace();
             best->upstream = upstream.entry.id;
             best->address = upstream.entry.address;
+            best->chosen = now;
             best->missingTokens = coverage.missing;
             best->readTime = fromSeconds(readMs / 1000);
             best->expectedWait = fromSeconds(cost / 1000);
@@ -413,11 +437,15 @@
             upstream.coldSends.pop_front();
         upstream.coldSends.push_back(now);
     }
+    for (const auto& address : choice.fetchFrom)
+        if (!address.empty() && choice.moveTime > Duration(0))
+            this->moveSources[address].pending.push_back({ choice.chosen, toMs(choice.moveTime) });
     upstream.cache.use(choice.scope, request.parts);
 }
 
 void UpstreamBoard::onFirstByte(const PlacementChoice& choice, const PlacementRequest& request, Duration delay, TimePoint now)
 {
+    this->settleMoves(choice);
     const auto found = this->upstreams.find(choice.upstream);
     if (found == this->upstreams.end())
         return;
@@ -442,6 +470,7 @@
 
 void UpstreamBoard::finish(const PlacementChoice& choice, const PlacementRequest& request, bool hadFirstByte, AttemptResult result, TimePoint now)
 {
+    this->settleMoves(choice);
     const auto found = this->upstreams.find(choice.upstream);
     if (found == this->upstreams.end())
         return;
