--- a/include/goldcrestwood/weight_plan.h
+++ b/include/goldcrestwood/weight_plan.h
@@ -21,6 +21,8 @@
     double share = 1.0 / 3;
     /// At least so many: the weight store serves two loads at full speed.
     std::size_t least = 2;
+    /// Loads at the same time; the weight store slows down beyond them. Other replicas under order end their runs meanwhile.
+    std::size_t loads = 2;
     /// A replica takes its order when at most so many requests are left there, or after this time: the runs that
     /// are left go on over the change, and what they make from then on is worth less to their callers.
     std::uint32_t drainedRequests = 1;
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -11,6 +11,9 @@
 
     using edge::LogClass;
 
+    /// Live upstreams register again within about two seconds of the store's return.
+    constexpr Duration lapseGrace = std::chrono::milliseconds(2400);
+
     void reportFindings(const char* source, const Findings& findings)
     {
         for (const auto& finding : findings)
@@ -62,8 +65,31 @@
         edge::log(LogClass::Decision, "evacuation", { { "domain", domain.value }, { "out", record.value.has_value() }, { "source", source } });
     }
 
+    void believeGone(EdgeState& state, const UpstreamId& id, const char* source)
+    {
+        const auto now = monotonicNow();
+        // Entries expire while the registry is away; those of live upstreams are back soon after its return.
+        const auto backBy = (state.registryContact.isReachable ? state.registryContact.since : now) + lapseGrace;
+        const bool isAfterOutage = now < backBy;
+        edge::log(LogClass::Decision, "upstream_gone", { { "upstream", id.value }, { "source", source }, { "after_outage", isAfterOutage } });
+        if (isAfterOutage)
+            state.lapsed.emplace(id, backBy);
+        else
+            state.board.removeUpstream(id);
+    }
+
 } // namespace
 
+void dropLapsed(EdgeState& state, TimePoint now)
+{
+    std::erase_if(state.lapsed, [&](const auto& entry) {
+        if (now < entry.second)
+            return false;
+        state.board.removeUpstream(entry.first);
+        return true;
+    });
+}
+
 void believeOperator(EdgeState& state, const std::vector<KeyedRecord>& news, const char* source)
 {
     for (const auto& record : news) {
@@ -83,10 +109,10 @@
     for (const auto& record : news) {
         const UpstreamId id(record.key);
         if (!record.value) {
-            edge::log(LogClass::Decision, "upstream_gone", { { "upstream", record.key }, { "source", source } });
-            state.board.removeUpstream(id);
+            believeGone(state, id, source);
             continue;
         }
+        state.lapsed.erase(id);
         const auto entry = platform::decodeUpstream(record.key, *record.value);
         if (!entry) {
             // What cannot be read names no upstream to use.
--- a/src/edge/beliefs.h
+++ b/src/edge/beliefs.h
@@ -13,4 +13,7 @@
 void believeOperator(EdgeState& state, const std::vector<KeyedRecord>& news, const char* source);
 void believeRegistry(EdgeState& state, const std::vector<KeyedRecord>& news, const char* source);
 
+/// Gives up the upstreams that lapsed in an outage and did not come back.
+void dropLapsed(EdgeState& state, TimePoint now);
+
 } // namespace goldcrestwood
--- a/src/edge/cache_watch.cc
+++ b/src/edge/cache_watch.cc
@@ -59,9 +59,10 @@
             isGood = co_await this->readOn(caller, address, next, needsListing);
         }
         if (!isGood) {
+            if (this->state.parts.epochOf(address))
+                edge::log(edge::LogClass::Decision, "cache_store_silent", { { "store", address } });
             this->state.parts.onSilence(address);
             needsListing = true;
-            edge::log(edge::LogClass::Decision, "cache_store_silent", { { "store", address } });
         }
         timer.expires_after(isGood ? batchPause : failurePause);
         ErrorCode ignored;
@@ -143,7 +144,7 @@
     for (const auto& [id, entry] : this->state.board.entries())
         for (const auto& [model, version] : entry.weights)
             this->scopesSeen[weightScope(model, version)] = now;
-    if (now - this->collected < collectInterval || this->scopesSeen.empty() || !this->state.readsStore)
+    if (now - this->collected < collectInterval || this->scopesSeen.empty() || !this->state.readsStore())
         return;
     this->collected = now;
     std::vector<std::string> inUse;
--- a/src/edge/client_session.cc
+++ b/src/edge/client_session.cc
@@ -84,6 +84,9 @@
         this->idle.insert(&stream);
         const auto received = co_await stream.async_read_some(buffer.prepare(firstRead), into(error));
         this->idle.erase(&stream);
+        // Closed while the bytes were on their way to this coroutine: the request must not go on, since its answer could not.
+        if (!stream.socket().is_open())
+            co_return false;
         if (error)
             co_return false;
         buffer.commit(received);
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -23,6 +23,8 @@
     constexpr Duration upstreamLimit = std::chrono::milliseconds(500);
     /// Time between two questions to a replica that takes weights.
     constexpr Duration reportInterval = std::chrono::milliseconds(100);
+    /// Replicas under order get no work for so long after the holder's last record.
+    constexpr Duration orderedLifetime = std::chrono::milliseconds(2500);
     /// Each daemon further down the ranking waits so much longer before it claims, so that one append is enough.
     constexpr Duration rankDelay = std::chrono::milliseconds(150);
 
@@ -102,6 +104,7 @@
     for (const auto& entry : record.ordered)
         ordered.insert(entry.upstream);
     this->state.board.setOrdered(std::move(ordered));
+    this->believed = monotonicNow();
     for (const auto& entry : record.done)
         this->state.board.setWeights(entry.upstream, entry.model, entry.version);
     this->queues.dispatchAll();
@@ -164,6 +167,9 @@
         ErrorCode ignored;
         timer.expires_after(idleInterval);
         co_await timer.async_wait(into(ignored));
+        // No holder writes any more, as in an outage of the store: its replicas serve again.
+        if (monotonicNow() - this->believed > orderedLifetime)
+            this->state.board.setOrdered({});
         const auto target = this->unfinished();
         if (!target) {
             this->claimableSince.reset();
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -55,8 +55,8 @@
     , queues(this->state)
     , pipeline(this->state, this->pool, this->queues)
     , sessions(this->state, this->pipeline)
-    , operatorReader(this->state, ioContext.get_executor(), platform::operatorTopic, this->state.operatorFeed, &believeOperator)
-    , registryReader(this->state, ioContext.get_executor(), platform::registryTopic, this->state.registryFeed, &believeRegistry)
+    , operatorReader(this->state, ioContext.get_executor(), platform::operatorTopic, this->state.operatorFeed, this->state.operatorContact, &believeOperator)
+    , registryReader(this->state, ioContext.get_executor(), platform::registryTopic, this->state.registryFeed, this->state.registryContact, &believeRegistry)
     , peers(this->state, ioContext.get_executor(), this->queues, this->operatorReader, this->registryReader)
     , duty(this->state, ioContext.get_executor(), this->queues, this->peers)
     , cacheWatch(this->state, ioContext.get_executor())
@@ -205,7 +205,7 @@
     dump["configuration"] = this->state.routes ? this->state.routes->configuration().version : 0;
     dump["operator_end"] = this->state.operatorFeed.end();
     dump["registry_end"] = this->state.registryFeed.end();
-    dump["reads_store"] = this->state.readsStore;
+    dump["reads_store"] = this->state.readsStore();
     dump["active_requests"] = this->sessions.active();
     dump["waiting_requests"] = this->queues.waiting();
     for (const auto& [id, entry] : this->state.board.entries())
@@ -264,6 +264,7 @@
         ErrorCode ignored;
         co_await timer.async_wait(into(ignored));
         this->pool.sweep(monotonicNow());
+        dropLapsed(this->state, monotonicNow());
         this->queues.dispatchAll();
     }
 }
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -20,6 +20,12 @@
 
 namespace goldcrestwood {
 
+/// Whether a topic of the store can be read, and since when.
+struct TopicContact {
+    bool isReachable = false;
+    TimePoint since;
+};
+
 /// Weights that the operator named, and when this daemon learned it.
 struct WeightTarget {
     std::uint64_t version = 0;
@@ -40,12 +46,13 @@
 
     std::uint64_t newest() const { return this->targets.empty() ? 0 : this->targets.back().version; }
 
+    /// @param since Time before it does not count, such as an outage of the store.
     /// @return The newest version that was known @p age ago; 0 if there is none.
-    std::uint64_t knownFor(Duration age, TimePoint now) const
+    std::uint64_t knownFor(Duration age, TimePoint now, TimePoint since = {}) const
     {
         std::uint64_t version = 0;
         for (const auto& target : this->targets)
-            if (now - target.learned >= age)
+            if (now - std::max(target.learned, since) >= age)
                 version = target.version;
         return version;
     }
@@ -68,6 +75,11 @@
         return this->sendBudgets.try_emplace(service, this->settings.bounds).first->second;
     }
 
+    bool readsStore() const { return this->operatorContact.isReachable && this->registryContact.isReachable; }
+
+    /// @return Since when the whole store can be read, if it can.
+    TimePoint readsStoreSince() const { return std::max(this->operatorContact.since, this->registryContact.since); }
+
     /// @return Whether callers may be sent here.
     bool isReady() const { return this->routes != nullptr && this->registryFeed.isKnown() && !this->isStopping; }
 
@@ -81,8 +93,10 @@
     std::map<std::string, WeightTargets> weightTargets; ///< By model.
     std::set<FailureDomain> evacuated;
     bool isStopping = false;
-    TimePoint storeContact; ///< Last answer of the store.
-    bool readsStore = false;
+    TopicContact operatorContact;
+    TopicContact registryContact;
+    /// Upstreams that lapsed while the registry was away, and until when they may come back.
+    std::map<UpstreamId, TimePoint> lapsed;
     Random random;
     Metrics metrics;
     std::map<ServiceName, SendBudget> sendBudgets;
--- a/src/edge/fact_reader.cc
+++ b/src/edge/fact_reader.cc
@@ -20,11 +20,12 @@
 
 } // namespace
 
-FactReader::FactReader(EdgeState& edgeState, asio::any_io_executor loop, std::string topicName, KeyedFeed& keyedFeed, Believe onNews)
+FactReader::FactReader(EdgeState& edgeState, asio::any_io_executor loop, std::string topicName, KeyedFeed& keyedFeed, TopicContact& topicContact, Believe onNews)
     : state(edgeState)
     , executor(loop)
     , topic(std::move(topicName))
     , feed(keyedFeed)
+    , contact(topicContact)
     , believe(onNews)
     , caller(loop, edgeState.settings.storeAddress)
 {
@@ -54,14 +55,11 @@
 void FactReader::onAnswer(bool answered)
 {
     this->failures = answered ? 0 : this->failures + 1;
-    if (answered)
-        this->state.storeContact = monotonicNow();
-    if (answered != this->wasReachable) {
-        edge::log(edge::LogClass::Lifecycle, answered ? "store_regained" : "store_lost",
-            { { "topic", this->topic }, { "read_to", static_cast<std::int64_t>(this->feed.end()) } });
-        this->wasReachable = answered;
-        this->state.readsStore = answered;
-    }
+    if (answered == this->contact.isReachable)
+        return;
+    this->contact = { answered, monotonicNow() };
+    edge::log(edge::LogClass::Lifecycle, answered ? "store_regained" : "store_lost",
+        { { "topic", this->topic }, { "read_to", static_cast<std::int64_t>(this->feed.end()) } });
 }
 
 Task<bool> FactReader::list()
@@ -87,6 +85,7 @@
             break;
         after = page->records.back().key;
     }
+    this->onAnswer(true);
     this->believe(this->state, this->feed.applyListing(records, *listedUpTo), "store");
     this->needsListing = false;
     co_return true;
@@ -111,6 +110,7 @@
         this->needsListing = true;
         co_return false;
     }
+    this->onAnswer(true);
     std::vector<KeyedRecord> records;
     auto offset = from;
     for (const auto& raw : slice->records) {
--- a/src/edge/fact_reader.h
+++ b/src/edge/fact_reader.h
@@ -16,7 +16,7 @@
 public:
     using Believe = void (*)(EdgeState&, const std::vector<KeyedRecord>&, const char*);
 
-    FactReader(EdgeState& state, asio::any_io_executor executor, std::string topic, KeyedFeed& feed, Believe believe);
+    FactReader(EdgeState& state, asio::any_io_executor executor, std::string topic, KeyedFeed& feed, TopicContact& contact, Believe believe);
 
     /// Reads until the process stops.
     Task<> run();
@@ -33,10 +33,10 @@
     asio::any_io_executor executor;
     std::string topic;
     KeyedFeed& feed;
+    TopicContact& contact;
     Believe believe;
     HttpCaller caller;
     bool needsListing = true;
-    bool wasReachable = false;
     int failures = 0;
 };
 
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -110,7 +110,7 @@
     message.frontAddress = this->state.settings.frontAddress;
     message.peerAddress = this->state.settings.peerAddress;
     message.isReady = this->state.isReady();
-    message.readsStore = this->state.readsStore;
+    message.readsStore = this->state.readsStore();
     message.operatorEnd = this->state.operatorFeed.end();
     message.registryEnd = this->state.registryFeed.end();
     message.uses = this->state.board.ownUses();
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -185,7 +185,10 @@
     placement.objective = exchange.route->objective;
     placement.model = exchange.info.model;
     if (const auto target = this->state.weightTargets.find(placement.model); target != this->state.weightTargets.end()) {
-        placement.leastWeights = target->second.knownFor(this->state.settings.bounds.weights - weightsMargin, exchange.received);
+        // While the store is away nobody can give orders; old weights are better than no answer then.
+        if (this->state.readsStore())
+            placement.leastWeights = target->second.knownFor(
+                this->state.settings.bounds.weights - weightsMargin, exchange.received, this->state.readsStoreSince());
         placement.preferredWeights = target->second.knownFor(weightsPreference, exchange.received);
     }
     if (exchange.account != nullptr && exchange.account->isIsolated)
--- a/src/weight_plan.cc
+++ b/src/weight_plan.cc
@@ -35,6 +35,9 @@
     const auto& progress = found->second;
     if (progress.orderSent)
         return now - *progress.orderSent >= this->settings.repeat;
+    const auto loading = std::count_if(this->running.begin(), this->running.end(), [](const auto& entry) { return entry.second.orderSent.has_value(); });
+    if (static_cast<std::size_t>(loading) >= this->settings.loads)
+        return false;
     return requests <= this->settings.drainedRequests || now - progress.started >= this->settings.drainLimit;
 }
 
