--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -27,7 +27,7 @@
     std::uint32_t requests = 0;
     /// Prompt and expected output tokens of these.
     std::uint64_t tokens = 0;
-    /// Prompt tokens that the upstream still has to read, by rank of the request, the most urgent first.
+    /// Prompt tokens that the upstream still has to read, by the engine's classes, the first class first.
     std::vector<std::uint64_t> backlog;
 
     bool operator==(const UpstreamUse&) const = default;
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -15,6 +15,7 @@
 
 #include "goldcrestwood/edge_messages.h"
 #include "goldcrestwood/edge_settings.h"
+#include "goldcrestwood/engine_order.h"
 #include "goldcrestwood/names.h"
 #include "goldcrestwood/part_cache.h"
 #include "goldcrestwood/part_directory.h"
@@ -29,7 +30,7 @@
     /// A peer's report of its work in flight counts for this long; several heartbeats.
     Duration peerReportLifetime = std::chrono::milliseconds(1200);
     /// First pause after a failed connection; doubles with each further failure.
-    Duration firstAvoidance = std::chrono::milliseconds(250);
+    Duration firstAvoidance = std::chrono::milliseconds(400);
     /// Longest pause after failed connections: a registry entry expires after about as long.
     Duration longestAvoidance = std::chrono::seconds(3);
     /// Prompt tokens that an engine reads in a millisecond, until measurements replace it.
@@ -99,8 +100,6 @@
 /// All upstreams of all services as one daemon sees them.
 class UpstreamBoard {
 public:
-    /// Ranks that are told apart in work in flight; the last class holds all further ones.
-    static constexpr std::size_t rankClasses = 4;
 
     /// @param parts What the stores of KV cache hold; outlives the board.
     UpstreamBoard(InstanceId self, SiteBounds bounds, const PartDirectory& parts, BoardSettings settings = {});
@@ -142,11 +141,11 @@
     struct Load {
         std::uint32_t requests = 0;
         std::uint64_t tokens = 0;
-        /// Prompt tokens still to be read, by rank; an engine reads the more urgent first.
-        std::array<std::uint64_t, rankClasses> backlog {};
+        /// Prompt tokens still to be read, by the engine's classes.
+        std::array<std::uint64_t, engineClasses> backlog {};
 
-        /// @return Tokens that are read before those of a request of @p rank, which is a class of its own here.
-        std::uint64_t backlogAhead(std::size_t rankClass) const;
+        /// @return Tokens that are read before those of a further request of a class.
+        std::uint64_t backlogAhead(std::size_t engineClass) const;
     };
     struct PeerUse {
         UpstreamUse use;
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -13,6 +13,8 @@
 
     /// Live upstreams register again within about two seconds of the store's return.
     constexpr Duration lapseGrace = std::chrono::milliseconds(2400);
+    /// A request leaves so long before a leaving upstream must be left alone.
+    constexpr Duration drainMargin = std::chrono::milliseconds(250);
 
     void reportFindings(const char* source, const Findings& findings)
     {
@@ -69,7 +71,9 @@
     {
         const auto now = monotonicNow();
         // Entries expire while the registry is away; those of live upstreams are back soon after its return.
-        const auto backBy = (state.registryContact.isReachable ? state.registryContact.since : now) + lapseGrace;
+        // The outage may have been on this daemon's side only, and then the removal binds.
+        const auto drainEnd = now + state.settings.bounds.drain - drainMargin;
+        const auto backBy = std::min(drainEnd, (state.registryContact.isReachable ? state.registryContact.since : now) + lapseGrace);
         const bool isAfterOutage = now < backBy;
         edge::log(LogClass::Decision, "upstream_gone", { { "upstream", id.value }, { "source", source }, { "after_outage", isAfterOutage } });
         if (isAfterOutage)
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -12,7 +12,7 @@
     using edge::LogClass;
 
     /// A new connection to a replica takes a millisecond or two; one that is dropped is tried again after seconds.
-    constexpr Duration connectLimit = std::chrono::milliseconds(400);
+    constexpr Duration connectLimit = std::chrono::milliseconds(200);
     /// Answers that are no token streams are held whole up to this size, so that a broken one can be repeated.
     constexpr std::uint64_t largestWholeAnswer = 8U << 20U;
     /// Extra answers to earlier requests that are skipped on one connection.
@@ -98,6 +98,8 @@
     std::string lastEvent;
     const char* failure = "";
     std::string detail; ///< The library's word for the failure.
+    Duration firstByte = Duration(0); ///< From the send to the head of the answer.
+    Duration longestGap = Duration(0); ///< Between two pieces of a stream.
 };
 
 Pipeline::Pipeline(EdgeState& edgeState, UpstreamPool& upstreamPool, ServiceQueues& serviceQueues)
@@ -220,8 +222,7 @@
     if (exchange.info.timeLeft)
         headers.timeLeft = exchange.received + *exchange.info.timeLeft - monotonicNow();
     if (exchange.info.promptTokens > 0) {
-        constexpr std::uint32_t leastUrgent = 9;
-        headers.priority = std::min(exchange.rank, leastUrgent);
+        headers.priority = static_cast<std::uint32_t>(engineClass(exchange.rank, exchange.info.promptTokens));
         headers.cacheScope = choice.scope;
         headers.fetchFrom = platform::encodePartAddresses(choice.fetchFrom);
         headers.saveTo = platform::encodePartAddresses(choice.saveTo);
@@ -251,6 +252,7 @@
         attempt.isSent = attempt.provesNotRun = attempt.isRelayed = attempt.hadFirstByte = false;
         attempt.failure = "";
         attempt.detail.clear();
+        attempt.firstByte = attempt.longestGap = Duration(0);
         co_await this->attempt(exchange, attempt);
         const auto now = monotonicNow();
         if (exchange.isOver() && attempt.result == AttemptResult::Unreachable)
@@ -268,7 +270,7 @@
                 { "expected_ms", toMs(attempt.choice.expectedWait) }, { "missing", static_cast<std::int64_t>(attempt.choice.missingTokens) },
                 { "moved", static_cast<std::int64_t>(attempt.choice.movedTokens) }, { "prompt", static_cast<std::int64_t>(exchange.info.promptTokens) },
                 { "own", static_cast<std::int64_t>(exchange.info.parts.empty() ? 0 : exchange.info.parts.back().tokens) }, { "saves", !attempt.choice.saveTo.empty() },
-                { "age_ms", toMs(now - exchange.received) }, { "client_gone", exchange.clientGone } });
+                { "first_ms", toMs(attempt.firstByte) }, { "gap_ms", toMs(attempt.longestGap) }, { "age_ms", toMs(now - exchange.received) }, { "client_gone", exchange.clientGone } });
         this->state.metrics.count("goldcrest_attempts_total", std::string("result=\"") + toString(attempt.result) + "\"");
         if (attempt.isRelayed || exchange.isOver() || !this->maySendAgain(exchange, attempt))
             break;
@@ -350,7 +352,8 @@
     const bool hasHead = co_await this->readHead(exchange, attempt);
     if (hasHead) {
         attempt.hadFirstByte = true;
-        this->state.board.onFirstByte(attempt.choice, exchange.placement, monotonicNow() - sent, monotonicNow());
+        attempt.firstByte = monotonicNow() - sent;
+        this->state.board.onFirstByte(attempt.choice, exchange.placement, attempt.firstByte, monotonicNow());
         if (exchange.route->kind == RequestKind::Stream && attempt.status < 300)
             co_await this->relayStream(exchange, attempt);
         else
@@ -503,6 +506,7 @@
     }
     const bool isResumable = exchange.route->isResumable;
     attempt.partialEvent.clear();
+    auto lastPiece = monotonicNow();
     std::string piece(pieceBytes, '\0');
     while (!attempt.parser->is_done()) {
         auto& target = attempt.parser->get().body();
@@ -513,6 +517,9 @@
         if (error == http::error::need_buffer)
             error = {};
         const auto received = piece.size() - target.size;
+        const auto now = monotonicNow();
+        attempt.longestGap = std::max(attempt.longestGap, now - lastPiece);
+        lastPiece = now;
         if (received > 0 && isResumable) {
             // Only whole events go on, so that another upstream can take over after any of them.
             attempt.partialEvent.append(piece.data(), received);
--- a/src/edge/upstream_pool.cc
+++ b/src/edge/upstream_pool.cc
@@ -12,7 +12,7 @@
     /// An idle connection is given up this long before the peer would close it.
     constexpr Duration idleMargin = std::chrono::milliseconds(700);
     /// Silence after which a connection to an upstream ends: more than any delay on a sound link.
-    constexpr Duration upstreamSilence = std::chrono::milliseconds(2500);
+    constexpr Duration upstreamSilence = std::chrono::milliseconds(1000);
 
     /// @return Whether the peer has neither closed nor sent anything unasked.
     bool isQuiet(tcp::socket& socket)
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -42,9 +42,9 @@
     /// Chance that the preferred engine holds or is just reading what nobody is known to hold.
     constexpr double preferredHoldsChance = 0.5;
 
-    std::size_t rankClassOf(std::uint32_t rank)
+    std::size_t classOf(const PlacementRequest& request)
     {
-        return std::min<std::size_t>(rank, UpstreamBoard::rankClasses - 1);
+        return engineClass(request.rank, request.promptTokens);
     }
 
     double toMs(Duration duration)
@@ -145,9 +145,9 @@
             found->second.peers[peer] = { use, now };
 }
 
-std::uint64_t UpstreamBoard::Load::backlogAhead(std::size_t rankClass) const
+std::uint64_t UpstreamBoard::Load::backlogAhead(std::size_t engineClass) const
 {
-    return std::accumulate(this->backlog.begin(), this->backlog.begin() + static_cast<std::ptrdiff_t>(rankClass) + 1, std::uint64_t { 0 });
+    return std::accumulate(this->backlog.begin(), this->backlog.begin() + static_cast<std::ptrdiff_t>(engineClass) + 1, std::uint64_t { 0 });
 }
 
 UpstreamBoard::Load UpstreamBoard::totalLoad(const Upstream& upstream, TimePoint now) const
@@ -158,8 +158,8 @@
             continue;
         load.requests += report.use.requests;
         load.tokens += report.use.tokens;
-        for (std::size_t rank = 0; rank < std::min(rankClasses, report.use.backlog.size()); ++rank)
-            load.backlog[rank] += report.use.backlog[rank];
+        for (std::size_t index = 0; index < std::min(engineClasses, report.use.backlog.size()); ++index)
+            load.backlog[index] += report.use.backlog[index];
     }
     return load;
 }
@@ -300,7 +300,7 @@
 
 double UpstreamBoard::readCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing) const
 {
-    const auto read = static_cast<double>(load.backlogAhead(rankClassOf(request.rank)) + missing) / this->tokensPerMillisecond;
+    const auto read = static_cast<double>(load.backlogAhead(classOf(request)) + missing) / this->tokensPerMillisecond;
     return (read + load.requests * runningRequestMs) * upstream.slowness;
 }
 
@@ -314,7 +314,7 @@
     const auto wanted = static_cast<double>(load.tokens + request.promptTokens + request.outputTokens);
     if (load.requests > 0 && wanted > memory)
         return true;
-    const auto ahead = static_cast<double>(load.backlogAhead(rankClassOf(request.rank)));
+    const auto ahead = static_cast<double>(load.backlogAhead(classOf(request)));
     return ahead > 0 && ahead / this->tokensPerMillisecond * upstream.slowness > toMs(request.objective) * this->settings.backlogShare;
 }
 
@@ -431,7 +431,7 @@
     auto& upstream = found->second;
     ++upstream.own.requests;
     upstream.own.tokens += request.promptTokens + request.outputTokens;
-    upstream.own.backlog[rankClassOf(request.rank)] += choice.missingTokens;
+    upstream.own.backlog[classOf(request)] += choice.missingTokens;
     if (now < upstream.coldUntil) {
         while (!upstream.coldSends.empty() && now - upstream.coldSends.front() > std::chrono::milliseconds(1100))
             upstream.coldSends.pop_front();
@@ -450,7 +450,7 @@
     if (found == this->upstreams.end())
         return;
     auto& upstream = found->second;
-    auto& backlog = upstream.own.backlog[rankClassOf(request.rank)];
+    auto& backlog = upstream.own.backlog[classOf(request)];
     backlog -= std::min(backlog, choice.missingTokens);
     const auto weight = this->settings.sampleWeight;
     if (request.promptTokens == 0) {
@@ -477,7 +477,7 @@
     auto& upstream = found->second;
     upstream.own.requests -= std::min(upstream.own.requests, 1U);
     upstream.own.tokens -= std::min(upstream.own.tokens, request.promptTokens + request.outputTokens);
-    auto& backlog = upstream.own.backlog[rankClassOf(request.rank)];
+    auto& backlog = upstream.own.backlog[classOf(request)];
     if (!hadFirstByte)
         backlog -= std::min(backlog, choice.missingTokens);
     const auto weight = this->settings.sampleWeight;
