--- a/include/goldcrestwood/daemon_view.h
+++ b/include/goldcrestwood/daemon_view.h
@@ -14,8 +14,9 @@
 namespace goldcrestwood {
 
 struct DaemonViewSettings {
-    /// A daemon that has been silent for so long is not named to callers: several heartbeats.
+    /// A daemon that has been silent for so long, and for several of its heartbeats, is not named to callers.
     Duration silence = std::chrono::milliseconds(1500);
+    int missedHeartbeats = 4;
     /// A daemon that has been silent for so long is forgotten, but for its address.
     Duration forget = std::chrono::seconds(30);
     /// Addresses in one answer.
--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -41,6 +41,8 @@
     std::uint64_t incarnation = 0;
     /// Grows with each heartbeat of an incarnation.
     std::uint64_t sequence = 0;
+    /// Time to the next heartbeat, milliseconds.
+    std::uint32_t intervalMs = 0;
     /// Where the sender runs.
     FailureDomain domain;
     /// Where callers connect.
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -20,15 +20,15 @@
 #include "goldcrestwood/part_cache.h"
 #include "goldcrestwood/part_directory.h"
 #include "goldcrestwood/random.h"
+#include "goldcrestwood/registry_entry.h"
 #include "goldcrestwood/time.h"
 #include "goldcrestwood/traffic.h"
-#include "goldcrestwood/registry_entry.h"
 
 namespace goldcrestwood {
 
 struct BoardSettings {
     /// A peer's report of its work in flight counts for this long; several heartbeats.
-    Duration peerReportLifetime = std::chrono::milliseconds(1200);
+    Duration peerReportLifetime = std::chrono::milliseconds(2500);
     /// First pause after a failed connection; doubles with each further failure.
     Duration firstAvoidance = std::chrono::milliseconds(400);
     /// Longest pause after failed connections: a registry entry expires after about as long.
@@ -100,7 +100,6 @@
 /// All upstreams of all services as one daemon sees them.
 class UpstreamBoard {
 public:
-
     /// @param parts What the stores of KV cache hold; outlives the board.
     UpstreamBoard(InstanceId self, SiteBounds bounds, const PartDirectory& parts, BoardSettings settings = {});
 
@@ -130,7 +129,10 @@
     std::vector<UpstreamUse> ownUses() const;
     /// @return The entries of a service's upstreams that are not draining.
     std::vector<RegistryEntry> readyUpstreams(const ServiceName& service) const;
-    const std::map<UpstreamId, RegistryEntry> entries() const;
+    /// @return The entry of an upstream, or null.
+    const RegistryEntry* find(const UpstreamId& id) const;
+    /// Calls @p visit with each entry.
+    void forEach(const std::function<void(const RegistryEntry&)>& visit) const;
     /// @return Requests of all daemons in flight at an upstream, as last heard.
     std::uint32_t requestsAt(const UpstreamId& id) const;
     /// @return Engines with their addresses.
@@ -182,7 +184,18 @@
         std::vector<std::string> sources; ///< By part; empty where the part is held or must be read.
     };
 
-    Coverage cover(const Upstream& upstream, const PlacementRequest& request, const EngineLimits& engine, TimePoint now) const;
+    /// Candidates that hold each part of a prompt under one scope.
+    struct PartHolders {
+        std::string scope;
+        std::vector<std::vector<const Upstream*>> byPart;
+    };
+
+    static const PartHolders& holdersUnder(std::vector<PartHolders>& known, const std::string& scope,
+        const PlacementRequest& request, const std::vector<const Upstream*>& candidates);
+    std::vector<const Upstream*> candidatesFor(const PlacementRequest& request, const std::set<UpstreamId>& excluded,
+        TimePoint now, const Upstream*& preferred);
+    Coverage cover(const Upstream& upstream, const PlacementRequest& request, const PartHolders& holders,
+        const EngineLimits& engine, TimePoint now) const;
     double readCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing) const;
     bool isFull(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const;
     void planCache(const Upstream& upstream, const PlacementRequest& request, Coverage coverage, PlacementChoice& choice, TimePoint now) const;
@@ -194,7 +207,8 @@
     };
 
     /// @return The fastest way to move @p part to @p upstream from a store or another engine, if any holds it.
-    std::optional<Move> moveOf(const Upstream& upstream, const std::string& scope, const PromptPart& part, const EngineLimits& engine, TimePoint now) const;
+    std::optional<Move> moveOf(const Upstream& upstream, const std::string& scope, const PromptPart& part,
+        const std::vector<const Upstream*>& holders, const EngineLimits& engine, TimePoint now) const;
     double expectedMove(const std::string& address, double plainMs, TimePoint now) const;
     void learnMove(const PlacementChoice& choice, double measuredMs, TimePoint now);
     void settleMoves(const PlacementChoice& choice);
@@ -202,11 +216,13 @@
 
     InstanceId self;
     SiteBounds bounds;
+    Random random { 1 };
     const PartDirectory& parts;
     BoardSettings settings;
     std::map<ServiceName, TrafficService> services;
     std::map<UpstreamId, Upstream> upstreams;
     std::map<ServiceName, std::set<UpstreamId>> byService;
+    std::map<InstanceId, std::vector<UpstreamId>> usedByPeer; ///< Upstreams of a peer's last report.
     std::set<FailureDomain> evacuated;
     std::set<UpstreamId> ordered;
     /// A move that was asked for and has not shown an effect yet.
--- a/include/goldcrestwood/weight_plan.h
+++ b/include/goldcrestwood/weight_plan.h
@@ -11,8 +11,8 @@
 
 #include "goldcrestwood/edge_messages.h"
 #include "goldcrestwood/names.h"
-#include "goldcrestwood/time.h"
 #include "goldcrestwood/registry_entry.h"
+#include "goldcrestwood/time.h"
 
 namespace goldcrestwood {
 
--- a/src/daemon_view.cc
+++ b/src/daemon_view.cc
@@ -18,7 +18,7 @@
 {
     std::vector<const DaemonReport*> result;
     for (const auto& [id, report] : this->daemons)
-        if (now - report.heard <= this->settings.silence)
+        if (now - report.heard <= std::max<Duration>(this->settings.silence, std::chrono::milliseconds(report.heartbeat.intervalMs) * this->settings.missedHeartbeats))
             result.push_back(&report);
     return result;
 }
--- a/src/edge/cache_watch.cc
+++ b/src/edge/cache_watch.cc
@@ -141,9 +141,10 @@
 void CacheWatch::collectGarbage()
 {
     const auto now = monotonicNow();
-    for (const auto& [id, entry] : this->state.board.entries())
+    this->state.board.forEach([&](const RegistryEntry& entry) {
         for (const auto& [model, version] : entry.weights)
             this->scopesSeen[weightScope(model, version)] = now;
+    });
     if (now - this->collected < collectInterval || this->scopesSeen.empty() || !this->state.readsStore())
         return;
     this->collected = now;
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -38,7 +38,7 @@
 
 } // namespace
 
-DutyRunner::DutyRunner(EdgeState& edgeState, asio::any_io_executor loop, ServiceQueues& serviceQueues, const PeerLink& peerLink)
+DutyRunner::DutyRunner(EdgeState& edgeState, const asio::any_io_executor& loop, ServiceQueues& serviceQueues, const PeerLink& peerLink)
     : state(edgeState)
     , executor(loop)
     , queues(serviceQueues)
@@ -52,9 +52,10 @@
 std::vector<WeightCandidate> DutyRunner::candidates(const std::string& model) const
 {
     std::vector<WeightCandidate> result;
-    for (const auto& [id, entry] : this->state.board.entries())
+    this->state.board.forEach([&](const RegistryEntry& entry) {
         if (const auto weights = entry.weights.find(model); weights != entry.weights.end() && !entry.isDraining)
-            result.push_back({ id, weights->second, this->state.board.requestsAt(id) });
+            result.push_back({ entry.id, weights->second, this->state.board.requestsAt(entry.id) });
+    });
     return result;
 }
 
@@ -238,13 +239,12 @@
 
 Task<> DutyRunner::drive(UpstreamId upstream)
 {
-    const auto entries = this->state.board.entries();
-    const auto entry = entries.find(upstream);
-    if (entry == entries.end()) {
+    const auto* entry = this->state.board.find(upstream);
+    if (entry == nullptr) {
         this->driven.erase(upstream);
         co_return;
     }
-    HttpCaller caller(this->executor, entry->second.address);
+    HttpCaller caller(this->executor, entry->address);
     asio::steady_timer timer(this->executor);
     const auto isRunning = [&] {
         if (!this->plan)
--- a/src/edge/duty_runner.h
+++ b/src/edge/duty_runner.h
@@ -17,7 +17,7 @@
 
 class DutyRunner {
 public:
-    DutyRunner(EdgeState& state, asio::any_io_executor executor, ServiceQueues& queues, const PeerLink& peers);
+    DutyRunner(EdgeState& state, const asio::any_io_executor& executor, ServiceQueues& queues, const PeerLink& peers);
 
     /// Looks for work for the life of the process, and does it while this daemon holds the duty.
     Task<> run();
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -89,7 +89,7 @@
     this->metrics = this->listen(this->state.settings.ip + ":" + metricsPort);
     this->peers.start();
     const auto spawn = [&](Task<> task) {
-        asio::co_spawn(this->loop, std::move(task), [](std::exception_ptr error) {
+        asio::co_spawn(this->loop, std::move(task), [](const std::exception_ptr& error) {
             if (error)
                 std::rethrow_exception(error);
         });
@@ -208,8 +208,9 @@
     dump["reads_store"] = this->state.readsStore();
     dump["active_requests"] = this->sessions.active();
     dump["waiting_requests"] = this->queues.waiting();
-    for (const auto& [id, entry] : this->state.board.entries())
-        dump["upstreams"][id.value] = { { "service", entry.service.value }, { "address", entry.address }, { "draining", entry.isDraining } };
+    this->state.board.forEach([&](const RegistryEntry& entry) {
+        dump["upstreams"][entry.id.value] = { { "service", entry.service.value }, { "address", entry.address }, { "draining", entry.isDraining } };
+    });
     for (const auto* report : this->peers.view().live(monotonicNow()))
         dump["daemons"][report->heartbeat.instance.value] = nlohmann::json(report->heartbeat);
     return dump.dump(2);
--- a/src/edge/fact_reader.cc
+++ b/src/edge/fact_reader.cc
@@ -20,7 +20,7 @@
 
 } // namespace
 
-FactReader::FactReader(EdgeState& edgeState, asio::any_io_executor loop, std::string topicName, KeyedFeed& keyedFeed, TopicContact& topicContact, Believe onNews)
+FactReader::FactReader(EdgeState& edgeState, const asio::any_io_executor& loop, std::string topicName, KeyedFeed& keyedFeed, TopicContact& topicContact, Believe onNews)
     : state(edgeState)
     , executor(loop)
     , topic(std::move(topicName))
--- a/src/edge/fact_reader.h
+++ b/src/edge/fact_reader.h
@@ -16,7 +16,7 @@
 public:
     using Believe = void (*)(EdgeState&, const std::vector<KeyedRecord>&, const char*);
 
-    FactReader(EdgeState& state, asio::any_io_executor executor, std::string topic, KeyedFeed& feed, TopicContact& contact, Believe believe);
+    FactReader(EdgeState& state, const asio::any_io_executor& executor, std::string topic, KeyedFeed& feed, TopicContact& contact, Believe believe);
 
     /// Reads until the process stops.
     Task<> run();
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -11,7 +11,10 @@
 
 namespace {
 
-    constexpr Duration heartbeatInterval = std::chrono::milliseconds(200);
+    /// Heartbeats of a small site are frequent; at a large one the sum of all daemons' would grow with the square.
+    constexpr Duration shortestInterval = std::chrono::milliseconds(200);
+    constexpr Duration longestInterval = std::chrono::milliseconds(1000);
+    constexpr Duration intervalPerPeer = std::chrono::milliseconds(20);
     /// The store tells a change in milliseconds; a peer that knows more for so long is asked.
     constexpr Duration behindLimit = std::chrono::milliseconds(250);
     constexpr Duration queryLimit = std::chrono::milliseconds(800);
@@ -70,7 +73,7 @@
 
 } // namespace
 
-PeerLink::PeerLink(EdgeState& edgeState, asio::any_io_executor loop, ServiceQueues& serviceQueues, FactReader& operators, FactReader& registry)
+PeerLink::PeerLink(EdgeState& edgeState, const asio::any_io_executor& loop, ServiceQueues& serviceQueues, FactReader& operators, FactReader& registry)
     : state(edgeState)
     , executor(loop)
     , queues(serviceQueues)
@@ -100,12 +103,18 @@
         this->addresses.insert(address);
 }
 
+Duration PeerLink::interval() const
+{
+    return std::clamp<Duration>(intervalPerPeer * static_cast<int>(this->daemons.known()), shortestInterval, longestInterval);
+}
+
 EdgeHeartbeat PeerLink::heartbeat()
 {
     EdgeHeartbeat message;
     message.instance = this->state.settings.instance;
     message.incarnation = this->state.incarnation;
     message.sequence = ++this->sequence;
+    message.intervalMs = static_cast<std::uint32_t>(this->interval().count() / 1000);
     message.domain = this->state.settings.domain;
     message.frontAddress = this->state.settings.frontAddress;
     message.peerAddress = this->state.settings.peerAddress;
@@ -140,7 +149,7 @@
         this->state.board.setDaemons(this->daemons.known() + 1);
         for (auto& [service, budget] : this->state.sendBudgets)
             budget.setDaemons(this->daemons.known() + 1);
-        timer.expires_after(std::chrono::duration_cast<Duration>(heartbeatInterval * (0.9 + 0.2 * uniform(this->state.random))));
+        timer.expires_after(std::chrono::duration_cast<Duration>(this->interval() * (0.9 + 0.2 * uniform(this->state.random))));
         ErrorCode ignored;
         co_await timer.async_wait(into(ignored));
     }
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -17,7 +17,7 @@
 /// Talks to the other daemons: datagrams for heartbeats, one TCP connection for each query.
 class PeerLink {
 public:
-    PeerLink(EdgeState& state, asio::any_io_executor executor, ServiceQueues& queues, FactReader& operatorReader, FactReader& registryReader);
+    PeerLink(EdgeState& state, const asio::any_io_executor& executor, ServiceQueues& queues, FactReader& operatorReader, FactReader& registryReader);
 
     /// Binds the peer address. Throws if it is taken.
     void start();
@@ -34,6 +34,7 @@
     void addPeerAddress(const std::string& address);
 
 private:
+    Duration interval() const;
     EdgeHeartbeat heartbeat();
     void onHeartbeat(const EdgeHeartbeat& message);
     Task<> answerQuery(tcp::socket socket);
--- a/src/part_cache.cc
+++ b/src/part_cache.cc
@@ -40,8 +40,8 @@
 void PartCache::use(const std::string& scope, const std::vector<PromptPart>& parts)
 {
     // From the last to the first, so that a prompt's head is evicted after its tail.
-    for (auto part = parts.rbegin(); part != parts.rend(); ++part)
-        this->touch(keyOf(scope, part->id), part->tokens);
+    for (std::size_t left = parts.size(); left > 0; --left)
+        this->touch(keyOf(scope, parts[left - 1].id), parts[left - 1].tokens);
     this->evict();
 }
 
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -21,6 +21,9 @@
     constexpr double unknownLatencyMs = 20;
     /// How much sooner another engine must answer than the one that the prompt's parts prefer, milliseconds.
     constexpr double notPreferredMs = 12;
+    /// Engines looked at in a large pool: those that a prompt's parts prefer, and others drawn at random.
+    constexpr std::size_t rankedCandidates = 8;
+    constexpr std::size_t drawnCandidates = 16;
     /// Daemons that may come up unseen and send to the same cold upstream.
     constexpr std::size_t unseenDaemons = 2;
     /// Bounds of the learned slowness of an upstream.
@@ -138,11 +141,16 @@
 
 void UpstreamBoard::onPeerUse(const InstanceId& peer, const std::vector<UpstreamUse>& uses, TimePoint now)
 {
-    for (auto& [id, upstream] : this->upstreams)
-        upstream.peers.erase(peer);
+    auto& used = this->usedByPeer[peer];
+    for (const auto& id : used)
+        if (const auto found = this->upstreams.find(id); found != this->upstreams.end())
+            found->second.peers.erase(peer);
+    used.clear();
     for (const auto& use : uses)
-        if (const auto found = this->upstreams.find(use.upstream); found != this->upstreams.end())
+        if (const auto found = this->upstreams.find(use.upstream); found != this->upstreams.end()) {
             found->second.peers[peer] = { use, now };
+            used.push_back(use.upstream);
+        }
 }
 
 std::uint64_t UpstreamBoard::Load::backlogAhead(std::size_t engineClass) const
@@ -241,8 +249,8 @@
             std::erase_if(found->second.pending, [&](const auto& move) { return move.sent == choice.chosen; });
 }
 
-std::optional<UpstreamBoard::Move> UpstreamBoard::moveOf(
-    const Upstream& upstream, const std::string& scope, const PromptPart& part, const EngineLimits& engine, TimePoint now) const
+std::optional<UpstreamBoard::Move> UpstreamBoard::moveOf(const Upstream& upstream, const std::string& scope, const PromptPart& part,
+    const std::vector<const Upstream*>& holders, const EngineLimits& engine, TimePoint now) const
 {
     const auto bits = static_cast<double>(part.tokens * engine.bytesPerToken) * 8;
     const auto nearMs = engine.linkMegabits > 0 ? bits / (engine.linkMegabits * 1000) : 0;
@@ -257,19 +265,31 @@
         consider(store->address, store->domain);
     if (best && best->expectedMs <= best->plainMs)
         return best;
-    for (const auto& id : this->byService.at(upstream.entry.service)) {
-        const auto& other = this->upstreams.at(id);
-        if (&other != &upstream && other.avoidUntil <= now && other.cache.holds(scope, part))
-            consider(other.entry.address, other.entry.domain);
-    }
+    for (const auto* holder : holders)
+        if (holder != &upstream && holder->avoidUntil <= now)
+            consider(holder->entry.address, holder->entry.domain);
     return best;
 }
 
-UpstreamBoard::Coverage UpstreamBoard::cover(
-    const Upstream& upstream, const PlacementRequest& request, const EngineLimits& engine, TimePoint now) const
+const UpstreamBoard::PartHolders& UpstreamBoard::holdersUnder(std::vector<PartHolders>& known, const std::string& scope,
+    const PlacementRequest& request, const std::vector<const Upstream*>& candidates)
+{
+    for (const auto& holders : known)
+        if (holders.scope == scope)
+            return holders;
+    PartHolders holders { scope, std::vector<std::vector<const Upstream*>>(request.parts.size()) };
+    for (std::size_t index = 0; index + 1 < request.parts.size(); ++index)
+        for (const auto* candidate : candidates)
+            if (candidate->cache.holds(scope, request.parts[index]))
+                holders.byPart[index].push_back(candidate);
+    known.push_back(std::move(holders));
+    return known.back();
+}
+
+UpstreamBoard::Coverage UpstreamBoard::cover(const Upstream& upstream, const PlacementRequest& request,
+    const PartHolders& holders, const EngineLimits& engine, TimePoint now) const
 {
-    const auto scope = scopeOf(upstream.entry, request);
-    const auto held = upstream.cache.heldTokens(scope, request.parts);
+    const auto held = upstream.cache.heldTokens(holders.scope, request.parts);
     Coverage coverage;
     coverage.sources.resize(request.parts.size());
     std::uint64_t end = 0;
@@ -277,15 +297,15 @@
     for (std::size_t index = 0; index + 1 < request.parts.size(); ++index) {
         const auto& part = request.parts[index];
         end += part.tokens;
+        const auto move = this->moveOf(upstream, holders.scope, part, holders.byPart[index], engine, now);
         if (end <= held) {
             // The belief may be wrong; naming a source costs nothing where the part is held.
-            if (const auto move = this->moveOf(upstream, scope, part, engine, now))
+            if (move)
                 coverage.sources[index] = move->source;
             continue;
         }
-        // A part counts only if all parts before it are there.
-        const auto move = this->moveOf(upstream, scope, part, engine, now);
-        // Moving costs the links' time only, reading the engine's: read only if moving is much slower.
+        // A part counts only if all parts before it are there. Moving costs the links' time only, reading the engine's:
+        // read only if moving is much slower.
         if (!move || move->expectedMs > part.tokens / this->tokensPerMillisecond * readPreference)
             break;
         coverage.moved += part.tokens;
@@ -351,35 +371,58 @@
     return found == this->services.end() ? nullptr : &found->second;
 }
 
-std::optional<PlacementChoice> UpstreamBoard::choose(const PlacementRequest& request,
-    const std::set<UpstreamId>& excluded, TimePoint now, PlacementRefusal& refusal)
+std::vector<const UpstreamBoard::Upstream*> UpstreamBoard::candidatesFor(const PlacementRequest& request,
+    const std::set<UpstreamId>& excluded, TimePoint now, const Upstream*& preferred)
 {
-    const auto* service = this->serviceOf(request.service);
-    const auto* engine = service != nullptr && service->engine ? &*service->engine : nullptr;
-    const auto key = affinityKey(request);
-    refusal = PlacementRefusal::NoUpstream;
-
     std::vector<const Upstream*> usable;
     std::vector<InstanceId> names;
+    bool anyHealthy = false;
     for (const auto& id : this->byService[request.service]) {
         const auto& upstream = this->upstreams.at(id);
         if (excluded.contains(id) || !this->isUsable(upstream, request, now))
             continue;
+        anyHealthy = anyHealthy || upstream.avoidUntil <= now;
         usable.push_back(&upstream);
-        names.emplace_back(id.value);
     }
     // Upstreams that failed lately are a last resort.
-    const bool anyHealthy = std::any_of(usable.begin(), usable.end(), [&](const auto* upstream) { return upstream->avoidUntil <= now; });
-    const auto preferred = key.empty() || names.empty() ? usable.size() : rendezvousRank(stableHash(key), names, 1).front();
+    if (anyHealthy)
+        std::erase_if(usable, [&](const auto* upstream) { return upstream->avoidUntil > now; });
+    for (const auto* upstream : usable)
+        names.emplace_back(upstream->entry.id.value);
+    preferred = nullptr;
+    const auto key = affinityKey(request);
+    std::vector<std::size_t> ranking;
+    if (!key.empty() && !names.empty()) {
+        ranking = rendezvousRank(stableHash(key), names, rankedCandidates);
+        preferred = usable[ranking.front()];
+    }
+    if (usable.size() <= rankedCandidates + drawnCandidates)
+        return usable;
+    // In a large pool a few engines that its parts prefer and a few drawn at random stand for all.
+    std::vector<const Upstream*> candidates;
+    for (const auto index : ranking)
+        candidates.push_back(usable[index]);
+    for (std::size_t draw = 0; draw < drawnCandidates; ++draw)
+        candidates.push_back(usable[std::uniform_int_distribution<std::size_t>(0, usable.size() - 1)(this->random)]);
+    return candidates;
+}
+
+std::optional<PlacementChoice> UpstreamBoard::choose(const PlacementRequest& request,
+    const std::set<UpstreamId>& excluded, TimePoint now, PlacementRefusal& refusal)
+{
+    const auto* service = this->serviceOf(request.service);
+    const auto* engine = service != nullptr && service->engine ? &*service->engine : nullptr;
+    refusal = PlacementRefusal::NoUpstream;
+    const Upstream* preferred = nullptr;
+    const auto candidates = this->candidatesFor(request, excluded, now, preferred);
 
+    std::vector<PartHolders> holders;
     std::optional<PlacementChoice> best;
     Coverage bestCoverage;
     const Upstream* chosen = nullptr;
     auto bestCost = std::numeric_limits<double>::infinity();
-    for (std::size_t index = 0; index < usable.size(); ++index) {
-        const auto& upstream = *usable[index];
-        if (anyHealthy && upstream.avoidUntil > now)
-            continue;
+    for (const auto* candidate : candidates) {
+        const auto& upstream = *candidate;
         const auto load = this->totalLoad(upstream, now);
         if (this->isFull(upstream, load, request, engine)) {
             refusal = PlacementRefusal::Full;
@@ -389,11 +432,12 @@
         double readMs = 0;
         Coverage coverage;
         if (engine != nullptr) {
-            coverage = this->cover(upstream, request, *engine, now);
+            const auto& known = holdersUnder(holders, scopeOf(upstream.entry, request), request, candidates);
+            coverage = this->cover(upstream, request, known, *engine, now);
             readMs = this->readCost(upstream, load, request, coverage.missing);
             cost = readMs + coverage.moveMs;
             // Other daemons' prompts with the same parts go to the same engine, which then most likely holds them.
-            if (preferred != index) {
+            if (preferred != candidate) {
                 const auto own = request.parts.empty() ? 0 : request.parts.back().tokens;
                 const auto shared = coverage.missing - std::min<std::uint64_t>(coverage.missing, own);
                 cost += std::max(notPreferredMs, preferredHoldsChance * static_cast<double>(shared) / this->tokensPerMillisecond);
@@ -523,12 +567,16 @@
     return result;
 }
 
-const std::map<UpstreamId, RegistryEntry> UpstreamBoard::entries() const
+const RegistryEntry* UpstreamBoard::find(const UpstreamId& id) const
+{
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? nullptr : &found->second.entry;
+}
+
+void UpstreamBoard::forEach(const std::function<void(const RegistryEntry&)>& visit) const
 {
-    std::map<UpstreamId, RegistryEntry> result;
     for (const auto& [id, upstream] : this->upstreams)
-        result.emplace(id, upstream.entry);
-    return result;
+        visit(upstream.entry);
 }
 
 std::uint32_t UpstreamBoard::requestsAt(const UpstreamId& id) const
--- a/support/check.sh
+++ b/support/check.sh
@@ -11,5 +11,8 @@
 else
   mapfile -t sources < <(git ls-files --cached --others --exclude-standard '*.cc' ':!src/generated' ':!src/daemon/*_reader.cc')
 fi
-printf '%s\n' "${sources[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet 2>/dev/null
+# clang 14 reads the coroutines of Boost 1.74 only if told that it has them.
+coroutines=(-D__cpp_impl_coroutine=201902L -DBOOST_ASIO_HAS_CO_AWAIT=1 -DBOOST_ASIO_HAS_STD_COROUTINE=1
+  -Wno-builtin-macro-redefined -Wno-deprecated-experimental-coroutine -Wno-deprecated-coroutine)
+printf '%s\n' "${sources[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet "${coroutines[@]/#/--extra-arg=}" 2>/dev/null
 echo "checks passed"
