--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -89,6 +89,7 @@
 enum class AttemptResult : std::uint8_t {
     Answered, ///< A whole answer that is no failure.
     FailureAnswer, ///< A whole answer with a failure status.
+    Misdirected, ///< Not run: another incarnation answers at the address.
     Refused, ///< Proved not run, because the upstream is full or busy.
     Unreachable, ///< No connection, or it broke before an answer began.
     Cancelled, ///< The caller left or the time was over; says nothing of the upstream.
@@ -222,6 +223,7 @@
     std::map<ServiceName, TrafficService> services;
     std::map<UpstreamId, Upstream> upstreams;
     std::map<ServiceName, std::set<UpstreamId>> byService;
+    std::map<std::string, UpstreamId> byAddress; ///< Who registered last at each address.
     std::map<InstanceId, std::vector<UpstreamId>> usedByPeer; ///< Upstreams of a peer's last report.
     std::set<FailureDomain> evacuated;
     std::set<UpstreamId> ordered;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -36,6 +36,8 @@
             return "answered";
         case AttemptResult::FailureAnswer:
             return "failure_answer";
+        case AttemptResult::Misdirected:
+            return "misdirected";
         case AttemptResult::Refused:
             return "refused";
         case AttemptResult::Unreachable:
@@ -433,8 +435,9 @@
     if (attempt.answer.weights && !exchange.placement.model.empty())
         this->state.board.setWeights(attempt.choice.upstream, exchange.placement.model, *attempt.answer.weights);
     if (attempt.provesNotRun) {
-        attempt.result = AttemptResult::Refused;
-        attempt.failure = attempt.status == misdirected ? "another upstream has the address" : "refused by the upstream";
+        const bool isAnother = attempt.status == misdirected && !attempt.answer.instance.empty() && attempt.answer.instance != attempt.choice.upstream.value;
+        attempt.result = isAnother ? AttemptResult::Misdirected : AttemptResult::Refused;
+        attempt.failure = isAnother ? "another upstream has the address" : "refused by the upstream";
         co_return;
     }
     if (exchange.headSent) {
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -26,6 +26,8 @@
     constexpr std::size_t drawnCandidates = 16;
     /// Daemons that may come up unseen and send to the same cold upstream.
     constexpr std::size_t unseenDaemons = 2;
+    /// An incarnation that has ended is avoided until its entry has expired for certain.
+    constexpr Duration endedAvoidance = std::chrono::seconds(10);
     /// Bounds of the learned slowness of an upstream.
     constexpr double leastSlowness = 0.5;
     constexpr double mostSlowness = 20;
@@ -104,6 +106,11 @@
 
 void UpstreamBoard::setUpstream(const RegistryEntry& entry, TimePoint now)
 {
+    // Whoever had the address before has ended, though its entry may take seconds to expire.
+    if (const auto before = this->byAddress.find(entry.address); before != this->byAddress.end() && before->second != entry.id)
+        if (const auto old = this->upstreams.find(before->second); old != this->upstreams.end() && old->second.entry.born <= entry.born)
+            this->removeUpstream(UpstreamId(before->second));
+    this->byAddress[entry.address] = entry.id;
     const auto [position, isNew] = this->upstreams.try_emplace(entry.id);
     auto& upstream = position->second;
     const bool restarted = !isNew && (upstream.entry.born != entry.born || upstream.entry.address != entry.address);
@@ -127,6 +134,8 @@
     if (found == this->upstreams.end())
         return;
     this->byService[found->second.entry.service].erase(id);
+    if (const auto address = this->byAddress.find(found->second.entry.address); address != this->byAddress.end() && address->second == id)
+        this->byAddress.erase(address);
     this->upstreams.erase(found);
 }
 
@@ -534,6 +543,10 @@
         upstream.failures = 0;
         upstream.failureShare = upstream.failureShare * (1 - weight) + weight;
         break;
+    case AttemptResult::Misdirected:
+        // The incarnation has ended; its entry expires soon.
+        upstream.avoidUntil = now + endedAvoidance;
+        break;
     case AttemptResult::Refused:
         upstream.avoidUntil = now + std::chrono::milliseconds(50);
         break;
--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -211,6 +211,31 @@
     CHECK(site.choose(request, now + 1700ms)->upstream == UpstreamId("plain1"));
 }
 
+TEST_CASE("an incarnation that has ended gets nothing, though its entry has not expired")
+{
+    // Load pattern: a failure domain returns; its replicas have new names at their old addresses for seconds.
+    Site site;
+    site.board.setUpstream(entryOf(1, plain), start);
+    PlacementRequest request;
+    request.service = plain;
+    auto next = entryOf(1, plain);
+    next.id = UpstreamId("plain1-next");
+    next.born = 2;
+    site.board.setUpstream(next, start);
+    CHECK(site.choose(request)->upstream == next.id);
+    CHECK(site.board.find(UpstreamId("plain1")) == nullptr);
+
+    site.board.setUpstream(entryOf(2, plain), start);
+    const auto ended = choiceOf("plain2");
+    site.board.begin(ended, request, start);
+    site.board.finish(ended, request, false, AttemptResult::Misdirected, start);
+    for (int number = 0; number < 10; ++number) {
+        const auto choice = site.choose(request, start + 5s);
+        CHECK(choice->upstream == next.id);
+        site.board.begin(*choice, request, start + 5s);
+    }
+}
+
 TEST_CASE("an upstream that fails part of its requests gets fewer")
 {
     Site site;
