Pipeline and board in two files each; milliseconds in one place

Change: the relay of answers and the cached parts stand apart; reading a piece of an answer is written once.

--- a/include/goldcrestwood/time.h
+++ b/include/goldcrestwood/time.h
@@ -18,6 +18,12 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/// @return @p duration in milliseconds.
+constexpr double toMs(Duration duration)
+{
+    return toSeconds(duration) * 1000;
+}
+
 /// @return @p seconds as a duration, rounded towards zero.
 constexpr Duration fromSeconds(double seconds)
 {
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "daemon/clock.h"
+#include "edge/attempt.h"
 #include "edge/log.h"
 
 namespace goldcrestwood {
@@ -13,17 +14,10 @@
 
     /// A new connection to a replica takes a millisecond or two; one that is dropped is tried again after seconds.
     constexpr Duration connectLimit = std::chrono::milliseconds(200);
-    /// Answers that are no token streams are held whole up to this size, so that a broken one can be repeated.
-    constexpr std::uint64_t largestWholeAnswer = 8U << 20U;
-    /// Extra answers to earlier requests that are skipped on one connection.
-    constexpr int mostExtraAnswers = 3;
-    constexpr std::uint64_t unlimitedBody = std::uint64_t { 1 } << 50U;
-    constexpr std::size_t pieceBytes = 16384;
     /// When to come back if nothing better is known.
     constexpr Duration defaultRetryAfter = std::chrono::milliseconds(300);
     /// Nobody waits for longer than a caller that names no limit.
     constexpr Duration longestWait = std::chrono::seconds(60);
-    constexpr unsigned misdirected = 421;
     /// A request may wait at a replica for about so long before it begins; it must not begin on old weights by then.
     constexpr Duration weightsMargin = std::chrono::milliseconds(1800);
     /// From then on answers on old weights are worth less to callers.
@@ -48,62 +42,8 @@
         return "unknown";
     }
 
-    double toMs(Duration duration)
-    {
-        return static_cast<double>(duration.count()) / 1000;
-    }
-
-    /// @return Length of the leading whole events of @p text.
-    std::size_t wholeEvents(const std::string& text)
-    {
-        const auto end = text.rfind("\n\n");
-        return end == std::string::npos ? 0 : end + 2;
-    }
-
-    /// @return The id of the last event in @p events that has one.
-    std::string lastEventId(std::string_view events)
-    {
-        constexpr std::string_view field = "id:";
-        auto position = events.rfind(field);
-        while (position != std::string_view::npos && position > 0 && events[position - 1] != '\n')
-            position = events.rfind(field, position - 1);
-        if (position == std::string_view::npos)
-            return {};
-        auto id = events.substr(position + field.size());
-        id = id.substr(0, id.find('\n'));
-        while (!id.empty() && id.front() == ' ')
-            id.remove_prefix(1);
-        while (!id.empty() && id.back() == '\r')
-            id.remove_suffix(1);
-        return std::string(id);
-    }
-
 } // namespace
 
-/// One send of a request to one upstream.
-struct Pipeline::Attempt {
-    PlacementChoice choice;
-    AttemptResult result = AttemptResult::Cancelled;
-    bool isSent = false; ///< A byte of the request may have reached the upstream.
-    bool provesNotRun = false;
-    bool isRelayed = false; ///< The caller has the whole answer.
-    bool hadFirstByte = false;
-    ConnectionPtr connection;
-    std::unique_ptr<http::response_parser<http::buffer_body>> parser;
-    platform::AnswerInfo answer;
-    unsigned status = 0;
-    std::optional<http::response<http::string_body>> held; ///< A whole answer that was not relayed yet.
-    // Of a stream to the caller; lives through resumptions.
-    std::unique_ptr<http::response<http::buffer_body>> head;
-    std::unique_ptr<http::response_serializer<http::buffer_body>> serializer;
-    std::string partialEvent;
-    std::string lastEvent;
-    const char* failure = "";
-    std::string detail; ///< The library's word for the failure.
-    Duration firstByte = Duration(0); ///< From the send to the head of the answer.
-    Duration longestGap = Duration(0); ///< Between two pieces of a stream.
-};
-
 Pipeline::Pipeline(EdgeState& edgeState, UpstreamPool& upstreamPool, ServiceQueues& serviceQueues)
     : state(edgeState)
     , pool(upstreamPool)
@@ -368,195 +308,4 @@
     attempt.parser = nullptr;
 }
 
-Task<bool> Pipeline::readHead(ClientExchange& exchange, Attempt& attempt)
-{
-    auto& link = *attempt.connection;
-    for (int extra = 0; extra <= mostExtraAnswers; ++extra) {
-        attempt.parser = std::make_unique<http::response_parser<http::buffer_body>>();
-        // Boost 1.74 refuses every body when its limit is none.
-        attempt.parser->body_limit(unlimitedBody);
-        ErrorCode error;
-        co_await http::async_read_header(link.stream, link.buffer, *attempt.parser, into(error));
-        if (error) {
-            attempt.result = AttemptResult::Unreachable;
-            attempt.failure = error == http::error::end_of_stream ? "closed before an answer" : "broke before an answer";
-            attempt.detail = error.message();
-            co_return false;
-        }
-        attempt.status = attempt.parser->get().result_int();
-        if (attempt.status < 200)
-            continue;
-        attempt.answer = platform::decodeAnswer(attempt.parser->get().base());
-        if (attempt.answer.idleTimeout)
-            link.idleLimit = *attempt.answer.idleTimeout;
-        if (attempt.answer.requestId == exchange.info.id || (attempt.answer.requestId.empty() && !attempt.answer.isSealed))
-            co_return true;
-        // An answer to an earlier request: read past it.
-        char scrap[4096];
-        while (!attempt.parser->is_done()) {
-            auto& body = attempt.parser->get().body();
-            body.data = scrap;
-            body.size = sizeof(scrap);
-            co_await http::async_read_some(link.stream, link.buffer, *attempt.parser, into(error));
-            if (error && error != http::error::need_buffer) {
-                attempt.result = AttemptResult::Unreachable;
-                attempt.failure = "broke in an extra answer";
-                co_return false;
-            }
-        }
-    }
-    attempt.result = AttemptResult::Unreachable;
-    attempt.failure = "only extra answers";
-    co_return false;
-}
-
-Task<> Pipeline::relayWhole(ClientExchange& exchange, Attempt& attempt)
-{
-    auto& link = *attempt.connection;
-    std::string body;
-    std::string piece(pieceBytes, '\0');
-    while (!attempt.parser->is_done()) {
-        auto& target = attempt.parser->get().body();
-        target.data = piece.data();
-        target.size = piece.size();
-        ErrorCode error;
-        co_await http::async_read_some(link.stream, link.buffer, *attempt.parser, into(error));
-        if (error == http::error::need_buffer)
-            error = {};
-        body.append(piece.data(), piece.size() - target.size);
-        if (error || body.size() > largestWholeAnswer) {
-            attempt.result = AttemptResult::Unreachable;
-            attempt.failure = "answer cut short";
-            attempt.detail = error.message();
-            co_return;
-        }
-    }
-    attempt.provesNotRun = attempt.answer.provesNotRun;
-    if (attempt.answer.weights && !exchange.placement.model.empty())
-        this->state.board.setWeights(attempt.choice.upstream, exchange.placement.model, *attempt.answer.weights);
-    if (attempt.provesNotRun) {
-        const bool isAnother = attempt.status == misdirected && !attempt.answer.instance.empty() && attempt.answer.instance != attempt.choice.upstream.value;
-        attempt.result = isAnother ? AttemptResult::Misdirected : AttemptResult::Refused;
-        attempt.failure = isAnother ? "another upstream has the address" : "refused by the upstream";
-        co_return;
-    }
-    if (exchange.headSent) {
-        attempt.result = AttemptResult::FailureAnswer;
-        attempt.failure = "no stream to go on with";
-        co_return;
-    }
-    http::response<http::string_body> response;
-    response.base() = attempt.parser->get().base();
-    for (const auto* name : { "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length" })
-        response.erase(name);
-    response.version(11);
-    response.body() = std::move(body);
-    response.content_length(response.body().size());
-    response.keep_alive(true);
-    attempt.held = std::move(response);
-    attempt.result = attempt.status < 500 ? AttemptResult::Answered : AttemptResult::FailureAnswer;
-    if (attempt.result == AttemptResult::FailureAnswer && exchange.route->isRepeatable()) {
-        attempt.failure = "failure answer";
-        co_return;
-    }
-    co_await this->forwardHeldAnswer(exchange, attempt);
-}
-
-Task<> Pipeline::forwardHeldAnswer(ClientExchange& exchange, Attempt& attempt)
-{
-    auto& response = *attempt.held;
-    response.keep_alive(exchange.keepClient && !this->state.isStopping);
-    exchange.keepClient = response.keep_alive();
-    ErrorCode error;
-    exchange.headSent = true;
-    attempt.isRelayed = true;
-    co_await http::async_write(exchange.client, response, into(error));
-    if (error)
-        exchange.keepClient = false;
-}
-
-Task<bool> Pipeline::writeStreamPiece(ClientExchange& exchange, Attempt& attempt, const char* data, std::size_t size, bool more)
-{
-    auto& body = attempt.head->body();
-    body.data = size == 0 ? nullptr : const_cast<char*>(data); // The library's body type serves reads and writes.
-    body.size = size;
-    body.more = more;
-    exchange.headSent = true;
-    ErrorCode error;
-    co_await http::async_write(exchange.client, *attempt.serializer, into(error));
-    if (error == http::error::need_buffer)
-        error = {};
-    if (error) {
-        exchange.keepClient = false;
-        exchange.clientGone = true;
-    }
-    co_return !error;
-}
-
-Task<> Pipeline::relayStream(ClientExchange& exchange, Attempt& attempt)
-{
-    auto& link = *attempt.connection;
-    if (!attempt.head) {
-        attempt.head = std::make_unique<http::response<http::buffer_body>>();
-        attempt.head->base() = attempt.parser->get().base();
-        for (const auto* name : { "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length" })
-            attempt.head->erase(name);
-        attempt.head->version(11);
-        attempt.head->chunked(true);
-        attempt.head->keep_alive(exchange.keepClient && !this->state.isStopping);
-        exchange.keepClient = attempt.head->keep_alive();
-        attempt.serializer = std::make_unique<http::response_serializer<http::buffer_body>>(*attempt.head);
-    }
-    const bool isResumable = exchange.route->isResumable;
-    attempt.partialEvent.clear();
-    auto lastPiece = monotonicNow();
-    std::string piece(pieceBytes, '\0');
-    while (!attempt.parser->is_done()) {
-        auto& target = attempt.parser->get().body();
-        target.data = piece.data();
-        target.size = piece.size();
-        ErrorCode error;
-        co_await http::async_read_some(link.stream, link.buffer, *attempt.parser, into(error));
-        if (error == http::error::need_buffer)
-            error = {};
-        const auto received = piece.size() - target.size;
-        const auto now = monotonicNow();
-        attempt.longestGap = std::max(attempt.longestGap, now - lastPiece);
-        lastPiece = now;
-        if (received > 0 && isResumable) {
-            // Only whole events go on, so that another upstream can take over after any of them.
-            attempt.partialEvent.append(piece.data(), received);
-            const auto whole = wholeEvents(attempt.partialEvent);
-            if (whole > 0) {
-                if (auto id = lastEventId({ attempt.partialEvent.data(), whole }); !id.empty())
-                    attempt.lastEvent = std::move(id);
-                const bool isWritten = co_await this->writeStreamPiece(exchange, attempt, attempt.partialEvent.data(), whole, true);
-                if (!isWritten)
-                    co_return;
-                attempt.partialEvent.erase(0, whole);
-            }
-        } else if (received > 0) {
-            const bool isWritten = co_await this->writeStreamPiece(exchange, attempt, piece.data(), received, true);
-            if (!isWritten)
-                co_return;
-        }
-        if (error) {
-            attempt.result = AttemptResult::Unreachable;
-            attempt.failure = "stream broke off";
-            attempt.detail = error.message();
-            co_return;
-        }
-    }
-    if (!attempt.partialEvent.empty()) {
-        const bool isWritten = co_await this->writeStreamPiece(exchange, attempt, attempt.partialEvent.data(), attempt.partialEvent.size(), true);
-        if (!isWritten)
-            co_return;
-    }
-    const bool isEnded = co_await this->writeStreamPiece(exchange, attempt, nullptr, 0, false);
-    if (!isEnded)
-        co_return;
-    attempt.isRelayed = true;
-    attempt.result = AttemptResult::Answered;
-}
-
 } // namespace goldcrestwood
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -26,6 +26,7 @@
     Task<> attempt(ClientExchange& exchange, Attempt& attempt);
     Task<ConnectionPtr> openConnection(ClientExchange& exchange, const std::string& address);
     Task<bool> readHead(ClientExchange& exchange, Attempt& attempt);
+    static Task<std::size_t> readPiece(Attempt& attempt, std::string& piece, ErrorCode& error);
     Task<> relayWhole(ClientExchange& exchange, Attempt& attempt);
     Task<> relayStream(ClientExchange& exchange, Attempt& attempt);
     Task<bool> writeStreamPiece(ClientExchange& exchange, Attempt& attempt, const char* data, std::size_t size, bool more);
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -6,6 +6,7 @@
 #include <numeric>
 
 #include "goldcrestwood/hash.h"
+#include "upstream_cost.h"
 
 namespace goldcrestwood {
 
@@ -28,22 +29,9 @@
     constexpr std::size_t unseenDaemons = 2;
     /// An incarnation that has ended is avoided until its entry has expired for certain.
     constexpr Duration endedAvoidance = std::chrono::seconds(10);
-    /// Bounds of the learned slowness of an upstream.
-    constexpr double leastSlowness = 0.5;
-    constexpr double mostSlowness = 20;
     /// Only reads of this many tokens tell the rate from fixed costs.
     constexpr std::uint64_t sampleTokens = 400;
 
-    /// Transfers between failure domains take twice as long.
-    constexpr double farMoveFactor = 2;
-    /// How much slower than reading a move may be and still be preferred: reading takes the engine from others.
-    constexpr double readPreference = 3;
-    /// Moves that tell of a source's speed, and for how long: after it the source is tried again.
-    constexpr Duration moveSampleLifetime = std::chrono::seconds(2);
-    constexpr std::size_t leastMoveSamples = 3;
-    constexpr std::size_t mostMoveSamples = 8;
-    /// A move may take so much longer than its links need before it counts as overdue, milliseconds.
-    constexpr double overdueMs = 120;
     /// Chance that the preferred engine holds or is just reading what nobody is known to hold.
     constexpr double preferredHoldsChance = 0.5;
 
@@ -52,11 +40,6 @@
         return engineClass(request.rank, request.promptTokens);
     }
 
-    double toMs(Duration duration)
-    {
-        return toSeconds(duration) * 1000;
-    }
-
     /// The parts that decide where a prompt goes: all but the last, which belongs to the request alone.
     std::string affinityKey(const PlacementRequest& request)
     {
@@ -66,18 +49,6 @@
         return request.sharing + '/' + part.id;
     }
 
-    std::uint64_t weightsOf(const RegistryEntry& entry, const std::string& model)
-    {
-        const auto weights = entry.weights.find(model);
-        return weights == entry.weights.end() ? 0 : weights->second;
-    }
-
-    /// Blocks made under other weights or for others can't be found: their scope differs.
-    std::string scopeOf(const RegistryEntry& entry, const PlacementRequest& request)
-    {
-        return weightScope(request.model, weightsOf(entry, request.model)) + request.sharing;
-    }
-
 } // namespace
 
 std::string weightScope(const std::string& model, std::uint64_t version)
@@ -207,126 +178,6 @@
     return this->takesCold(upstream, now);
 }
 
-double UpstreamBoard::expectedMove(const std::string& address, double plainMs, TimePoint now) const
-{
-    const auto found = this->moveSources.find(address);
-    if (found == this->moveSources.end())
-        return plainMs;
-    const auto& source = found->second;
-    // A busy engine delays some of its requests, a slow source delays all that come from it: the least delay tells.
-    double least = mostSlowness;
-    std::size_t count = 0;
-    for (const auto& sample : source.samples) {
-        if (now - sample.at > moveSampleLifetime)
-            continue;
-        least = std::min(least, sample.slowness);
-        ++count;
-    }
-    const auto slowness = count < leastMoveSamples ? 1 : least;
-    // Moves that wait there already go first. Once several are overdue the source stands still, before any sample says so.
-    double queued = 0;
-    double overdue = 0;
-    double mostOverdue = 0;
-    for (const auto& move : source.pending) {
-        queued += move.plainMs;
-        const auto late = toMs(now - move.sent) - move.plainMs * slowness - overdueMs;
-        overdue = std::max(overdue, std::min(late, mostOverdue));
-        mostOverdue = std::max(mostOverdue, late);
-    }
-    return (plainMs + queued) * slowness + overdue;
-}
-
-void UpstreamBoard::learnMove(const PlacementChoice& choice, double measuredMs, TimePoint now)
-{
-    if (choice.moveTime <= Duration(0))
-        return;
-    const auto slowness = std::clamp(measuredMs / toMs(choice.moveTime), 1.0, mostSlowness);
-    for (const auto& address : choice.fetchFrom) {
-        if (address.empty())
-            continue;
-        auto& samples = this->moveSources[address].samples;
-        samples.push_back({ now, slowness });
-        if (samples.size() > mostMoveSamples)
-            samples.pop_front();
-    }
-}
-
-void UpstreamBoard::settleMoves(const PlacementChoice& choice)
-{
-    for (const auto& address : choice.fetchFrom)
-        if (const auto found = this->moveSources.find(address); found != this->moveSources.end())
-            std::erase_if(found->second.pending, [&](const auto& move) { return move.sent == choice.chosen; });
-}
-
-std::optional<UpstreamBoard::Move> UpstreamBoard::moveOf(const Upstream& upstream, const std::string& scope, const PromptPart& part,
-    const std::vector<const Upstream*>& holders, const EngineLimits& engine, TimePoint now) const
-{
-    const auto bits = static_cast<double>(part.tokens * engine.bytesPerToken) * 8;
-    const auto nearMs = engine.linkMegabits > 0 ? bits / (engine.linkMegabits * 1000) : 0;
-    std::optional<Move> best;
-    const auto consider = [&](const std::string& address, const FailureDomain& domain) {
-        const auto plainMs = nearMs * (domain == upstream.entry.domain ? 1.0 : farMoveFactor);
-        const auto expectedMs = this->expectedMove(address, plainMs, now);
-        if (!best || expectedMs < best->expectedMs)
-            best = Move { address, plainMs, expectedMs };
-    };
-    if (const auto store = this->parts.find(scope, part, upstream.entry.domain, now))
-        consider(store->address, store->domain);
-    if (best && best->expectedMs <= best->plainMs)
-        return best;
-    for (const auto* holder : holders)
-        if (holder != &upstream && holder->avoidUntil <= now)
-            consider(holder->entry.address, holder->entry.domain);
-    return best;
-}
-
-const UpstreamBoard::PartHolders& UpstreamBoard::holdersUnder(std::vector<PartHolders>& known, const std::string& scope,
-    const PlacementRequest& request, const std::vector<const Upstream*>& candidates)
-{
-    for (const auto& holders : known)
-        if (holders.scope == scope)
-            return holders;
-    PartHolders holders { scope, std::vector<std::vector<const Upstream*>>(request.parts.size()) };
-    for (std::size_t index = 0; index + 1 < request.parts.size(); ++index)
-        for (const auto* candidate : candidates)
-            if (candidate->cache.holds(scope, request.parts[index]))
-                holders.byPart[index].push_back(candidate);
-    known.push_back(std::move(holders));
-    return known.back();
-}
-
-UpstreamBoard::Coverage UpstreamBoard::cover(const Upstream& upstream, const PlacementRequest& request,
-    const PartHolders& holders, const EngineLimits& engine, TimePoint now) const
-{
-    const auto held = upstream.cache.heldTokens(holders.scope, request.parts);
-    Coverage coverage;
-    coverage.sources.resize(request.parts.size());
-    std::uint64_t end = 0;
-    std::uint64_t covered = held;
-    for (std::size_t index = 0; index + 1 < request.parts.size(); ++index) {
-        const auto& part = request.parts[index];
-        end += part.tokens;
-        const auto move = this->moveOf(upstream, holders.scope, part, holders.byPart[index], engine, now);
-        if (end <= held) {
-            // The belief may be wrong; naming a source costs nothing where the part is held.
-            if (move)
-                coverage.sources[index] = move->source;
-            continue;
-        }
-        // A part counts only if all parts before it are there. Moving costs the links' time only, reading the engine's:
-        // read only if moving is much slower.
-        if (!move || move->expectedMs > part.tokens / this->tokensPerMillisecond * readPreference)
-            break;
-        coverage.moved += part.tokens;
-        coverage.moveMs += move->expectedMs;
-        coverage.plainMoveMs += move->plainMs;
-        coverage.sources[index] = move->source;
-        covered = end;
-    }
-    coverage.missing = request.promptTokens - std::min(covered, request.promptTokens);
-    return coverage;
-}
-
 double UpstreamBoard::readCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing) const
 {
     const auto read = static_cast<double>(load.backlogAhead(classOf(request)) + missing) / this->tokensPerMillisecond;
@@ -347,33 +198,6 @@
     return ahead > 0 && ahead / this->tokensPerMillisecond * upstream.slowness > toMs(request.objective) * this->settings.backlogShare;
 }
 
-void UpstreamBoard::planCache(
-    const Upstream& upstream, const PlacementRequest& request, Coverage coverage, PlacementChoice& choice, TimePoint now) const
-{
-    choice.weights = weightsOf(upstream.entry, request.model);
-    choice.scope = scopeOf(upstream.entry, request);
-    choice.movedTokens = coverage.moved;
-    choice.moveTime = fromSeconds(coverage.plainMoveMs / 1000);
-    if (choice.weights == 0 || request.parts.size() < 2)
-        return;
-    // The last part belongs to this request alone and does not return.
-    std::vector<std::string> save(request.parts.size());
-    bool saves = false;
-    for (std::size_t index = 0; index + 1 < request.parts.size(); ++index) {
-        const auto& part = request.parts[index];
-        if (this->parts.find(choice.scope, part, upstream.entry.domain, now))
-            continue;
-        if (auto place = this->parts.placeFor(choice.scope, part, now)) {
-            save[index] = std::move(*place);
-            saves = true;
-        }
-    }
-    if (std::any_of(coverage.sources.begin(), coverage.sources.end(), [](const auto& source) { return !source.empty(); }))
-        choice.fetchFrom = std::move(coverage.sources);
-    if (saves)
-        choice.saveTo = std::move(save);
-}
-
 const TrafficService* UpstreamBoard::serviceOf(const ServiceName& name) const
 {
     const auto found = this->services.find(name);
@@ -396,6 +220,7 @@
     // Upstreams that failed lately are a last resort.
     if (anyHealthy)
         std::erase_if(usable, [&](const auto* upstream) { return upstream->avoidUntil > now; });
+    names.reserve(usable.size());
     for (const auto* upstream : usable)
         names.emplace_back(upstream->entry.id.value);
     preferred = nullptr;
@@ -409,6 +234,7 @@
         return usable;
     // In a large pool a few engines that its parts prefer and a few drawn at random stand for all.
     std::vector<const Upstream*> candidates;
+    candidates.reserve(ranking.size() + drawnCandidates);
     for (const auto index : ranking)
         candidates.push_back(usable[index]);
     for (std::size_t draw = 0; draw < drawnCandidates; ++draw)
