--- a/include/goldcrestwood/daemon_view.h
+++ b/include/goldcrestwood/daemon_view.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "goldcrestwood/edge_messages.h"
@@ -19,8 +20,10 @@
     int missedHeartbeats = 4;
     /// A daemon that has been silent for so long is forgotten, but for its address.
     Duration forget = std::chrono::seconds(30);
-    /// Addresses in one answer.
-    std::size_t mostAddresses = 64;
+    /// Addresses in one answer: enough to go on after failures, few enough to spread callers by what the daemons bear.
+    std::size_t mostAddresses = 8;
+    /// Weight of a daemon in another failure domain than the caller against one in its own.
+    double farWeight = 0.02;
 };
 
 /// A daemon as its last heartbeat told.
@@ -43,12 +46,19 @@
     /// @return Daemons heard lately.
     std::vector<const DaemonReport*> live(TimePoint now) const;
 
-    /// @return Front addresses of the daemons that callers may use, those in @p domain first; this daemon is not among them.
-    std::vector<std::string> readyFronts(const FailureDomain& domain, TimePoint now) const;
+    /// Callers are spread in proportion to what the daemons bear, and the same caller stays with the same daemons.
+    /// @param caller What tells callers apart.
+    /// @param domain Where the caller is.
+    /// @param self This daemon, as its next heartbeat would tell.
+    /// @return Front addresses that the caller may use, the best first; this daemon may be among them.
+    std::vector<std::string> frontsFor(std::string_view caller, const FailureDomain& domain, const EdgeHeartbeat& self, TimePoint now) const;
 
     /// @return The most daemons that were alive at the same time within the memory of this view.
     std::size_t known() const { return this->daemons.size(); }
 
+    /// @return All daemons within the memory of this view.
+    std::vector<InstanceId> instances() const;
+
     void sweep(TimePoint now);
 
 private:
--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -51,6 +51,8 @@
     std::string peerAddress;
     /// Whether callers may be sent there.
     bool isReady = false;
+    /// What the sender bears, as a share of one processor core.
+    double capacity = 0;
     /// Whether the store has answered lately.
     bool readsStore = false;
     /// Offset up to which the operator's topic is known.
@@ -79,12 +81,50 @@
     bool operator==(const FeedRecord&) const = default;
 };
 
+/// How much of a prompt part a store of KV cache holds.
+struct CachePartRecord {
+    /// Place of the store among the configured ones, in order of their addresses.
+    std::uint32_t store = 0;
+    /// Scope of the part: weights and sharing.
+    std::string scope;
+    /// The part.
+    std::string id;
+    /// Tokens held; 0: no more.
+    std::uint32_t tokens = 0;
+
+    bool operator==(const CachePartRecord&) const = default;
+};
+
+/// What changed in the stores of KV cache, as one daemon follows them.
+struct CacheNews {
+    /// Incarnation of the daemon whose numbers these are.
+    std::uint64_t source = 0;
+    /// Number from which to ask next.
+    std::uint64_t end = 0;
+    /// Whether the parts are all that is held, rather than changes.
+    bool isWhole = false;
+    /// Hash of the stores' addresses.
+    std::uint64_t layout = 0;
+    /// Epoch of each store; 0 if its contents are not known.
+    std::vector<std::uint64_t> epochs;
+    /// Parts, the oldest change first.
+    std::vector<CachePartRecord> parts;
+
+    bool operator==(const CacheNews&) const = default;
+};
+
 /// Asks a peer for the records that it holds from these offsets on.
 struct FeedQuery {
     /// Offset in the operator's topic.
     std::uint64_t operatorFrom = 0;
     /// Offset in the registry.
     std::uint64_t registryFrom = 0;
+    /// Whether to tell of the stores of KV cache.
+    bool wantsCache = false;
+    /// Incarnation that the next number belongs to.
+    std::uint64_t cacheSource = 0;
+    /// Number of the first change that is wanted.
+    std::uint64_t cacheFrom = 0;
 
     bool operator==(const FeedQuery&) const = default;
 };
@@ -99,6 +139,8 @@
     std::vector<FeedRecord> registryRecords;
     /// Offset up to which they are complete.
     std::uint64_t registryEnd = 0;
+    /// News of the stores of KV cache, if wanted.
+    std::optional<CacheNews> cache;
 
     bool operator==(const FeedAnswer&) const = default;
 };
@@ -147,6 +189,16 @@
 tl::expected<FeedRecord, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const FeedRecord& message);
 template <>
+std::string encode(const CachePartRecord& message);
+template <>
+tl::expected<CachePartRecord, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const CachePartRecord& message);
+template <>
+std::string encode(const CacheNews& message);
+template <>
+tl::expected<CacheNews, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const CacheNews& message);
+template <>
 std::string encode(const FeedQuery& message);
 template <>
 tl::expected<FeedQuery, DecodeError> decode(std::string_view bytes);
--- a/include/goldcrestwood/edge_settings.h
+++ b/include/goldcrestwood/edge_settings.h
@@ -42,8 +42,7 @@
     std::string peerAddress; ///< Other daemons connect here.
     std::vector<std::string> seeds; ///< Peer addresses of a few daemons; may be stale.
     std::string storeAddress; ///< The platform's metadata store.
-    std::uint32_t memoryMegabytes = 0;
-    double processorShare = 1;
+    double capacity = 1; ///< What this daemon bears, as a share of one processor core, its link considered.
     SiteBounds bounds;
 
     bool operator==(const EdgeSettings&) const = default;
--- a/include/goldcrestwood/hash.h
+++ b/include/goldcrestwood/hash.h
@@ -23,4 +23,8 @@
 std::vector<std::size_t> rendezvousRank(
     std::uint64_t key, const std::vector<InstanceId>& instances, std::size_t count);
 
+/// Score of a candidate for a key: the highest one owns it, and each candidate owns keys in proportion to its weight.
+/// @param weight Above 0.
+double weightedScore(std::uint64_t key, std::string_view candidate, double weight);
+
 } // namespace goldcrestwood
--- a/include/goldcrestwood/part_directory.h
+++ b/include/goldcrestwood/part_directory.h
@@ -4,12 +4,14 @@
 /// Which prompt parts lie whole in which store of KV cache.
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "goldcrestwood/edge_messages.h"
 #include "goldcrestwood/part_cache.h"
 #include "goldcrestwood/time.h"
 #include "goldcrestwood/traffic.h"
@@ -49,10 +51,16 @@
     /// All that a store holds, at a start or after a gap in its events.
     void onListing(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& parts, TimePoint now);
     /// @return Whether the events follow on what is known; if not, a listing is needed.
-    bool onEvents(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& changes, TimePoint now);
+    bool onEvents(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& news, TimePoint now);
     /// The store does not answer: nothing is known of it.
     void onSilence(const std::string& address);
 
+    /// @param from Number of the first change that is wanted; 0 for all that is held.
+    /// @return What changed since, or all that is held if the changes are not kept any more.
+    CacheNews newsSince(std::uint64_t from, TimePoint now) const;
+    /// @return Whether the news follows on what is known; if not, all that is held is needed.
+    bool applyNews(const CacheNews& news, TimePoint now);
+
     /// A store that holds a part.
     struct Source {
         std::string address;
@@ -84,9 +92,15 @@
 
     bool isUsable(const Store& store, TimePoint now) const;
     static void change(Store& store, const StoredPart& part);
+    void keepChange(const std::string& address, const StoredPart& part);
+    void forgetChanges();
+    /// @return Hash of the stores' addresses.
+    std::uint64_t layout() const;
 
     PartDirectorySettings settings;
     std::map<std::string, Store> stores;
+    std::deque<CachePartRecord> changes; ///< The latest, the oldest first.
+    std::uint64_t firstChange = 1; ///< Number of the first one kept.
 };
 
 } // namespace goldcrestwood
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -111,8 +111,9 @@
     /// Upstreams that are taking new weights; they get no new work meanwhile.
     void setOrdered(std::set<UpstreamId> ids) { this->ordered = std::move(ids); }
     void setWeights(const UpstreamId& id, const std::string& model, std::uint64_t version);
-    /// @param count Daemons that may send to an upstream at the same time, this one included.
-    void setDaemons(std::size_t count) { this->daemons = count; }
+    /// @param all Daemons that may send to an upstream at the same time, this one included.
+    void setDaemons(std::vector<InstanceId> all);
+    std::size_t daemonCount() const { return this->daemons.size(); }
     void onPeerUse(const InstanceId& peer, const std::vector<UpstreamUse>& uses, TimePoint now);
 
     /// @param excluded Upstreams that this request has tried.
@@ -176,6 +177,7 @@
     Load totalLoad(const Upstream& upstream, TimePoint now) const;
     bool isUsable(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const;
     bool takesCold(const Upstream& upstream, TimePoint now) const;
+    std::size_t coldShare(const Upstream& upstream, double bound) const;
     /// How a prompt could be had at one engine.
     struct Coverage {
         std::uint64_t moved = 0;
@@ -238,7 +240,7 @@
         std::vector<PendingMove> pending;
     };
     std::map<std::string, MoveSource> moveSources;
-    std::size_t daemons = 1;
+    std::vector<InstanceId> daemons;
     double tokensPerMillisecond;
 };
 
--- a/include/goldcrestwood/weight_plan.h
+++ b/include/goldcrestwood/weight_plan.h
@@ -21,8 +21,10 @@
     double share = 1.0 / 3;
     /// At least so many: the weight store serves two loads at full speed.
     std::size_t least = 2;
-    /// Loads at the same time; the weight store slows down beyond them. Other replicas under order end their runs meanwhile.
-    std::size_t loads = 2;
+    /// Loads at the same time, as a share of the replicas and at least: beyond them each load takes longer (the users'
+    /// pages: 2 of 9 and of 12, 18 of 90, 28 of 140). Other replicas under order end their runs meanwhile.
+    double loadShare = 0.2;
+    std::size_t leastLoads = 2;
     /// A replica takes its order when at most so many requests are left there, or after this time: the runs that
     /// are left go on over the change, and what they make from then on is worth less to their callers.
     std::uint32_t drainedRequests = 1;
@@ -75,6 +77,7 @@
 
     NamedWeights target;
     WeightPlanSettings settings;
+    std::size_t replicas = 0; ///< As of the last start.
     std::map<UpstreamId, Progress> running;
     std::map<UpstreamId, TimePoint> silent; ///< Passed over for a while.
     std::vector<OrderedUpstream> finished;
--- a/src/edge/cache_watch.cc
+++ b/src/edge/cache_watch.cc
@@ -4,12 +4,17 @@
 
 #include "daemon/clock.h"
 #include "edge/log.h"
+#include "goldcrestwood/feed_readers.h"
 #include "platform/store_calls.h"
 
 namespace goldcrestwood {
 
 namespace {
 
+    /// Several heartbeats of a daemon that has just started.
+    constexpr Duration settlePeriod = std::chrono::milliseconds(700);
+    /// Daemons that free the blocks of old weights: one, and one more in case that it is about to fail.
+    constexpr std::size_t collectors = 2;
     constexpr Duration lookInterval = std::chrono::milliseconds(200);
     /// The longest that a store holds a call for events.
     constexpr Duration eventsHold = std::chrono::milliseconds(1000);
@@ -23,19 +28,34 @@
 
 } // namespace
 
+bool CacheWatch::followsStores() const
+{
+    return this->state.readerRank().has_value();
+}
+
+bool CacheWatch::followsEngines() const
+{
+    return this->state.board.daemonCount() <= FeedReaderSettings {}.engineFollowers;
+}
+
 Task<> CacheWatch::run()
 {
     asio::steady_timer timer(this->executor);
+    // Until the peers are known, every daemon would take itself for a reader.
+    timer.expires_after(settlePeriod);
+    ErrorCode ignored;
+    co_await timer.async_wait(into(ignored));
     while (true) {
-        for (const auto& address : this->state.parts.addresses())
-            if (this->followed.insert(address).second)
-                asio::co_spawn(this->executor, this->follow(address), asio::detached);
-        for (const auto& [id, address] : this->state.board.engines())
-            if (this->followedEngines.insert(id).second)
-                asio::co_spawn(this->executor, this->followEngine(id, address), asio::detached);
+        if (this->followsStores())
+            for (const auto& address : this->state.parts.addresses())
+                if (this->followed.insert(address).second)
+                    asio::co_spawn(this->executor, this->follow(address), asio::detached);
+        if (this->followsEngines())
+            for (const auto& [id, address] : this->state.board.engines())
+                if (this->followedEngines.insert(id).second)
+                    asio::co_spawn(this->executor, this->followEngine(id, address), asio::detached);
         this->collectGarbage();
         timer.expires_after(lookInterval);
-        ErrorCode ignored;
         co_await timer.async_wait(into(ignored));
     }
 }
@@ -46,11 +66,11 @@
     asio::steady_timer timer(this->executor);
     bool needsListing = true;
     std::uint64_t next = 0;
-    const auto isConfigured = [&] {
+    const auto isWanted = [&] {
         const auto addresses = this->state.parts.addresses();
-        return std::find(addresses.begin(), addresses.end(), address) != addresses.end();
+        return this->followsStores() && std::find(addresses.begin(), addresses.end(), address) != addresses.end();
     };
-    while (isConfigured()) {
+    while (isWanted()) {
         bool isGood = false;
         if (needsListing) {
             isGood = co_await this->list(caller, address, next);
@@ -107,7 +127,7 @@
     asio::steady_timer timer(this->executor);
     std::uint64_t next = 0;
     std::uint64_t epoch = 0;
-    while (this->state.board.cacheOf(upstream) != nullptr) {
+    while (this->followsEngines() && this->state.board.cacheOf(upstream) != nullptr) {
         const bool isGood = co_await this->readEngine(caller, upstream, next, epoch);
         timer.expires_after(isGood ? batchPause : failurePause);
         ErrorCode ignored;
@@ -145,6 +165,8 @@
         for (const auto& [model, version] : entry.weights)
             this->scopesSeen[weightScope(model, version)] = now;
     });
+    if (this->state.readerRank().value_or(collectors) >= collectors)
+        return;
     if (now - this->collected < collectInterval || this->scopesSeen.empty() || !this->state.readsStore())
         return;
     this->collected = now;
--- a/src/edge/cache_watch.h
+++ b/src/edge/cache_watch.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Follows the events of the KV cache stores.
+/// Follows the events of the KV cache stores, for this daemon and those that ask it, and of the engines of a small site.
 
 #include <set>
 #include <string>
@@ -20,10 +20,12 @@
     {
     }
 
-    /// Starts a follower for each store that the configuration names, for the life of the process.
+    /// Starts a follower for each store that the configuration names while this daemon reads for others.
     Task<> run();
 
 private:
+    bool followsStores() const;
+    bool followsEngines() const;
     Task<> followEngine(UpstreamId upstream, std::string address);
     Task<bool> readEngine(HttpCaller& caller, UpstreamId upstream, std::uint64_t& next, std::uint64_t& epoch);
     Task<> follow(std::string address);
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -23,6 +23,8 @@
     constexpr Duration upstreamLimit = std::chrono::milliseconds(500);
     /// Time between two questions to a replica that takes weights.
     constexpr Duration reportInterval = std::chrono::milliseconds(100);
+    /// With many replicas under order, each is asked less often, so that the holder's calls stay about a hundred a second.
+    constexpr Duration reportIntervalPerReplica = std::chrono::milliseconds(10);
     /// Replicas under order get no work for so long after the holder's last record.
     constexpr Duration orderedLifetime = std::chrono::milliseconds(2500);
     /// Each daemon further down the ranking waits so much longer before it claims, so that one append is enough.
@@ -276,7 +278,7 @@
                         { "orders_seen", static_cast<std::int64_t>(report->orders) } });
             }
         }
-        timer.expires_after(reportInterval);
+        timer.expires_after(std::max(reportInterval, reportIntervalPerReplica * static_cast<int>(this->driven.size())));
         ErrorCode ignored;
         co_await timer.async_wait(into(ignored));
     }
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -30,6 +30,21 @@
     /// The process ends so long before it would be killed.
     constexpr Duration stopMargin = std::chrono::milliseconds(400);
 
+    /// Upstreams write to the registry all the time; their records are read in batches.
+    constexpr Duration registryPace = std::chrono::milliseconds(100);
+    /// Whoever does not read for others looks at the registry so seldom, in case that no reader answers.
+    constexpr Duration seldomRegistryPace = std::chrono::milliseconds(2000);
+
+    Duration paceOfOperator(const EdgeState& /*state*/)
+    {
+        return Duration(0);
+    }
+
+    Duration paceOfRegistry(const EdgeState& state)
+    {
+        return state.readerRank() ? registryPace : seldomRegistryPace;
+    }
+
     std::string queryField(const std::string& target, const std::string& name)
     {
         const auto question = target.find('?');
@@ -55,8 +70,8 @@
     , queues(this->state)
     , pipeline(this->state, this->pool, this->queues)
     , sessions(this->state, this->pipeline)
-    , operatorReader(this->state, ioContext.get_executor(), platform::operatorTopic, this->state.operatorFeed, this->state.operatorContact, &believeOperator)
-    , registryReader(this->state, ioContext.get_executor(), platform::registryTopic, this->state.registryFeed, this->state.registryContact, &believeRegistry)
+    , operatorReader(this->state, ioContext.get_executor(), platform::operatorTopic, this->state.operatorFeed, this->state.operatorContact, &believeOperator, &paceOfOperator)
+    , registryReader(this->state, ioContext.get_executor(), platform::registryTopic, this->state.registryFeed, this->state.registryContact, &believeRegistry, &paceOfRegistry)
     , peers(this->state, ioContext.get_executor(), this->queues, this->operatorReader, this->registryReader)
     , duty(this->state, ioContext.get_executor(), this->queues, this->peers)
     , cacheWatch(this->state, ioContext.get_executor())
@@ -104,6 +119,7 @@
     spawn(this->peers.receiveHeartbeats());
     spawn(this->peers.acceptQueries());
     spawn(this->peers.catchUp());
+    spawn(this->peers.askReaders());
     spawn(this->duty.run());
     spawn(this->cacheWatch.run());
     spawn(this->watchSignals());
@@ -143,16 +159,17 @@
 
 Task<> EdgeServer::serveControl(tcp::socket socket)
 {
+    ErrorCode error;
+    const auto caller = socket.remote_endpoint(error).address().to_string();
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
-    ErrorCode error;
     while (!error) {
         http::request<http::string_body> request;
         stream.expires_after(controlIdle);
         co_await http::async_read(stream, buffer, request, into(error));
         if (error)
             break;
-        auto response = this->answerControl(request);
+        auto response = this->answerControl(request, caller);
         co_await http::async_write(stream, response, into(error));
         if (!response.keep_alive())
             break;
@@ -160,7 +177,7 @@
     stream.socket().shutdown(tcp::socket::shutdown_both, error);
 }
 
-http::response<http::string_body> EdgeServer::answerControl(const http::request<http::string_body>& request)
+http::response<http::string_body> EdgeServer::answerControl(const http::request<http::string_body>& request, const std::string& caller)
 {
     http::response<http::string_body> response { http::status::ok, 11 };
     const std::string target(request.target());
@@ -169,7 +186,7 @@
         response.result(this->state.isReady() ? http::status::ok : http::status::service_unavailable);
     } else if (path == platform::resolvePath) {
         response.set(http::field::content_type, "application/json");
-        response.body() = this->directoryAnswer(target);
+        response.body() = this->directoryAnswer(target, caller);
         if (response.body().empty())
             response.result(http::status::service_unavailable);
     } else if (path == metricsPath) {
@@ -186,11 +203,9 @@
     return response;
 }
 
-std::string EdgeServer::directoryAnswer(const std::string& target)
+std::string EdgeServer::directoryAnswer(const std::string& target, const std::string& caller)
 {
-    auto addresses = this->peers.view().readyFronts(FailureDomain(queryField(target, "zone")), monotonicNow());
-    if (this->state.isReady())
-        addresses.push_back(this->state.settings.frontAddress);
+    const auto addresses = this->peers.frontsFor(caller, FailureDomain(queryField(target, "zone")));
     if (addresses.empty())
         return {};
     return platform::encodeDirectoryAnswer(addresses, std::min(directoryLifetime, this->state.settings.bounds.longestLifetime));
--- a/src/edge/edge_server.h
+++ b/src/edge/edge_server.h
@@ -27,8 +27,8 @@
     Task<> acceptClients();
     Task<> acceptControl(tcp::acceptor& acceptor);
     Task<> serveControl(tcp::socket socket);
-    http::response<http::string_body> answerControl(const http::request<http::string_body>& request);
-    std::string directoryAnswer(const std::string& query);
+    http::response<http::string_body> answerControl(const http::request<http::string_body>& request, const std::string& caller);
+    std::string directoryAnswer(const std::string& target, const std::string& caller);
     std::string stateDump() const;
     Task<> watchSignals();
     Task<> stop();
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -3,8 +3,10 @@
 /// @file
 /// What one entry daemon believes; all of it belongs to the event loop's thread.
 
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -80,6 +82,15 @@
     /// @return Since when the whole store can be read, if it can.
     TimePoint readsStoreSince() const { return std::max(this->operatorContact.since, this->registryContact.since); }
 
+    /// @return This daemon's rank among the feed's readers, if it is one of them.
+    std::optional<std::size_t> readerRank() const
+    {
+        const auto found = std::find(this->feedReaders.begin(), this->feedReaders.end(), this->settings.instance);
+        if (found == this->feedReaders.end())
+            return std::nullopt;
+        return static_cast<std::size_t>(found - this->feedReaders.begin());
+    }
+
     /// @return Whether callers may be sent here.
     bool isReady() const { return this->routes != nullptr && this->registryFeed.isKnown() && !this->isStopping; }
 
@@ -93,6 +104,8 @@
     std::map<std::string, WeightTargets> weightTargets; ///< By model.
     std::set<FailureDomain> evacuated;
     bool isStopping = false;
+    /// Daemons that read the registry and the cache stores for all, the first in rank first.
+    std::vector<InstanceId> feedReaders;
     TopicContact operatorContact;
     TopicContact registryContact;
     /// Upstreams that lapsed while the registry was away, and until when they may come back.
--- a/src/edge/fact_reader.cc
+++ b/src/edge/fact_reader.cc
@@ -20,33 +20,44 @@
 
 } // namespace
 
-FactReader::FactReader(EdgeState& edgeState, const asio::any_io_executor& loop, std::string topicName, KeyedFeed& keyedFeed, TopicContact& topicContact, Believe onNews)
+FactReader::FactReader(EdgeState& edgeState, const asio::any_io_executor& loop, std::string topicName, KeyedFeed& keyedFeed, TopicContact& topicContact, Believe onNews, Pace newsPace)
     : state(edgeState)
     , executor(loop)
     , topic(std::move(topicName))
     , feed(keyedFeed)
     , contact(topicContact)
     , believe(onNews)
+    , pace(newsPace)
     , caller(loop, edgeState.settings.storeAddress)
 {
 }
 
 Task<> FactReader::run()
 {
-    asio::steady_timer pause(this->executor);
     while (true) {
+        this->hadNews = false;
         const bool answered = this->needsListing ? co_await this->list() : co_await this->readOn();
         this->onAnswer(answered);
-        if (answered)
+        if (answered) {
+            const auto pause = this->hadNews ? this->pace(this->state) : Duration(0);
+            if (pause > Duration(0))
+                co_await this->wait(pause);
             continue;
+        }
         // Random, so that the daemons do not ask a store that comes back all at once.
         const auto longest = std::min(longestPause, firstPause * (1 << std::min(this->failures, 4)));
-        pause.expires_after(std::chrono::duration_cast<Duration>(longest * (0.5 + uniform(this->state.random) / 2)));
-        ErrorCode ignored;
-        co_await pause.async_wait(into(ignored));
+        co_await this->wait(std::chrono::duration_cast<Duration>(longest * (0.5 + uniform(this->state.random) / 2)));
     }
 }
 
+Task<> FactReader::wait(Duration pause)
+{
+    asio::steady_timer timer(this->executor);
+    timer.expires_after(pause);
+    ErrorCode ignored;
+    co_await timer.async_wait(into(ignored));
+}
+
 void FactReader::refresh()
 {
     this->caller.abort();
@@ -118,6 +129,7 @@
             records.push_back(std::move(*record));
         ++offset;
     }
+    this->hadNews = !slice->records.empty();
     this->believe(this->state, this->feed.apply(records, offset), "store");
     co_return true;
 }
--- a/src/edge/fact_reader.h
+++ b/src/edge/fact_reader.h
@@ -15,8 +15,10 @@
 class FactReader {
 public:
     using Believe = void (*)(EdgeState&, const std::vector<KeyedRecord>&, const char*);
+    /// @return Time from news to the next read, in which further records gather.
+    using Pace = Duration (*)(const EdgeState&);
 
-    FactReader(EdgeState& state, const asio::any_io_executor& executor, std::string topic, KeyedFeed& feed, TopicContact& contact, Believe believe);
+    FactReader(EdgeState& state, const asio::any_io_executor& executor, std::string topic, KeyedFeed& feed, TopicContact& contact, Believe believe, Pace pace);
 
     /// Reads until the process stops.
     Task<> run();
@@ -25,6 +27,7 @@
     void refresh();
 
 private:
+    Task<> wait(Duration pause);
     Task<bool> list();
     Task<bool> readOn();
     void onAnswer(bool answered);
@@ -35,8 +38,10 @@
     KeyedFeed& feed;
     TopicContact& contact;
     Believe believe;
+    Pace pace;
     HttpCaller caller;
     bool needsListing = true;
+    bool hadNews = false;
     int failures = 0;
 };
 
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -18,6 +18,8 @@
     /// The store tells a change in milliseconds; a peer that knows more for so long is asked.
     constexpr Duration behindLimit = std::chrono::milliseconds(250);
     constexpr Duration queryLimit = std::chrono::milliseconds(800);
+    /// A peer that asks regularly does so several times in this period.
+    constexpr Duration queryIdle = std::chrono::seconds(5);
     /// Larger datagrams are split on the way and lost more often.
     constexpr std::size_t largestDatagram = 8192;
     constexpr std::size_t lengthBytes = 4;
@@ -108,20 +110,27 @@
     return std::clamp<Duration>(intervalPerPeer * static_cast<int>(this->daemons.known()), shortestInterval, longestInterval);
 }
 
-EdgeHeartbeat PeerLink::heartbeat()
+EdgeHeartbeat PeerLink::describe() const
 {
     EdgeHeartbeat message;
     message.instance = this->state.settings.instance;
     message.incarnation = this->state.incarnation;
-    message.sequence = ++this->sequence;
     message.intervalMs = static_cast<std::uint32_t>(this->interval().count() / 1000);
     message.domain = this->state.settings.domain;
     message.frontAddress = this->state.settings.frontAddress;
     message.peerAddress = this->state.settings.peerAddress;
     message.isReady = this->state.isReady();
+    message.capacity = this->state.settings.capacity;
     message.readsStore = this->state.readsStore();
     message.operatorEnd = this->state.operatorFeed.end();
     message.registryEnd = this->state.registryFeed.end();
+    return message;
+}
+
+EdgeHeartbeat PeerLink::heartbeat()
+{
+    auto message = this->describe();
+    message.sequence = ++this->sequence;
     message.uses = this->state.board.ownUses();
     for (const auto* report : this->daemons.live(monotonicNow()))
         if (message.peers.size() < mostToldAddresses)
@@ -146,7 +155,10 @@
         this->announce();
         const auto now = monotonicNow();
         this->daemons.sweep(now);
-        this->state.board.setDaemons(this->daemons.known() + 1);
+        this->chooseReaders(now);
+        auto all = this->daemons.instances();
+        all.push_back(this->state.settings.instance);
+        this->state.board.setDaemons(std::move(all));
         for (auto& [service, budget] : this->state.sendBudgets)
             budget.setDaemons(this->daemons.known() + 1);
         timer.expires_after(std::chrono::duration_cast<Duration>(this->interval() * (0.9 + 0.2 * uniform(this->state.random))));
@@ -182,32 +194,94 @@
     this->queues.dispatchAll();
 }
 
-std::string PeerLink::pickAhead(TimePoint now) const
+std::vector<std::string> PeerLink::frontsFor(const std::string& caller, const FailureDomain& domain)
+{
+    return this->daemons.frontsFor(caller, domain, this->describe(), monotonicNow());
+}
+
+void PeerLink::chooseReaders(TimePoint now)
+{
+    std::vector<FeedCandidate> reading;
+    std::vector<FeedCandidate> others;
+    const auto consider = [&](const EdgeHeartbeat& daemon) {
+        (daemon.readsStore && daemon.isReady ? reading : others).push_back({ daemon.instance, daemon.capacity });
+    };
+    for (const auto* report : this->daemons.live(now))
+        consider(report->heartbeat);
+    consider(this->describe());
+    // While nobody reaches the store, the cache stores may still answer.
+    this->state.feedReaders = feedReaders(reading.empty() ? others : reading);
+}
+
+std::string PeerLink::readerAddress(std::size_t failures) const
 {
-    std::string best;
-    auto most = this->state.operatorFeed.end() + this->state.registryFeed.end();
+    auto readers = this->state.feedReaders;
+    std::string result;
+    for (std::size_t skipped = 0; skipped <= failures && !readers.empty(); ++skipped) {
+        const auto reader = readerFor(this->state.settings.instance, readers);
+        for (const auto* report : this->daemons.live(monotonicNow()))
+            if (report->heartbeat.instance == reader)
+                result = report->heartbeat.peerAddress;
+        std::erase(readers, reader);
+    }
+    return result;
+}
+
+Task<> PeerLink::askReaders()
+{
+    asio::steady_timer timer(this->executor);
+    QueryLink link;
+    std::size_t failures = 0;
+    while (true) {
+        timer.expires_after(askInterval(this->daemons.known() + 1));
+        ErrorCode ignored;
+        co_await timer.async_wait(into(ignored));
+        if (this->state.readerRank())
+            continue;
+        const auto address = this->readerAddress(failures);
+        if (address.empty()) {
+            failures = 0;
+            continue;
+        }
+        const bool isAnswered = co_await this->query(link, address, true);
+        failures = isAnswered ? 0 : failures + 1;
+    }
+}
+
+PeerLink::Ahead PeerLink::pickAhead(TimePoint now)
+{
+    // Any of those that know more, so that the daemons that are behind do not all ask the same one.
+    Ahead result;
+    std::size_t count = 0;
     for (const auto* report : this->daemons.live(now)) {
         const auto& told = report->heartbeat;
-        if (told.operatorEnd <= this->state.operatorFeed.end() && told.registryEnd <= this->state.registryFeed.end())
+        const bool isByOperator = told.operatorEnd > this->state.operatorFeed.end();
+        const bool isByRegistry = told.registryEnd > this->state.registryFeed.end();
+        if (!isByOperator && !isByRegistry)
             continue;
-        if (best.empty() || told.operatorEnd + told.registryEnd > most) {
-            most = told.operatorEnd + told.registryEnd;
-            best = told.peerAddress;
-        }
+        result.isByOperator = result.isByOperator || isByOperator;
+        result.isByRegistry = result.isByRegistry || isByRegistry;
+        ++count;
+        if (uniform(this->state.random) * static_cast<double>(count) < 1)
+            result.address = told.peerAddress;
     }
-    return best;
+    return result;
 }
 
 Task<> PeerLink::catchUp()
 {
     asio::steady_timer timer(this->executor);
+    QueryLink link;
     while (true) {
         timer.expires_after(behindLimit / 2);
         ErrorCode ignored;
         co_await timer.async_wait(into(ignored));
         const auto now = monotonicNow();
         const auto ahead = this->pickAhead(now);
-        if (ahead.empty()) {
+        // The registry of a daemon that does not read it lags behind by the time between two questions to a reader.
+        const bool isReader = this->state.readerRank().has_value();
+        const auto lag = ahead.isByOperator || isReader ? behindLimit : 3 * askInterval(this->daemons.known() + 1);
+        if (ahead.address.empty()) {
             this->isBehind = false;
             continue;
         }
@@ -215,71 +289,111 @@
             this->isBehind = true;
             this->behindSince = now;
         }
-        if (now - this->behindSince < behindLimit)
+        if (now - this->behindSince < lag)
             continue;
         // The held reads may wait on connections that have gone silent.
-        this->operatorReader.refresh();
-        this->registryReader.refresh();
-        if (co_await this->query(ahead))
+        if (ahead.isByOperator)
+            this->operatorReader.refresh();
+        if (ahead.isByRegistry && isReader)
+            this->registryReader.refresh();
+        if (co_await this->query(link, ahead.address, false))
             this->isBehind = false;
     }
 }
 
-Task<bool> PeerLink::query(const std::string& address)
+Task<std::optional<std::string>> PeerLink::exchange(QueryLink& link, const std::string& request)
 {
-    beast::tcp_stream stream(this->executor);
-    const auto endpoint = parseEndpoint(address);
     ErrorCode error;
-    stream.expires_after(queryLimit);
-    co_await stream.async_connect(*endpoint, into(error));
-    if (error)
-        co_return false;
-    const auto request = framed(encode(FeedQuery { this->state.operatorFeed.end(), this->state.registryFeed.end() }));
-    co_await asio::async_write(stream, asio::buffer(request), into(error));
+    link.stream->expires_after(queryLimit);
+    if (!link.stream->socket().is_open()) {
+        const auto endpoint = parseEndpoint(link.address);
+        co_await link.stream->async_connect(*endpoint, into(error));
+        if (error)
+            co_return std::nullopt;
+    }
+    co_await asio::async_write(*link.stream, asio::buffer(request), into(error));
     if (error)
+        co_return std::nullopt;
+    co_return co_await readFrame(*link.stream);
+}
+
+Task<bool> PeerLink::query(QueryLink& link, std::string address, bool wantsCache)
+{
+    if (link.address != address || !link.stream) {
+        link.address = address;
+        link.stream = std::make_unique<beast::tcp_stream>(this->executor);
+    }
+    const auto request = framed(encode(FeedQuery { this->state.operatorFeed.end(), this->state.registryFeed.end(), wantsCache, this->cacheSource, this->cacheFrom }));
+    const auto payload = co_await this->exchange(link, request);
+    if (!payload) {
+        link.stream = nullptr;
         co_return false;
-    const auto payload = co_await readFrame(stream);
-    if (!payload)
-        co_return false;
+    }
     const auto answer = decode<FeedAnswer>(*payload);
     if (!answer) {
         edge::log(edge::LogClass::Decision, "peer_answer_rejected", { { "peer", address }, { "reason", answer.error().message } });
+        link.stream = nullptr;
         co_return false;
     }
-    edge::log(edge::LogClass::Decision, "records_from_peer",
-        { { "peer", address }, { "operator_records", static_cast<std::int64_t>(answer->operatorRecords.size()) },
-            { "registry_records", static_cast<std::int64_t>(answer->registryRecords.size()) } });
-    believeOperator(this->state, this->state.operatorFeed.apply(fromMessage(answer->operatorRecords), answer->operatorEnd), "peer");
-    believeRegistry(this->state, this->state.registryFeed.apply(fromMessage(answer->registryRecords), answer->registryEnd), "peer");
-    this->queues.dispatchAll();
+    this->believe(*answer);
     co_return true;
 }
 
+void PeerLink::believe(const FeedAnswer& answer)
+{
+    const auto operatorNews = this->state.operatorFeed.apply(fromMessage(answer.operatorRecords), answer.operatorEnd);
+    if (!operatorNews.empty())
+        edge::log(edge::LogClass::Decision, "records_from_peer",
+            { { "operator_records", static_cast<std::int64_t>(operatorNews.size()) }, { "end", static_cast<std::int64_t>(answer.operatorEnd) } });
+    believeOperator(this->state, operatorNews, "peer");
+    believeRegistry(this->state, this->state.registryFeed.apply(fromMessage(answer.registryRecords), answer.registryEnd), "peer");
+    if (answer.cache) {
+        const bool follows = this->state.parts.applyNews(*answer.cache, monotonicNow());
+        this->cacheSource = answer.cache->source;
+        this->cacheFrom = follows ? answer.cache->end : 0;
+    }
+    this->queues.dispatchAll();
+}
+
 Task<> PeerLink::acceptQueries()
 {
     while (true) {
         ErrorCode error;
         auto socket = co_await this->acceptor.async_accept(into(error));
         if (!error)
-            asio::co_spawn(this->executor, this->answerQuery(std::move(socket)), asio::detached);
+            asio::co_spawn(this->executor, this->answerQueries(std::move(socket)), asio::detached);
     }
 }
 
-Task<> PeerLink::answerQuery(tcp::socket socket)
+FeedAnswer PeerLink::answerTo(const FeedQuery& query) const
+{
+    FeedAnswer answer { toMessage(this->state.operatorFeed.since(query.operatorFrom)), this->state.operatorFeed.end(),
+        toMessage(this->state.registryFeed.since(query.registryFrom)), this->state.registryFeed.end(), std::nullopt };
+    if (query.wantsCache) {
+        answer.cache = this->state.parts.newsSince(query.cacheSource == this->state.incarnation ? query.cacheFrom : 0, monotonicNow());
+        answer.cache->source = this->state.incarnation;
+    }
+    return answer;
+}
+
+Task<> PeerLink::answerQueries(tcp::socket socket)
 {
     beast::tcp_stream stream(std::move(socket));
-    stream.expires_after(queryLimit);
-    const auto payload = co_await readFrame(stream);
-    if (!payload)
-        co_return;
-    const auto query = decode<FeedQuery>(*payload);
-    if (!query)
-        co_return;
-    const FeedAnswer answer { toMessage(this->state.operatorFeed.since(query->operatorFrom)), this->state.operatorFeed.end(),
-        toMessage(this->state.registryFeed.since(query->registryFrom)), this->state.registryFeed.end() };
-    const auto bytes = framed(encode(answer));
-    ErrorCode ignored;
-    co_await asio::async_write(stream, asio::buffer(bytes), into(ignored));
+    while (true) {
+        stream.expires_after(queryIdle);
+        const auto payload = co_await readFrame(stream);
+        if (!payload)
+            co_return;
+        const auto query = decode<FeedQuery>(*payload);
+        if (!query)
+            co_return;
+        const auto bytes = framed(encode(this->answerTo(*query)));
+        stream.expires_after(queryLimit);
+        ErrorCode error;
+        co_await asio::async_write(stream, asio::buffer(bytes), into(error));
+        if (error)
+            co_return;
+    }
 }
 
 } // namespace goldcrestwood
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -3,6 +3,8 @@
 /// @file
 /// Heartbeats between daemons, and records read from a peer while the store does not answer.
 
+#include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -11,6 +13,7 @@
 #include "edge/net.h"
 #include "edge/service_queue.h"
 #include "goldcrestwood/daemon_view.h"
+#include "goldcrestwood/feed_readers.h"
 
 namespace goldcrestwood {
 
@@ -27,19 +30,41 @@
     Task<> acceptQueries();
     /// Reads from a peer whatever the store should have told by now.
     Task<> catchUp();
+    /// Asks one of the feed's readers for its news again and again, unless this daemon is one of them.
+    Task<> askReaders();
     /// Tells all peers at once, as before a stop.
     void announce();
 
     const DaemonView& view() const { return this->daemons; }
+    /// @return Front addresses for a caller, as the directory names them.
+    std::vector<std::string> frontsFor(const std::string& caller, const FailureDomain& domain);
     void addPeerAddress(const std::string& address);
 
 private:
     Duration interval() const;
     EdgeHeartbeat heartbeat();
     void onHeartbeat(const EdgeHeartbeat& message);
-    Task<> answerQuery(tcp::socket socket);
-    Task<bool> query(const std::string& address);
-    std::string pickAhead(TimePoint now) const;
+    Task<> answerQueries(tcp::socket socket);
+    FeedAnswer answerTo(const FeedQuery& query) const;
+    /// A connection to a peer, kept for further queries.
+    struct QueryLink {
+        std::string address;
+        std::unique_ptr<beast::tcp_stream> stream;
+    };
+
+    Task<bool> query(QueryLink& link, std::string address, bool wantsCache);
+    Task<std::optional<std::string>> exchange(QueryLink& link, const std::string& request);
+    void believe(const FeedAnswer& answer);
+    /// A daemon that knows more than this one.
+    struct Ahead {
+        std::string address; ///< Empty if there is none.
+        bool isByOperator = false;
+        bool isByRegistry = false;
+    };
+    Ahead pickAhead(TimePoint now);
+    EdgeHeartbeat describe() const;
+    void chooseReaders(TimePoint now);
+    std::string readerAddress(std::size_t failures) const;
 
     EdgeState& state;
     asio::any_io_executor executor;
@@ -53,6 +78,8 @@
     std::uint64_t sequence = 0;
     TimePoint behindSince;
     bool isBehind = false;
+    std::uint64_t cacheSource = 0; ///< Incarnation of the reader whose numbers these are.
+    std::uint64_t cacheFrom = 0;
 };
 
 } // namespace goldcrestwood
--- a/src/hash.cc
+++ b/src/hash.cc
@@ -1,6 +1,7 @@
 #include "goldcrestwood/hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 #include <xxhash.h>
@@ -31,4 +32,11 @@
     return order;
 }
 
+double weightedScore(std::uint64_t key, std::string_view candidate, double weight)
+{
+    constexpr double span = 18446744073709551616.0; // 2^64
+    const auto draw = (static_cast<double>(stableHash(candidate, key)) + 1) / (span + 2);
+    return -weight / std::log(draw);
+}
+
 } // namespace goldcrestwood
--- a/src/part_directory.cc
+++ b/src/part_directory.cc
@@ -1,7 +1,7 @@
 #include "goldcrestwood/part_directory.h"
 
 #include <algorithm>
-#include <cmath>
+#include <iterator>
 
 #include "goldcrestwood/hash.h"
 
@@ -16,13 +16,8 @@
         return scope + separator + id;
     }
 
-    /// Rendezvous hashing in proportion to size.
-    double weightedScore(const std::string& key, const CacheStore& store)
-    {
-        constexpr double span = 18446744073709551616.0; // 2^64
-        const auto draw = (static_cast<double>(stableHash(key, stableHash(store.address))) + 1) / (span + 2);
-        return -static_cast<double>(std::max<std::uint64_t>(store.cacheTokens, 1)) / std::log(draw);
-    }
+    /// Changes that are kept for daemons that ask; one that asks seldom gets all that is held instead.
+    constexpr std::size_t mostKeptChanges = 4000;
 
 } // namespace
 
@@ -35,7 +30,10 @@
             store = std::move(known->second);
         store.description = description;
     }
+    const auto before = this->layout();
     this->stores = std::move(next);
+    if (this->layout() != before)
+        this->forgetChanges();
 }
 
 std::vector<std::string> PartDirectory::addresses() const
@@ -46,6 +44,31 @@
     return result;
 }
 
+std::uint64_t PartDirectory::layout() const
+{
+    std::uint64_t result = 0;
+    for (const auto& [address, store] : this->stores)
+        result = stableHash(address, result);
+    return result;
+}
+
+void PartDirectory::forgetChanges()
+{
+    // Whoever asks for an earlier number gets all that is held.
+    this->firstChange += this->changes.size() + 1;
+    this->changes.clear();
+}
+
+void PartDirectory::keepChange(const std::string& address, const StoredPart& part)
+{
+    const auto place = static_cast<std::uint32_t>(std::distance(this->stores.begin(), this->stores.find(address)));
+    this->changes.push_back({ place, part.scope, part.id, part.tokens });
+    if (this->changes.size() > mostKeptChanges) {
+        this->changes.pop_front();
+        ++this->firstChange;
+    }
+}
+
 void PartDirectory::change(Store& store, const StoredPart& part)
 {
     auto& tokens = store.parts[keyOf(part.scope, part.id)];
@@ -71,9 +94,10 @@
     store.tokens = 0;
     for (const auto& part : parts)
         change(store, part);
+    this->forgetChanges();
 }
 
-bool PartDirectory::onEvents(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& changes, TimePoint now)
+bool PartDirectory::onEvents(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& news, TimePoint now)
 {
     const auto found = this->stores.find(address);
     if (found == this->stores.end())
@@ -84,8 +108,10 @@
         return false;
     }
     store.heard = now;
-    for (const auto& part : changes)
+    for (const auto& part : news) {
         change(store, part);
+        this->keepChange(address, part);
+    }
     return true;
 }
 
@@ -128,7 +154,8 @@
         const auto room = static_cast<double>(store.description.cacheTokens) * this->settings.fillShare;
         if (!this->isUsable(store, now) || isPaused || static_cast<double>(store.tokens + part.tokens) > room)
             continue;
-        if (const auto score = weightedScore(key, store.description); score > bestScore) {
+        const auto size = static_cast<double>(std::max<std::uint64_t>(store.description.cacheTokens, 1));
+        if (const auto score = weightedScore(stableHash(key), address, size); score > bestScore) {
             bestScore = score;
             best = address;
         }
@@ -166,4 +193,49 @@
     return found == this->stores.end() ? 0 : found->second.tokens;
 }
 
+CacheNews PartDirectory::newsSince(std::uint64_t from, TimePoint now) const
+{
+    CacheNews news;
+    news.layout = this->layout();
+    news.end = this->firstChange + this->changes.size();
+    news.isWhole = from < this->firstChange || from > news.end;
+    std::uint32_t place = 0;
+    for (const auto& [address, store] : this->stores) {
+        const bool isTold = this->isUsable(store, now);
+        news.epochs.push_back(isTold ? store.epoch : 0);
+        if (isTold && news.isWhole)
+            for (const auto& [key, tokens] : store.parts) {
+                const auto cut = key.find(separator);
+                news.parts.push_back({ place, key.substr(0, cut), key.substr(cut + 1), tokens });
+            }
+        ++place;
+    }
+    if (!news.isWhole)
+        news.parts.assign(this->changes.begin() + static_cast<std::ptrdiff_t>(from - this->firstChange), this->changes.end());
+    return news;
+}
+
+bool PartDirectory::applyNews(const CacheNews& news, TimePoint now)
+{
+    if (news.layout != this->layout() || news.epochs.size() != this->stores.size())
+        return false;
+    std::vector<std::vector<StoredPart>> byStore(this->stores.size());
+    for (const auto& part : news.parts)
+        if (part.store < byStore.size())
+            byStore[part.store].push_back({ part.scope, part.id, part.tokens });
+    bool follows = true;
+    std::size_t place = 0;
+    for (const auto& address : this->addresses()) {
+        const auto epoch = news.epochs[place];
+        const auto& parts = byStore[place++];
+        if (epoch == 0)
+            this->onSilence(address);
+        else if (news.isWhole)
+            this->onListing(address, epoch, parts, now);
+        else
+            follows = this->onEvents(address, epoch, parts, now) && follows;
+    }
+    return follows;
+}
+
 } // namespace goldcrestwood
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -27,6 +27,9 @@
     constexpr std::size_t drawnCandidates = 16;
     /// Daemons that may come up unseen and send to the same cold upstream.
     constexpr std::size_t unseenDaemons = 2;
+    /// Sends a second that a daemon should have at a cold upstream: at a large site only some daemons send there, so that
+    /// a share is never less than a whole request.
+    constexpr std::size_t leastColdShare = 2;
     /// An incarnation that has ended is avoided until its entry has expired for certain.
     constexpr Duration endedAvoidance = std::chrono::seconds(10);
     /// Only reads of this many tokens tell the rate from fixed costs.
@@ -152,6 +155,25 @@
     return load;
 }
 
+void UpstreamBoard::setDaemons(std::vector<InstanceId> all)
+{
+    this->daemons = std::move(all);
+}
+
+std::size_t UpstreamBoard::coldShare(const Upstream& upstream, double bound) const
+{
+    const auto whole = static_cast<std::size_t>(bound);
+    const auto all = std::max<std::size_t>(this->daemons.size(), 1);
+    const auto wanted = std::max(whole / leastColdShare, unseenDaemons + 1) - unseenDaemons;
+    if (all <= wanted)
+        return whole / (all + unseenDaemons);
+    // Each cold upstream has its own senders among the daemons.
+    for (const auto index : rendezvousRank(stableHash(upstream.entry.id.value), this->daemons, wanted))
+        if (this->daemons[index] == this->self)
+            return whole / (wanted + unseenDaemons);
+    return 0;
+}
+
 bool UpstreamBoard::takesCold(const Upstream& upstream, TimePoint now) const
 {
     const auto* service = this->serviceOf(upstream.entry.service);
@@ -159,7 +181,7 @@
         return true;
     // Each daemon keeps to its own share, so that the sum over all stays within the bound without a message.
     const auto bound = service->coldPerSecond * this->bounds.coldOver + this->bounds.coldSlack;
-    const auto share = static_cast<std::size_t>(bound) / (this->daemons + unseenDaemons);
+    const auto share = this->coldShare(upstream, bound);
     const auto recent = std::count_if(upstream.coldSends.begin(), upstream.coldSends.end(),
         [&](TimePoint sent) { return now - sent < std::chrono::milliseconds(1100); });
     return static_cast<std::size_t>(recent) < share;
--- a/src/weight_plan.cc
+++ b/src/weight_plan.cc
@@ -9,6 +9,7 @@
 {
     const auto share = static_cast<std::size_t>(std::ceil(static_cast<double>(candidates.size()) * this->settings.share));
     const auto places = std::max(this->settings.least, share);
+    this->replicas = candidates.size();
     std::vector<WeightCandidate> behind;
     for (const auto& candidate : candidates) {
         const auto passed = this->silent.find(candidate.upstream);
@@ -36,7 +37,8 @@
     if (progress.orderSent)
         return now - *progress.orderSent >= this->settings.repeat;
     const auto loading = std::count_if(this->running.begin(), this->running.end(), [](const auto& entry) { return entry.second.orderSent.has_value(); });
-    if (static_cast<std::size_t>(loading) >= this->settings.loads)
+    const auto loads = std::max(this->settings.leastLoads, static_cast<std::size_t>(static_cast<double>(this->replicas) * this->settings.loadShare));
+    if (static_cast<std::size_t>(loading) >= loads)
         return false;
     return requests <= this->settings.drainedRequests || now - progress.started >= this->settings.drainLimit;
 }
--- a/test/daemon_view_test.cc
+++ b/test/daemon_view_test.cc
@@ -21,6 +21,12 @@
     return message;
 }
 
+/// This daemon, when it is not ready: it names only others.
+EdgeHeartbeat self()
+{
+    return beat("z", "north", 1, 1, false);
+}
+
 } // namespace
 
 TEST_CASE("callers are not sent to daemons that are silent, stopping or not ready")
@@ -29,8 +35,8 @@
     view.onHeartbeat(beat("a", "north", 1, 1), start);
     view.onHeartbeat(beat("b", "south", 1, 1), start + 1s);
     view.onHeartbeat(beat("c", "north", 1, 1, false), start + 1s);
-    CHECK(view.readyFronts(FailureDomain("south"), start + 1s) == std::vector<std::string> { "b:1", "a:1" });
-    CHECK(view.readyFronts(FailureDomain("north"), start + 2s) == std::vector<std::string> { "b:1" });
+    CHECK(view.frontsFor("caller", FailureDomain("south"), self(), start + 1s) == std::vector<std::string> { "b:1", "a:1" });
+    CHECK(view.frontsFor("caller", FailureDomain("north"), self(), start + 2s) == std::vector<std::string> { "b:1" });
 }
 
 TEST_CASE("old datagrams of a daemon change nothing")
@@ -39,7 +45,59 @@
     CHECK(view.onHeartbeat(beat("a", "north", 2, 5, false), start));
     CHECK_FALSE(view.onHeartbeat(beat("a", "north", 2, 4), start));
     CHECK_FALSE(view.onHeartbeat(beat("a", "north", 1, 9), start));
-    CHECK(view.readyFronts(FailureDomain("north"), start).empty());
+    CHECK(view.frontsFor("caller", FailureDomain("north"), self(), start).empty());
     CHECK(view.onHeartbeat(beat("a", "north", 3, 1), start));
-    CHECK(view.readyFronts(FailureDomain("north"), start).size() == 1);
+    CHECK(view.frontsFor("caller", FailureDomain("north"), self(), start).size() == 1);
+}
+
+TEST_CASE("callers come in proportion to what the daemons bear, and stay with the same daemons")
+{
+    // Load pattern: a site of a few large daemons and many small ones; spread evenly, the small ones stall.
+    DaemonView view;
+    for (int index = 0; index < 20; ++index) {
+        auto message = beat(("d" + std::to_string(index)).c_str(), "north", 1, 1);
+        message.capacity = index < 2 ? 0.5 : 0.125;
+        view.onHeartbeat(message, start);
+    }
+    int large = 0;
+    int all = 0;
+    constexpr int callers = 2000;
+    for (int caller = 0; caller < callers; ++caller) {
+        const auto name = "caller" + std::to_string(caller);
+        const auto fronts = view.frontsFor(name, FailureDomain("north"), self(), start);
+        REQUIRE(fronts == view.frontsFor(name, FailureDomain("north"), self(), start));
+        REQUIRE(fronts.size() == 8);
+        // Callers pick any of the addresses.
+        for (const auto& front : fronts) {
+            ++all;
+            if (front == "d0:1" || front == "d1:1")
+                ++large;
+        }
+    }
+    // By capacity the two large ones bear 1 of 3.25 cores; evenly they would get a tenth.
+    const auto share = static_cast<double>(large) / all;
+    CHECK(share > 0.18);
+    CHECK(share < 0.31);
+}
+
+TEST_CASE("callers are sent to other failure domains as their own loses its daemons")
+{
+    const auto nearShare = [](int nearDaemons) {
+        DaemonView view;
+        for (int index = 0; index < 20; ++index)
+            view.onHeartbeat(beat(("f" + std::to_string(index)).c_str(), "south", 1, 1), start);
+        for (int index = 0; index < nearDaemons; ++index)
+            view.onHeartbeat(beat(("n" + std::to_string(index)).c_str(), "north", 1, 1), start);
+        int near = 0;
+        int all = 0;
+        for (int caller = 0; caller < 500; ++caller)
+            for (const auto& front : view.frontsFor("caller" + std::to_string(caller), FailureDomain("north"), self(), start)) {
+                ++all;
+                if (front.front() == 'n')
+                    ++near;
+            }
+        return static_cast<double>(near) / all;
+    };
+    CHECK(nearShare(20) > 0.9);
+    CHECK(nearShare(1) < 0.2);
 }
--- a/test/part_directory_test.cc
+++ b/test/part_directory_test.cc
@@ -77,3 +77,62 @@
     CHECK(directory.garbage("s1", { "m/w2/" }).empty());
     CHECK(directory.heldTokens("s1") == 100);
 }
+
+TEST_CASE("a daemon that follows no store learns from one that does")
+{
+    auto reader = twoStores();
+    reader.onEvents("s1", 7, { { "m/w1/all", "aa", 100 } }, start);
+    PartDirectory other;
+    other.setStores({ { "s1", north, 1000 }, { "s2", south, 3000 } });
+    const PromptPart first { "aa", 100 };
+    const PromptPart second { "bb", 50 };
+
+    auto news = reader.newsSince(0, start);
+    CHECK(news.isWhole);
+    REQUIRE(other.applyNews(news, start));
+    CHECK(other.find("m/w1/all", first, north, start)->address == "s1");
+    CHECK(other.epochOf("s2") == 8);
+
+    reader.onEvents("s2", 8, { { "m/w1/all", "bb", 50 } }, start);
+    reader.onEvents("s1", 7, { { "m/w1/all", "aa", 0 } }, start);
+    news = reader.newsSince(news.end, start);
+    CHECK_FALSE(news.isWhole);
+    CHECK(news.parts.size() == 2);
+    REQUIRE(other.applyNews(news, start));
+    CHECK_FALSE(other.find("m/w1/all", first, north, start));
+    CHECK(other.find("m/w1/all", second, north, start)->address == "s2");
+    // Nothing new is still a sign that the stores live.
+    news = reader.newsSince(news.end, start + 1s);
+    CHECK(news.parts.empty());
+    REQUIRE(other.applyNews(news, start + 1s));
+    CHECK(other.find("m/w1/all", second, north, start + 2500ms));
+}
+
+TEST_CASE("a restart of a store, another layout or a gap asks for all that is held")
+{
+    auto reader = twoStores();
+    auto other = twoStores();
+    const auto known = reader.newsSince(0, start).end;
+    // The restart reaches the reader first.
+    reader.onListing("s1", 9, { { "m/w1/all", "aa", 100 } }, start);
+    const auto whole = reader.newsSince(known, start);
+    CHECK(whole.isWhole);
+    REQUIRE(other.applyNews(whole, start));
+    CHECK(other.epochOf("s1") == 9);
+    // A store whose contents the reader does not know is unknown here too.
+    reader.onSilence("s1");
+    REQUIRE(other.applyNews(reader.newsSince(whole.end, start), start));
+    CHECK_FALSE(other.epochOf("s1"));
+    // Events cannot make it known again.
+    reader.onListing("s1", 9, { { "m/w1/all", "aa", 100 } }, start);
+    auto changes = reader.newsSince(0, start);
+    changes.isWhole = false;
+    CHECK_FALSE(other.applyNews(changes, start));
+    auto elsewhere = reader.newsSince(0, start);
+    elsewhere.layout += 1;
+    CHECK_FALSE(other.applyNews(elsewhere, start));
+    // Changes are kept up to a bound only.
+    for (std::uint32_t number = 0; number < 5000; ++number)
+        reader.onEvents("s2", 8, { { "m/w1/all", std::to_string(number), 1 } }, start);
+    CHECK(reader.newsSince(whole.end, start).isWhole);
+}
--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -56,7 +56,8 @@
 
 /// A board with its directory; the board keeps a reference to it.
 struct Site {
-    explicit Site(double coldPerSecond = 0)
+    explicit Site(double coldPerSecond = 0, const char* self = "self")
+        : board(InstanceId(self), SiteBounds {}, this->parts)
     {
         this->board.setServices(services(coldPerSecond));
     }
@@ -67,7 +68,7 @@
     }
 
     PartDirectory parts;
-    UpstreamBoard board { InstanceId("self"), SiteBounds {}, this->parts };
+    UpstreamBoard board;
     PlacementRefusal refusal = PlacementRefusal::NoUpstream;
 };
 
@@ -163,13 +164,16 @@
 
 TEST_CASE("a cold upstream gets no more from all daemons together than it bears")
 {
-    // Load pattern: a failure domain comes back cold while seven daemons have more work than the rest can take.
+    // Load pattern: a failure domain comes back cold while all daemons have more work than the rest can take.
+    const auto daemons = GENERATE(std::size_t { 7 }, std::size_t { 75 });
     constexpr double coldPerSecond = 17;
-    constexpr std::size_t daemons = 7;
+    std::vector<InstanceId> names;
+    for (std::size_t number = 0; number < daemons; ++number)
+        names.emplace_back("d" + std::to_string(number));
     std::vector<std::unique_ptr<Site>> sites;
     for (std::size_t number = 0; number < daemons; ++number) {
-        sites.push_back(std::make_unique<Site>(coldPerSecond));
-        sites.back()->board.setDaemons(daemons);
+        sites.push_back(std::make_unique<Site>(coldPerSecond, names[number].value.c_str()));
+        sites.back()->board.setDaemons(names);
         auto cold = entryOf(1, plain);
         cold.coldLeft = 3s;
         sites.back()->board.setUpstream(cold, start);
--- a/test/weight_plan_test.cc
+++ b/test/weight_plan_test.cc
@@ -79,3 +79,38 @@
     const auto next = plan.start(nine(), start + 1600ms);
     CHECK(std::find(next.begin(), next.end(), UpstreamId("r6")) == next.end());
 }
+
+TEST_CASE("a large pool changes within the time that a small one has")
+{
+    // Load pattern: 140 replicas, a load takes 0.3 s and its runs 0.8 s to end; all must have the weights in 8 s.
+    constexpr std::size_t replicas = 140;
+    constexpr auto load = 300ms;
+    constexpr auto tick = 50ms;
+    std::vector<WeightCandidate> candidates;
+    for (std::size_t number = 0; number < replicas; ++number)
+        candidates.push_back({ UpstreamId("r" + std::to_string(number)), 1, 5 });
+    std::map<UpstreamId, TimePoint> loading;
+    WeightPlan plan({ "m", 2 });
+    auto now = start;
+    for (; plan.done().size() < replicas && now < start + 60s; now += tick) {
+        plan.start(candidates, now);
+        for (const auto& order : plan.ordered()) {
+            const auto begun = loading.find(order.upstream);
+            const bool isLoaded = begun != loading.end() && now - begun->second >= load;
+            plan.onReport(order.upstream, isLoaded ? 2 : 1, begun != loading.end() && !isLoaded, now);
+            if (isLoaded) {
+                loading.erase(order.upstream);
+                for (auto& candidate : candidates)
+                    if (candidate.upstream == order.upstream)
+                        candidate.version = 2;
+            } else if (begun == loading.end() && plan.isOrderDue(order.upstream, 5, now)) {
+                plan.onOrderSent(order.upstream, now);
+                loading[order.upstream] = now;
+            }
+        }
+        // Beyond a fifth of the pool at once each load takes longer.
+        REQUIRE(loading.size() <= replicas / 5);
+    }
+    CHECK(plan.done().size() == replicas);
+    CHECK(now - start <= 6s);
+}
