Daemons tell each other of failing upstreams and slow sources; loads are followed closely

Cause: of 75 daemons each sees an engine or a cache store once in seconds, so a store that turned slow for 5 s was never found (first token of moved prompts p90 1146 ms, expected 166), and a third of the moves does not take place since nobody follows the engines: the least sample always said 'fast'. The duty holder asked 47 replicas every 470 ms.

--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -33,6 +33,28 @@
     bool operator==(const UpstreamUse&) const = default;
 };
 
+/// How an upstream answered one daemon since its last heartbeat.
+struct UpstreamExperience {
+    /// The upstream.
+    UpstreamId upstream;
+    /// Whole answers that were no failures.
+    std::uint32_t answers = 0;
+    /// Failure answers.
+    std::uint32_t failures = 0;
+
+    bool operator==(const UpstreamExperience&) const = default;
+};
+
+/// How fast cached blocks came to one daemon's requests from an address since its last heartbeat.
+struct SourceExperience {
+    /// A store or an engine.
+    std::string address;
+    /// Times of the latest moves against what the links need.
+    std::vector<double> slowness;
+
+    bool operator==(const SourceExperience&) const = default;
+};
+
 /// What a daemon tells its peers of itself, several times a second.
 struct EdgeHeartbeat {
     /// The sender.
@@ -61,6 +83,10 @@
     std::uint64_t registryEnd = 0;
     /// Work in flight.
     std::vector<UpstreamUse> uses;
+    /// Experience with upstreams.
+    std::vector<UpstreamExperience> upstreams;
+    /// Experience with sources of cached blocks.
+    std::vector<SourceExperience> sources;
     /// Peer addresses that the sender has heard from lately.
     std::vector<std::string> peers;
 
@@ -179,6 +205,16 @@
 tl::expected<UpstreamUse, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const UpstreamUse& message);
 template <>
+std::string encode(const UpstreamExperience& message);
+template <>
+tl::expected<UpstreamExperience, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const UpstreamExperience& message);
+template <>
+std::string encode(const SourceExperience& message);
+template <>
+tl::expected<SourceExperience, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const SourceExperience& message);
+template <>
 std::string encode(const EdgeHeartbeat& message);
 template <>
 tl::expected<EdgeHeartbeat, DecodeError> decode(std::string_view bytes);
--- a/include/goldcrestwood/part_directory.h
+++ b/include/goldcrestwood/part_directory.h
@@ -73,6 +73,7 @@
     /// @return Where to save a part that no store holds; nothing if there is no room.
     std::optional<std::string> placeFor(const std::string& scope, const PromptPart& part, TimePoint now) const;
 
+    /// A store does not know who reads from it: a part may be freed only if nobody fetches it any more.
     /// @return Parts in a store whose scope begins with none of @p scopesInUse.
     std::vector<StoredPart> garbage(const std::string& address, const std::vector<std::string>& scopesInUse) const;
     /// @return The epoch of a store that is known, or nothing.
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -73,6 +73,7 @@
     /// For each prompt part the store that holds it whole, empty if the upstream is to read it; empty if there is none at all.
     std::vector<std::string> fetchFrom;
     std::vector<std::string> saveTo; ///< Likewise, where to save what no store holds.
+    std::vector<std::string> movesFrom; ///< Addresses that parts are expected to come from.
     std::uint64_t weights = 0; ///< Weight version of the request's model there, as far as known.
     TimePoint chosen; ///< When the choice was made.
 
@@ -115,6 +116,11 @@
     void setDaemons(std::vector<InstanceId> all);
     std::size_t daemonCount() const { return this->daemons.size(); }
     void onPeerUse(const InstanceId& peer, const std::vector<UpstreamUse>& uses, TimePoint now);
+    /// One daemon of many sees an upstream or a source seldom; what all of them see tells soon.
+    void onPeerExperience(const std::vector<UpstreamExperience>& upstreams, const std::vector<SourceExperience>& sources, TimePoint now);
+    /// @return Own experience since the last call.
+    std::vector<UpstreamExperience> takeUpstreamExperience();
+    std::vector<SourceExperience> takeSourceExperience();
 
     /// @param excluded Upstreams that this request has tried.
     /// @param refusal Set if nothing was chosen.
@@ -171,6 +177,7 @@
         double failureShare = 0; ///< Moving average of failure answers.
         double latencyMs = 0; ///< Moving average of the time to the first byte of a plain answer.
         double slowness = 1; ///< Moving average of measured over expected time to the first token.
+        UpstreamExperience experience; ///< Since it was last told to the peers.
         std::deque<TimePoint> coldSends; ///< Of the last second.
     };
 
@@ -184,7 +191,8 @@
         std::uint64_t missing = 0;
         double moveMs = 0; ///< As the stores are now.
         double plainMoveMs = 0; ///< At the full speed of the links.
-        std::vector<std::string> sources; ///< By part; empty where the part is held or must be read.
+        std::vector<std::string> sources; ///< By part; empty where none is known or the part must be read.
+        std::vector<std::string> movesFrom; ///< Sources of the parts that must be moved.
     };
 
     /// Candidates that hold each part of a prompt under one scope.
@@ -213,7 +221,10 @@
     std::optional<Move> moveOf(const Upstream& upstream, const std::string& scope, const PromptPart& part,
         const std::vector<const Upstream*>& holders, const EngineLimits& engine, TimePoint now) const;
     double expectedMove(const std::string& address, double plainMs, TimePoint now) const;
+    void learnOutcome(Upstream& upstream, std::uint32_t answers, std::uint32_t failures) const;
     void learnMove(const PlacementChoice& choice, double measuredMs, TimePoint now);
+    static void keepSample(std::deque<MoveSample>& samples, const MoveSample& sample);
+    void learnSource(const SourceExperience& told, TimePoint now);
     void settleMoves(const PlacementChoice& choice);
     const TrafficService* serviceOf(const ServiceName& name) const;
 
@@ -238,7 +249,11 @@
     struct MoveSource {
         std::deque<MoveSample> samples;
         std::vector<PendingMove> pending;
+        std::vector<double> untold; ///< Slowness of own moves that the peers were not told of.
     };
+    /// @return How much slower than its links the source is; 1 if too little is known.
+    static double slownessOf(const MoveSource& source, TimePoint now);
+
     std::map<std::string, MoveSource> moveSources;
     std::vector<InstanceId> daemons;
     double tokensPerMillisecond;
--- a/include/goldcrestwood/weight_plan.h
+++ b/include/goldcrestwood/weight_plan.h
@@ -58,6 +58,10 @@
     /// @return Whether an order for @p upstream should leave now.
     /// @param requests In flight at the replica, as far as known.
     bool isOrderDue(const UpstreamId& upstream, std::uint32_t requests, TimePoint now) const;
+    /// @return Whether an order has been sent to @p upstream and its effect is awaited.
+    bool isLoading(const UpstreamId& upstream) const;
+    /// @return Replicas of which this holds.
+    std::size_t loading() const;
     void onOrderSent(const UpstreamId& upstream, TimePoint now);
     /// @param version What the replica reports.
     void onReport(const UpstreamId& upstream, std::uint64_t version, bool isBusy, TimePoint now);
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -23,8 +23,10 @@
     constexpr Duration upstreamLimit = std::chrono::milliseconds(500);
     /// Time between two questions to a replica that takes weights.
     constexpr Duration reportInterval = std::chrono::milliseconds(100);
-    /// With many replicas under order, each is asked less often, so that the holder's calls stay about a hundred a second.
-    constexpr Duration reportIntervalPerReplica = std::chrono::milliseconds(10);
+    /// With many loads at the same time each is asked less often, so that the holder's calls stay within 200 a second.
+    constexpr Duration reportIntervalPerLoad = std::chrono::milliseconds(5);
+    /// A replica that ends its runs before its order is asked so seldom, only to see that it lives.
+    constexpr Duration restingReportInterval = std::chrono::milliseconds(600);
     /// Replicas under order get no work for so long after the holder's last record.
     constexpr Duration orderedLifetime = std::chrono::milliseconds(2500);
     /// Each daemon further down the ranking waits so much longer before it claims, so that one append is enough.
@@ -80,15 +82,11 @@
     return false;
 }
 
-bool DutyRunner::isMyTurn()
+bool DutyRunner::isMyTurn() const
 {
-    std::vector<InstanceId> daemons { this->state.settings.instance };
-    for (const auto* report : this->peers.view().live(monotonicNow()))
-        if (report->heartbeat.readsStore && report->heartbeat.isReady)
-            daemons.push_back(report->heartbeat.instance);
-    const auto ranking = rendezvousRank(stableHash(dutyTopic), daemons, daemons.size());
-    const auto rank = std::find(ranking.begin(), ranking.end(), std::size_t { 0 }) - ranking.begin();
-    return monotonicNow() - *this->claimableSince >= rankDelay * rank;
+    // Those that read for all are well, reach the store and are large rather than small.
+    const auto rank = this->state.readerRank().value_or(this->state.feedReaders.size());
+    return monotonicNow() - *this->claimableSince >= rankDelay * static_cast<int>(rank);
 }
 
 DutyRecord DutyRunner::record() const
@@ -239,6 +237,30 @@
     co_await timer.async_wait(into(ignored));
 }
 
+Task<> DutyRunner::ask(HttpCaller& caller, UpstreamId upstream)
+{
+    const auto question = platform::reportCall();
+    const auto answer = co_await caller.call(question, upstreamLimit);
+    if (!this->plan || !answer || answer->status != 200)
+        co_return;
+    const auto report = platform::decodeReport(answer->body);
+    if (!report)
+        co_return;
+    const auto target = this->plan->weights();
+    const auto version = report->weights.find(target.model);
+    this->plan->onReport(upstream, version == report->weights.end() ? 0 : version->second, report->isBusy, monotonicNow());
+    if (report->isBusy || !this->plan->isOrderDue(upstream, this->state.board.requestsAt(upstream), monotonicNow()) || !this->lease.mayOrder(suspensionAwareNow()))
+        co_return;
+    this->plan->onOrderSent(upstream, monotonicNow());
+    const platform::WeightOrder order { target, platform::WeightStrategy::Retain, this->state.settings.instance.value, this->lease.fence(), report->orders };
+    const auto call = platform::orderCall(order, upstream.value);
+    const auto accepted = co_await caller.call(call, upstreamLimit);
+    edge::log(LogClass::Decision, "weights_ordered",
+        { { "upstream", upstream.value }, { "model", target.model }, { "version", static_cast<std::int64_t>(target.version) },
+            { "fence", static_cast<std::int64_t>(order.fence) }, { "status", static_cast<std::int64_t>(accepted ? accepted->status : 0) },
+            { "orders_seen", static_cast<std::int64_t>(report->orders) } });
+}
+
 Task<> DutyRunner::drive(UpstreamId upstream)
 {
     const auto* entry = this->state.board.find(upstream);
@@ -254,31 +276,16 @@
         const auto ordered = this->plan->ordered();
         return std::any_of(ordered.begin(), ordered.end(), [&](const auto& one) { return one.upstream == upstream; });
     };
+    TimePoint asked;
     while (isRunning()) {
-        const auto question = platform::reportCall();
-        const auto answer = co_await caller.call(question, upstreamLimit);
-        if (!isRunning())
-            break;
-        const auto report = answer && answer->status == 200 ? platform::decodeReport(answer->body)
-                                                            : tl::unexpected(Findings { { {}, "no report" } });
-        const auto target = this->plan->weights();
-        if (report) {
-            const auto version = report->weights.find(target.model);
-            this->plan->onReport(upstream, version == report->weights.end() ? 0 : version->second, report->isBusy, monotonicNow());
-            if (!isRunning())
-                break;
-            if (!report->isBusy && this->plan->isOrderDue(upstream, this->state.board.requestsAt(upstream), monotonicNow()) && this->lease.mayOrder(suspensionAwareNow())) {
-                this->plan->onOrderSent(upstream, monotonicNow());
-                const platform::WeightOrder order { target, platform::WeightStrategy::Retain, this->state.settings.instance.value, this->lease.fence(), report->orders };
-                const auto call = platform::orderCall(order, upstream.value);
-                const auto accepted = co_await caller.call(call, upstreamLimit);
-                edge::log(LogClass::Decision, "weights_ordered",
-                    { { "upstream", upstream.value }, { "model", target.model }, { "version", static_cast<std::int64_t>(target.version) },
-                        { "fence", static_cast<std::int64_t>(order.fence) }, { "status", static_cast<std::int64_t>(accepted ? accepted->status : 0) },
-                        { "orders_seen", static_cast<std::int64_t>(report->orders) } });
-            }
+        const auto now = monotonicNow();
+        const bool isLoading = this->plan->isLoading(upstream);
+        const bool isDue = this->plan->isOrderDue(upstream, this->state.board.requestsAt(upstream), now);
+        if (isLoading || isDue || now - asked >= restingReportInterval) {
+            asked = now;
+            co_await this->ask(caller, upstream);
         }
-        timer.expires_after(std::max(reportInterval, reportIntervalPerReplica * static_cast<int>(this->driven.size())));
+        timer.expires_after(isLoading ? std::max(reportInterval, reportIntervalPerLoad * static_cast<int>(this->plan ? this->plan->loading() : 0)) : workInterval);
         ErrorCode ignored;
         co_await timer.async_wait(into(ignored));
     }
--- a/src/edge/duty_runner.h
+++ b/src/edge/duty_runner.h
@@ -30,9 +30,11 @@
     Task<bool> append(const DutyRecord& record);
     Task<bool> readTopic(Duration hold);
     Task<> drive(UpstreamId upstream);
+    /// Asks an upstream how far it is, and orders if its turn has come.
+    Task<> ask(HttpCaller& caller, UpstreamId upstream);
     void believe(const DutyRecord& record);
     bool holderSeemsWell() const;
-    bool isMyTurn();
+    bool isMyTurn() const;
     DutyRecord record() const;
 
     EdgeState& state;
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -132,6 +132,8 @@
     auto message = this->describe();
     message.sequence = ++this->sequence;
     message.uses = this->state.board.ownUses();
+    message.upstreams = this->state.board.takeUpstreamExperience();
+    message.sources = this->state.board.takeSourceExperience();
     for (const auto* report : this->daemons.live(monotonicNow()))
         if (message.peers.size() < mostToldAddresses)
             message.peers.push_back(report->heartbeat.peerAddress);
@@ -191,6 +193,7 @@
     for (const auto& address : message.peers)
         this->addPeerAddress(address);
     this->state.board.onPeerUse(message.instance, message.uses, now);
+    this->state.board.onPeerExperience(message.upstreams, message.sources, now);
     this->queues.dispatchAll();
 }
 
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <numeric>
+#include <utility>
 
 #include "goldcrestwood/hash.h"
 #include "upstream_cost.h"
@@ -338,8 +339,8 @@
             upstream.coldSends.pop_front();
         upstream.coldSends.push_back(now);
     }
-    for (const auto& address : choice.fetchFrom)
-        if (!address.empty() && choice.moveTime > Duration(0))
+    for (const auto& address : choice.movesFrom)
+        if (choice.moveTime > Duration(0))
             this->moveSources[address].pending.push_back({ choice.chosen, toMs(choice.moveTime) });
     upstream.cache.use(choice.scope, request.parts);
 }
@@ -369,6 +370,15 @@
     upstream.slowness = std::clamp(upstream.slowness * (1 - weight) + ratio * weight, leastSlowness, mostSlowness);
 }
 
+void UpstreamBoard::learnOutcome(Upstream& upstream, std::uint32_t answers, std::uint32_t failures) const
+{
+    const auto all = answers + failures;
+    if (all == 0)
+        return;
+    const auto kept = std::pow(1 - this->settings.sampleWeight, all);
+    upstream.failureShare = upstream.failureShare * kept + static_cast<double>(failures) / all * (1 - kept);
+}
+
 void UpstreamBoard::finish(const PlacementChoice& choice, const PlacementRequest& request, bool hadFirstByte, AttemptResult result, TimePoint now)
 {
     this->settleMoves(choice);
@@ -381,15 +391,16 @@
     auto& backlog = upstream.own.backlog[classOf(request)];
     if (!hadFirstByte)
         backlog -= std::min(backlog, choice.missingTokens);
-    const auto weight = this->settings.sampleWeight;
     switch (result) {
     case AttemptResult::Answered:
         upstream.failures = 0;
-        upstream.failureShare *= 1 - weight;
+        this->learnOutcome(upstream, 1, 0);
+        ++upstream.experience.answers;
         break;
     case AttemptResult::FailureAnswer:
         upstream.failures = 0;
-        upstream.failureShare = upstream.failureShare * (1 - weight) + weight;
+        this->learnOutcome(upstream, 0, 1);
+        ++upstream.experience.failures;
         break;
     case AttemptResult::Misdirected:
         // The incarnation has ended; its entry expires soon.
@@ -418,6 +429,29 @@
     return uses;
 }
 
+void UpstreamBoard::onPeerExperience(
+    const std::vector<UpstreamExperience>& experiences, const std::vector<SourceExperience>& sources, TimePoint now)
+{
+    for (const auto& told : experiences)
+        if (const auto found = this->upstreams.find(told.upstream); found != this->upstreams.end())
+            this->learnOutcome(found->second, told.answers, told.failures);
+    for (const auto& told : sources)
+        this->learnSource(told, now);
+}
+
+std::vector<UpstreamExperience> UpstreamBoard::takeUpstreamExperience()
+{
+    std::vector<UpstreamExperience> result;
+    for (auto& [id, upstream] : this->upstreams) {
+        auto& experience = upstream.experience;
+        if (experience.answers + experience.failures == 0)
+            continue;
+        result.push_back(std::exchange(experience, {}));
+        result.back().upstream = id;
+    }
+    return result;
+}
+
 std::vector<RegistryEntry> UpstreamBoard::readyUpstreams(const ServiceName& service) const
 {
     std::vector<RegistryEntry> result;
--- a/src/upstream_board_cache.cc
+++ b/src/upstream_board_cache.cc
@@ -2,6 +2,7 @@
 /// The half of the board that knows where cached prompt parts are and what moving them costs.
 
 #include <algorithm>
+#include <utility>
 
 #include "upstream_cost.h"
 
@@ -14,30 +15,44 @@
     /// How much slower than reading a move may be and still be preferred: reading takes the engine from others.
     constexpr double readPreference = 3;
     /// Moves that tell of a source's speed, and for how long: after it the source is tried again.
-    constexpr Duration moveSampleLifetime = std::chrono::seconds(2);
+    constexpr Duration moveSampleLifetime = std::chrono::seconds(4);
     constexpr std::size_t leastMoveSamples = 3;
-    constexpr std::size_t mostMoveSamples = 8;
+    constexpr std::size_t mostMoveSamples = 16;
+    /// Samples in order: the one at this share tells the source's speed.
+    constexpr double tellingShare = 0.4;
+    /// Waits at busy engines make moves look a few times as long; only beyond this a source counts as slow.
+    constexpr double slowFrom = 4;
+    /// Samples of one source in a heartbeat: the peers together tell enough.
+    constexpr std::size_t mostToldSamples = 4;
+    /// Shorter moves say little of their source: the engine's own work hides them, milliseconds.
+    constexpr double leastMoveMs = 20;
     /// A move may take so much longer than its links need before it counts as overdue, milliseconds.
     constexpr double overdueMs = 120;
 
 } // namespace
 
+double UpstreamBoard::slownessOf(const MoveSource& source, TimePoint now)
+{
+    std::vector<double> recent;
+    for (const auto& sample : source.samples)
+        if (now - sample.at <= moveSampleLifetime)
+            recent.push_back(sample.slowness);
+    if (recent.size() < leastMoveSamples)
+        return 1;
+    // A busy engine delays some of its requests, and an engine that held the part after all delays none:
+    // a slow source delays most of what comes from it.
+    const auto rank = recent.begin() + static_cast<std::ptrdiff_t>(static_cast<double>(recent.size() - 1) * tellingShare);
+    std::nth_element(recent.begin(), rank, recent.end());
+    return *rank < slowFrom ? 1 : *rank;
+}
+
 double UpstreamBoard::expectedMove(const std::string& address, double plainMs, TimePoint now) const
 {
     const auto found = this->moveSources.find(address);
     if (found == this->moveSources.end())
         return plainMs;
     const auto& source = found->second;
-    // A busy engine delays some of its requests, a slow source delays all that come from it: the least delay tells.
-    double least = mostSlowness;
-    std::size_t count = 0;
-    for (const auto& sample : source.samples) {
-        if (now - sample.at > moveSampleLifetime)
-            continue;
-        least = std::min(least, sample.slowness);
-        ++count;
-    }
-    const auto slowness = count < leastMoveSamples ? 1 : least;
+    const auto slowness = slownessOf(source, now);
     // Moves that wait there already go first. Once several are overdue the source stands still, before any sample says so.
     double queued = 0;
     double overdue = 0;
@@ -55,20 +70,40 @@
 {
     if (choice.moveTime <= Duration(0))
         return;
-    const auto slowness = std::clamp(measuredMs / toMs(choice.moveTime), 1.0, mostSlowness);
-    for (const auto& address : choice.fetchFrom) {
-        if (address.empty())
-            continue;
-        auto& samples = this->moveSources[address].samples;
-        samples.push_back({ now, slowness });
-        if (samples.size() > mostMoveSamples)
-            samples.pop_front();
+    const auto slowness = std::clamp((measuredMs - overdueMs) / std::max(toMs(choice.moveTime), leastMoveMs), 1.0, mostSlowness);
+    for (const auto& address : choice.movesFrom) {
+        auto& source = this->moveSources[address];
+        keepSample(source.samples, { now, slowness });
+        if (source.untold.size() < mostToldSamples)
+            source.untold.push_back(slowness);
     }
 }
 
+void UpstreamBoard::keepSample(std::deque<MoveSample>& samples, const MoveSample& sample)
+{
+    samples.push_back(sample);
+    if (samples.size() > mostMoveSamples)
+        samples.pop_front();
+}
+
+void UpstreamBoard::learnSource(const SourceExperience& told, TimePoint now)
+{
+    for (const auto slowness : told.slowness)
+        keepSample(this->moveSources[told.address].samples, { now, std::clamp(slowness, 1.0, mostSlowness) });
+}
+
+std::vector<SourceExperience> UpstreamBoard::takeSourceExperience()
+{
+    std::vector<SourceExperience> result;
+    for (auto& [address, source] : this->moveSources)
+        if (!source.untold.empty())
+            result.push_back({ address, std::exchange(source.untold, {}) });
+    return result;
+}
+
 void UpstreamBoard::settleMoves(const PlacementChoice& choice)
 {
-    for (const auto& address : choice.fetchFrom)
+    for (const auto& address : choice.movesFrom)
         if (const auto found = this->moveSources.find(address); found != this->moveSources.end())
             std::erase_if(found->second.pending, [&](const auto& move) { return move.sent == choice.chosen; });
 }
@@ -136,6 +171,8 @@
         coverage.moveMs += move->expectedMs;
         coverage.plainMoveMs += move->plainMs;
         coverage.sources[index] = move->source;
+        if (std::find(coverage.movesFrom.begin(), coverage.movesFrom.end(), move->source) == coverage.movesFrom.end())
+            coverage.movesFrom.push_back(move->source);
         covered = end;
     }
     coverage.missing = request.promptTokens - std::min(covered, request.promptTokens);
@@ -163,6 +200,7 @@
             saves = true;
         }
     }
+    choice.movesFrom = std::move(coverage.movesFrom);
     if (std::any_of(coverage.sources.begin(), coverage.sources.end(), [](const auto& source) { return !source.empty(); }))
         choice.fetchFrom = std::move(coverage.sources);
     if (saves)
--- a/src/weight_plan.cc
+++ b/src/weight_plan.cc
@@ -36,13 +36,24 @@
     const auto& progress = found->second;
     if (progress.orderSent)
         return now - *progress.orderSent >= this->settings.repeat;
-    const auto loading = std::count_if(this->running.begin(), this->running.end(), [](const auto& entry) { return entry.second.orderSent.has_value(); });
     const auto loads = std::max(this->settings.leastLoads, static_cast<std::size_t>(static_cast<double>(this->replicas) * this->settings.loadShare));
-    if (static_cast<std::size_t>(loading) >= loads)
+    if (this->loading() >= loads)
         return false;
     return requests <= this->settings.drainedRequests || now - progress.started >= this->settings.drainLimit;
 }
 
+bool WeightPlan::isLoading(const UpstreamId& upstream) const
+{
+    const auto found = this->running.find(upstream);
+    return found != this->running.end() && found->second.orderSent.has_value();
+}
+
+std::size_t WeightPlan::loading() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->running.begin(), this->running.end(), [](const auto& entry) { return entry.second.orderSent.has_value(); }));
+}
+
 void WeightPlan::onOrderSent(const UpstreamId& upstream, TimePoint now)
 {
     if (const auto found = this->running.find(upstream); found != this->running.end())
--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -331,3 +331,54 @@
     site.board.finish(*choice, request, false, AttemptResult::Cancelled, start);
     CHECK(site.board.ownUses().empty());
 }
+
+TEST_CASE("a slow store is found though some engines hold the parts after all")
+{
+    // Load pattern: a large site, where nobody follows the engines: a third of the moves does not take place.
+    Site site;
+    site.parts.setStores({ { "s1", FailureDomain("north"), 1000000 } });
+    site.parts.onListing("s1", 1, { { "m/w1/all", "common", 100 }, { "m/w1/all", "subject", 7800 } }, start);
+    site.board.setUpstream(entryOf(1, model), start);
+    const auto request = prompt(8000, "subject");
+    const auto choice = site.choose(request);
+    REQUIRE(choice->movedTokens == 7900);
+    for (int number = 0; number < 12; ++number)
+        site.board.onFirstByte(*choice, request, number % 3 == 0 ? 20ms : 1500ms, start);
+    CHECK(site.choose(request)->movedTokens < 7900);
+    // Some busy engines do not make a source slow.
+    for (int number = 0; number < 16; ++number)
+        site.board.onFirstByte(*choice, request, number % 3 == 0 ? 1500ms : 20ms, start);
+    CHECK(site.choose(request)->movedTokens == 7900);
+}
+
+TEST_CASE("one daemon of many learns from the others which upstream fails and which source is slow")
+{
+    // Load pattern: 75 daemons and 140 engines; one daemon sees an engine once in several seconds.
+    Site other;
+    Site site(0, "peer");
+    for (auto* each : { &other, &site }) {
+        each->board.setUpstream(entryOf(1, plain), start);
+        each->board.setUpstream(entryOf(2, plain), start);
+        each->parts.setStores({ { "s1", FailureDomain("north"), 1000000 } });
+        each->parts.onListing("s1", 1, { { "m/w1/all", "common", 100 }, { "m/w1/all", "subject", 7800 } }, start);
+        each->board.setUpstream(entryOf(1, model), start);
+    }
+    PlacementRequest request;
+    request.service = plain;
+    for (int number = 0; number < 10; ++number) {
+        other.board.begin(choiceOf("plain1"), request, start);
+        other.board.finish(choiceOf("plain1"), request, true, AttemptResult::FailureAnswer, start);
+    }
+    const auto reading = prompt(8000, "subject");
+    const auto moving = other.choose(reading);
+    REQUIRE(moving->movedTokens == 7900);
+    for (int number = 0; number < 4; ++number) {
+        other.board.onFirstByte(*moving, reading, 1500ms, start);
+        site.board.onPeerExperience(other.board.takeUpstreamExperience(), other.board.takeSourceExperience(), start);
+    }
+    CHECK(site.choose(request)->upstream == UpstreamId("plain2"));
+    CHECK(site.choose(reading)->movedTokens < 7900);
+    // Told once, it is not told again.
+    CHECK(other.board.takeUpstreamExperience().empty());
+    CHECK(other.board.takeSourceExperience().empty());
+}
