--- a/support/soak_proxy.py
+++ b/support/soak_proxy.py
@@ -1,4 +1,4 @@
-"""A loopback TCP proxy whose connections can be delayed, reset, cut in one direction or silenced."""
+"""A loopback TCP proxy whose connections can be delayed, reset, cut in one direction, silenced or stalled."""
 
 import socket
 import struct
@@ -17,6 +17,7 @@
         self.mode = "pass"
         self.delay = 0.15
         self.connections = set()
+        self.stalled = set()
         self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
@@ -30,6 +31,11 @@
             for connection in self.connections:
                 reset(connection)
 
+    def stall(self, chooser):
+        """Some of the open connections go silent for good, as new ones go on to work."""
+        with self.lock:
+            self.stalled |= {connection for connection in self.connections if chooser.random() < 0.5}
+
     def accept(self):
         while True:
             try:
@@ -53,6 +59,7 @@
         backward.join()
         with self.lock:
             self.connections -= {caller, callee}
+            self.stalled -= {caller, callee}
         caller.close()
         callee.close()
 
@@ -62,7 +69,7 @@
                 if self.mode == "delay":
                     time.sleep(self.delay)
                 # A connection that has lost bytes goes on silent: what follows would not make sense.
-                if self.mode == "silent" or (self.mode == "mute" and is_answer):
+                if self.mode == "silent" or (self.mode == "mute" and is_answer) or source in self.stalled:
                     while source.recv(CHUNK):
                         pass
                     break
--- a/support/soak_run.py
+++ b/support/soak_run.py
@@ -26,7 +26,7 @@
 
     def __init__(self, seed, daemons):
         self.random = random.Random(seed)
-        self.proxies = []
+        self.proxies = []  # Of the store, for each daemon, and of the replicas.
         self.site = site.EdgeSite(daemons=daemons, models=3, plain=3, link=self.link)
         self.configuration = copy.deepcopy(site.CONFIGURATION)
         self.removed = {}  # Keys that were taken away, and when.
@@ -91,6 +91,11 @@
         proxy.set(self.random.choice(("delay", "reset", "silent", "mute")))
         return lambda: proxy.set("pass")
 
+    def stall(self):
+        """Open connections to the store go silent: one daemon may then know one topic and not the other."""
+        for proxy in self.random.sample(self.proxies, 3):
+            proxy.stall(self.random)
+
     def store_fault(self):
         store = self.site.store
         mode = self.random.choice(("busy", "slow", "lost", "refusing", "forgetting"))
@@ -141,7 +146,7 @@
 
     def disturb(self, seconds):
         """Plays a series of faults that overlap."""
-        kinds = ((self.kill, 2), (self.terminate, 2), (self.pause, 2), (self.link_fault, 5), (self.store_fault, 3),
+        kinds = ((self.kill, 2), (self.terminate, 2), (self.pause, 2), (self.link_fault, 4), (self.stall, 3), (self.store_fault, 3),
                  (self.replica_fault, 4), (self.remove_key, 1), (self.name_weights, 1))
         ends = []
         begun = time.monotonic()
@@ -213,18 +218,19 @@
         connection.close()
 
     def watch_keys(self):
-        """A key that a daemon has refused stays refused there, also after its process has ended and started again."""
+        """A key that a process has refused stays refused there; a new process has to learn first."""
         refused = set()
         while not self.is_over:
             for daemon in self.site.daemons:
+                process = daemon.process.pid
                 for key in tuple(self.removed):
                     try:
                         status = site.request(daemon, "/once/watch", b"", key=key, timeout=1)[1]
                     except (OSError, http.client.HTTPException):
                         continue
                     if status == 401:
-                        refused.add((daemon.node, key))
-                    elif status not in REFUSALS and (daemon.node, key) in refused:
+                        refused.add((process, key))
+                    elif status not in REFUSALS and (process, key) in refused and daemon.process.pid == process:
                         self.breach(f"configuration went back at {daemon.node}: {key} got {status}")
             time.sleep(0.05)
 
