--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -4,7 +4,6 @@
 
 #include "daemon/clock.h"
 #include "edge/log.h"
-#include "goldcrestwood/hash.h"
 #include "platform/store_calls.h"
 
 namespace goldcrestwood {
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -4,7 +4,6 @@
 #include <cmath>
 #include <limits>
 #include <numeric>
-#include <utility>
 
 #include "goldcrestwood/hash.h"
 #include "upstream_cost.h"
@@ -123,39 +122,11 @@
     found->second.cache.clear();
 }
 
-void UpstreamBoard::onPeerUse(const InstanceId& peer, const std::vector<UpstreamUse>& uses, TimePoint now)
-{
-    auto& used = this->usedByPeer[peer];
-    for (const auto& id : used)
-        if (const auto found = this->upstreams.find(id); found != this->upstreams.end())
-            found->second.peers.erase(peer);
-    used.clear();
-    for (const auto& use : uses)
-        if (const auto found = this->upstreams.find(use.upstream); found != this->upstreams.end()) {
-            found->second.peers[peer] = { use, now };
-            used.push_back(use.upstream);
-        }
-}
-
 std::uint64_t UpstreamBoard::Load::backlogAhead(std::size_t engineClass) const
 {
     return std::accumulate(this->backlog.begin(), this->backlog.begin() + static_cast<std::ptrdiff_t>(engineClass) + 1, std::uint64_t { 0 });
 }
 
-UpstreamBoard::Load UpstreamBoard::totalLoad(const Upstream& upstream, TimePoint now) const
-{
-    auto load = upstream.own;
-    for (const auto& [peer, report] : upstream.peers) {
-        if (now - report.at > this->settings.peerReportLifetime)
-            continue;
-        load.requests += report.use.requests;
-        load.tokens += report.use.tokens;
-        for (std::size_t index = 0; index < std::min(engineClasses, report.use.backlog.size()); ++index)
-            load.backlog[index] += report.use.backlog[index];
-    }
-    return load;
-}
-
 void UpstreamBoard::setDaemons(std::vector<InstanceId> all)
 {
     this->daemons = std::move(all);
@@ -422,38 +393,6 @@
     }
 }
 
-std::vector<UpstreamUse> UpstreamBoard::ownUses() const
-{
-    std::vector<UpstreamUse> uses;
-    for (const auto& [id, upstream] : this->upstreams)
-        if (upstream.own.requests > 0)
-            uses.push_back({ id, upstream.own.requests, upstream.own.tokens, { upstream.own.backlog.begin(), upstream.own.backlog.end() } });
-    return uses;
-}
-
-void UpstreamBoard::onPeerExperience(
-    const std::vector<UpstreamExperience>& experiences, const std::vector<SourceExperience>& sources, TimePoint now)
-{
-    for (const auto& told : experiences)
-        if (const auto found = this->upstreams.find(told.upstream); found != this->upstreams.end())
-            this->learnOutcome(found->second, told.answers, told.failures);
-    for (const auto& told : sources)
-        this->learnSource(told, now);
-}
-
-std::vector<UpstreamExperience> UpstreamBoard::takeUpstreamExperience()
-{
-    std::vector<UpstreamExperience> result;
-    for (auto& [id, upstream] : this->upstreams) {
-        auto& experience = upstream.experience;
-        if (experience.answers + experience.failures == 0)
-            continue;
-        result.push_back(std::exchange(experience, {}));
-        result.back().upstream = id;
-    }
-    return result;
-}
-
 std::vector<RegistryEntry> UpstreamBoard::readyUpstreams(const ServiceName& service) const
 {
     std::vector<RegistryEntry> result;
@@ -476,17 +415,6 @@
         visit(upstream.entry);
 }
 
-std::uint32_t UpstreamBoard::requestsAt(const UpstreamId& id) const
-{
-    const auto found = this->upstreams.find(id);
-    if (found == this->upstreams.end())
-        return 0;
-    auto sum = found->second.own.requests;
-    for (const auto& [peer, report] : found->second.peers)
-        sum += report.use.requests;
-    return sum;
-}
-
 std::vector<std::pair<UpstreamId, std::string>> UpstreamBoard::engines() const
 {
     std::vector<std::pair<UpstreamId, std::string>> result;
--- a/src/upstream_board_cache.cc
+++ b/src/upstream_board_cache.cc
@@ -2,7 +2,6 @@
 /// The half of the board that knows where cached prompt parts are and what moving them costs.
 
 #include <algorithm>
-#include <utility>
 
 #include "upstream_cost.h"
 
@@ -86,21 +85,6 @@
         samples.pop_front();
 }
 
-void UpstreamBoard::learnSource(const SourceExperience& told, TimePoint now)
-{
-    for (const auto slowness : told.slowness)
-        keepSample(this->moveSources[told.address].samples, { now, std::clamp(slowness, 1.0, mostSlowness) });
-}
-
-std::vector<SourceExperience> UpstreamBoard::takeSourceExperience()
-{
-    std::vector<SourceExperience> result;
-    for (auto& [address, source] : this->moveSources)
-        if (!source.untold.empty())
-            result.push_back({ address, std::exchange(source.untold, {}) });
-    return result;
-}
-
 void UpstreamBoard::settleMoves(const PlacementChoice& choice)
 {
     for (const auto& address : choice.movesFrom)
