A heartbeat fits its datagram however much its daemon does

Cause: uses and experience were told without a bound. With work at 400 engines a heartbeat took 24,626 bytes; the receiver reads 8,192 and dropped the rest without a word, so that the busiest daemon of a large site would have seemed dead. Found by reading; the new case of upstream_board_test failed with that figure. Change: at most 80 uses (the busiest), 80 upstreams and 24 sources in one heartbeat, the others in the next ones, in turn; a heartbeat that cannot be read is logged. After: 8,192 bytes hold it; everything is told within five heartbeats.

--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -42,6 +42,10 @@
     double backlogShare = 0.6;
     /// Weight of a new sample in a moving average.
     double sampleWeight = 0.1;
+    /// What one heartbeat tells at most; together it fits a datagram of 8 KB with names of 20 letters.
+    std::size_t mostToldUses = 80;
+    std::size_t mostToldUpstreams = 80;
+    std::size_t mostToldSources = 24;
 };
 
 /// What a request asks of an upstream.
@@ -118,7 +122,7 @@
     void onPeerUse(const InstanceId& peer, const std::vector<UpstreamUse>& uses, TimePoint now);
     /// One daemon of many sees an upstream or a source seldom; what all of them see tells soon.
     void onPeerExperience(const std::vector<UpstreamExperience>& upstreams, const std::vector<SourceExperience>& sources, TimePoint now);
-    /// @return Own experience since the last call.
+    /// @return Own experience that was not told yet; what is beyond the bound comes with the next calls.
     std::vector<UpstreamExperience> takeUpstreamExperience();
     std::vector<SourceExperience> takeSourceExperience();
 
@@ -135,7 +139,7 @@
 
     /// @return Own requests in flight.
     std::uint32_t ownRequests() const { return this->inFlight; }
-    /// @return Work in flight for the heartbeat; idle upstreams are left out.
+    /// @return Work in flight for the heartbeat, at the busiest upstreams if it is at many; idle ones are left out.
     std::vector<UpstreamUse> ownUses() const;
     /// @return The entries of a service's upstreams that are not draining.
     std::vector<RegistryEntry> readyUpstreams(const ServiceName& service) const;
@@ -259,6 +263,8 @@
     std::map<std::string, MoveSource> moveSources;
     std::vector<InstanceId> daemons;
     std::uint32_t inFlight = 0;
+    UpstreamId lastToldUpstream; ///< Where the next call goes on.
+    std::string lastToldSource;
     double tokensPerMillisecond;
 };
 
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -187,6 +187,9 @@
         const auto message = decode<EdgeHeartbeat>(std::string_view(buffer.data(), size));
         if (message)
             this->onHeartbeat(*message);
+        else
+            edge::log(edge::LogClass::Decision, "heartbeat_rejected",
+                { { "peer", sender.address().to_string() }, { "bytes", static_cast<std::int64_t>(size) }, { "reason", message.error().message } });
     }
 }
 
--- a/src/upstream_board_peers.cc
+++ b/src/upstream_board_peers.cc
@@ -8,6 +8,26 @@
 
 namespace goldcrestwood {
 
+namespace {
+
+    /// Visits the entries of a map from after @p last on, then from its beginning, until @p visit wants no more.
+    /// @param last Set to the key of the last one visited.
+    template <typename Map, typename Visit>
+    void visitAfter(Map& map, typename Map::key_type& last, Visit visit)
+    {
+        auto position = map.upper_bound(last);
+        for (std::size_t count = 0; count < map.size(); ++count) {
+            if (position == map.end())
+                position = map.begin();
+            last = position->first;
+            if (!visit(*position))
+                return;
+            ++position;
+        }
+    }
+
+} // namespace
+
 void UpstreamBoard::onPeerUse(const InstanceId& peer, const std::vector<UpstreamUse>& uses, TimePoint now)
 {
     auto& used = this->usedByPeer[peer];
@@ -42,6 +62,11 @@
     for (const auto& [id, upstream] : this->upstreams)
         if (upstream.own.requests > 0)
             uses.push_back({ id, upstream.own.requests, upstream.own.tokens, { upstream.own.backlog.begin(), upstream.own.backlog.end() } });
+    if (uses.size() > this->settings.mostToldUses) {
+        const auto end = uses.begin() + static_cast<std::ptrdiff_t>(this->settings.mostToldUses);
+        std::nth_element(uses.begin(), end, uses.end(), [](const auto& left, const auto& right) { return left.requests > right.requests; });
+        uses.erase(end, uses.end());
+    }
     return uses;
 }
 
@@ -58,13 +83,14 @@
 std::vector<UpstreamExperience> UpstreamBoard::takeUpstreamExperience()
 {
     std::vector<UpstreamExperience> result;
-    for (auto& [id, upstream] : this->upstreams) {
-        auto& experience = upstream.experience;
-        if (experience.answers + experience.failures == 0)
-            continue;
-        result.push_back(std::exchange(experience, {}));
-        result.back().upstream = id;
-    }
+    visitAfter(this->upstreams, this->lastToldUpstream, [&](auto& entry) {
+        auto& experience = entry.second.experience;
+        if (experience.answers + experience.failures > 0) {
+            result.push_back(std::exchange(experience, {}));
+            result.back().upstream = entry.first;
+        }
+        return result.size() < this->settings.mostToldUpstreams;
+    });
     return result;
 }
 
@@ -88,9 +114,11 @@
 std::vector<SourceExperience> UpstreamBoard::takeSourceExperience()
 {
     std::vector<SourceExperience> result;
-    for (auto& [address, source] : this->moveSources)
-        if (!source.untold.empty())
-            result.push_back({ address, std::exchange(source.untold, {}) });
+    visitAfter(this->moveSources, this->lastToldSource, [&](auto& entry) {
+        if (!entry.second.untold.empty())
+            result.push_back({ entry.first, std::exchange(entry.second.untold, {}) });
+        return result.size() < this->settings.mostToldSources;
+    });
     return result;
 }
 
--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -382,3 +382,42 @@
     CHECK(other.board.takeUpstreamExperience().empty());
     CHECK(other.board.takeSourceExperience().empty());
 }
+
+TEST_CASE("what a busy daemon tells of a large pool fits a datagram")
+{
+    // Load pattern: one large daemon of a large site has work at every one of 400 engines and blocks from 60 sources.
+    Site site;
+    constexpr int engines = 400;
+    constexpr int sources = 60;
+    for (int number = 0; number < engines; ++number) {
+        auto entry = entryOf(number, model);
+        entry.id = UpstreamId("i-0123456789-" + std::to_string(number));
+        site.board.setUpstream(entry, start);
+        auto choice = choiceOf(entry.id.value.c_str());
+        choice.movedTokens = 8000;
+        choice.moveTime = 30ms;
+        choice.movesFrom = { "172.20.0." + std::to_string(number % sources) + ":8080" };
+        const auto request = prompt(9000, "subject");
+        // Each engine has one request that is over and more in flight, the first engines the most.
+        site.board.begin(choice, request, start);
+        site.board.onFirstByte(choice, request, 500ms, start);
+        site.board.finish(choice, request, true, AttemptResult::Answered, start);
+        for (int more = 0; more < 1 + (engines - number) / 100; ++more)
+            site.board.begin(choice, request, start);
+    }
+    EdgeHeartbeat message;
+    message.instance = InstanceId("edge-with-a-long-name-100");
+    message.domain = FailureDomain("failure-domain");
+    message.frontAddress = message.peerAddress = "10.200.100.100:65535";
+    message.peers.assign(12, message.peerAddress);
+    message.uses = site.board.ownUses();
+    message.upstreams = site.board.takeUpstreamExperience();
+    message.sources = site.board.takeSourceExperience();
+    CHECK(encode(message).size() <= 8192);
+    // The busiest are told, and what did not fit comes with the next heartbeats.
+    CHECK(std::all_of(message.uses.begin(), message.uses.end(), [](const auto& use) { return use.requests == 5 || use.requests == 4; }));
+    auto told = message.upstreams.size();
+    for (auto rest = site.board.takeUpstreamExperience(); !rest.empty(); rest = site.board.takeUpstreamExperience())
+        told += rest.size();
+    CHECK(told == engines);
+}
