Reports of daemons that have ended are forgotten, and count for no replica's turn

Cause: requestsAt() summed what peers had told without its age, though placement drops reports after 2.5 s: a daemon that had ended kept 'three requests' at a replica, which then waited the whole 0.8 s for runs to end before its order. Change: one sum for both (totalLoad); setDaemons() forgets peers that are not among the daemons. Test: 'work of a daemon that has ended holds up nothing' (before, 3 requests after 2.6 s).

--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -116,6 +116,7 @@
     /// Upstreams that are taking new weights; they get no new work meanwhile.
     void setOrdered(std::set<UpstreamId> ids) { this->ordered = std::move(ids); }
     void setWeights(const UpstreamId& id, const std::string& model, std::uint64_t version);
+    /// Reports of others are forgotten.
     /// @param all Daemons that may send to an upstream at the same time, this one included.
     void setDaemons(std::vector<InstanceId> all);
     std::size_t daemonCount() const { return this->daemons.size(); }
@@ -148,7 +149,9 @@
     /// Calls @p visit with each entry.
     void forEach(const std::function<void(const RegistryEntry&)>& visit) const;
     /// @return Requests of all daemons in flight at an upstream, as last heard.
-    std::uint32_t requestsAt(const UpstreamId& id) const;
+    std::uint32_t requestsAt(const UpstreamId& id, TimePoint now) const;
+    /// @return Peers whose reports are kept.
+    std::size_t knownPeers() const { return this->usedByPeer.size(); }
     /// @return Engines with their addresses.
     std::vector<std::pair<UpstreamId, std::string>> engines() const;
     PartCache* cacheOf(const UpstreamId& id);
@@ -229,6 +232,7 @@
     double expectedMove(const std::string& address, double plainMs, TimePoint now) const;
     void learnOutcome(Upstream& upstream, std::uint32_t answers, std::uint32_t failures) const;
     void learnMove(const PlacementChoice& choice, double measuredMs, TimePoint now);
+    void forgetPeers();
     static void keepSample(std::deque<MoveSample>& samples, const MoveSample& sample);
     void learnSource(const SourceExperience& told, TimePoint now);
     void settleMoves(const PlacementChoice& choice);
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -57,7 +57,7 @@
     std::vector<WeightCandidate> result;
     this->state.board.forEach([&](const RegistryEntry& entry) {
         if (const auto weights = entry.weights.find(model); weights != entry.weights.end() && !entry.isDraining)
-            result.push_back({ entry.id, weights->second, this->state.board.requestsAt(entry.id) });
+            result.push_back({ entry.id, weights->second, this->state.board.requestsAt(entry.id, monotonicNow()) });
     });
     return result;
 }
@@ -248,7 +248,7 @@
     const auto target = this->plan->weights();
     const auto version = report->weights.find(target.model);
     this->plan->onReport(upstream, version == report->weights.end() ? 0 : version->second, report->isBusy, monotonicNow());
-    if (report->isBusy || !this->plan->isOrderDue(upstream, this->state.board.requestsAt(upstream), monotonicNow()) || !this->lease.mayOrder(suspensionAwareNow()))
+    if (report->isBusy || !this->plan->isOrderDue(upstream, this->state.board.requestsAt(upstream, monotonicNow()), monotonicNow()) || !this->lease.mayOrder(suspensionAwareNow()))
         co_return;
     this->plan->onOrderSent(upstream, monotonicNow());
     const platform::WeightOrder order { target, platform::WeightStrategy::Retain, this->state.settings.instance.value, this->lease.fence(), report->orders };
@@ -279,7 +279,7 @@
     while (isRunning()) {
         const auto now = monotonicNow();
         const bool isLoading = this->plan->isLoading(upstream);
-        const bool isDue = this->plan->isOrderDue(upstream, this->state.board.requestsAt(upstream), now);
+        const bool isDue = this->plan->isOrderDue(upstream, this->state.board.requestsAt(upstream, now), now);
         if (isLoading || isDue || now - asked >= restingReportInterval) {
             asked = now;
             co_await this->ask(caller, upstream);
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -130,6 +130,7 @@
 void UpstreamBoard::setDaemons(std::vector<InstanceId> all)
 {
     this->daemons = std::move(all);
+    this->forgetPeers();
 }
 
 std::size_t UpstreamBoard::coldShare(const Upstream& upstream, double bound) const
--- a/src/upstream_board_peers.cc
+++ b/src/upstream_board_peers.cc
@@ -94,15 +94,24 @@
     return result;
 }
 
-std::uint32_t UpstreamBoard::requestsAt(const UpstreamId& id) const
+std::uint32_t UpstreamBoard::requestsAt(const UpstreamId& id, TimePoint now) const
 {
     const auto found = this->upstreams.find(id);
-    if (found == this->upstreams.end())
-        return 0;
-    auto sum = found->second.own.requests;
-    for (const auto& [peer, report] : found->second.peers)
-        sum += report.use.requests;
-    return sum;
+    return found == this->upstreams.end() ? 0 : this->totalLoad(found->second, now).requests;
+}
+
+void UpstreamBoard::forgetPeers()
+{
+    for (auto entry = this->usedByPeer.begin(); entry != this->usedByPeer.end();) {
+        if (std::find(this->daemons.begin(), this->daemons.end(), entry->first) != this->daemons.end()) {
+            ++entry;
+            continue;
+        }
+        for (const auto& id : entry->second)
+            if (const auto found = this->upstreams.find(id); found != this->upstreams.end())
+                found->second.peers.erase(entry->first);
+        entry = this->usedByPeer.erase(entry);
+    }
 }
 
 void UpstreamBoard::learnSource(const SourceExperience& told, TimePoint now)
--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -421,3 +421,17 @@
         told += rest.size();
     CHECK(told == engines);
 }
+
+TEST_CASE("work of a daemon that has ended holds up nothing")
+{
+    // Load pattern: machines are replaced all day; a replica's turn for new weights waits for the requests left there.
+    Site site;
+    site.board.setUpstream(entryOf(1, plain), start);
+    const UpstreamId upstream("plain1");
+    site.board.onPeerUse(InstanceId("gone"), { { upstream, 3, 0, {} } }, start);
+    CHECK(site.board.requestsAt(upstream, start) == 3);
+    CHECK(site.board.requestsAt(upstream, start + 2600ms) == 0);
+    CHECK(site.board.knownPeers() == 1);
+    site.board.setDaemons({ InstanceId("self") });
+    CHECK(site.board.knownPeers() == 0);
+}
