Heartbeats go no longer to every address that ever was

Found by reading. Change: PeerAddresses forgets what was not heard of for 15 minutes, never the seeds.

--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -86,9 +86,8 @@
     , registryReader(registry)
     , datagrams(loop)
     , acceptor(loop)
+    , addresses(edgeState.settings.seeds)
 {
-    for (const auto& seed : edgeState.settings.seeds)
-        this->addresses.insert(seed);
 }
 
 void PeerLink::start()
@@ -102,10 +101,10 @@
     this->acceptor.listen();
 }
 
-void PeerLink::addPeerAddress(const std::string& address)
+void PeerLink::hearOf(const std::string& address, TimePoint now)
 {
     if (address != this->state.settings.peerAddress && parseEndpoint(address))
-        this->addresses.insert(address);
+        this->addresses.hear(address, now);
 }
 
 Duration PeerLink::interval() const
@@ -149,7 +148,7 @@
 void PeerLink::announce()
 {
     const auto bytes = encode(this->heartbeat());
-    for (const auto& address : this->addresses) {
+    for (const auto& address : this->addresses.all()) {
         const auto endpoint = parseEndpoint(address);
         ErrorCode ignored; // A datagram may be lost anyway; the next heartbeat follows.
         this->datagrams.send_to(asio::buffer(bytes), udp::endpoint(endpoint->address(), endpoint->port()), 0, ignored);
@@ -163,6 +162,7 @@
         this->announce();
         const auto now = monotonicNow();
         this->daemons.sweep(now);
+        this->addresses.sweep(now);
         this->chooseReaders(now);
         auto all = this->daemons.instances();
         all.push_back(this->state.settings.instance);
@@ -198,9 +198,9 @@
     const auto now = monotonicNow();
     if (message.instance == this->state.settings.instance || !this->daemons.onHeartbeat(message, now))
         return;
-    this->addPeerAddress(message.peerAddress);
+    this->hearOf(message.peerAddress, now);
     for (const auto& address : message.peers)
-        this->addPeerAddress(address);
+        this->hearOf(address, now);
     this->state.board.onPeerUse(message.instance, message.uses, now);
     this->state.board.onPeerExperience(message.upstreams, message.sources, now);
     this->queues.dispatchAll();
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -5,7 +5,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "edge/edge_state.h"
@@ -14,6 +13,7 @@
 #include "edge/service_queue.h"
 #include "goldcrestwood/daemon_view.h"
 #include "goldcrestwood/feed_readers.h"
+#include "goldcrestwood/peer_addresses.h"
 
 namespace goldcrestwood {
 
@@ -38,7 +38,6 @@
     const DaemonView& view() const { return this->daemons; }
     /// @return Front addresses for a caller, as the directory names them.
     std::vector<std::string> frontsFor(const std::string& caller, const FailureDomain& domain);
-    void addPeerAddress(const std::string& address);
 
 private:
     Duration interval() const;
@@ -62,6 +61,7 @@
         bool isByRegistry = false;
     };
     Ahead pickAhead(TimePoint now);
+    void hearOf(const std::string& address, TimePoint now);
     EdgeHeartbeat describe() const;
     void chooseReaders(TimePoint now);
     std::string readerAddress(std::size_t failures) const;
@@ -74,7 +74,7 @@
     udp::socket datagrams;
     tcp::acceptor acceptor;
     DaemonView daemons;
-    std::set<std::string> addresses; ///< Peer addresses that were ever heard of.
+    PeerAddresses addresses;
     std::uint64_t sequence = 0;
     TimePoint behindSince;
     bool isBehind = false;
