Each topic has its own lag: the registry's cuts no held read of the operator's topic short

Cause: catchUp() kept one time for both topics. A daemon that does not read the registry is nearly always a little behind in it, so the time was long over when the operator's topic moved, and the held read that was about to answer was dropped; success of a query for one topic also began the time of the other anew. Found by reading. Change: FeedLag, one for each topic; a topic that moves on asks nobody.

--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -260,22 +260,19 @@
     }
 }
 
-PeerLink::Ahead PeerLink::pickAhead(TimePoint now)
+PeerLink::Ahead PeerLink::pickAhead(std::uint64_t EdgeHeartbeat::*told, std::uint64_t known, TimePoint now)
 {
     // Any of those that know more, so that the daemons that are behind do not all ask the same one.
     Ahead result;
     std::size_t count = 0;
     for (const auto* report : this->daemons.live(now)) {
-        const auto& told = report->heartbeat;
-        const bool isByOperator = told.operatorEnd > this->state.operatorFeed.end();
-        const bool isByRegistry = told.registryEnd > this->state.registryFeed.end();
-        if (!isByOperator && !isByRegistry)
+        const auto end = report->heartbeat.*told;
+        if (end <= known)
             continue;
-        result.isByOperator = result.isByOperator || isByOperator;
-        result.isByRegistry = result.isByRegistry || isByRegistry;
+        result.end = std::max(result.end, end);
         ++count;
         if (uniform(this->state.random) * static_cast<double>(count) < 1)
-            result.address = told.peerAddress;
+            result.address = report->heartbeat.peerAddress;
     }
     return result;
 }
@@ -289,27 +286,21 @@
         ErrorCode ignored;
         co_await timer.async_wait(into(ignored));
         const auto now = monotonicNow();
-        const auto ahead = this->pickAhead(now);
-        // The registry of a daemon that does not read it lags behind by the time between two questions to a reader.
+        const auto byOperator = this->pickAhead(&EdgeHeartbeat::operatorEnd, this->state.operatorFeed.end(), now);
+        const auto byRegistry = this->pickAhead(&EdgeHeartbeat::registryEnd, this->state.registryFeed.end(), now);
+        // The registry of a daemon that does not read it moves on with its questions to a reader.
         const bool isReader = this->state.readerRank().has_value();
-        const auto lag = ahead.isByOperator || isReader ? behindLimit : 3 * askInterval(this->daemons.known() + 1);
-        if (ahead.address.empty()) {
-            this->isBehind = false;
-            continue;
-        }
-        if (!this->isBehind) {
-            this->isBehind = true;
-            this->behindSince = now;
-        }
-        if (now - this->behindSince < lag)
-            continue;
+        const auto registryLimit = isReader ? behindLimit : 3 * askInterval(this->daemons.known() + 1);
+        const bool lacksOperator = this->operatorLag.isOverdue(this->state.operatorFeed.end(), byOperator.end, now, behindLimit);
+        const bool lacksRegistry = this->registryLag.isOverdue(this->state.registryFeed.end(), byRegistry.end, now, registryLimit);
         // The held reads may wait on connections that have gone silent.
-        if (ahead.isByOperator)
+        if (lacksOperator)
             this->operatorReader.refresh();
-        if (ahead.isByRegistry && isReader)
+        if (lacksRegistry && isReader)
             this->registryReader.refresh();
-        if (co_await this->query(link, ahead.address, false))
-            this->isBehind = false;
+        if (lacksOperator || lacksRegistry)
+            // A peer that does not answer is followed by another: the topic still stands at the next look.
+            static_cast<void>(co_await this->query(link, lacksOperator ? byOperator.address : byRegistry.address, false));
     }
 }
 
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -12,6 +12,7 @@
 #include "edge/net.h"
 #include "edge/service_queue.h"
 #include "goldcrestwood/daemon_view.h"
+#include "goldcrestwood/feed_lag.h"
 #include "goldcrestwood/feed_readers.h"
 #include "goldcrestwood/peer_addresses.h"
 
@@ -54,13 +55,12 @@
     Task<bool> query(QueryLink& link, std::string address, bool wantsCache);
     Task<std::optional<std::string>> exchange(QueryLink& link, const std::string& request);
     void believe(const FeedAnswer& answer);
-    /// A daemon that knows more than this one.
+    /// A daemon that knows more of a topic than this one.
     struct Ahead {
         std::string address; ///< Empty if there is none.
-        bool isByOperator = false;
-        bool isByRegistry = false;
+        std::uint64_t end = 0; ///< The highest offset that any daemon tells.
     };
-    Ahead pickAhead(TimePoint now);
+    Ahead pickAhead(std::uint64_t EdgeHeartbeat::*told, std::uint64_t known, TimePoint now);
     void hearOf(const std::string& address, TimePoint now);
     EdgeHeartbeat describe() const;
     void chooseReaders(TimePoint now);
@@ -76,8 +76,8 @@
     DaemonView daemons;
     PeerAddresses addresses;
     std::uint64_t sequence = 0;
-    TimePoint behindSince;
-    bool isBehind = false;
+    FeedLag operatorLag;
+    FeedLag registryLag;
     std::uint64_t cacheSource = 0; ///< Incarnation of the reader whose numbers these are.
     std::uint64_t cacheFrom = 0;
 };
