Soak: the check of the send budget can fail

Cause: the check allowed a fifth of all requests of a run and fifty more, which no schedule of faults reached: it could not fail. Found by reading. Change: a tight budget in the soak's settings, sends counted as replicas get them, refused ones too, in windows of 10 s for each service, and at the end two seconds in which a service fails nearly all requests.

--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -192,6 +192,7 @@
         headers = [("X-Goldcrestwood-Request-Id", request)]
         if self.headers.get("X-Goldcrestwood-Expect-Instance") not in (None, replica.id):
             return self.answer(421, headers=headers)
+        replica.offers.append((time.monotonic(), request))
         if replica.refuse > 0:
             replica.refuse -= 1
             return self.answer(503, headers=[*headers, ("X-Goldcrestwood-Not-Executed", "1")])
@@ -237,7 +238,8 @@
         self.id = f"i-{service}-{number}"
         self.store, self.service, self.kind, self.domain, self.slots = store, service, kind, domain, slots
         self.requests = []
-        self.arrivals = []  # Time and id of each request that ran.
+        self.offers = []  # Time and id of each request that came.
+        self.arrivals = []  # Likewise, of those that were not refused.
         self.orders = []
         self.version = 1
         self.load_seconds = 0.1
@@ -322,13 +324,13 @@
 class Daemon:
     """One entry daemon on a loopback address of its own."""
 
-    def __init__(self, number, store, folder, seeds, link=None):
+    def __init__(self, number, store, folder, seeds, link=None, bounds=""):
         self.node, self.ip = f"edge-{number}", f"{SUBNET}.{number}"
         self.front, self.ready, self.directory, self.metrics = (f"{self.ip}:{port}" for port in (7001, 7002, 7003, 9464))
         self.store_address = link(store.door()) if link else store.door()
         self.settings = folder / f"{self.node}.toml"
         self.settings.write_text(SETTINGS.format(node=self.node, zone=f"zone-{number % 3}", ip=self.ip, store=self.store_address,
-                                                 seeds=", ".join(f'"{seed}:7000"' for seed in seeds)))
+                                                 seeds=", ".join(f'"{seed}:7000"' for seed in seeds)) + bounds)
         self.log_path = folder / f"{self.node}.log"
         self.process = None
 
@@ -360,16 +362,19 @@
 class EdgeSite(contextlib.ExitStack):
     """A store, replicas of a model and of a plain service, and daemons."""
 
-    def __init__(self, daemons=2, models=3, plain=2, configuration=None, link=None):
-        """The link, if any, is given each address of the store and of a replica, and returns the one to use instead."""
+    def __init__(self, daemons=2, models=3, plain=2, configuration=None, link=None, bounds=""):
+        """The link, if any, is given each address of the store and of a replica, and returns the one to use instead.
+
+        The bounds are further lines for the settings' table of that name.
+        """
         super().__init__()
         try:
-            self.begin(daemons, models, plain, configuration, link)
+            self.begin(daemons, models, plain, configuration, link, bounds)
         except BaseException:
             self.close()  # No process stays behind.
             raise
 
-    def begin(self, daemons, models, plain, configuration, link):
+    def begin(self, daemons, models, plain, configuration, link, bounds):
         self.folder = pathlib.Path(self.enter_context(tempfile.TemporaryDirectory()))
         self.store = Store()
         self.callback(self.store.stop)
@@ -377,7 +382,7 @@
         self.models = [Replica(self.store, number, "model", "streaming", f"zone-{number % 3}", link=link) for number in range(models)]
         self.plain = [Replica(self.store, number, "plain", "plain", f"zone-{number % 3}", link=link) for number in range(plain)]
         seeds = [f"{SUBNET}.{number + 1}" for number in range(min(daemons, 3))]
-        self.daemons = [Daemon(number + 1, self.store, self.folder, seeds, link).start() for number in range(daemons)]
+        self.daemons = [Daemon(number + 1, self.store, self.folder, seeds, link, bounds).start() for number in range(daemons)]
         for daemon in self.daemons:
             self.callback(daemon.stop)
         for daemon in self.daemons:
--- a/support/soak_run.py
+++ b/support/soak_run.py
@@ -16,7 +16,9 @@
 DRAIN_SECONDS = 2.0  # Of the site's settings.
 SLACK_SECONDS = 1.0  # For stand-ins on a busy machine; how fast things are is measured on the users' bench.
 RECOVER_SECONDS = 20.0
-RETRY_RATIO, RETRY_SLACK = 0.2, 50  # The settings' defaults.
+STORM_SECONDS = 2.0
+# Tight, so that daemons which send again without asking their budget break it.
+RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW = 0.01, 7, 10.0
 REFUSALS = (408, 421, 429, 503)  # "Not run".
 ACCOUNTS = {"key-one": "first", "key-two": "first", "key-three": "second"}
 
@@ -27,7 +29,8 @@
     def __init__(self, seed, daemons):
         self.random = random.Random(seed)
         self.proxies = []  # Of the store, for each daemon, and of the replicas.
-        self.site = site.EdgeSite(daemons=daemons, models=3, plain=3, link=self.link)
+        self.site = site.EdgeSite(daemons=daemons, models=3, plain=3, link=self.link,
+                                  bounds=f"retry_ratio = {RETRY_RATIO}\nretry_slack = {RETRY_SLACK}\nretry_window_s = {RETRY_WINDOW:.0f}\n")
         self.configuration = copy.deepcopy(site.CONFIGURATION)
         self.removed = {}  # Keys that were taken away, and when.
         self.left = {}  # Replicas that reported to drain, and when.
@@ -38,6 +41,7 @@
         self.lock = threading.Lock()
         self.counts = collections.Counter()
         self.paused = set()
+        self.starts = daemons  # Processes that were started, each with a share of the budget.
 
     def link(self, address):
         self.proxies.append(Proxy(address))
@@ -67,11 +71,11 @@
             self.revive(daemon)
         return again
 
-    @staticmethod
-    def revive(daemon):
+    def revive(self, daemon):
         """Starts a daemon again, unless another fault's end has done so."""
         if daemon.process.poll() is not None:
             daemon.start()
+            self.starts += 1
 
     def pause(self):
         daemon = self.random.choice(self.site.daemons)
@@ -250,6 +254,14 @@
         except (TimeoutError, OSError, http.client.HTTPException) as error:
             self.breach(f"no recovery: {error}")
 
+    def play_storm(self):
+        """Load pattern: nearly all answers of a service fail at once, so that each request would be sent again."""
+        for replica in self.site.plain:
+            replica.fail = 1000
+        time.sleep(STORM_SECONDS)
+        for replica in self.site.plain:
+            replica.fail = 0
+
     def check_drain(self):
         """In calm, a replica that reported to drain gets no request after its time."""
         self.drain()
@@ -276,9 +288,27 @@
                 self.breach(f"{identifier} ran for {accounts[identifier]} with a key of {ACCOUNTS[key]}")
             if status == 200 and is_whole and not self.is_complete(kind, body):
                 self.breach(f"{identifier} ({kind}) looks whole and is not: {body[:60]!r}")
-        extra = sum(count - 1 for count in runs.values() if count > 1)
-        if extra > RETRY_RATIO * len(runs) + RETRY_SLACK:
-            self.breach(f"{extra} further sends for {len(runs)} requests")
+        for replicas in (self.site.models, self.site.plain):
+            self.check_budget(sorted(offer for replica in replicas for offer in replica.offers))
+
+    def check_budget(self, offers):
+        """In any window, sends beyond a request's first stay within the budget of its service, all daemons together."""
+        seen = set()
+        window = collections.deque()
+        further = 0
+        most = 0
+        for at, identifier in offers:
+            window.append((at, identifier in seen))
+            further += identifier in seen
+            seen.add(identifier)
+            while at - window[0][0] > RETRY_WINDOW:
+                further -= window.popleft()[1]
+            # A process that starts again has forgotten what it sent.
+            bound = RETRY_RATIO * (len(window) - further) + RETRY_SLACK * self.starts / len(self.site.daemons)
+            most = max(most, further)
+            if further > bound:
+                self.breach(f"more further sends in {RETRY_WINDOW:.0f} s than the budget has")
+        self.counts["most further sends"] = max(most, self.counts["most further sends"])
 
     @staticmethod
     def is_complete(kind, body):
@@ -299,6 +329,7 @@
         try:
             soak.disturb(seconds)
             soak.check_recovery()
+            soak.play_storm()
             soak.check_drain()
         finally:
             soak.is_over = True
