--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -47,6 +47,13 @@
     return request;
 }
 
+PlacementRequest plainRequest()
+{
+    PlacementRequest request;
+    request.service = plain;
+    return request;
+}
+
 PlacementChoice choiceOf(const char* upstream)
 {
     PlacementChoice choice;
@@ -62,6 +69,14 @@
         this->board.setServices(services(coldPerSecond));
     }
 
+    /// Adds an engine, and a store that holds what prompt(8000, "subject") shares: 7,900 tokens.
+    void addEngineAndStore()
+    {
+        this->parts.setStores({ { "s1", FailureDomain("north"), 1000000 } });
+        this->parts.onListing("s1", 1, { { "m/w1/all", "common", 100 }, { "m/w1/all", "subject", 7800 } }, start);
+        this->board.setUpstream(entryOf(1, model), start);
+    }
+
     std::optional<PlacementChoice> choose(const PlacementRequest& request, TimePoint now = start, const std::set<UpstreamId>& tried = {})
     {
         return this->board.choose(request, tried, now, this->refusal);
@@ -77,8 +92,7 @@
 TEST_CASE("draining, evacuated, ordered and unknown upstreams get nothing")
 {
     Site site;
-    PlacementRequest request;
-    request.service = plain;
+    const auto request = plainRequest();
     CHECK_FALSE(site.choose(request));
     site.board.setUpstream(entryOf(1, plain), start);
     CHECK(site.choose(request)->upstream == UpstreamId("plain1"));
@@ -141,8 +155,7 @@
 {
     Site site;
     site.board.setUpstream(entryOf(1, plain), start);
-    PlacementRequest request;
-    request.service = plain;
+    const auto request = plainRequest();
     site.board.onPeerUse(InstanceId("peer"), { { UpstreamId("plain1"), 12, 0, {} } }, start);
     CHECK_FALSE(site.choose(request));
     CHECK(site.refusal == PlacementRefusal::Full);
@@ -178,8 +191,7 @@
         cold.coldLeft = 3s;
         sites.back()->board.setUpstream(cold, start);
     }
-    PlacementRequest request;
-    request.service = plain;
+    const auto request = plainRequest();
     std::vector<TimePoint> sends;
     for (auto now = start; now < start + 3s; now += 2ms)
         for (auto& site : sites)
@@ -202,8 +214,7 @@
     Site site;
     site.board.setUpstream(entryOf(1, plain), start);
     site.board.setUpstream(entryOf(2, plain), start);
-    PlacementRequest request;
-    request.service = plain;
+    const auto request = plainRequest();
     const auto one = choiceOf("plain1");
     auto now = start;
     for (int failure = 0; failure < 3; ++failure) {
@@ -220,8 +231,7 @@
     // Load pattern: a failure domain returns; its replicas have new names at their old addresses for seconds.
     Site site;
     site.board.setUpstream(entryOf(1, plain), start);
-    PlacementRequest request;
-    request.service = plain;
+    const auto request = plainRequest();
     auto next = entryOf(1, plain);
     next.id = UpstreamId("plain1-next");
     next.born = 2;
@@ -245,8 +255,7 @@
     Site site;
     site.board.setUpstream(entryOf(1, plain), start);
     site.board.setUpstream(entryOf(2, plain), start);
-    PlacementRequest request;
-    request.service = plain;
+    const auto request = plainRequest();
     const auto grey = choiceOf("plain1");
     for (int number = 0; number < 5; ++number) {
         site.board.begin(grey, request, start);
@@ -286,9 +295,7 @@
 TEST_CASE("a store whose moves take many times as long is passed over until the belief fades")
 {
     Site site;
-    site.parts.setStores({ { "s1", FailureDomain("north"), 1000000 } });
-    site.parts.onListing("s1", 1, { { "m/w1/all", "common", 100 }, { "m/w1/all", "subject", 7800 } }, start);
-    site.board.setUpstream(entryOf(1, model), start);
+    site.addEngineAndStore();
     const auto request = prompt(8000, "subject");
     auto choice = site.choose(request);
     REQUIRE(choice->movedTokens == 7900);
@@ -336,9 +343,7 @@
 {
     // Load pattern: a large site, where nobody follows the engines: a third of the moves does not take place.
     Site site;
-    site.parts.setStores({ { "s1", FailureDomain("north"), 1000000 } });
-    site.parts.onListing("s1", 1, { { "m/w1/all", "common", 100 }, { "m/w1/all", "subject", 7800 } }, start);
-    site.board.setUpstream(entryOf(1, model), start);
+    site.addEngineAndStore();
     const auto request = prompt(8000, "subject");
     const auto choice = site.choose(request);
     REQUIRE(choice->movedTokens == 7900);
@@ -359,12 +364,9 @@
     for (auto* each : { &other, &site }) {
         each->board.setUpstream(entryOf(1, plain), start);
         each->board.setUpstream(entryOf(2, plain), start);
-        each->parts.setStores({ { "s1", FailureDomain("north"), 1000000 } });
-        each->parts.onListing("s1", 1, { { "m/w1/all", "common", 100 }, { "m/w1/all", "subject", 7800 } }, start);
-        each->board.setUpstream(entryOf(1, model), start);
+        each->addEngineAndStore();
     }
-    PlacementRequest request;
-    request.service = plain;
+    const auto request = plainRequest();
     for (int number = 0; number < 10; ++number) {
         other.board.begin(choiceOf("plain1"), request, start);
         other.board.finish(choiceOf("plain1"), request, true, AttemptResult::FailureAnswer, start);
