One way to forward a held answer

Cause: giveUp() wrote a held answer by a second copy of forwardHeldAnswer(), with a copy of the body. Change: it calls it.

--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -235,7 +235,7 @@
     return !attempt.isSent || this->state.sendBudget(exchange.placement.service).tryTake(monotonicNow());
 }
 
-Task<> Pipeline::giveUp(ClientExchange& exchange, const Attempt& attempt)
+Task<> Pipeline::giveUp(ClientExchange& exchange, Attempt& attempt)
 {
     if (exchange.clientGone || exchange.headSent) {
         // An answer that ends early must not look complete.
@@ -243,14 +243,7 @@
         co_return;
     }
     if (attempt.held) {
-        auto response = *attempt.held;
-        ErrorCode error;
-        exchange.headSent = true;
-        response.keep_alive(exchange.keepClient && !this->state.isStopping);
-        exchange.keepClient = response.keep_alive();
-        co_await http::async_write(exchange.client, response, into(error));
-        if (error)
-            exchange.keepClient = false;
+        co_await this->forwardHeldAnswer(exchange, attempt);
         co_return;
     }
     if (exchange.mayHaveRun)
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -32,7 +32,7 @@
     Task<bool> writeStreamPiece(ClientExchange& exchange, Attempt& attempt, const char* data, std::size_t size, bool more);
     Task<> forwardHeldAnswer(ClientExchange& exchange, Attempt& attempt);
     bool maySendAgain(ClientExchange& exchange, const Attempt& attempt);
-    Task<> giveUp(ClientExchange& exchange, const Attempt& attempt);
+    Task<> giveUp(ClientExchange& exchange, Attempt& attempt);
     http::request<http::string_body> upstreamRequest(const ClientExchange& exchange, const PlacementChoice& choice, const std::string& lastEvent) const;
 
     EdgeState& state;
--- a/test/process/edge_test.py
+++ b/test/process/edge_test.py
@@ -73,6 +73,15 @@
         for _ in range(4):
             self.assertEqual(site.request(here.daemons[0], "/safe/a", key=None, method="GET")[1], 200)
 
+    def test_the_last_failure_answer_reaches_the_caller_whole(self):
+        here = self.start(daemons=1)
+        for replica in here.plain:
+            replica.fail = 10
+        identifier, status, headers, body = site.request(here.daemons[0], "/safe/a", key=None, method="GET")
+        self.assertEqual((status, body), (500, b"failed"))
+        self.assertIn(identifier, headers["X-Goldcrestwood-Response-Seal"])
+        self.assertEqual(sum(request == identifier for replica in here.plain for request, _, _ in replica.requests), 2)
+
     def test_a_change_is_in_force_everywhere_and_survives_an_outage(self):
         here = self.start(daemons=3)
         changed = copy.deepcopy(site.CONFIGURATION)
