--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -191,6 +191,7 @@
             response.result(http::status::service_unavailable);
     } else if (path == metricsPath) {
         response.set(http::field::content_type, "text/plain; version=0.0.4");
+        this->state.metrics.set("goldcrest_log_lines_dropped", "", static_cast<double>(edge::droppedLines()));
         response.body() = this->state.metrics.prometheusText();
     } else if (path == statePath) {
         response.set(http::field::content_type, "application/json");
--- a/test/process/edge_test.py
+++ b/test/process/edge_test.py
@@ -164,7 +164,9 @@
         identifier = site.request(here.daemons[0], "/once/", key="wrong")[0]
         lines = [line for line in here.daemons[0].log_lines() if line.get("request") == identifier]
         self.assertEqual([(line["event"], line["status"], line["reason"]) for line in lines], [("request_rejected", 401, "unknown key")])
-        self.assertIn(b"goldcrest_rejected_total", site.call(here.daemons[0].metrics, "GET", "/metrics")[2])
+        metrics = site.call(here.daemons[0].metrics, "GET", "/metrics")[2]
+        self.assertIn(b"goldcrest_rejected_total", metrics)
+        self.assertIn(b"goldcrest_log_lines_dropped 0", metrics)
         state = json.loads(site.call(here.daemons[0].metrics, "GET", "/state")[2])
         self.assertEqual(state["configuration"], 1)
         self.assertEqual(len(state["upstreams"]), 5)
