Old weights: a start, a claim and a waiting request no longer go past the bound

Cause: (1) a daemon counted the time since weights were named from its own first reading, so each start granted old weights the whole bound again; (2) "the store is away" was each daemon's own belief, and its end counted the time anew; (3) the holder's own machine waited out its predecessor's turn (five seconds after a loss of power); (4) a request could wait at an upstream past the bound. Change: a version found named at a start binds within the contact time, unless a peer that saw the naming tells its age (heartbeats); the store counts as away only if half of the readers cannot read it, and never in a process's first second; the machine of the last holder claims at once; a request that has not begun shortly before the bound is withdrawn.

--- a/include/goldcrestwood/duty_lease.h
+++ b/include/goldcrestwood/duty_lease.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 #include "goldcrestwood/edge_messages.h"
 #include "goldcrestwood/names.h"
@@ -28,7 +29,8 @@
 /// The lease as one daemon knows it. Times are of a clock that counts the suspension of the machine.
 class DutyLease {
 public:
-    DutyLease(InstanceId instance, std::uint64_t incarnation, DutyLeaseSettings settings = {});
+    /// @param address Of this machine, which no other has while the records live.
+    DutyLease(InstanceId instance, std::string address, std::uint64_t incarnation, DutyLeaseSettings settings = {});
 
     /// The topic was read: @p record stands at @p offset, as its last one.
     void onRecord(const DutyRecord& record, std::uint64_t offset, TimePoint now);
@@ -58,9 +60,12 @@
     std::uint64_t end() const { return this->readTo; }
     bool mustRead() const { return !this->upToDate; }
     const std::optional<DutyRecord>& last() const { return this->lastRecord; }
+    /// @return Whether an earlier process of this machine wrote the last record: it has ended, so there is nobody to wait for.
+    bool isOwnPredecessor() const;
 
 private:
     InstanceId self;
+    std::string address;
     std::uint64_t incarnation;
     DutyLeaseSettings settings;
     std::optional<DutyRecord> lastRecord;
--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -55,6 +55,18 @@
     bool operator==(const SourceExperience&) const = default;
 };
 
+/// How long ago the operator named weights, as a daemon knows that saw it.
+struct NamedWeightsAge {
+    /// The model.
+    std::string model;
+    /// The newest version named.
+    std::uint64_t version = 0;
+    /// Since its naming, milliseconds.
+    std::uint64_t ageMs = 0;
+
+    bool operator==(const NamedWeightsAge&) const = default;
+};
+
 /// What a daemon tells its peers of itself, several times a second.
 struct EdgeHeartbeat {
     /// The sender.
@@ -87,6 +99,8 @@
     std::vector<UpstreamExperience> upstreams;
     /// Experience with sources of cached blocks.
     std::vector<SourceExperience> sources;
+    /// Namings of weights that the sender saw or was told of by one that did.
+    std::vector<NamedWeightsAge> weights;
     /// Peer addresses that the sender has heard from lately.
     std::vector<std::string> peers;
 
@@ -187,6 +201,8 @@
 struct DutyRecord {
     /// The daemon that wrote the record.
     InstanceId holder;
+    /// Its peer address: another machine may bear the same name.
+    std::string address;
     /// Of the holder's process.
     std::uint64_t incarnation = 0;
     /// The holder's fencing number; 0 in the claim itself, whose offset gives it.
@@ -215,6 +231,11 @@
 tl::expected<SourceExperience, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const SourceExperience& message);
 template <>
+std::string encode(const NamedWeightsAge& message);
+template <>
+tl::expected<NamedWeightsAge, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const NamedWeightsAge& message);
+template <>
 std::string encode(const EdgeHeartbeat& message);
 template <>
 tl::expected<EdgeHeartbeat, DecodeError> decode(std::string_view bytes);
--- a/src/duty_lease.cc
+++ b/src/duty_lease.cc
@@ -4,8 +4,9 @@
 
 namespace goldcrestwood {
 
-DutyLease::DutyLease(InstanceId instance, std::uint64_t processIncarnation, DutyLeaseSettings leaseSettings)
+DutyLease::DutyLease(InstanceId instance, std::string machineAddress, std::uint64_t processIncarnation, DutyLeaseSettings leaseSettings)
     : self(std::move(instance))
+    , address(std::move(machineAddress))
     , incarnation(processIncarnation)
     , settings(leaseSettings)
 {
@@ -33,11 +34,17 @@
     return this->lastRecord && this->lastRecord->holder == this->self && this->lastRecord->incarnation == this->incarnation;
 }
 
+bool DutyLease::isOwnPredecessor() const
+{
+    return this->lastRecord && this->lastRecord->holder == this->self && this->lastRecord->address == this->address
+        && this->lastRecord->incarnation != this->incarnation;
+}
+
 bool DutyLease::mayClaim(bool holderSeemsWell, TimePoint now) const
 {
     if (!this->upToDate)
         return false;
-    if (!this->lastRecord || this->isLastHolder())
+    if (!this->lastRecord || this->isLastHolder() || this->isOwnPredecessor())
         return true;
     // The last holder may give orders until its term ends, counted from before its record was seen here.
     const auto termEnd = this->lastSeen + this->settings.term + this->settings.margin;
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -50,10 +50,16 @@
             reportFindings(source, weights.error());
             return;
         }
-        if (!state.weightTargets[weights->model].name(weights->version, monotonicNow()))
+        const auto now = monotonicNow();
+        const auto& bounds = state.settings.bounds;
+        // A process that has just started cannot tell how long ago a version was named. It counts as connected after
+        // the contact time; no later than then the version must bind.
+        const auto since = state.knowsOperator ? now : now - std::max(bounds.weights - bounds.contact, Duration(0));
+        if (!state.weightTargets[weights->model].name(weights->version, since, state.knowsOperator))
             return;
         edge::log(LogClass::Decision, "weights_named",
-            { { "model", weights->model }, { "version", static_cast<std::int64_t>(weights->version) }, { "source", source } });
+            { { "model", weights->model }, { "version", static_cast<std::int64_t>(weights->version) }, { "source", source },
+                { "witnessed", state.knowsOperator } });
     }
 
     void believeEvacuation(EdgeState& state, const KeyedRecord& record, const char* source)
@@ -106,6 +112,7 @@
         else if (record.key.starts_with(platform::weightsPrefix))
             believeWeights(state, record, source);
     }
+    state.knowsOperator = state.knowsOperator || state.operatorFeed.isKnown();
 }
 
 void believeRegistry(EdgeState& state, const std::vector<KeyedRecord>& news, const char* source)
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -47,7 +47,7 @@
     , queues(serviceQueues)
     , peers(peerLink)
     , store(loop, edgeState.settings.storeAddress)
-    , lease(edgeState.settings.instance, edgeState.incarnation,
+    , lease(edgeState.settings.instance, edgeState.settings.peerAddress, edgeState.incarnation,
           DutyLeaseSettings { .turn = edgeState.settings.bounds.lease, .upstreamsCheckFences = edgeState.settings.bounds.fencesChecked })
 {
 }
@@ -83,6 +83,8 @@
 
 bool DutyRunner::isMyTurn() const
 {
+    if (this->lease.isOwnPredecessor())
+        return true;
     // Those that read for all are well, reach the store and are large rather than small.
     const auto rank = this->state.readerRank().value_or(this->state.feedReaders.size());
     return monotonicNow() - *this->claimableSince >= rankDelay * static_cast<int>(rank);
@@ -90,7 +92,7 @@
 
 DutyRecord DutyRunner::record() const
 {
-    DutyRecord record { this->state.settings.instance, this->state.incarnation, this->lease.fence(), {}, {} };
+    DutyRecord record { this->state.settings.instance, this->state.settings.peerAddress, this->state.incarnation, this->lease.fence(), {}, {} };
     if (this->plan) {
         record.ordered = this->plan->ordered();
         record.done = this->plan->done();
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -17,8 +17,10 @@
 #include "goldcrestwood/part_directory.h"
 #include "goldcrestwood/random.h"
 #include "goldcrestwood/send_budget.h"
+#include "goldcrestwood/store_outage.h"
 #include "goldcrestwood/traffic.h"
 #include "goldcrestwood/upstream_board.h"
+#include "goldcrestwood/weight_targets.h"
 
 namespace goldcrestwood {
 
@@ -28,41 +30,6 @@
     TimePoint since;
 };
 
-/// Weights that the operator named, and when this daemon learned it.
-struct WeightTarget {
-    std::uint64_t version = 0;
-    TimePoint learned;
-};
-
-/// The versions of one model's weights, in the order in which they were named.
-class WeightTargets {
-public:
-    /// @return Whether @p version is newer than all before.
-    bool name(std::uint64_t version, TimePoint now)
-    {
-        if (version <= this->newest())
-            return false;
-        this->targets.push_back({ version, now });
-        return true;
-    }
-
-    std::uint64_t newest() const { return this->targets.empty() ? 0 : this->targets.back().version; }
-
-    /// @param since Time before it does not count, such as an outage of the store.
-    /// @return The newest version that was known @p age ago; 0 if there is none.
-    std::uint64_t knownFor(Duration age, TimePoint now, TimePoint since = {}) const
-    {
-        std::uint64_t version = 0;
-        for (const auto& target : this->targets)
-            if (now - std::max(target.learned, since) >= age)
-                version = target.version;
-        return version;
-    }
-
-private:
-    std::vector<WeightTarget> targets;
-};
-
 struct EdgeState {
     explicit EdgeState(EdgeSettings initial, std::uint64_t seed)
         : settings(std::move(initial))
@@ -79,9 +46,6 @@
 
     bool readsStore() const { return this->operatorContact.isReachable && this->registryContact.isReachable; }
 
-    /// @return Since when the whole store can be read, if it can.
-    TimePoint readsStoreSince() const { return std::max(this->operatorContact.since, this->registryContact.since); }
-
     /// @return This daemon's rank among the feed's readers, if it is one of them.
     std::optional<std::size_t> readerRank() const
     {
@@ -102,6 +66,8 @@
     KeyedFeed operatorFeed;
     KeyedFeed registryFeed;
     std::map<std::string, WeightTargets> weightTargets; ///< By model.
+    bool knowsOperator = false; ///< Whether the operator's topic was known before the news at hand.
+    StoreOutage storeOutage;
     std::set<FailureDomain> evacuated;
     bool isStopping = false;
     /// Daemons that read the registry and the cache stores for all, the first in rank first.
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -139,7 +139,11 @@
     message.uses = this->state.board.ownUses();
     message.upstreams = this->state.board.takeUpstreamExperience();
     message.sources = this->state.board.takeSourceExperience();
-    for (const auto* report : this->daemons.live(monotonicNow()))
+    const auto now = monotonicNow();
+    for (const auto& [model, targets] : this->state.weightTargets)
+        if (const auto naming = targets.witnessed())
+            message.weights.push_back({ model, naming->version, static_cast<std::uint64_t>((now - naming->since) / std::chrono::milliseconds(1)) });
+    for (const auto* report : this->daemons.live(now))
         if (message.peers.size() < mostToldAddresses)
             message.peers.push_back(report->heartbeat.peerAddress);
     return message;
@@ -164,6 +168,7 @@
         this->daemons.sweep(now);
         this->addresses.sweep(now);
         this->chooseReaders(now);
+        this->judgeStore(now);
         auto all = this->daemons.instances();
         all.push_back(this->state.settings.instance);
         this->state.board.setDaemons(std::move(all));
@@ -201,6 +206,9 @@
     this->hearOf(message.peerAddress, now);
     for (const auto& address : message.peers)
         this->hearOf(address, now);
+    for (const auto& told : message.weights)
+        if (const auto targets = this->state.weightTargets.find(told.model); targets != this->state.weightTargets.end())
+            targets->second.witness(told.version, now - std::chrono::milliseconds(told.ageMs));
     this->state.board.onPeerUse(message.instance, message.uses, now);
     this->state.board.onPeerExperience(message.upstreams, message.sources, now);
     this->queues.dispatchAll();
@@ -211,6 +219,13 @@
     return this->daemons.frontsFor(caller, domain, this->describe(), monotonicNow());
 }
 
+void PeerLink::judgeStore(TimePoint now)
+{
+    const auto live = this->daemons.live(now);
+    const auto reading = std::count_if(live.begin(), live.end(), [](const auto* report) { return report->heartbeat.readsStore; });
+    this->state.storeOutage.onView(static_cast<std::size_t>(reading) + (this->state.readsStore() ? 1 : 0), live.size() + 1, now);
+}
+
 void PeerLink::chooseReaders(TimePoint now)
 {
     std::vector<FeedCandidate> reading;
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -64,6 +64,7 @@
     void hearOf(const std::string& address, TimePoint now);
     EdgeHeartbeat describe() const;
     void chooseReaders(TimePoint now);
+    void judgeStore(TimePoint now);
     std::string readerAddress(std::size_t failures) const;
 
     EdgeState& state;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -18,8 +18,12 @@
     constexpr Duration defaultRetryAfter = std::chrono::milliseconds(300);
     /// Nobody waits for longer than a caller that names no limit.
     constexpr Duration longestWait = std::chrono::seconds(60);
-    /// A request may wait at a replica for about so long before it begins; it must not begin on old weights by then.
+    /// A request may wait at an upstream for about so long before it begins; it must not begin on old weights by then.
     constexpr Duration weightsMargin = std::chrono::milliseconds(1800);
+    /// One that may run twice is withdrawn if it has not begun by then, so that it may leave until shortly before.
+    constexpr Duration repeatableWeightsMargin = std::chrono::milliseconds(700);
+    /// A withdrawal must have reached the upstream before the bound: a few round trips and a late timer.
+    constexpr Duration withdrawalMargin = std::chrono::milliseconds(250);
     /// From then on answers on old weights are worth less to callers.
     constexpr Duration weightsPreference = std::chrono::milliseconds(1300);
 
@@ -105,6 +109,33 @@
     return true;
 }
 
+void Pipeline::demandWeights(ClientExchange& exchange) const
+{
+    auto& placement = exchange.placement;
+    const auto target = this->state.weightTargets.find(placement.model);
+    if (target == this->state.weightTargets.end())
+        return;
+    const auto now = monotonicNow();
+    placement.leastWeights = this->leastWeights(target->second, exchange.route->isRepeatable() ? repeatableWeightsMargin : weightsMargin, now);
+    placement.preferredWeights = target->second.namedFor(weightsPreference, now);
+}
+
+std::uint64_t Pipeline::leastWeights(const WeightTargets& targets, Duration margin, TimePoint now) const
+{
+    // While the store is away nobody can give orders; old weights are better than no answer then.
+    if (this->state.storeOutage.isAway())
+        return 0;
+    return targets.namedFor(this->state.settings.bounds.weights - margin, now, this->state.storeOutage.endedAt());
+}
+
+std::optional<TimePoint> Pipeline::weightsDeadline(const ClientExchange& exchange, const PlacementChoice& choice) const
+{
+    const auto target = this->state.weightTargets.find(exchange.placement.model);
+    if (choice.weights == 0 || target == this->state.weightTargets.end() || this->state.storeOutage.isAway())
+        return std::nullopt;
+    return target->second.replacedAt(choice.weights, this->state.settings.bounds.weights - withdrawalMargin, this->state.storeOutage.endedAt());
+}
+
 Task<> Pipeline::serve(ClientExchange& exchange)
 {
     unsigned status = 0;
@@ -128,13 +159,6 @@
     placement.rank = exchange.rank;
     placement.objective = exchange.route->objective;
     placement.model = exchange.info.model;
-    if (const auto target = this->state.weightTargets.find(placement.model); target != this->state.weightTargets.end()) {
-        // While the store is away nobody can give orders; old weights are better than no answer then.
-        if (this->state.readsStore())
-            placement.leastWeights = target->second.knownFor(
-                this->state.settings.bounds.weights - weightsMargin, exchange.received, this->state.readsStoreSince());
-        placement.preferredWeights = target->second.knownFor(weightsPreference, exchange.received);
-    }
     if (exchange.account != nullptr && exchange.account->isIsolated)
         placement.sharing = "account-" + exchange.account->name.value;
     else
@@ -179,6 +203,7 @@
     Attempt attempt;
     while (true) {
         PlacementRefusal refusal = PlacementRefusal::NoUpstream;
+        this->demandWeights(exchange);
         auto choice = co_await this->queues.place(exchange, refusal);
         if (!choice) {
             attempt.failure = refusal == PlacementRefusal::Full ? "all upstreams are full" : "no upstream can be used";
@@ -284,7 +309,10 @@
     ErrorCode error;
     co_await http::async_write(link.stream, request, into(error));
     // An upstream may answer before it has read a long request, so a failed write is no reason not to read.
+    if (const auto end = this->weightsDeadline(exchange, attempt.choice))
+        link.stream.expires_at(*end);
     const bool hasHead = co_await this->readHead(exchange, attempt);
+    link.stream.expires_never();
     if (hasHead) {
         attempt.hadFirstByte = true;
         attempt.firstByte = monotonicNow() - sent;
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -23,6 +23,12 @@
     Task<> reject(ClientExchange& exchange, unsigned status, const char* reason, std::optional<Duration> retryAfter = std::nullopt);
     bool admit(ClientExchange& exchange, unsigned& status, const char*& reason);
     Task<> run(ClientExchange& exchange);
+    /// Decides which weights a request needs that is placed now.
+    void demandWeights(ClientExchange& exchange) const;
+    /// @param margin So long before it is due, a version is already demanded.
+    std::uint64_t leastWeights(const WeightTargets& targets, Duration margin, TimePoint now) const;
+    /// @return When a request that has not begun at @p choice must be withdrawn, since newer weights bind.
+    std::optional<TimePoint> weightsDeadline(const ClientExchange& exchange, const PlacementChoice& choice) const;
     Task<> attempt(ClientExchange& exchange, Attempt& attempt);
     Task<ConnectionPtr> openConnection(ClientExchange& exchange, const std::string& address);
     Task<bool> readHead(ClientExchange& exchange, Attempt& attempt);
--- /dev/null
+++ b/test/weight_targets_test.cc
@@ -0,0 +1,117 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <random>
+
+#include "goldcrestwood/store_outage.h"
+#include "goldcrestwood/weight_targets.h"
+
+using namespace goldcrestwood;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start { 100s };
+
+} // namespace
+
+TEST_CASE("a named version binds from its own naming, also when a newer one follows")
+{
+    WeightTargets targets;
+    CHECK(targets.name(2, start, true));
+    CHECK(targets.name(3, start + 9s, true));
+    CHECK_FALSE(targets.name(2, start + 9s, true));
+    CHECK(targets.namedFor(8s, start + 10s) == 2);
+    CHECK(targets.namedFor(8s, start + 17s) == 3);
+    // Time before the store's return does not count.
+    CHECK(targets.namedFor(8s, start + 17s, start + 12s) == 0);
+    CHECK(targets.replacedAt(1, 8s) == start + 8s);
+    CHECK(targets.replacedAt(2, 8s) == start + 17s);
+    CHECK_FALSE(targets.replacedAt(3, 8s));
+}
+
+TEST_CASE("a peer that saw the naming gives a process back the time that it may go on with old weights")
+{
+    WeightTargets targets;
+    targets.name(2, start - 5s, false);
+    CHECK_FALSE(targets.witnessed());
+    targets.witness(2, start - 1s);
+    CHECK(targets.witnessed()->since == start - 1s);
+    // Of two that saw it, the one that saw it first is right; a version that is not the newest changes nothing.
+    targets.witness(2, start - 2s);
+    targets.witness(2, start);
+    targets.witness(1, start - 90s);
+    CHECK(targets.witnessed()->since == start - 2s);
+}
+
+TEST_CASE("the store is away only if half of the daemons cannot read it")
+{
+    StoreOutage outage;
+    outage.onView(6, 7, start);
+    CHECK_FALSE(outage.isAway());
+    outage.onView(3, 7, start + 1s);
+    CHECK(outage.isAway());
+    outage.onView(4, 7, start + 2s);
+    CHECK_FALSE(outage.isAway());
+    CHECK(outage.endedAt() == start + 2s);
+    outage.onView(0, 1, start + 3s);
+    CHECK(outage.isAway());
+}
+
+TEST_CASE("a process that has just started and read nothing yet takes that for no outage")
+{
+    // Otherwise each start would count the time of named weights anew.
+    StoreOutage outage;
+    outage.onView(0, 1, start);
+    CHECK_FALSE(outage.isAway());
+    outage.onView(7, 7, start + 200ms);
+    CHECK(outage.endedAt() == TimePoint());
+    StoreOutage real;
+    real.onView(0, 1, start);
+    real.onView(0, 7, start + 1s);
+    CHECK(real.isAway());
+}
+
+TEST_CASE("over restarts no daemon goes on with old weights for longer than the bound")
+{
+    constexpr Duration bound = 8s;
+    constexpr Duration contact = 3s;
+    constexpr int daemons = 5;
+    for (std::uint64_t seed = 0; seed < 300; ++seed) {
+        std::mt19937_64 random(seed);
+        const auto within = [&](Duration longest) { return Duration(static_cast<Duration::rep>(random() % static_cast<std::uint64_t>(longest.count()))); };
+        struct Daemon {
+            WeightTargets targets;
+            TimePoint born;
+            bool isUp = true;
+        };
+        std::vector<Daemon> site(daemons);
+        const auto named = start;
+        for (auto& daemon : site)
+            daemon.targets.name(2, named, true);
+        const auto restart = [&](Daemon& daemon, TimePoint now) {
+            daemon = { {}, now, true };
+            daemon.targets.name(2, now - (bound - contact), false);
+        };
+        TimePoint nextFault = start + within(6s);
+        for (auto now = start; now < start + 20s; now += 50ms) {
+            if (now >= nextFault) {
+                // All of them every third time, as when a site loses power; the others live on and tell.
+                const bool isSite = random() % 3 == 0;
+                for (auto& daemon : site)
+                    if (isSite || random() % 2 == 0)
+                        restart(daemon, now);
+                nextFault = now + within(4s);
+            }
+            for (auto& teller : site)
+                if (const auto naming = teller.targets.witnessed())
+                    site[random() % daemons].targets.witness(2, naming->since);
+            for (const auto& daemon : site) {
+                const bool isInTouch = now - daemon.born >= contact;
+                const bool takesOld = daemon.targets.namedFor(bound, now) < 2;
+                INFO("seed " << seed << " at " << toSeconds(now - start) << " s");
+                CHECK_FALSE((isInTouch && takesOld && now - named > bound));
+            }
+        }
+    }
+}
