--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Messages between entry daemons on the platform: heartbeats, and records read from a peer while the store is out of reach.
+/// Messages between entry daemons on the platform: heartbeats, load at upstreams, and what a few daemons read of the store for all.
 /// Generated from schema/edge_messages.toml by support/generate.py; edit the schema instead.
 
 #include <compare>
@@ -67,7 +67,7 @@
     bool operator==(const NamedWeightsAge&) const = default;
 };
 
-/// What a daemon tells its peers of itself, several times a second.
+/// What a daemon tells of itself.
 struct EdgeHeartbeat {
     /// The sender.
     InstanceId instance;
@@ -87,18 +87,16 @@
     bool isReady = false;
     /// What the sender bears, as a share of one processor core.
     double capacity = 0;
+    /// Requests of callers that come to the sender in a second.
+    double requestRate = 0;
     /// Whether the store has answered lately.
     bool readsStore = false;
     /// Offset up to which the operator's topic is known.
     std::uint64_t operatorEnd = 0;
     /// Offset up to which the registry is known.
     std::uint64_t registryEnd = 0;
-    /// Work in flight.
-    std::vector<UpstreamUse> uses;
-    /// Experience with upstreams.
-    std::vector<UpstreamExperience> upstreams;
-    /// Experience with sources of cached blocks.
-    std::vector<SourceExperience> sources;
+    /// Whether the receiver should tell of itself.
+    bool wantsReply = false;
     /// Namings of weights that the sender saw or was told of by one that did.
     std::vector<NamedWeightsAge> weights;
     /// Peer addresses that the sender has heard from lately.
@@ -107,6 +105,86 @@
     bool operator==(const EdgeHeartbeat&) const = default;
 };
 
+/// What a daemon tells the keepers of upstreams: its work there, and how they answered.
+struct LoadReport {
+    /// The sender.
+    InstanceId instance;
+    /// Work in flight at the upstreams that the receiver keeps.
+    std::vector<UpstreamUse> uses;
+    /// Experience with these.
+    std::vector<UpstreamExperience> upstreams;
+    /// Experience with sources of cached blocks.
+    std::vector<SourceExperience> sources;
+    /// Whether the receiver should answer with the sums over all daemons.
+    bool wantsDigest = false;
+
+    bool operator==(const LoadReport&) const = default;
+};
+
+/// What other daemons than the receiver have in flight at one upstream, together.
+struct UpstreamLoad {
+    /// The upstream.
+    UpstreamId upstream;
+    /// Requests in flight.
+    std::uint32_t requests = 0;
+    /// Prompt and expected output tokens of these.
+    std::uint64_t tokens = 0;
+    /// Prompt tokens still to be read, by the engine's classes, the first class first.
+    std::vector<std::uint64_t> backlog;
+    /// Share of failures among the answers lately.
+    double failureShare = 0;
+
+    bool operator==(const UpstreamLoad&) const = default;
+};
+
+/// Answers a LoadReport with the sums at the upstreams that the sender keeps; others are idle.
+struct LoadDigest {
+    /// The sender.
+    InstanceId keeper;
+    /// Upstreams with work or failures.
+    std::vector<UpstreamLoad> loads;
+    /// Slow sources of cached blocks.
+    std::vector<SourceExperience> sources;
+
+    bool operator==(const LoadDigest&) const = default;
+};
+
+/// All that goes from one daemon to another at one time without a connection.
+struct PeerDatagram {
+    /// Of the sender.
+    std::optional<EdgeHeartbeat> heartbeat;
+    /// To a keeper.
+    std::optional<LoadReport> report;
+    /// From a keeper.
+    std::optional<LoadDigest> digest;
+
+    bool operator==(const PeerDatagram&) const = default;
+};
+
+/// A daemon as another one hears it directly.
+struct DaemonNotice {
+    /// Its last one, without lists.
+    EdgeHeartbeat heartbeat;
+    /// Whether it has been heard lately.
+    bool isLive = false;
+
+    bool operator==(const DaemonNotice&) const = default;
+};
+
+/// Which daemons came, went or changed.
+struct DaemonNews {
+    /// Incarnation of the daemon whose numbers these are.
+    std::uint64_t source = 0;
+    /// Number from which to ask next.
+    std::uint64_t end = 0;
+    /// Whether these are all daemons, rather than changes.
+    bool isWhole = false;
+    /// The daemons.
+    std::vector<DaemonNotice> daemons;
+
+    bool operator==(const DaemonNews&) const = default;
+};
+
 /// The newest record of a key, as a peer holds it.
 struct FeedRecord {
     /// The key.
@@ -153,6 +231,46 @@
     bool operator==(const CacheNews&) const = default;
 };
 
+/// An upstream that is taking new weights.
+struct OrderedUpstream {
+    /// The upstream.
+    UpstreamId upstream;
+    /// The model.
+    std::string model;
+    /// The weight version ordered.
+    std::uint64_t version = 0;
+
+    bool operator==(const OrderedUpstream&) const = default;
+};
+
+/// A record of the duty topic: who gives orders to upstreams, and what is going on.
+struct DutyRecord {
+    /// The daemon that wrote the record.
+    InstanceId holder;
+    /// Its peer address: another machine may bear the same name.
+    std::string address;
+    /// Of the holder's process.
+    std::uint64_t incarnation = 0;
+    /// The holder's fencing number; 0 in the claim itself, whose offset gives it.
+    std::uint64_t fence = 0;
+    /// Upstreams under order; they get no new requests.
+    std::vector<OrderedUpstream> ordered;
+    /// Upstreams seen to have the version.
+    std::vector<OrderedUpstream> done;
+
+    bool operator==(const DutyRecord&) const = default;
+};
+
+/// The last record of the duty topic, as a peer read it.
+struct DutyNotice {
+    /// The record.
+    DutyRecord record;
+    /// Since it was read, milliseconds.
+    std::uint64_t ageMs = 0;
+
+    bool operator==(const DutyNotice&) const = default;
+};
+
 /// Asks a peer for the records that it holds from these offsets on.
 struct FeedQuery {
     /// Offset in the operator's topic.
@@ -165,6 +283,10 @@
     std::uint64_t cacheSource = 0;
     /// Number of the first change that is wanted.
     std::uint64_t cacheFrom = 0;
+    /// Incarnation that the next number belongs to.
+    std::uint64_t daemonsSource = 0;
+    /// Number of the first change of daemons that is wanted.
+    std::uint64_t daemonsFrom = 0;
 
     bool operator==(const FeedQuery&) const = default;
 };
@@ -181,40 +303,18 @@
     std::uint64_t registryEnd = 0;
     /// News of the stores of KV cache, if wanted.
     std::optional<CacheNews> cache;
+    /// News of daemons.
+    DaemonNews daemons;
+    /// Orders to upstreams that are going on.
+    std::optional<DutyNotice> duty;
+    /// Whether the sender reads the registry.
+    bool isReading = false;
+    /// Since when, milliseconds ago.
+    std::uint64_t readingMs = 0;
 
     bool operator==(const FeedAnswer&) const = default;
 };
 
-/// An upstream that is taking new weights.
-struct OrderedUpstream {
-    /// The upstream.
-    UpstreamId upstream;
-    /// The model.
-    std::string model;
-    /// The weight version ordered.
-    std::uint64_t version = 0;
-
-    bool operator==(const OrderedUpstream&) const = default;
-};
-
-/// A record of the duty topic: who gives orders to upstreams, and what is going on.
-struct DutyRecord {
-    /// The daemon that wrote the record.
-    InstanceId holder;
-    /// Its peer address: another machine may bear the same name.
-    std::string address;
-    /// Of the holder's process.
-    std::uint64_t incarnation = 0;
-    /// The holder's fencing number; 0 in the claim itself, whose offset gives it.
-    std::uint64_t fence = 0;
-    /// Upstreams under order; they get no new requests.
-    std::vector<OrderedUpstream> ordered;
-    /// Upstreams seen to have the version.
-    std::vector<OrderedUpstream> done;
-
-    bool operator==(const DutyRecord&) const = default;
-};
-
 template <>
 std::string encode(const UpstreamUse& message);
 template <>
@@ -241,6 +341,36 @@
 tl::expected<EdgeHeartbeat, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const EdgeHeartbeat& message);
 template <>
+std::string encode(const LoadReport& message);
+template <>
+tl::expected<LoadReport, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const LoadReport& message);
+template <>
+std::string encode(const UpstreamLoad& message);
+template <>
+tl::expected<UpstreamLoad, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const UpstreamLoad& message);
+template <>
+std::string encode(const LoadDigest& message);
+template <>
+tl::expected<LoadDigest, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const LoadDigest& message);
+template <>
+std::string encode(const PeerDatagram& message);
+template <>
+tl::expected<PeerDatagram, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const PeerDatagram& message);
+template <>
+std::string encode(const DaemonNotice& message);
+template <>
+tl::expected<DaemonNotice, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const DaemonNotice& message);
+template <>
+std::string encode(const DaemonNews& message);
+template <>
+tl::expected<DaemonNews, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const DaemonNews& message);
+template <>
 std::string encode(const FeedRecord& message);
 template <>
 tl::expected<FeedRecord, DecodeError> decode(std::string_view bytes);
@@ -256,16 +386,6 @@
 tl::expected<CacheNews, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const CacheNews& message);
 template <>
-std::string encode(const FeedQuery& message);
-template <>
-tl::expected<FeedQuery, DecodeError> decode(std::string_view bytes);
-void to_json(nlohmann::json& out, const FeedQuery& message);
-template <>
-std::string encode(const FeedAnswer& message);
-template <>
-tl::expected<FeedAnswer, DecodeError> decode(std::string_view bytes);
-void to_json(nlohmann::json& out, const FeedAnswer& message);
-template <>
 std::string encode(const OrderedUpstream& message);
 template <>
 tl::expected<OrderedUpstream, DecodeError> decode(std::string_view bytes);
@@ -275,5 +395,20 @@
 template <>
 tl::expected<DutyRecord, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const DutyRecord& message);
+template <>
+std::string encode(const DutyNotice& message);
+template <>
+tl::expected<DutyNotice, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const DutyNotice& message);
+template <>
+std::string encode(const FeedQuery& message);
+template <>
+tl::expected<FeedQuery, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const FeedQuery& message);
+template <>
+std::string encode(const FeedAnswer& message);
+template <>
+tl::expected<FeedAnswer, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const FeedAnswer& message);
 
 } // namespace goldcrestwood
--- a/include/goldcrestwood/feed_readers.h
+++ b/include/goldcrestwood/feed_readers.h
@@ -22,17 +22,19 @@
     /// Time between two questions to a reader: per daemon, so that a reader answers about as many at any size, and its bounds.
     Duration askPerDaemon = std::chrono::milliseconds(4);
     Duration shortestAsk = std::chrono::milliseconds(250);
-    Duration longestAsk = std::chrono::milliseconds(1000);
+    Duration longestAsk = std::chrono::milliseconds(650);
 };
 
-/// A daemon that could read for the others.
-struct FeedCandidate {
+/// A daemon and what it bears.
+struct DaemonCapacity {
     InstanceId instance;
     double capacity = 1; ///< Share of a processor core.
+
+    bool operator==(const DaemonCapacity&) const = default;
 };
 
 /// @return The daemons that read for all, in the same order wherever the same candidates are known; large ones more often.
-std::vector<InstanceId> feedReaders(const std::vector<FeedCandidate>& candidates, const FeedReaderSettings& settings = {});
+std::vector<InstanceId> feedReaders(const std::vector<DaemonCapacity>& candidates, const FeedReaderSettings& settings = {});
 
 /// @return The reader that @p self asks, so that the others spread over all readers; empty if there is none.
 InstanceId readerFor(const InstanceId& self, const std::vector<InstanceId>& readers);
--- a/include/goldcrestwood/keyed_feed.h
+++ b/include/goldcrestwood/keyed_feed.h
@@ -23,6 +23,15 @@
 /// Folds records by offset, so that stale reads and slow peers change nothing.
 class KeyedFeed {
 public:
+    /// Whether two values of a key say the same. Load pattern: thousands of upstreams confirm their entries each second, and
+    /// nobody need hear of it.
+    using SaysSame = bool (*)(const std::string&, const std::string&);
+
+    explicit KeyedFeed(SaysSame comparison = [](const std::string&, const std::string&) { return false; })
+        : saysSame(comparison)
+    {
+    }
+
     /// Applies records in any order.
     /// @param readUpTo The records that are known to be complete end before this offset.
     /// @return The records that were news.
@@ -39,13 +48,19 @@
     /// @return Whether a listing or a peer's records have been applied.
     bool isKnown() const { return this->known; }
 
-    /// @return The records from @p offset on, removals included, in order of their offsets.
+    /// @return The records that changed from @p offset on, removals included, in order of their offsets.
     std::vector<KeyedRecord> since(std::uint64_t offset) const;
 
 private:
     std::optional<KeyedRecord> merge(const KeyedRecord& record);
 
-    std::map<std::string, KeyedRecord> newest;
+    struct Entry {
+        KeyedRecord record;
+        std::uint64_t changed = 0; ///< Offset of the first record that said the same as this one.
+    };
+
+    SaysSame saysSame;
+    std::map<std::string, Entry> newest;
     std::uint64_t readTo = 0;
     bool known = false;
 };
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -16,6 +16,7 @@
 #include "goldcrestwood/edge_messages.h"
 #include "goldcrestwood/edge_settings.h"
 #include "goldcrestwood/engine_order.h"
+#include "goldcrestwood/feed_readers.h"
 #include "goldcrestwood/names.h"
 #include "goldcrestwood/part_cache.h"
 #include "goldcrestwood/part_directory.h"
@@ -42,7 +43,7 @@
     double backlogShare = 0.6;
     /// Weight of a new sample in a moving average.
     double sampleWeight = 0.1;
-    /// What one heartbeat tells at most; together it fits a datagram of 8 KB with names of 20 letters.
+    /// What one report to a keeper tells at most; together it fits a datagram of 8 KB with names of 20 letters.
     std::size_t mostToldUses = 80;
     std::size_t mostToldUpstreams = 80;
     std::size_t mostToldSources = 24;
@@ -118,9 +119,17 @@
     void setWeights(const UpstreamId& id, const std::string& model, std::uint64_t version);
     /// Reports of others are forgotten.
     /// @param all Daemons that may send to an upstream at the same time, this one included.
-    void setDaemons(std::vector<InstanceId> all);
+    void setDaemons(std::vector<DaemonCapacity> all);
     std::size_t daemonCount() const { return this->daemons.size(); }
     void onPeerUse(const InstanceId& peer, const std::vector<UpstreamUse>& uses, TimePoint now);
+    /// A keeper told of the sums at the upstreams that it keeps; those that it left out are idle.
+    void onKeeperLoad(const InstanceId& keeper, const std::vector<UpstreamLoad>& loads, TimePoint now);
+    /// @param receiver Its own work is left out.
+    /// @param isKept Which upstreams to tell of.
+    /// @return Sums over all daemons but @p receiver at the upstreams that are not idle.
+    std::vector<UpstreamLoad> loadsFor(const InstanceId& receiver, const std::function<bool(const UpstreamId&)>& isKept, TimePoint now) const;
+    /// @return Sources of cached blocks that are slow now.
+    std::vector<SourceExperience> slowSources(TimePoint now) const;
     /// One daemon of many sees an upstream or a source seldom; what all of them see tells soon.
     void onPeerExperience(const std::vector<UpstreamExperience>& upstreams, const std::vector<SourceExperience>& sources, TimePoint now);
     /// @return Own experience that was not told yet; what is beyond the bound comes with the next calls.
@@ -140,7 +149,7 @@
 
     /// @return Own requests in flight.
     std::uint32_t ownRequests() const { return this->inFlight; }
-    /// @return Work in flight for the heartbeat, at the busiest upstreams if it is at many; idle ones are left out.
+    /// @return Work in flight for the keepers, at the busiest upstreams if it is at many; idle ones are left out.
     std::vector<UpstreamUse> ownUses() const;
     /// @return The entries of a service's upstreams that are not draining.
     std::vector<RegistryEntry> readyUpstreams(const ServiceName& service) const;
@@ -170,6 +179,13 @@
         UpstreamUse use;
         TimePoint at;
     };
+    /// What a keeper told of an upstream.
+    struct ToldLoad {
+        InstanceId keeper;
+        Load load;
+        double failureShare = 0;
+        TimePoint at;
+    };
     /// How long moves from a store take against what its link would allow.
     struct MoveSample {
         TimePoint at;
@@ -180,6 +196,7 @@
         TimePoint coldUntil;
         Load own;
         std::map<InstanceId, PeerUse> peers;
+        std::optional<ToldLoad> told;
         PartCache cache;
         std::uint32_t failures = 0; ///< Unreachable in a row.
         TimePoint avoidUntil;
@@ -191,6 +208,8 @@
     };
 
     Load totalLoad(const Upstream& upstream, TimePoint now) const;
+    static void addUse(Load& load, const UpstreamUse& use);
+    double failureShareOf(const Upstream& upstream, TimePoint now) const;
     bool isUsable(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const;
     bool takesCold(const Upstream& upstream, TimePoint now) const;
     std::size_t coldShare(const Upstream& upstream, double bound) const;
@@ -265,7 +284,8 @@
     static double slownessOf(const MoveSource& source, TimePoint now);
 
     std::map<std::string, MoveSource> moveSources;
-    std::vector<InstanceId> daemons;
+    std::map<InstanceId, std::vector<UpstreamId>> toldByKeeper; ///< Upstreams of a keeper's last digest.
+    std::vector<DaemonCapacity> daemons;
     std::uint32_t inFlight = 0;
     UpstreamId lastToldUpstream; ///< Where the next call goes on.
     std::string lastToldSource;
--- a/src/daemon_view.cc
+++ b/src/daemon_view.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <tuple>
 
 #include "goldcrestwood/feed_readers.h"
@@ -20,6 +21,19 @@
         return std::max(daemon.capacity, leastCapacity);
     }
 
+    double sumOfWeights(const std::vector<const EdgeHeartbeat*>& daemons)
+    {
+        return std::accumulate(daemons.begin(), daemons.end(), 0.0, [](double sum, const auto* daemon) { return sum + weightOf(*daemon); });
+    }
+
+    /// What peers are told of a daemon; the rest changes with each heartbeat.
+    auto descriptionOf(const EdgeHeartbeat& daemon)
+    {
+        // The rate of requests is told when it doubles or halves.
+        return std::make_tuple(daemon.incarnation, daemon.isReady, daemon.readsStore, daemon.capacity, daemon.frontAddress, daemon.peerAddress,
+            std::ilogb(daemon.requestRate + 1));
+    }
+
 } // namespace
 
 double capacityOf(const EdgeSettings& settings)
@@ -31,18 +45,65 @@
 
 bool DaemonView::onHeartbeat(const EdgeHeartbeat& heartbeat, TimePoint now)
 {
-    auto& report = this->daemons[heartbeat.instance];
+    const auto [position, isNew] = this->daemons.try_emplace(heartbeat.instance);
+    auto& report = position->second;
     if (std::tie(heartbeat.incarnation, heartbeat.sequence) <= std::tie(report.heartbeat.incarnation, report.heartbeat.sequence))
         return false;
-    report = { heartbeat, now };
+    if (isNew)
+        this->arrival = now;
+    if (report.change == 0 || !report.wasLive || descriptionOf(heartbeat) != descriptionOf(report.heartbeat))
+        report.change = ++this->changes;
+    report.heartbeat = heartbeat;
+    report.heard = now;
+    report.wasLive = true;
     return true;
 }
 
+void DaemonView::onNews(const DaemonNews& news, bool isFromReader, TimePoint now)
+{
+    this->newsAt = now;
+    if (news.isWhole && isFromReader)
+        for (auto& [id, report] : this->daemons)
+            report.isToldLive = false;
+    for (const auto& notice : news.daemons) {
+        if (!isFromReader && !notice.isLive)
+            continue;
+        const auto [position, isNew] = this->daemons.try_emplace(notice.heartbeat.instance);
+        auto& report = position->second;
+        if (isNew)
+            this->arrival = now;
+        if (std::tie(notice.heartbeat.incarnation, notice.heartbeat.sequence) >= std::tie(report.heartbeat.incarnation, report.heartbeat.sequence))
+            report.heartbeat = notice.heartbeat;
+        report.isToldLive = notice.isLive;
+        report.isToldByReader = isFromReader;
+        report.toldAt = now;
+    }
+}
+
+DaemonNews DaemonView::newsSince(std::uint64_t source, std::uint64_t from) const
+{
+    DaemonNews news { source, this->changes + 1, from == 0, {} };
+    for (const auto& [id, report] : this->daemons)
+        if (report.change > 0 && report.change >= from && (report.wasLive || from > 0)) {
+            news.daemons.push_back({ report.heartbeat, report.wasLive });
+            news.daemons.back().heartbeat.weights.clear();
+            news.daemons.back().heartbeat.peers.clear();
+        }
+    return news;
+}
+
+bool DaemonView::isHeard(const DaemonReport& report, TimePoint now) const
+{
+    return report.change > 0
+        && now - report.heard <= std::max<Duration>(this->settings.silence, std::chrono::milliseconds(report.heartbeat.intervalMs) * this->settings.missedHeartbeats);
+}
+
 std::vector<const DaemonReport*> DaemonView::live(TimePoint now) const
 {
+    const bool hasNews = now - this->newsAt <= this->settings.newsLifetime;
     std::vector<const DaemonReport*> result;
     for (const auto& [id, report] : this->daemons)
-        if (now - report.heard <= std::max<Duration>(this->settings.silence, std::chrono::milliseconds(report.heartbeat.intervalMs) * this->settings.missedHeartbeats))
+        if (this->isHeard(report, now) || (hasNews && report.isToldLive))
             result.push_back(&report);
     return result;
 }
@@ -61,6 +122,24 @@
     return std::max(this->settings.farWeight, 1 - capacities[domain] / (mean * this->settings.enoughNear));
 }
 
+std::vector<const EdgeHeartbeat*> DaemonView::workingSet(std::vector<const EdgeHeartbeat*> ready) const
+{
+    double used = 0;
+    for (const auto* daemon : ready)
+        used += daemon->requestRate * this->settings.requestCost;
+    // Names break ties, so that all daemons come to the same set.
+    std::sort(ready.begin(), ready.end(), [](const auto* left, const auto* right) {
+        return std::make_tuple(-weightOf(*left), stableHash(left->instance.value)) < std::make_tuple(-weightOf(*right), stableHash(right->instance.value));
+    });
+    const auto wanted = std::max(sumOfWeights(ready) * this->settings.leastShare, used / this->settings.busyShare);
+    double sum = 0;
+    std::size_t count = 0;
+    while (count < ready.size() && (sum < wanted || count < this->settings.mostAddresses))
+        sum += weightOf(*ready[count++]);
+    ready.resize(count);
+    return ready;
+}
+
 std::vector<std::string> DaemonView::frontsFor(
     std::string_view caller, const FailureDomain& domain, const EdgeHeartbeat& self, TimePoint now) const
 {
@@ -70,14 +149,21 @@
             ready.push_back(&report->heartbeat);
     if (self.isReady)
         ready.push_back(&self);
+    const bool isSmall = ready.size() <= this->settings.smallSite;
     const auto far = this->farWeight(ready, domain);
+    std::map<FailureDomain, std::vector<const EdgeHeartbeat*>> byDomain;
+    for (const auto* daemon : ready)
+        byDomain[daemon->domain].push_back(daemon);
     const auto key = stableHash(caller);
     std::vector<std::pair<double, std::string>> ranking;
-    for (const auto* daemon : ready) {
-        const auto weight = std::pow(weightOf(*daemon), this->settings.capacityPower) * (daemon->domain == domain ? 1 : far);
-        ranking.emplace_back(weightedScore(key, daemon->instance.value, weight), daemon->frontAddress);
+    for (const auto& [place, all] : byDomain) {
+        const auto set = isSmall ? all : this->workingSet(all);
+        // The set stands for its whole domain.
+        const auto scale = (place == domain ? 1 : far) * sumOfWeights(all) / sumOfWeights(set);
+        for (const auto* daemon : set)
+            ranking.emplace_back(weightedScore(key, daemon->instance.value, weightOf(*daemon) * scale), daemon->frontAddress);
     }
-    const auto count = ranking.size() <= this->settings.smallSite ? ranking.size() : this->settings.mostAddresses;
+    const auto count = isSmall ? ranking.size() : std::min(ranking.size(), this->settings.mostAddresses);
     std::partial_sort(ranking.begin(), ranking.begin() + static_cast<std::ptrdiff_t>(count), ranking.end(), std::greater<>());
     std::vector<std::string> result;
     for (std::size_t index = 0; index < count; ++index)
@@ -85,18 +171,36 @@
     return result;
 }
 
-std::vector<InstanceId> DaemonView::instances() const
+std::vector<const DaemonReport*> DaemonView::all() const
+{
+    std::vector<const DaemonReport*> result;
+    result.reserve(this->daemons.size());
+    for (const auto& [id, report] : this->daemons)
+        result.push_back(&report);
+    return result;
+}
+
+std::vector<DaemonCapacity> DaemonView::instances() const
 {
-    std::vector<InstanceId> result;
+    std::vector<DaemonCapacity> result;
     result.reserve(this->daemons.size());
     for (const auto& [id, report] : this->daemons)
-        result.push_back(id);
+        result.push_back({ id, report.heartbeat.capacity });
     return result;
 }
 
 void DaemonView::sweep(TimePoint now)
 {
-    std::erase_if(this->daemons, [&](const auto& entry) { return now - entry.second.heard > this->settings.forget; });
+    for (auto& [id, report] : this->daemons)
+        if (report.wasLive && !this->isHeard(report, now)) {
+            report.wasLive = false;
+            report.change = ++this->changes;
+        }
+    std::erase_if(this->daemons, [&](const auto& entry) {
+        const auto& report = entry.second;
+        const bool isToldLive = report.isToldLive && now - this->newsAt <= this->settings.forget;
+        return !isToldLive && now - std::max(report.heard, report.toldAt) > this->settings.forget;
+    });
 }
 
 } // namespace goldcrestwood
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -100,6 +100,17 @@
     });
 }
 
+void believeDuty(EdgeState& state, const DutyRecord& record, TimePoint readAt)
+{
+    std::set<UpstreamId> ordered;
+    for (const auto& entry : record.ordered)
+        ordered.insert(entry.upstream);
+    state.board.setOrdered(std::move(ordered));
+    for (const auto& entry : record.done)
+        state.board.setWeights(entry.upstream, entry.model, entry.version);
+    state.duty = { record, readAt };
+}
+
 void believeOperator(EdgeState& state, const std::vector<KeyedRecord>& news, const char* source)
 {
     for (const auto& record : news) {
--- a/src/edge/beliefs.h
+++ b/src/edge/beliefs.h
@@ -16,4 +16,8 @@
 /// Gives up the upstreams that lapsed in an outage and did not come back.
 void dropLapsed(EdgeState& state, TimePoint now);
 
+/// The holder of the duty tells which upstreams take new weights, and which have them.
+/// @param readAt When the record was read from its topic, by this daemon or by the one that tells it.
+void believeDuty(EdgeState& state, const DutyRecord& record, TimePoint readAt);
+
 } // namespace goldcrestwood
--- a/src/edge/cache_watch.cc
+++ b/src/edge/cache_watch.cc
@@ -11,8 +11,6 @@
 
 namespace {
 
-    /// Several heartbeats of a daemon that has just started.
-    constexpr Duration settlePeriod = std::chrono::milliseconds(700);
     /// Daemons that free the blocks of old weights: one, and one more in case that it is about to fail.
     constexpr std::size_t collectors = 2;
     constexpr Duration lookInterval = std::chrono::milliseconds(200);
@@ -36,11 +34,13 @@
 Task<> CacheWatch::run()
 {
     asio::steady_timer timer(this->executor);
-    // Until the peers are known, every daemon would take itself for a reader.
-    timer.expires_after(settlePeriod);
     ErrorCode ignored;
-    co_await timer.async_wait(into(ignored));
     while (true) {
+        timer.expires_after(lookInterval);
+        co_await timer.async_wait(into(ignored));
+        // Until the peers are known, every daemon would take itself for a reader.
+        if (!this->state.isSettled)
+            continue;
         if (this->followsStores())
             for (const auto& address : this->state.parts.addresses())
                 if (this->followed.insert(address).second)
@@ -50,8 +50,6 @@
                 if (this->followedEngines.insert(id).second)
                     asio::co_spawn(this->executor, this->followEngine(id, address), asio::detached);
         this->collectGarbage();
-        timer.expires_after(lookInterval);
-        co_await timer.async_wait(into(ignored));
     }
 }
 
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -3,6 +3,7 @@
 #include <ctime>
 
 #include "daemon/clock.h"
+#include "edge/beliefs.h"
 #include "edge/log.h"
 #include "platform/store_calls.h"
 
@@ -102,13 +103,7 @@
 
 void DutyRunner::believe(const DutyRecord& record)
 {
-    std::set<UpstreamId> ordered;
-    for (const auto& entry : record.ordered)
-        ordered.insert(entry.upstream);
-    this->state.board.setOrdered(std::move(ordered));
-    this->believed = monotonicNow();
-    for (const auto& entry : record.done)
-        this->state.board.setWeights(entry.upstream, entry.model, entry.version);
+    believeDuty(this->state, record, monotonicNow());
     this->queues.dispatchAll();
 }
 
@@ -170,7 +165,7 @@
         timer.expires_after(idleInterval);
         co_await timer.async_wait(into(ignored));
         // No holder writes any more, as in an outage of the store: its replicas serve again.
-        if (monotonicNow() - this->believed > orderedLifetime)
+        if (!this->state.duty || monotonicNow() - this->state.duty->second > orderedLifetime)
             this->state.board.setOrdered({});
         const auto target = this->unfinished();
         if (!target) {
@@ -179,6 +174,9 @@
             this->state.board.setOrdered({});
             continue;
         }
+        // Others hear of the topic from a reader.
+        if (!this->state.readerRank() && !this->lease.isLastHolder())
+            continue;
         if (this->state.isStopping && !this->lease.isLastHolder()) {
             co_await this->follow(followHold);
             continue;
--- a/src/edge/duty_runner.h
+++ b/src/edge/duty_runner.h
@@ -45,7 +45,6 @@
     DutyLease lease;
     std::optional<WeightPlan> plan;
     std::set<UpstreamId> driven; ///< Upstreams for which a coroutine runs.
-    TimePoint believed; ///< When the last record was read or written.
     std::optional<TimePoint> claimableSince; ///< Since when this daemon might claim the duty.
 };
 
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -32,8 +32,10 @@
 
     /// Upstreams write to the registry all the time; their records are read in batches.
     constexpr Duration registryPace = std::chrono::milliseconds(100);
-    /// Whoever does not read for others looks at the registry so seldom, in case that no reader answers.
-    constexpr Duration seldomRegistryPace = std::chrono::milliseconds(2000);
+    /// At a site where a few daemons read for all, the change goes on to the others in more time than that.
+    constexpr Duration sharedRegistryPace = std::chrono::milliseconds(250);
+    /// Whoever does not read for others looks at the registry so seldom while no reader answers.
+    constexpr Duration seldomRegistryPace = std::chrono::milliseconds(1000);
 
     Duration paceOfOperator(const EdgeState& /*state*/)
     {
@@ -42,7 +44,9 @@
 
     Duration paceOfRegistry(const EdgeState& state)
     {
-        return state.readerRank() ? registryPace : seldomRegistryPace;
+        if (!state.isSettled || !state.readerRank())
+            return seldomRegistryPace;
+        return state.keepers.isMesh() ? registryPace : sharedRegistryPace;
     }
 
     std::string queryField(const std::string& target, const std::string& name)
@@ -72,7 +76,8 @@
     , sessions(this->state, this->pipeline)
     , operatorReader(this->state, ioContext.get_executor(), platform::operatorTopic, this->state.operatorFeed, this->state.operatorContact, &believeOperator, &paceOfOperator)
     , registryReader(this->state, ioContext.get_executor(), platform::registryTopic, this->state.registryFeed, this->state.registryContact, &believeRegistry, &paceOfRegistry)
-    , peers(this->state, ioContext.get_executor(), this->queues, this->operatorReader, this->registryReader)
+    , peers(this->state, ioContext.get_executor(), this->queues)
+    , feeds(this->state, ioContext.get_executor(), this->queues, this->peers, this->operatorReader, this->registryReader)
     , duty(this->state, ioContext.get_executor(), this->queues, this->peers)
     , cacheWatch(this->state, ioContext.get_executor())
     , front(ioContext)
@@ -103,6 +108,7 @@
     this->directory = this->listen(this->state.settings.directoryAddress);
     this->metrics = this->listen(this->state.settings.ip + ":" + metricsPort);
     this->peers.start();
+    this->feeds.start();
     const auto spawn = [&](Task<> task) {
         asio::co_spawn(this->loop, std::move(task), [](const std::exception_ptr& error) {
             if (error)
@@ -115,11 +121,11 @@
     spawn(this->acceptControl(this->metrics));
     spawn(this->operatorReader.run());
     spawn(this->registryReader.run());
-    spawn(this->peers.sendHeartbeats());
-    spawn(this->peers.receiveHeartbeats());
-    spawn(this->peers.acceptQueries());
-    spawn(this->peers.catchUp());
-    spawn(this->peers.askReaders());
+    spawn(this->peers.sendDatagrams());
+    spawn(this->peers.receiveDatagrams());
+    spawn(this->feeds.acceptQueries());
+    spawn(this->feeds.catchUp());
+    spawn(this->feeds.askReaders());
     spawn(this->duty.run());
     spawn(this->cacheWatch.run());
     spawn(this->watchSignals());
--- a/src/edge/edge_server.h
+++ b/src/edge/edge_server.h
@@ -10,6 +10,7 @@
 #include "edge/duty_runner.h"
 #include "edge/edge_state.h"
 #include "edge/fact_reader.h"
+#include "edge/feed_exchange.h"
 #include "edge/net.h"
 #include "edge/peer_link.h"
 #include "edge/pipeline.h"
@@ -44,6 +45,7 @@
     FactReader operatorReader;
     FactReader registryReader;
     PeerLink peers;
+    FeedExchange feeds;
     DutyRunner duty;
     CacheWatch cacheWatch;
     tcp::acceptor front;
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -14,6 +14,7 @@
 #include "daemon/metrics.h"
 #include "goldcrestwood/edge_settings.h"
 #include "goldcrestwood/keyed_feed.h"
+#include "goldcrestwood/load_keepers.h"
 #include "goldcrestwood/part_directory.h"
 #include "goldcrestwood/random.h"
 #include "goldcrestwood/send_budget.h"
@@ -21,6 +22,7 @@
 #include "goldcrestwood/traffic.h"
 #include "goldcrestwood/upstream_board.h"
 #include "goldcrestwood/weight_targets.h"
+#include "platform/decode.h"
 
 namespace goldcrestwood {
 
@@ -31,6 +33,12 @@
 };
 
 struct EdgeState {
+    /// A reader that has told nothing for so long, and those tried after it, are given up: several questions.
+    static constexpr Duration fedLifetime = std::chrono::milliseconds(2500);
+
+    /// Two heartbeats of a large site.
+    static constexpr Duration readerWarmUp = std::chrono::milliseconds(2200);
+
     explicit EdgeState(EdgeSettings initial, std::uint64_t seed)
         : settings(std::move(initial))
         , board(settings.instance, settings.bounds, parts)
@@ -55,6 +63,18 @@
         return static_cast<std::size_t>(found - this->feedReaders.begin());
     }
 
+    /// @return Whether this daemon may tell others what the store says and whom it hears: it has heard all of them by now.
+    bool isServingFeed(TimePoint now) const
+    {
+        return this->isSettled && this->readerSince && now - *this->readerSince >= readerWarmUp && this->readsStore();
+    }
+
+    /// @return Whether a reader tells this daemon what the store says, so that it need not ask itself.
+    bool isFed(TimePoint now) const
+    {
+        return !this->readerRank() && this->fedAt && now - *this->fedAt <= fedLifetime;
+    }
+
     /// @return Whether callers may be sent here.
     bool isReady() const { return this->routes != nullptr && this->registryFeed.isKnown() && !this->isStopping; }
 
@@ -64,14 +84,23 @@
     PartDirectory parts;
     UpstreamBoard board;
     KeyedFeed operatorFeed;
-    KeyedFeed registryFeed;
+    KeyedFeed registryFeed { &platform::isSameEntry };
     std::map<std::string, WeightTargets> weightTargets; ///< By model.
     bool knowsOperator = false; ///< Whether the operator's topic was known before the news at hand.
     StoreOutage storeOutage;
     std::set<FailureDomain> evacuated;
     bool isStopping = false;
-    /// Daemons that read the registry and the cache stores for all, the first in rank first.
+    /// Daemons that read the store and the cache stores for all, the first in rank first.
     std::vector<InstanceId> feedReaders;
+    std::optional<TimePoint> readerSince; ///< Since when this daemon is one of them.
+    LoadKeepers keepers; ///< Readers that also add up the load of upstreams.
+    /// Whether the daemons of the site are known, rather than those that were heard first.
+    bool isSettled = false;
+    /// When a reader last told what it reads.
+    std::optional<TimePoint> fedAt;
+    /// The last record of the duty's topic, and when it was read.
+    std::optional<std::pair<DutyRecord, TimePoint>> duty;
+    std::uint64_t requests = 0; ///< Of callers, since the start.
     TopicContact operatorContact;
     TopicContact registryContact;
     /// Upstreams that lapsed while the registry was away, and until when they may come back.
--- a/src/edge/fact_reader.cc
+++ b/src/edge/fact_reader.cc
@@ -15,6 +15,8 @@
     constexpr Duration readHold = std::chrono::seconds(4);
     /// The store answers in milliseconds; while slow, in a few hundred.
     constexpr Duration answerLimit = std::chrono::milliseconds(900);
+    /// How soon a daemon that was told by a reader notices that it must read itself.
+    constexpr Duration restInterval = std::chrono::milliseconds(250);
     constexpr Duration firstPause = std::chrono::milliseconds(60);
     constexpr Duration longestPause = std::chrono::milliseconds(500);
 
@@ -35,6 +37,11 @@
 Task<> FactReader::run()
 {
     while (true) {
+        // What a reader tells need not be read again.
+        if (this->feed.isKnown() && this->state.isFed(monotonicNow())) {
+            co_await this->wait(restInterval);
+            continue;
+        }
         this->hadNews = false;
         const bool answered = this->needsListing ? co_await this->list() : co_await this->readOn();
         this->onAnswer(answered);
--- /dev/null
+++ b/src/edge/feed_exchange.cc
@@ -0,0 +1,288 @@
+#include "edge/feed_exchange.h"
+
+#include <algorithm>
+#include <array>
+
+#include "daemon/clock.h"
+#include "edge/beliefs.h"
+#include "edge/log.h"
+
+namespace goldcrestwood {
+
+namespace {
+
+    /// The store tells a change in milliseconds; a peer that knows more for so long is asked.
+    constexpr Duration behindLimit = std::chrono::milliseconds(250);
+    constexpr Duration queryLimit = std::chrono::milliseconds(800);
+    /// A peer that asks regularly does so several times in this period.
+    constexpr Duration queryIdle = std::chrono::seconds(5);
+    constexpr std::size_t lengthBytes = 4;
+    /// A whole answer at the largest site: 4,500 upstreams, 340 daemons and the parts of the cache stores.
+    constexpr std::size_t largestFrame = 8U << 20U;
+    /// Memory is taken as bytes come, whatever length was announced.
+    constexpr std::size_t framePiece = 64U << 10U;
+
+    std::vector<FeedRecord> toMessage(const std::vector<KeyedRecord>& records)
+    {
+        std::vector<FeedRecord> result;
+        result.reserve(records.size());
+        for (const auto& record : records)
+            result.push_back({ record.key, !record.value.has_value(), record.value.value_or(""), record.offset });
+        return result;
+    }
+
+    std::vector<KeyedRecord> fromMessage(const std::vector<FeedRecord>& records)
+    {
+        std::vector<KeyedRecord> result;
+        result.reserve(records.size());
+        for (const auto& record : records)
+            result.push_back({ record.key, record.isRemoved ? std::nullopt : std::optional(record.value), record.offset });
+        return result;
+    }
+
+    std::string framed(const std::string& payload)
+    {
+        std::string frame;
+        for (int shift = 24; shift >= 0; shift -= 8)
+            frame.push_back(static_cast<char>(payload.size() >> static_cast<unsigned>(shift) & 0xffU));
+        return frame + payload;
+    }
+
+    /// @return The payload of the next frame, or nothing.
+    Task<std::optional<std::string>> readFrame(beast::tcp_stream& stream)
+    {
+        std::array<unsigned char, lengthBytes> head {};
+        ErrorCode error;
+        co_await asio::async_read(stream, asio::buffer(head), into(error));
+        if (error)
+            co_return std::nullopt;
+        std::size_t length = 0;
+        for (const auto byte : head)
+            length = length << 8U | byte;
+        if (length > largestFrame)
+            co_return std::nullopt;
+        std::string payload;
+        while (payload.size() < length) {
+            const auto begin = payload.size();
+            payload.resize(std::min(length, begin + framePiece));
+            co_await asio::async_read(stream, asio::buffer(payload.data() + begin, payload.size() - begin), into(error));
+            if (error)
+                co_return std::nullopt;
+        }
+        co_return payload;
+    }
+
+} // namespace
+
+FeedExchange::FeedExchange(EdgeState& edgeState, const asio::any_io_executor& loop, ServiceQueues& serviceQueues, PeerLink& peerLink, FactReader& operators, FactReader& registry)
+    : state(edgeState)
+    , executor(loop)
+    , queues(serviceQueues)
+    , peers(peerLink)
+    , operatorReader(operators)
+    , registryReader(registry)
+    , acceptor(loop)
+{
+}
+
+void FeedExchange::start()
+{
+    const auto endpoint = parseEndpoint(this->state.settings.peerAddress).value();
+    this->acceptor.open(tcp::v4());
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+    this->acceptor.bind(endpoint);
+    this->acceptor.listen();
+}
+
+Task<> FeedExchange::askReaders()
+{
+    asio::steady_timer timer(this->executor);
+    QueryLink link;
+    std::size_t failures = 0;
+    while (true) {
+        timer.expires_after(std::chrono::duration_cast<Duration>(askInterval(this->peers.siteSize()) * (0.8 + 0.4 * uniform(this->state.random))));
+        ErrorCode ignored;
+        co_await timer.async_wait(into(ignored));
+        // At a small site all hear all, and all read.
+        if (this->state.isSettled && this->state.readerRank() && this->state.keepers.isMesh())
+            continue;
+        const auto address = this->peers.readerAddress(failures);
+        if (address.empty()) {
+            failures = 0;
+            continue;
+        }
+        // Only whoever places requests needs to know what the cache stores hold.
+        const bool wantsCache = !this->state.readerRank() && this->state.isSettled;
+        const bool isAnswered = co_await this->query(link, address, wantsCache);
+        failures = isAnswered ? 0 : failures + 1;
+    }
+}
+
+FeedExchange::Ahead FeedExchange::pickAhead(std::uint64_t EdgeHeartbeat::*told, std::uint64_t known, TimePoint now)
+{
+    // Any of those that know more, so that the daemons that are behind do not all ask the same one.
+    Ahead result;
+    std::size_t count = 0;
+    for (const auto* report : this->peers.view().live(now)) {
+        const auto end = report->heartbeat.*told;
+        if (end <= known)
+            continue;
+        result.end = std::max(result.end, end);
+        ++count;
+        if (uniform(this->state.random) * static_cast<double>(count) < 1)
+            result.address = report->heartbeat.peerAddress;
+    }
+    return result;
+}
+
+Task<> FeedExchange::catchUp()
+{
+    asio::steady_timer timer(this->executor);
+    QueryLink link;
+    while (true) {
+        timer.expires_after(behindLimit / 2);
+        ErrorCode ignored;
+        co_await timer.async_wait(into(ignored));
+        const auto now = monotonicNow();
+        const auto byOperator = this->pickAhead(&EdgeHeartbeat::operatorEnd, this->state.operatorFeed.end(), now);
+        const auto byRegistry = this->pickAhead(&EdgeHeartbeat::registryEnd, this->state.registryFeed.end(), now);
+        // The registry of a daemon that does not read it moves on with its questions to a reader.
+        const bool isReader = this->state.readerRank().has_value();
+        const auto registryLimit = isReader ? behindLimit : 3 * askInterval(this->peers.siteSize());
+        const bool lacksOperator = this->operatorLag.isOverdue(this->state.operatorFeed.end(), byOperator.end, now, behindLimit);
+        const bool lacksRegistry = this->registryLag.isOverdue(this->state.registryFeed.end(), byRegistry.end, now, registryLimit);
+        // The held reads may wait on connections that have gone silent.
+        if (lacksOperator)
+            this->operatorReader.refresh();
+        if (lacksRegistry && isReader)
+            this->registryReader.refresh();
+        if (lacksOperator || lacksRegistry)
+            // A peer that does not answer is followed by another: the topic still stands at the next look.
+            static_cast<void>(co_await this->query(link, lacksOperator ? byOperator.address : byRegistry.address, false));
+    }
+}
+
+Task<std::optional<std::string>> FeedExchange::exchange(QueryLink& link, const std::string& request)
+{
+    ErrorCode error;
+    link.stream->expires_after(queryLimit);
+    if (!link.stream->socket().is_open()) {
+        const auto endpoint = parseEndpoint(link.address);
+        co_await link.stream->async_connect(*endpoint, into(error));
+        if (error)
+            co_return std::nullopt;
+    }
+    co_await asio::async_write(*link.stream, asio::buffer(request), into(error));
+    if (error)
+        co_return std::nullopt;
+    co_return co_await readFrame(*link.stream);
+}
+
+Task<bool> FeedExchange::query(QueryLink& link, std::string address, bool wantsCache)
+{
+    if (link.address != address || !link.stream) {
+        link.address = address;
+        link.stream = std::make_unique<beast::tcp_stream>(this->executor);
+    }
+    const auto request = framed(encode(FeedQuery { this->state.operatorFeed.end(), this->state.registryFeed.end(), wantsCache, this->cacheSource, this->cacheFrom, this->daemonsSource, this->daemonsFrom }));
+    const auto payload = co_await this->exchange(link, request);
+    if (!payload) {
+        link.stream = nullptr;
+        co_return false;
+    }
+    const auto answer = decode<FeedAnswer>(*payload);
+    if (!answer) {
+        edge::log(edge::LogClass::Decision, "peer_answer_rejected", { { "peer", address }, { "reason", answer.error().message } });
+        link.stream = nullptr;
+        co_return false;
+    }
+    this->believe(*answer);
+    co_return answer->isReading;
+}
+
+void FeedExchange::believeReader(const FeedAnswer& answer, TimePoint now)
+{
+    // Only a daemon that reads is as good as the store itself.
+    if (!answer.isReading || this->state.readerRank())
+        return;
+    this->state.fedAt = now;
+    this->state.registryContact = { true, now - std::chrono::milliseconds(answer.readingMs) };
+    if (answer.duty && (!this->state.duty || answer.duty->record != this->state.duty->first))
+        believeDuty(this->state, answer.duty->record, now - std::chrono::milliseconds(answer.duty->ageMs));
+}
+
+void FeedExchange::believe(const FeedAnswer& answer)
+{
+    this->believeReader(answer, monotonicNow());
+    const auto operatorNews = this->state.operatorFeed.apply(fromMessage(answer.operatorRecords), answer.operatorEnd);
+    if (!operatorNews.empty())
+        edge::log(edge::LogClass::Decision, "records_from_peer",
+            { { "operator_records", static_cast<std::int64_t>(operatorNews.size()) }, { "end", static_cast<std::int64_t>(answer.operatorEnd) } });
+    believeOperator(this->state, operatorNews, "peer");
+    believeRegistry(this->state, this->state.registryFeed.apply(fromMessage(answer.registryRecords), answer.registryEnd), "peer");
+    if (answer.cache) {
+        const bool follows = this->state.parts.applyNews(*answer.cache, monotonicNow());
+        this->cacheSource = answer.cache->source;
+        this->cacheFrom = follows ? answer.cache->end : 0;
+    }
+    // A daemon that hears few others may help one that knows none, and would mislead any other.
+    if (answer.isReading || !this->state.isSettled) {
+        this->daemonsSource = answer.daemons.source;
+        this->daemonsFrom = answer.daemons.end;
+        this->peers.onNews(answer.daemons, answer.isReading);
+    }
+    this->queues.dispatchAll();
+}
+
+Task<> FeedExchange::acceptQueries()
+{
+    while (true) {
+        ErrorCode error;
+        auto socket = co_await this->acceptor.async_accept(into(error));
+        if (!error)
+            asio::co_spawn(this->executor, this->answerQueries(std::move(socket)), asio::detached);
+    }
+}
+
+FeedAnswer FeedExchange::answerTo(const FeedQuery& query) const
+{
+    const auto now = monotonicNow();
+    const auto ageMs = [&](TimePoint since) { return static_cast<std::uint64_t>((now - since) / std::chrono::milliseconds(1)); };
+    FeedAnswer answer;
+    answer.operatorRecords = toMessage(this->state.operatorFeed.since(query.operatorFrom));
+    answer.operatorEnd = this->state.operatorFeed.end();
+    answer.registryRecords = toMessage(this->state.registryFeed.since(query.registryFrom));
+    answer.registryEnd = this->state.registryFeed.end();
+    if (query.wantsCache) {
+        answer.cache = this->state.parts.newsSince(query.cacheSource == this->state.incarnation ? query.cacheFrom : 0, now);
+        answer.cache->source = this->state.incarnation;
+    }
+    answer.daemons = this->peers.newsFor(query.daemonsSource, query.daemonsFrom);
+    if (this->state.duty)
+        answer.duty = DutyNotice { this->state.duty->first, ageMs(this->state.duty->second) };
+    answer.isReading = this->state.isServingFeed(now);
+    answer.readingMs = ageMs(this->state.registryContact.since);
+    return answer;
+}
+
+Task<> FeedExchange::answerQueries(tcp::socket socket)
+{
+    beast::tcp_stream stream(std::move(socket));
+    while (true) {
+        stream.expires_after(queryIdle);
+        const auto payload = co_await readFrame(stream);
+        if (!payload)
+            co_return;
+        const auto query = decode<FeedQuery>(*payload);
+        if (!query)
+            co_return;
+        const auto bytes = framed(encode(this->answerTo(*query)));
+        stream.expires_after(queryLimit);
+        ErrorCode error;
+        co_await asio::async_write(stream, asio::buffer(bytes), into(error));
+        if (error)
+            co_return;
+    }
+}
+
+} // namespace goldcrestwood
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -1,92 +1,43 @@
 #include "edge/peer_link.h"
 
 #include <algorithm>
-#include <array>
 
 #include "daemon/clock.h"
-#include "edge/beliefs.h"
 #include "edge/log.h"
 
 namespace goldcrestwood {
 
 namespace {
 
-    /// Heartbeats of a small site are frequent; at a large one the sum of all daemons' would grow with the square.
-    constexpr Duration shortestInterval = std::chrono::milliseconds(200);
-    constexpr Duration longestInterval = std::chrono::milliseconds(1000);
-    constexpr Duration intervalPerPeer = std::chrono::milliseconds(20);
-    /// A daemon with many requests in flight tells of them more often: once as often for each so many, up to a bound.
-    constexpr int requestsPerHaste = 4;
-    constexpr int mostHaste = 4;
-    /// The store tells a change in milliseconds; a peer that knows more for so long is asked.
-    constexpr Duration behindLimit = std::chrono::milliseconds(250);
-    constexpr Duration queryLimit = std::chrono::milliseconds(800);
-    /// A peer that asks regularly does so several times in this period.
-    constexpr Duration queryIdle = std::chrono::seconds(5);
+    /// Placement reckons with the work of other daemons that is this old.
+    constexpr Duration reportInterval = std::chrono::milliseconds(200);
+    /// Through a keeper the reports of a large site are twice on their way.
+    constexpr Duration digestInterval = std::chrono::milliseconds(250);
+    /// Heartbeats of a small site; of a large one, where the readers hear all daemons.
+    constexpr Duration meshHeartbeat = std::chrono::milliseconds(400);
+    constexpr Duration largeHeartbeat = std::chrono::milliseconds(1000);
+    /// The daemons count as known when none was heard of anew for so long (longer than a reader takes to be asked again),
+    /// and in any case after this time.
+    constexpr Duration quietArrival = std::chrono::milliseconds(900);
+    constexpr Duration mostSettling = std::chrono::milliseconds(5000);
     /// Larger datagrams are split on the way and lost more often.
     constexpr std::size_t largestDatagram = 8192;
-    constexpr std::size_t lengthBytes = 4;
     /// Addresses of peers told in one heartbeat, at most.
     constexpr std::size_t mostToldAddresses = 12;
-    constexpr std::size_t largestFrame = 32U << 20U;
-
-    std::vector<FeedRecord> toMessage(const std::vector<KeyedRecord>& records)
-    {
-        std::vector<FeedRecord> result;
-        result.reserve(records.size());
-        for (const auto& record : records)
-            result.push_back({ record.key, !record.value.has_value(), record.value.value_or(""), record.offset });
-        return result;
-    }
-
-    std::vector<KeyedRecord> fromMessage(const std::vector<FeedRecord>& records)
-    {
-        std::vector<KeyedRecord> result;
-        result.reserve(records.size());
-        for (const auto& record : records)
-            result.push_back({ record.key, record.isRemoved ? std::nullopt : std::optional(record.value), record.offset });
-        return result;
-    }
-
-    std::string framed(const std::string& payload)
-    {
-        std::string frame;
-        for (int shift = 24; shift >= 0; shift -= 8)
-            frame.push_back(static_cast<char>(payload.size() >> static_cast<unsigned>(shift) & 0xffU));
-        return frame + payload;
-    }
-
-    /// @return The payload of the next frame, or nothing.
-    Task<std::optional<std::string>> readFrame(beast::tcp_stream& stream)
-    {
-        std::array<unsigned char, lengthBytes> head {};
-        ErrorCode error;
-        co_await asio::async_read(stream, asio::buffer(head), into(error));
-        if (error)
-            co_return std::nullopt;
-        std::size_t length = 0;
-        for (const auto byte : head)
-            length = length << 8U | byte;
-        if (length > largestFrame)
-            co_return std::nullopt;
-        std::string payload(length, '\0');
-        co_await asio::async_read(stream, asio::buffer(payload), into(error));
-        if (error)
-            co_return std::nullopt;
-        co_return payload;
-    }
+    /// Weight of the last second in the rate of requests.
+    constexpr double rateWeight = 0.5;
+    constexpr Duration rateInterval = std::chrono::seconds(1);
 
 } // namespace
 
-PeerLink::PeerLink(EdgeState& edgeState, const asio::any_io_executor& loop, ServiceQueues& serviceQueues, FactReader& operators, FactReader& registry)
+PeerLink::PeerLink(EdgeState& edgeState, const asio::any_io_executor& loop, ServiceQueues& serviceQueues)
     : state(edgeState)
     , executor(loop)
     , queues(serviceQueues)
-    , operatorReader(operators)
-    , registryReader(registry)
     , datagrams(loop)
-    , acceptor(loop)
     , addresses(edgeState.settings.seeds)
+    , started(monotonicNow())
+    , rateMeasured(started)
 {
 }
 
@@ -95,10 +46,6 @@
     const auto endpoint = parseEndpoint(this->state.settings.peerAddress).value();
     this->datagrams.open(udp::v4());
     this->datagrams.bind(udp::endpoint(endpoint.address(), endpoint.port()));
-    this->acceptor.open(tcp::v4());
-    this->acceptor.set_option(tcp::acceptor::reuse_address(true));
-    this->acceptor.bind(endpoint);
-    this->acceptor.listen();
 }
 
 void PeerLink::hearOf(const std::string& address, TimePoint now)
@@ -107,12 +54,14 @@
         this->addresses.hear(address, now);
 }
 
-Duration PeerLink::interval() const
+bool PeerLink::isMesh() const
 {
-    const auto plain = std::clamp<Duration>(intervalPerPeer * static_cast<int>(this->daemons.known()), shortestInterval, longestInterval);
-    // Peers place by what the busy daemons have in flight.
-    const auto haste = std::clamp(static_cast<int>(this->state.board.ownRequests()) / requestsPerHaste, 1, mostHaste);
-    return std::max<Duration>(plain / haste, shortestInterval);
+    return followsEngines(this->siteSize());
+}
+
+Duration PeerLink::heartbeatInterval() const
+{
+    return this->isMesh() ? meshHeartbeat : largeHeartbeat;
 }
 
 EdgeHeartbeat PeerLink::describe() const
@@ -120,67 +69,155 @@
     EdgeHeartbeat message;
     message.instance = this->state.settings.instance;
     message.incarnation = this->state.incarnation;
-    message.intervalMs = static_cast<std::uint32_t>(this->interval().count() / 1000);
+    message.sequence = this->sequence;
+    message.intervalMs = static_cast<std::uint32_t>(this->heartbeatInterval() / std::chrono::milliseconds(1));
     message.domain = this->state.settings.domain;
     message.frontAddress = this->state.settings.frontAddress;
     message.peerAddress = this->state.settings.peerAddress;
     message.isReady = this->state.isReady();
     message.capacity = capacityOf(this->state.settings);
+    message.requestRate = this->requestRate;
     message.readsStore = this->state.readsStore();
     message.operatorEnd = this->state.operatorFeed.end();
     message.registryEnd = this->state.registryFeed.end();
     return message;
 }
 
-EdgeHeartbeat PeerLink::heartbeat()
+EdgeHeartbeat PeerLink::heartbeat(bool wantsReply)
 {
+    ++this->sequence;
     auto message = this->describe();
-    message.sequence = ++this->sequence;
-    message.uses = this->state.board.ownUses();
-    message.upstreams = this->state.board.takeUpstreamExperience();
-    message.sources = this->state.board.takeSourceExperience();
+    message.wantsReply = wantsReply;
     const auto now = monotonicNow();
     for (const auto& [model, targets] : this->state.weightTargets)
         if (const auto naming = targets.witnessed())
             message.weights.push_back({ model, naming->version, static_cast<std::uint64_t>((now - naming->since) / std::chrono::milliseconds(1)) });
-    for (const auto* report : this->daemons.live(now))
+    auto live = this->daemons.live(now);
+    std::shuffle(live.begin(), live.end(), this->state.random);
+    for (const auto* report : live)
         if (message.peers.size() < mostToldAddresses)
             message.peers.push_back(report->heartbeat.peerAddress);
     return message;
 }
 
+std::string PeerLink::addressOf(const InstanceId& instance) const
+{
+    for (const auto* report : this->daemons.all())
+        if (report->heartbeat.instance == instance)
+            return report->heartbeat.peerAddress;
+    return {};
+}
+
+std::vector<std::string> PeerLink::heartbeatTargets()
+{
+    if (this->isMesh())
+        return this->addresses.all();
+    std::vector<std::string> targets;
+    for (const auto& reader : this->state.feedReaders)
+        if (auto address = this->addressOf(reader); !address.empty())
+            targets.push_back(std::move(address));
+    // Whoever is still alone turns to the seeds; and one address of all that ever were heals a site that was parted.
+    if (!this->state.isSettled || targets.empty())
+        targets.insert(targets.end(), this->state.settings.seeds.begin(), this->state.settings.seeds.end());
+    if (const auto all = this->addresses.all(); !all.empty())
+        targets.push_back(all[std::uniform_int_distribution<std::size_t>(0, all.size() - 1)(this->state.random)]);
+    std::erase(targets, this->state.settings.peerAddress);
+    return targets;
+}
+
+void PeerLink::addReports(std::map<std::string, PeerDatagram>& result)
+{
+    LoadReport report;
+    report.uses = this->state.board.ownUses();
+    report.upstreams = this->state.board.takeUpstreamExperience();
+    report.sources = this->state.board.takeSourceExperience();
+    const bool hasWork = !report.uses.empty() || !report.upstreams.empty() || !report.sources.empty();
+    // One more, so that the keepers learn that nothing is left.
+    if (!hasWork && !this->hadWork)
+        return;
+    this->hadWork = hasWork;
+    for (auto& [keeper, part] : this->state.keepers.split(this->state.settings.instance, report))
+        if (const auto address = this->addressOf(keeper); !address.empty())
+            result[address].report = std::move(part);
+}
+
+std::map<std::string, PeerDatagram> PeerLink::collect(bool withHeartbeat)
+{
+    std::map<std::string, PeerDatagram> result;
+    if (withHeartbeat) {
+        const auto message = this->heartbeat(!this->isMesh());
+        for (const auto& address : this->heartbeatTargets())
+            result[address].heartbeat = message;
+    }
+    this->addReports(result);
+    return result;
+}
+
+void PeerLink::send(const PeerDatagram& datagram, const udp::endpoint& target)
+{
+    ErrorCode ignored; // A datagram may be lost anyway; the next one follows.
+    this->datagrams.send_to(asio::buffer(encode(datagram)), target, 0, ignored);
+}
+
 void PeerLink::announce()
 {
-    const auto bytes = encode(this->heartbeat());
-    for (const auto& address : this->addresses.all()) {
-        const auto endpoint = parseEndpoint(address);
-        ErrorCode ignored; // A datagram may be lost anyway; the next heartbeat follows.
-        this->datagrams.send_to(asio::buffer(bytes), udp::endpoint(endpoint->address(), endpoint->port()), 0, ignored);
+    for (const auto& [address, datagram] : this->collect(true))
+        if (const auto endpoint = parseEndpoint(address))
+            this->send(datagram, udp::endpoint(endpoint->address(), endpoint->port()));
+}
+
+void PeerLink::measureRate(TimePoint now)
+{
+    if (now - this->rateMeasured < rateInterval)
+        return;
+    const auto rate = static_cast<double>(this->state.requests - this->requestsMeasured) / toSeconds(now - this->rateMeasured);
+    this->requestRate = this->requestRate * (1 - rateWeight) + rate * rateWeight;
+    this->rateMeasured = now;
+    this->requestsMeasured = this->state.requests;
+}
+
+void PeerLink::refreshView(TimePoint now)
+{
+    this->daemons.sweep(now);
+    this->addresses.sweep(now);
+    const bool isQuiet = now - std::max(this->daemons.lastArrival(), this->started) >= quietArrival;
+    if (!this->state.isSettled && (isQuiet || now - this->started >= mostSettling)) {
+        this->state.isSettled = true;
+        edge::log(edge::LogClass::Lifecycle, "site_known",
+            { { "daemons", static_cast<std::int64_t>(this->siteSize()) }, { "after_ms", toMs(now - this->started) } });
     }
+    this->chooseReaders(now);
+    this->judgeStore(now);
+    auto all = this->daemons.instances();
+    all.push_back({ this->state.settings.instance, capacityOf(this->state.settings) });
+    this->state.board.setDaemons(std::move(all));
+    for (auto& [service, budget] : this->state.sendBudgets)
+        budget.setDaemons(this->siteSize());
 }
 
-Task<> PeerLink::sendHeartbeats()
+Task<> PeerLink::sendDatagrams()
 {
     asio::steady_timer timer(this->executor);
+    TimePoint lastHeartbeat;
     while (true) {
-        this->announce();
         const auto now = monotonicNow();
-        this->daemons.sweep(now);
-        this->addresses.sweep(now);
-        this->chooseReaders(now);
-        this->judgeStore(now);
-        auto all = this->daemons.instances();
-        all.push_back(this->state.settings.instance);
-        this->state.board.setDaemons(std::move(all));
-        for (auto& [service, budget] : this->state.sendBudgets)
-            budget.setDaemons(this->daemons.known() + 1);
-        timer.expires_after(std::chrono::duration_cast<Duration>(this->interval() * (0.9 + 0.2 * uniform(this->state.random))));
+        this->measureRate(now);
+        const bool isDue = now - lastHeartbeat >= this->heartbeatInterval();
+        if (isDue) {
+            lastHeartbeat = now;
+            this->refreshView(now);
+        }
+        for (const auto& [address, datagram] : this->collect(isDue))
+            if (const auto endpoint = parseEndpoint(address))
+                this->send(datagram, udp::endpoint(endpoint->address(), endpoint->port()));
+        const auto pause = this->isMesh() ? reportInterval : digestInterval;
+        timer.expires_after(std::chrono::duration_cast<Duration>(pause * (0.9 + 0.2 * uniform(this->state.random))));
         ErrorCode ignored;
         co_await timer.async_wait(into(ignored));
     }
 }
 
-Task<> PeerLink::receiveHeartbeats()
+Task<> PeerLink::receiveDatagrams()
 {
     std::string buffer(largestDatagram, '\0');
     while (true) {
@@ -189,16 +226,27 @@
         const auto size = co_await this->datagrams.async_receive_from(asio::buffer(buffer), sender, into(error));
         if (error)
             continue; // Such as a port that a peer has just closed.
-        const auto message = decode<EdgeHeartbeat>(std::string_view(buffer.data(), size));
+        const auto message = decode<PeerDatagram>(std::string_view(buffer.data(), size));
         if (message)
-            this->onHeartbeat(*message);
+            this->onDatagram(*message, sender);
         else
-            edge::log(edge::LogClass::Decision, "heartbeat_rejected",
+            edge::log(edge::LogClass::Decision, "datagram_rejected",
                 { { "peer", sender.address().to_string() }, { "bytes", static_cast<std::int64_t>(size) }, { "reason", message.error().message } });
     }
 }
 
-void PeerLink::onHeartbeat(const EdgeHeartbeat& message)
+void PeerLink::onDatagram(const PeerDatagram& datagram, const udp::endpoint& sender)
+{
+    if (datagram.heartbeat)
+        this->onHeartbeat(*datagram.heartbeat, sender);
+    if (datagram.report)
+        this->onReport(*datagram.report, sender);
+    if (datagram.digest)
+        this->onDigest(*datagram.digest);
+    this->queues.dispatchAll();
+}
+
+void PeerLink::onHeartbeat(const EdgeHeartbeat& message, const udp::endpoint& sender)
 {
     const auto now = monotonicNow();
     if (message.instance == this->state.settings.instance || !this->daemons.onHeartbeat(message, now))
@@ -209,209 +257,115 @@
     for (const auto& told : message.weights)
         if (const auto targets = this->state.weightTargets.find(told.model); targets != this->state.weightTargets.end())
             targets->second.witness(told.version, now - std::chrono::milliseconds(told.ageMs));
-    this->state.board.onPeerUse(message.instance, message.uses, now);
-    this->state.board.onPeerExperience(message.upstreams, message.sources, now);
-    this->queues.dispatchAll();
-}
-
-std::vector<std::string> PeerLink::frontsFor(const std::string& caller, const FailureDomain& domain)
-{
-    return this->daemons.frontsFor(caller, domain, this->describe(), monotonicNow());
+    if (message.wantsReply)
+        this->send(PeerDatagram { this->heartbeat(false), std::nullopt, std::nullopt }, sender);
 }
 
-void PeerLink::judgeStore(TimePoint now)
+void PeerLink::onReport(const LoadReport& report, const udp::endpoint& sender)
 {
-    const auto live = this->daemons.live(now);
-    const auto reading = std::count_if(live.begin(), live.end(), [](const auto* report) { return report->heartbeat.readsStore; });
-    this->state.storeOutage.onView(static_cast<std::size_t>(reading) + (this->state.readsStore() ? 1 : 0), live.size() + 1, now);
-}
-
-void PeerLink::chooseReaders(TimePoint now)
-{
-    std::vector<FeedCandidate> reading;
-    std::vector<FeedCandidate> others;
-    const auto consider = [&](const EdgeHeartbeat& daemon) {
-        (daemon.readsStore && daemon.isReady ? reading : others).push_back({ daemon.instance, daemon.capacity });
-    };
-    for (const auto* report : this->daemons.live(now))
-        consider(report->heartbeat);
-    consider(this->describe());
-    // While nobody reaches the store, the cache stores may still answer.
-    this->state.feedReaders = feedReaders(reading.empty() ? others : reading);
-}
-
-std::string PeerLink::readerAddress(std::size_t failures) const
-{
-    auto readers = this->state.feedReaders;
-    std::string result;
-    for (std::size_t skipped = 0; skipped <= failures && !readers.empty(); ++skipped) {
-        const auto reader = readerFor(this->state.settings.instance, readers);
-        for (const auto* report : this->daemons.live(monotonicNow()))
-            if (report->heartbeat.instance == reader)
-                result = report->heartbeat.peerAddress;
-        std::erase(readers, reader);
-    }
-    return result;
+    const auto now = monotonicNow();
+    this->state.board.onPeerUse(report.instance, report.uses, now);
+    this->state.board.onPeerExperience(report.upstreams, report.sources, now);
+    if (!report.wantsDigest)
+        return;
+    const auto& self = this->state.settings.instance;
+    const auto isKept = [&](const UpstreamId& id) { return this->state.keepers.keeps(self, id.value); };
+    this->send(PeerDatagram { std::nullopt, std::nullopt, LoadDigest { self, this->state.board.loadsFor(report.instance, isKept, now), this->state.board.slowSources(now) } }, sender);
 }
 
-Task<> PeerLink::askReaders()
+void PeerLink::onDigest(const LoadDigest& digest)
 {
-    asio::steady_timer timer(this->executor);
-    QueryLink link;
-    std::size_t failures = 0;
-    while (true) {
-        timer.expires_after(askInterval(this->daemons.known() + 1));
-        ErrorCode ignored;
-        co_await timer.async_wait(into(ignored));
-        if (this->state.readerRank())
-            continue;
-        const auto address = this->readerAddress(failures);
-        if (address.empty()) {
-            failures = 0;
-            continue;
-        }
-        const bool isAnswered = co_await this->query(link, address, true);
-        failures = isAnswered ? 0 : failures + 1;
-    }
+    const auto now = monotonicNow();
+    auto loads = digest.loads;
+    // What this daemon keeps itself it knows from all.
+    std::erase_if(loads, [&](const auto& load) { return this->state.keepers.keeps(this->state.settings.instance, load.upstream.value); });
+    this->state.board.onKeeperLoad(digest.keeper, loads, now);
+    this->state.board.onPeerExperience({}, digest.sources, now);
 }
 
-PeerLink::Ahead PeerLink::pickAhead(std::uint64_t EdgeHeartbeat::*told, std::uint64_t known, TimePoint now)
+void PeerLink::onNews(const DaemonNews& news, bool isFromReader)
 {
-    // Any of those that know more, so that the daemons that are behind do not all ask the same one.
-    Ahead result;
-    std::size_t count = 0;
-    for (const auto* report : this->daemons.live(now)) {
-        const auto end = report->heartbeat.*told;
-        if (end <= known)
-            continue;
-        result.end = std::max(result.end, end);
-        ++count;
-        if (uniform(this->state.random) * static_cast<double>(count) < 1)
-            result.address = report->heartbeat.peerAddress;
-    }
-    return result;
+    const auto now = monotonicNow();
+    auto others = news;
+    std::erase_if(others.daemons, [&](const auto& notice) { return notice.heartbeat.instance == this->state.settings.instance; });
+    for (const auto& notice : others.daemons)
+        if (notice.isLive)
+            this->hearOf(notice.heartbeat.peerAddress, now);
+    this->daemons.onNews(others, isFromReader, now);
 }
 
-Task<> PeerLink::catchUp()
+DaemonNews PeerLink::newsFor(std::uint64_t source, std::uint64_t from) const
 {
-    asio::steady_timer timer(this->executor);
-    QueryLink link;
-    while (true) {
-        timer.expires_after(behindLimit / 2);
-        ErrorCode ignored;
-        co_await timer.async_wait(into(ignored));
-        const auto now = monotonicNow();
-        const auto byOperator = this->pickAhead(&EdgeHeartbeat::operatorEnd, this->state.operatorFeed.end(), now);
-        const auto byRegistry = this->pickAhead(&EdgeHeartbeat::registryEnd, this->state.registryFeed.end(), now);
-        // The registry of a daemon that does not read it moves on with its questions to a reader.
-        const bool isReader = this->state.readerRank().has_value();
-        const auto registryLimit = isReader ? behindLimit : 3 * askInterval(this->daemons.known() + 1);
-        const bool lacksOperator = this->operatorLag.isOverdue(this->state.operatorFeed.end(), byOperator.end, now, behindLimit);
-        const bool lacksRegistry = this->registryLag.isOverdue(this->state.registryFeed.end(), byRegistry.end, now, registryLimit);
-        // The held reads may wait on connections that have gone silent.
-        if (lacksOperator)
-            this->operatorReader.refresh();
-        if (lacksRegistry && isReader)
-            this->registryReader.refresh();
-        if (lacksOperator || lacksRegistry)
-            // A peer that does not answer is followed by another: the topic still stands at the next look.
-            static_cast<void>(co_await this->query(link, lacksOperator ? byOperator.address : byRegistry.address, false));
-    }
+    auto news = this->daemons.newsSince(this->state.incarnation, source == this->state.incarnation ? from : 0);
+    news.daemons.push_back({ this->describe(), true });
+    return news;
 }
 
-Task<std::optional<std::string>> PeerLink::exchange(QueryLink& link, const std::string& request)
+std::vector<std::string> PeerLink::frontsFor(const std::string& caller, const FailureDomain& domain)
 {
-    ErrorCode error;
-    link.stream->expires_after(queryLimit);
-    if (!link.stream->socket().is_open()) {
-        const auto endpoint = parseEndpoint(link.address);
-        co_await link.stream->async_connect(*endpoint, into(error));
-        if (error)
-            co_return std::nullopt;
-    }
-    co_await asio::async_write(*link.stream, asio::buffer(request), into(error));
-    if (error)
-        co_return std::nullopt;
-    co_return co_await readFrame(*link.stream);
+    return this->daemons.frontsFor(caller, domain, this->describe(), monotonicNow());
 }
 
-Task<bool> PeerLink::query(QueryLink& link, std::string address, bool wantsCache)
+void PeerLink::judgeStore(TimePoint now)
 {
-    if (link.address != address || !link.stream) {
-        link.address = address;
-        link.stream = std::make_unique<beast::tcp_stream>(this->executor);
-    }
-    const auto request = framed(encode(FeedQuery { this->state.operatorFeed.end(), this->state.registryFeed.end(), wantsCache, this->cacheSource, this->cacheFrom }));
-    const auto payload = co_await this->exchange(link, request);
-    if (!payload) {
-        link.stream = nullptr;
-        co_return false;
-    }
-    const auto answer = decode<FeedAnswer>(*payload);
-    if (!answer) {
-        edge::log(edge::LogClass::Decision, "peer_answer_rejected", { { "peer", address }, { "reason", answer.error().message } });
-        link.stream = nullptr;
-        co_return false;
-    }
-    this->believe(*answer);
-    co_return true;
+    // Whoever does not read the store himself cannot tell.
+    std::size_t reading = 0;
+    std::size_t heard = 0;
+    const auto count = [&](const EdgeHeartbeat& daemon) {
+        const auto& readers = this->state.feedReaders;
+        if (std::find(readers.begin(), readers.end(), daemon.instance) == readers.end())
+            return;
+        ++heard;
+        reading += daemon.readsStore ? 1U : 0U;
+    };
+    for (const auto* report : this->daemons.live(now))
+        count(report->heartbeat);
+    count(this->describe());
+    this->state.storeOutage.onView(reading, heard, now);
 }
 
-void PeerLink::believe(const FeedAnswer& answer)
+void PeerLink::chooseReaders(TimePoint now)
 {
-    const auto operatorNews = this->state.operatorFeed.apply(fromMessage(answer.operatorRecords), answer.operatorEnd);
-    if (!operatorNews.empty())
-        edge::log(edge::LogClass::Decision, "records_from_peer",
-            { { "operator_records", static_cast<std::int64_t>(operatorNews.size()) }, { "end", static_cast<std::int64_t>(answer.operatorEnd) } });
-    believeOperator(this->state, operatorNews, "peer");
-    believeRegistry(this->state, this->state.registryFeed.apply(fromMessage(answer.registryRecords), answer.registryEnd), "peer");
-    if (answer.cache) {
-        const bool follows = this->state.parts.applyNews(*answer.cache, monotonicNow());
-        this->cacheSource = answer.cache->source;
-        this->cacheFrom = follows ? answer.cache->end : 0;
+    this->state.feedReaders = this->readerChoice.choose(this->daemons, this->describe(), now);
+    const bool isReader = this->state.readerRank().has_value();
+    if (isReader != this->state.readerSince.has_value() && this->state.isSettled) {
+        std::string names;
+        for (const auto& reader : this->state.feedReaders)
+            names += (names.empty() ? "" : " ") + reader.value;
+        edge::log(edge::LogClass::Lifecycle, isReader ? "reads_for_all" : "reads_no_more", { { "readers", names }, { "daemons", static_cast<std::int64_t>(this->siteSize()) } });
     }
-    this->queues.dispatchAll();
-}
-
-Task<> PeerLink::acceptQueries()
-{
-    while (true) {
-        ErrorCode error;
-        auto socket = co_await this->acceptor.async_accept(into(error));
-        if (!error)
-            asio::co_spawn(this->executor, this->answerQueries(std::move(socket)), asio::detached);
+    if (!isReader)
+        this->state.readerSince.reset();
+    else if (!this->state.readerSince)
+        this->state.readerSince = now;
+    auto keepers = this->state.feedReaders;
+    if (this->isMesh()) {
+        keepers.clear();
+        for (const auto& daemon : this->daemons.instances())
+            keepers.push_back(daemon.instance);
+        keepers.push_back(this->state.settings.instance);
     }
+    this->state.keepers = LoadKeepers(std::move(keepers), this->isMesh());
 }
 
-FeedAnswer PeerLink::answerTo(const FeedQuery& query) const
+std::string PeerLink::readerAddress(std::size_t failures)
 {
-    FeedAnswer answer { toMessage(this->state.operatorFeed.since(query.operatorFrom)), this->state.operatorFeed.end(),
-        toMessage(this->state.registryFeed.since(query.registryFrom)), this->state.registryFeed.end(), std::nullopt };
-    if (query.wantsCache) {
-        answer.cache = this->state.parts.newsSince(query.cacheSource == this->state.incarnation ? query.cacheFrom : 0, monotonicNow());
-        answer.cache->source = this->state.incarnation;
+    auto readers = this->state.feedReaders;
+    // Those that read for all ask the one after them, so that what one hears comes to all; the others keep to one.
+    if (const auto rank = this->state.readerRank()) {
+        std::rotate(readers.begin(), readers.begin() + static_cast<std::ptrdiff_t>(*rank), readers.end());
+        readers.erase(readers.begin());
     }
-    return answer;
-}
-
-Task<> PeerLink::answerQueries(tcp::socket socket)
-{
-    beast::tcp_stream stream(std::move(socket));
-    while (true) {
-        stream.expires_after(queryIdle);
-        const auto payload = co_await readFrame(stream);
-        if (!payload)
-            co_return;
-        const auto query = decode<FeedQuery>(*payload);
-        if (!query)
-            co_return;
-        const auto bytes = framed(encode(this->answerTo(*query)));
-        stream.expires_after(queryLimit);
-        ErrorCode error;
-        co_await asio::async_write(stream, asio::buffer(bytes), into(error));
-        if (error)
-            co_return;
+    std::string result;
+    for (std::size_t skipped = 0; skipped <= failures && !readers.empty(); ++skipped) {
+        const auto reader = this->state.readerRank() ? readers.front() : readerFor(this->state.settings.instance, readers);
+        result = this->addressOf(reader);
+        std::erase(readers, reader);
     }
+    const auto& seeds = this->state.settings.seeds;
+    if ((result.empty() || !this->state.isSettled) && !seeds.empty())
+        result = seeds[std::uniform_int_distribution<std::size_t>(0, seeds.size() - 1)(this->state.random)];
+    return result == this->state.settings.peerAddress ? std::string() : result;
 }
 
 } // namespace goldcrestwood
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -163,6 +163,7 @@
         placement.sharing = "account-" + exchange.account->name.value;
     else
         placement.sharing = "all";
+    ++this->state.requests;
     this->state.sendBudget(*service).onRequest(exchange.received);
 
     exchange.limit.expires_at(exchange.deadline);
--- a/src/feed_readers.cc
+++ b/src/feed_readers.cc
@@ -6,7 +6,7 @@
 
 namespace goldcrestwood {
 
-std::vector<InstanceId> feedReaders(const std::vector<FeedCandidate>& candidates, const FeedReaderSettings& settings)
+std::vector<InstanceId> feedReaders(const std::vector<DaemonCapacity>& candidates, const FeedReaderSettings& settings)
 {
     const auto key = stableHash("feed readers");
     std::vector<std::pair<double, InstanceId>> ranking;
--- a/src/keyed_feed.cc
+++ b/src/keyed_feed.cc
@@ -7,12 +7,17 @@
 
 std::optional<KeyedRecord> KeyedFeed::merge(const KeyedRecord& record)
 {
-    const auto [position, isNew] = this->newest.try_emplace(record.key, record);
+    const auto [position, isNew] = this->newest.try_emplace(record.key, Entry { record, record.offset });
     if (isNew)
         return record.value ? std::optional(record) : std::nullopt;
-    if (record.offset <= position->second.offset)
+    auto& held = position->second;
+    if (record.offset <= held.record.offset)
         return std::nullopt;
-    position->second = record;
+    const bool isSame = record.value && held.record.value && this->saysSame(*record.value, *held.record.value);
+    held.record = record;
+    if (isSame)
+        return std::nullopt;
+    held.changed = record.offset;
     return record;
 }
 
@@ -33,15 +38,15 @@
     for (const auto& record : records)
         listed.insert(record.key);
     std::vector<KeyedRecord> removals;
-    for (const auto& [key, record] : this->newest)
-        if (record.value && record.offset < listedUpTo && !listed.contains(key))
+    for (const auto& [key, held] : this->newest)
+        if (held.record.value && held.record.offset < listedUpTo && !listed.contains(key))
             removals.push_back({ key, std::nullopt, listedUpTo - 1 });
     // A removal may carry the offset of the key's own record; one more step makes it news.
     std::vector<KeyedRecord> news;
     for (auto& removal : removals) {
         auto& held = this->newest[removal.key];
-        removal.offset = std::max(removal.offset, held.offset);
-        held = removal;
+        removal.offset = std::max(removal.offset, held.record.offset);
+        held = { removal, removal.offset };
         news.push_back(removal);
     }
     auto changed = this->apply(records, listedUpTo);
@@ -52,9 +57,9 @@
 std::vector<KeyedRecord> KeyedFeed::since(std::uint64_t offset) const
 {
     std::vector<KeyedRecord> result;
-    for (const auto& [key, record] : this->newest)
-        if (record.offset >= offset)
-            result.push_back(record);
+    for (const auto& [key, held] : this->newest)
+        if (held.changed >= offset)
+            result.push_back(held.record);
     std::sort(result.begin(), result.end(),
         [](const auto& left, const auto& right) { return left.offset < right.offset; });
     return result;
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -30,6 +30,10 @@
     /// Sends a second that a daemon should have at a cold upstream: at a large site only some daemons send there, so that
     /// a share is never less than a whole request.
     constexpr std::size_t leastColdShare = 2;
+    /// An upstream that is full frees a place in about so long.
+    constexpr Duration refusalPause = std::chrono::milliseconds(50);
+    /// New weights take an upstream some hundred milliseconds (the users' pages: 210 to 760).
+    constexpr Duration weightsRefusalPause = std::chrono::milliseconds(400);
     /// An incarnation that has ended is avoided until its entry has expired for certain.
     constexpr Duration endedAvoidance = std::chrono::seconds(10);
     /// Only reads of this many tokens tell the rate from fixed costs.
@@ -127,7 +131,7 @@
     return std::accumulate(this->backlog.begin(), this->backlog.begin() + static_cast<std::ptrdiff_t>(engineClass) + 1, std::uint64_t { 0 });
 }
 
-void UpstreamBoard::setDaemons(std::vector<InstanceId> all)
+void UpstreamBoard::setDaemons(std::vector<DaemonCapacity> all)
 {
     this->daemons = std::move(all);
     this->forgetPeers();
@@ -140,11 +144,17 @@
     const auto wanted = std::max(whole / leastColdShare, unseenDaemons + 1) - unseenDaemons;
     if (all <= wanted)
         return whole / (all + unseenDaemons);
-    // Each cold upstream has its own senders among the daemons.
-    for (const auto index : rendezvousRank(stableHash(upstream.entry.id.value), this->daemons, wanted))
-        if (this->daemons[index] == this->self)
-            return whole / (wanted + unseenDaemons);
-    return 0;
+    // Each cold upstream has its own senders among the daemons, mostly large ones: callers come there.
+    const auto key = stableHash(upstream.entry.id.value);
+    const auto scoreOf = [&](const DaemonCapacity& daemon) {
+        return weightedScore(key, daemon.instance.value, std::max(daemon.capacity, leastCapacity));
+    };
+    const auto own = std::find_if(this->daemons.begin(), this->daemons.end(), [&](const auto& daemon) { return daemon.instance == this->self; });
+    if (own == this->daemons.end())
+        return 0;
+    const auto ownScore = scoreOf(*own);
+    const auto ahead = std::count_if(this->daemons.begin(), this->daemons.end(), [&](const auto& daemon) { return scoreOf(daemon) > ownScore; });
+    return static_cast<std::size_t>(ahead) < wanted ? whole / (wanted + unseenDaemons) : 0;
 }
 
 bool UpstreamBoard::takesCold(const Upstream& upstream, TimePoint now) const
@@ -276,7 +286,7 @@
             const auto latency = upstream.latencyMs > 0 ? upstream.latencyMs : unknownLatencyMs;
             cost = latency * (1 + static_cast<double>(load.requests) / std::max(1U, upstream.entry.slots));
         }
-        cost *= 1 + failureFactor * upstream.failureShare;
+        cost *= 1 + failureFactor * this->failureShareOf(upstream, now);
         if (weightsOf(upstream.entry, request.model) < request.preferredWeights)
             cost *= oldWeightsFactor;
         if (cost < bestCost) {
@@ -381,7 +391,8 @@
         upstream.avoidUntil = now + endedAvoidance;
         break;
     case AttemptResult::Refused:
-        upstream.avoidUntil = now + std::chrono::milliseconds(50);
+        // An upstream that takes new weights refuses until it has them, and nothing tells that sooner than its refusal.
+        upstream.avoidUntil = now + (choice.weights < request.preferredWeights ? weightsRefusalPause : refusalPause);
         break;
     case AttemptResult::Unreachable: {
         const auto pause = this->settings.firstAvoidance * (1U << std::min(upstream.failures, 6U));
--- a/src/upstream_board_cache.cc
+++ b/src/upstream_board_cache.cc
@@ -15,7 +15,6 @@
     constexpr double readPreference = 3;
     /// Moves that tell of a source's speed, and for how long: after it the source is tried again.
     constexpr Duration moveSampleLifetime = std::chrono::seconds(4);
-    constexpr std::size_t leastMoveSamples = 3;
     constexpr std::size_t mostMoveSamples = 16;
     /// Samples in order: the one at this share tells the source's speed.
     constexpr double tellingShare = 0.4;
--- a/src/upstream_board_peers.cc
+++ b/src/upstream_board_peers.cc
@@ -10,6 +10,9 @@
 
 namespace {
 
+    /// A smaller share of failures is not told.
+    constexpr double leastToldFailureShare = 0.01;
+
     /// Visits the entries of a map from after @p last on, then from its beginning, until @p visit wants no more.
     /// @param last Set to the key of the last one visited.
     template <typename Map, typename Visit>
@@ -42,20 +45,79 @@
         }
 }
 
+void UpstreamBoard::onKeeperLoad(const InstanceId& keeper, const std::vector<UpstreamLoad>& loads, TimePoint now)
+{
+    auto& told = this->toldByKeeper[keeper];
+    for (const auto& id : told)
+        if (const auto found = this->upstreams.find(id); found != this->upstreams.end() && found->second.told && found->second.told->keeper == keeper)
+            found->second.told.reset();
+    told.clear();
+    for (const auto& load : loads)
+        if (const auto found = this->upstreams.find(load.upstream); found != this->upstreams.end()) {
+            ToldLoad sum { keeper, {}, load.failureShare, now };
+            addUse(sum.load, { load.upstream, load.requests, load.tokens, load.backlog });
+            found->second.told = std::move(sum);
+            told.push_back(load.upstream);
+        }
+}
+
+void UpstreamBoard::addUse(Load& load, const UpstreamUse& use)
+{
+    load.requests += use.requests;
+    load.tokens += use.tokens;
+    for (std::size_t index = 0; index < std::min(engineClasses, use.backlog.size()); ++index)
+        load.backlog[index] += use.backlog[index];
+}
+
 UpstreamBoard::Load UpstreamBoard::totalLoad(const Upstream& upstream, TimePoint now) const
 {
     auto load = upstream.own;
-    for (const auto& [peer, report] : upstream.peers) {
-        if (now - report.at > this->settings.peerReportLifetime)
-            continue;
-        load.requests += report.use.requests;
-        load.tokens += report.use.tokens;
-        for (std::size_t index = 0; index < std::min(engineClasses, report.use.backlog.size()); ++index)
-            load.backlog[index] += report.use.backlog[index];
+    if (upstream.told && now - upstream.told->at <= this->settings.peerReportLifetime) {
+        const auto& told = upstream.told->load;
+        addUse(load, { {}, told.requests, told.tokens, { told.backlog.begin(), told.backlog.end() } });
+        return load;
     }
+    for (const auto& [peer, report] : upstream.peers)
+        if (now - report.at <= this->settings.peerReportLifetime)
+            addUse(load, report.use);
     return load;
 }
 
+double UpstreamBoard::failureShareOf(const Upstream& upstream, TimePoint now) const
+{
+    const bool isTold = upstream.told && now - upstream.told->at <= this->settings.peerReportLifetime;
+    return isTold ? upstream.told->failureShare : upstream.failureShare;
+}
+
+std::vector<UpstreamLoad> UpstreamBoard::loadsFor(
+    const InstanceId& receiver, const std::function<bool(const UpstreamId&)>& isKept, TimePoint now) const
+{
+    std::vector<UpstreamLoad> result;
+    for (const auto& [id, upstream] : this->upstreams) {
+        if (!isKept(id))
+            continue;
+        auto load = upstream.own;
+        for (const auto& [peer, report] : upstream.peers)
+            if (peer != receiver && now - report.at <= this->settings.peerReportLifetime)
+                addUse(load, report.use);
+        if (load.requests > 0 || upstream.failureShare >= leastToldFailureShare)
+            result.push_back({ id, load.requests, load.tokens, { load.backlog.begin(), load.backlog.end() }, upstream.failureShare });
+    }
+    return result;
+}
+
+std::vector<SourceExperience> UpstreamBoard::slowSources(TimePoint now) const
+{
+    std::vector<SourceExperience> result;
+    for (const auto& [address, source] : this->moveSources) {
+        const auto slowness = slownessOf(source, now);
+        // As many samples as make a belief.
+        if (slowness > 1 && result.size() < this->settings.mostToldSources)
+            result.push_back({ address, std::vector<double>(leastMoveSamples, slowness) });
+    }
+    return result;
+}
+
 std::vector<UpstreamUse> UpstreamBoard::ownUses() const
 {
     std::vector<UpstreamUse> uses;
@@ -103,7 +165,7 @@
 void UpstreamBoard::forgetPeers()
 {
     for (auto entry = this->usedByPeer.begin(); entry != this->usedByPeer.end();) {
-        if (std::find(this->daemons.begin(), this->daemons.end(), entry->first) != this->daemons.end()) {
+        if (std::any_of(this->daemons.begin(), this->daemons.end(), [&](const auto& daemon) { return daemon.instance == entry->first; })) {
             ++entry;
             continue;
         }
--- a/src/upstream_cost.h
+++ b/src/upstream_cost.h
@@ -14,6 +14,9 @@
 inline constexpr double leastSlowness = 0.5;
 inline constexpr double mostSlowness = 20;
 
+/// Samples that tell how slow a source is; fewer say nothing.
+inline constexpr std::size_t leastMoveSamples = 3;
+
 /// @return The version of a model's weights that an upstream has; 0 if it does not tell.
 inline std::uint64_t weightsOf(const RegistryEntry& entry, const std::string& model)
 {
--- a/support/bench/placement_cost.cc
+++ b/support/bench/placement_cost.cc
@@ -64,17 +64,15 @@
     std::printf("placement  upstreams %5d  %9.1f us\n", upstreams, cost);
 }
 
-void heartbeat(int upstreams)
+void report(int upstreams)
 {
-    EdgeHeartbeat message;
+    LoadReport message;
     message.instance = InstanceId("edge-bayanzurkh-1");
-    message.frontAddress = message.peerAddress = "10.1.0.40:8005";
-    message.peers.assign(12, "10.1.0.40:8005");
     for (int number = 0; number < upstreams; ++number)
         message.uses.push_back({ UpstreamId("i-7f3a91c2" + std::to_string(number)), 3, 24000, { 0, 0, 0, 9000, 0, 0, 0, 0, 0, 0 } });
     const auto bytes = encode(message).size();
-    const auto cost = microseconds(rounds, [&](int) { static_cast<void>(decode<EdgeHeartbeat>(encode(message))); });
-    std::printf("heartbeat  upstreams in use %4d  %6zu bytes  %7.1f us to encode and decode\n", upstreams, bytes, cost);
+    const auto cost = microseconds(rounds, [&](int) { static_cast<void>(decode<LoadReport>(encode(message))); });
+    std::printf("report     upstreams in use %4d  %6zu bytes  %7.1f us to encode and decode\n", upstreams, bytes, cost);
 }
 
 void routing(int routes)
@@ -98,7 +96,7 @@
     for (const int upstreams : { 9, 100, 1000, 4500 })
         placement(upstreams);
     for (const int upstreams : { 12, 40, 200 })
-        heartbeat(upstreams);
+        report(upstreams);
     for (const int routes : { 10, 400, 4000 })
         routing(routes);
     return 0;
--- a/test/daemon_view_test.cc
+++ b/test/daemon_view_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <set>
+
 #include "goldcrestwood/daemon_view.h"
 
 using namespace goldcrestwood;
@@ -112,3 +114,98 @@
     settings.linkMegabits = 10;
     CHECK(capacityOf(settings) == Approx(0.125));
 }
+
+namespace {
+
+/// A site of five failure domains, each with a few large daemons among many small ones.
+void hearSite(DaemonView& view, double rateOfEach, TimePoint now, std::uint64_t sequence = 1)
+{
+    for (int domain = 0; domain < 5; ++domain)
+        for (int index = 0; index < 59; ++index) {
+            const auto name = "d" + std::to_string(domain) + "-" + std::to_string(index);
+            auto message = beat(name.c_str(), ("domain" + std::to_string(domain)).c_str(), 1, sequence);
+            message.intervalMs = 1000;
+            message.capacity = index < 3 ? 0.5 : 0.12;
+            message.requestRate = rateOfEach;
+            view.onHeartbeat(message, now);
+        }
+}
+
+/// @return Daemons of the callers' own domain that the directory names to any of them.
+std::size_t daemonsInUse(const DaemonView& view, TimePoint now)
+{
+    std::set<std::string> used;
+    for (int caller = 0; caller < 600; ++caller)
+        for (const auto& front : view.frontsFor("caller" + std::to_string(caller), FailureDomain("domain1"), self(), now))
+            if (front.starts_with("d1-"))
+                used.insert(front);
+    return used.size();
+}
+
+} // namespace
+
+TEST_CASE("callers of a large site meet few daemons while these bear the load, and more as it grows")
+{
+    // Load pattern: 295 daemons, 2,000 requests a second, then a burst of five times as many.
+    DaemonView view;
+    hearSite(view, 0, start);
+    const auto idle = daemonsInUse(view, start);
+    hearSite(view, 2000.0 / 295, start + 1s, 2);
+    const auto usual = daemonsInUse(view, start + 1s);
+    hearSite(view, 10000.0 / 295, start + 2s, 3);
+    const auto burst = daemonsInUse(view, start + 2s);
+    CHECK(idle <= 20);
+    CHECK(usual <= 20);
+    CHECK(burst > 2 * usual);
+}
+
+TEST_CASE("a daemon that hears nobody but a reader knows the site through it, and forgets what it no longer tells")
+{
+    DaemonView reader;
+    hearSite(reader, 1, start);
+    DaemonView asker;
+    auto news = reader.newsSince(7, 0);
+    CHECK(news.isWhole);
+    asker.onNews(news, true, start);
+    CHECK(asker.live(start).size() == 295);
+    // Heartbeats that say the same are no news.
+    hearSite(reader, 1, start + 1s, 2);
+    reader.sweep(start + 1s);
+    auto next = reader.newsSince(7, news.end);
+    CHECK_FALSE(next.isWhole);
+    CHECK(next.daemons.empty());
+    asker.onNews(next, true, start + 1s);
+    // One daemon stops, the others fall silent later.
+    auto stopping = beat("d2-7", "domain2", 1, 3, false);
+    stopping.intervalMs = 1000;
+    stopping.capacity = 0.12;
+    stopping.requestRate = 1;
+    reader.onHeartbeat(stopping, start + 2s);
+    next = reader.newsSince(7, next.end);
+    REQUIRE(next.daemons.size() == 1);
+    CHECK_FALSE(next.daemons.front().heartbeat.isReady);
+    asker.onNews(next, true, start + 2s);
+    CHECK(asker.live(start + 2s).size() == 295);
+    reader.sweep(start + 4500ms);
+    next = reader.newsSince(7, next.end);
+    CHECK(next.daemons.size() == 294);
+    asker.onNews(next, true, start + 4500ms);
+    CHECK(asker.live(start + 4500ms).size() == 1);
+    // Without answers nothing that was told holds for long.
+    CHECK(asker.live(start + 9s).empty());
+}
+
+TEST_CASE("a daemon tells only of those that it hears itself, so that no belief keeps itself alive")
+{
+    DaemonView first;
+    DaemonView second;
+    first.onHeartbeat(beat("a", "north", 1, 1), start);
+    for (auto now = start; now < start + 20s; now += 500ms) {
+        first.sweep(now);
+        second.sweep(now);
+        second.onNews(first.newsSince(1, 0), true, now);
+        first.onNews(second.newsSince(2, 0), true, now);
+    }
+    CHECK(first.live(start + 20s).empty());
+    CHECK(second.live(start + 20s).empty());
+}
--- a/test/feed_readers_test.cc
+++ b/test/feed_readers_test.cc
@@ -10,9 +10,9 @@
 
 namespace {
 
-std::vector<FeedCandidate> siteOf(std::size_t daemons)
+std::vector<DaemonCapacity> siteOf(std::size_t daemons)
 {
-    std::vector<FeedCandidate> result;
+    std::vector<DaemonCapacity> result;
     for (std::size_t number = 0; number < daemons; ++number)
         result.push_back({ InstanceId("d" + std::to_string(number)), number % 10 == 0 ? 0.5 : 0.12 });
     return result;
--- a/test/keyed_feed_test.cc
+++ b/test/keyed_feed_test.cc
@@ -74,3 +74,17 @@
         CHECK(held.back() == record("b", "2", 6));
     }
 }
+
+TEST_CASE("records that say the same as before are no news, and are not passed on")
+{
+    // Load pattern: each of thousands of upstreams confirms its entry every second.
+    KeyedFeed feed([](const std::string& left, const std::string& right) { return left.front() == right.front(); });
+    feed.apply({ record("a", "x1", 0), record("b", "y1", 1) }, 2);
+    CHECK(feed.apply({ record("a", "x2", 2), record("b", "z1", 3) }, 4) == std::vector { record("b", "z1", 3) });
+    CHECK(feed.since(2) == std::vector { record("b", "z1", 3) });
+    // Whoever asks for all gets the newest of each, and a removal is news.
+    CHECK(feed.since(0).size() == 2);
+    CHECK(feed.apply({ { "a", std::nullopt, 4 } }, 5).size() == 1);
+    CHECK(feed.apply({ record("a", "x3", 5) }, 6).size() == 1);
+    CHECK(feed.since(5) == std::vector { record("a", "x3", 5) });
+}
--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -126,3 +126,13 @@
     CHECK(toString(bad.error().front()).find("node.toml:1:") == 0);
     CHECK_FALSE(platform::decodeSettings("= 1", "node.toml"));
 }
+
+TEST_CASE("an entry that only counts another write says nothing new")
+{
+    const std::string entry = R"({"service":"s","seq":12,"state":"ready"})";
+    CHECK(platform::isSameEntry(entry, R"({"service":"s","seq":13,"state":"ready"})"));
+    CHECK_FALSE(platform::isSameEntry(entry, R"({"service":"s","seq":13,"state":"draining"})"));
+    CHECK_FALSE(platform::isSameEntry(entry, R"({"service":"t","seq":12,"state":"ready"})"));
+    CHECK(platform::isSameEntry("torn", "torn"));
+    CHECK_FALSE(platform::isSameEntry("torn", entry));
+}
--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -183,10 +183,13 @@
     std::vector<InstanceId> names;
     for (std::size_t number = 0; number < daemons; ++number)
         names.emplace_back("d" + std::to_string(number));
+    std::vector<DaemonCapacity> all;
+    for (const auto& name : names)
+        all.push_back({ name, all.size() % 20 == 0 ? 0.5 : 0.12 });
     std::vector<std::unique_ptr<Site>> sites;
     for (std::size_t number = 0; number < daemons; ++number) {
         sites.push_back(std::make_unique<Site>(coldPerSecond, names[number].value.c_str()));
-        sites.back()->board.setDaemons(names);
+        sites.back()->board.setDaemons(all);
         auto cold = entryOf(1, plain);
         cold.coldLeft = 3s;
         sites.back()->board.setUpstream(cold, start);
@@ -407,15 +410,17 @@
         for (int more = 0; more < 1 + (engines - number) / 100; ++more)
             site.board.begin(choice, request, start);
     }
-    EdgeHeartbeat message;
+    LoadReport message;
     message.instance = InstanceId("edge-with-a-long-name-100");
-    message.domain = FailureDomain("failure-domain");
-    message.frontAddress = message.peerAddress = "10.200.100.100:65535";
-    message.peers.assign(12, message.peerAddress);
     message.uses = site.board.ownUses();
     message.upstreams = site.board.takeUpstreamExperience();
     message.sources = site.board.takeSourceExperience();
-    CHECK(encode(message).size() <= 8192);
+    EdgeHeartbeat heartbeat;
+    heartbeat.instance = message.instance;
+    heartbeat.domain = FailureDomain("failure-domain");
+    heartbeat.frontAddress = heartbeat.peerAddress = "10.200.100.100:65535";
+    heartbeat.peers.assign(12, heartbeat.peerAddress);
+    CHECK(encode(PeerDatagram { heartbeat, message, std::nullopt }).size() <= 8192);
     // The busiest are told, and what did not fit comes with the next heartbeats.
     CHECK(std::all_of(message.uses.begin(), message.uses.end(), [](const auto& use) { return use.requests == 5 || use.requests == 4; }));
     auto told = message.upstreams.size();
@@ -434,6 +439,29 @@
     CHECK(site.board.requestsAt(upstream, start) == 3);
     CHECK(site.board.requestsAt(upstream, start + 2600ms) == 0);
     CHECK(site.board.knownPeers() == 1);
-    site.board.setDaemons({ InstanceId("self") });
+    site.board.setDaemons({ { InstanceId("self"), 1 } });
     CHECK(site.board.knownPeers() == 0);
 }
+
+TEST_CASE("an upstream that refuses while it has old weights is left alone until it may have the new ones")
+{
+    // Load pattern: new weights are named and a fifth of a pool of 160 engines is under order at any time; each of hundreds of
+    // daemons learns of the orders up to a second late.
+    Site site;
+    site.board.setUpstream(entryOf(1, plain), start);
+    site.board.setUpstream(entryOf(2, plain), start);
+    auto request = plainRequest();
+    auto choice = *site.choose(request);
+    choice.weights = 1;
+    const auto refused = choice.upstream;
+    request.preferredWeights = 2;
+    site.board.begin(choice, request, start);
+    site.board.finish(choice, request, true, AttemptResult::Refused, start);
+    CHECK(site.choose(request, start + 300ms)->upstream != refused);
+    // One that is merely full is tried again soon.
+    choice.weights = 2;
+    site.board.begin(choice, request, start + 1s);
+    site.board.finish(choice, request, true, AttemptResult::Refused, start + 1s);
+    CHECK(site.choose(request, start + 1040ms)->upstream != refused);
+    CHECK(site.choose(request, start + 1060ms)->upstream == refused);
+}
