--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -34,6 +34,8 @@
     Task<bool> readHead(ClientExchange& exchange, Attempt& attempt);
     static Task<std::size_t> readPiece(Attempt& attempt, std::string& piece, ErrorCode& error);
     Task<> relayWhole(ClientExchange& exchange, Attempt& attempt);
+    /// @param whole Length of the part of @p piece that ends with an event.
+    Task<bool> relayPiece(ClientExchange& exchange, Attempt& attempt, std::string_view piece, std::size_t whole);
     Task<> relayStream(ClientExchange& exchange, Attempt& attempt);
     Task<bool> writeStreamPiece(ClientExchange& exchange, Attempt& attempt, const char* data, std::size_t size, bool more);
     Task<> forwardHeldAnswer(ClientExchange& exchange, Attempt& attempt);
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -5,6 +5,7 @@
 
 #include "daemon/clock.h"
 #include "edge/attempt.h"
+#include "goldcrestwood/event_ends.h"
 
 namespace goldcrestwood {
 
@@ -14,17 +15,12 @@
     constexpr std::uint64_t largestWholeAnswer = 8U << 20U;
     /// Extra answers to earlier requests that are skipped on one connection.
     constexpr int mostExtraAnswers = 3;
+    /// Bytes of extra answers that are read past on one connection; more of them do not end.
+    constexpr std::uint64_t mostExtraBytes = 1U << 20U;
     constexpr std::uint64_t unlimitedBody = std::uint64_t { 1 } << 50U;
     constexpr std::size_t pieceBytes = 16384;
     constexpr unsigned misdirected = 421;
 
-    /// @return Length of the leading whole events of @p text.
-    std::size_t wholeEvents(const std::string& text)
-    {
-        const auto end = text.rfind("\n\n");
-        return end == std::string::npos ? 0 : end + 2;
-    }
-
     /// @return The id of the last event in @p events that has one.
     std::string lastEventId(std::string_view events)
     {
@@ -70,9 +66,10 @@
             co_return true;
         // An answer to an earlier request: read past it.
         std::string scrap(pieceBytes, '\0');
+        std::uint64_t passed = 0;
         while (!attempt.parser->is_done()) {
-            static_cast<void>(co_await readPiece(attempt, scrap, error));
-            if (error) {
+            passed += co_await readPiece(attempt, scrap, error);
+            if (error || passed > mostExtraBytes) {
                 attempt.result = AttemptResult::Unreachable;
                 attempt.failure = "broke in an extra answer";
                 co_return false;
@@ -173,6 +170,23 @@
     co_return !error;
 }
 
+Task<bool> Pipeline::relayPiece(ClientExchange& exchange, Attempt& attempt, std::string_view piece, std::size_t whole)
+{
+    if (!exchange.route->isResumable)
+        co_return co_await this->writeStreamPiece(exchange, attempt, piece.data(), piece.size(), true);
+    // Only whole events go on, so that another upstream can take over after any of them.
+    if (whole == 0) {
+        attempt.partialEvent.append(piece);
+        co_return true;
+    }
+    attempt.partialEvent.append(piece.substr(0, whole));
+    if (auto id = lastEventId(attempt.partialEvent); !id.empty())
+        attempt.lastEvent = std::move(id);
+    const bool isWritten = co_await this->writeStreamPiece(exchange, attempt, attempt.partialEvent.data(), attempt.partialEvent.size(), true);
+    attempt.partialEvent.assign(piece.substr(whole));
+    co_return isWritten;
+}
+
 Task<> Pipeline::relayStream(ClientExchange& exchange, Attempt& attempt)
 {
     if (!attempt.head) {
@@ -186,7 +200,7 @@
         exchange.keepClient = attempt.head->keep_alive();
         attempt.serializer = std::make_unique<http::response_serializer<http::buffer_body>>(*attempt.head);
     }
-    const bool isResumable = exchange.route->isResumable;
+    EventEnds ends;
     attempt.partialEvent.clear();
     auto lastPiece = monotonicNow();
     std::string piece(pieceBytes, '\0');
@@ -196,20 +210,14 @@
         const auto now = monotonicNow();
         attempt.longestGap = std::max(attempt.longestGap, now - lastPiece);
         lastPiece = now;
-        if (received > 0 && isResumable) {
-            // Only whole events go on, so that another upstream can take over after any of them.
-            attempt.partialEvent.append(piece.data(), received);
-            const auto whole = wholeEvents(attempt.partialEvent);
-            if (whole > 0) {
-                if (auto id = lastEventId({ attempt.partialEvent.data(), whole }); !id.empty())
-                    attempt.lastEvent = std::move(id);
-                const bool isWritten = co_await this->writeStreamPiece(exchange, attempt, attempt.partialEvent.data(), whole, true);
-                if (!isWritten)
-                    co_return;
-                attempt.partialEvent.erase(0, whole);
+        if (received > 0) {
+            const auto whole = ends.next({ piece.data(), received });
+            if (ends.isOverlong()) {
+                attempt.result = AttemptResult::Unreachable;
+                attempt.failure = "no event ends";
+                co_return;
             }
-        } else if (received > 0) {
-            const bool isWritten = co_await this->writeStreamPiece(exchange, attempt, piece.data(), received, true);
+            const bool isWritten = co_await this->relayPiece(exchange, attempt, { piece.data(), received }, whole);
             if (!isWritten)
                 co_return;
         }
--- a/src/edge/upstream_pool.h
+++ b/src/edge/upstream_pool.h
@@ -16,6 +16,9 @@
 
 /// An HTTP connection that serves one request at a time.
 struct UpstreamConnection {
+    /// Bytes read and not yet understood: heads and chunk lines are far shorter, bodies are taken out as they come.
+    static constexpr std::size_t largestBuffer = 256U << 10U;
+
     UpstreamConnection(const asio::any_io_executor& executor, std::string target)
         : stream(executor)
         , address(std::move(target))
@@ -30,7 +33,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { largestBuffer };
     std::string address;
     /// An idle connection is not used after this time.
     Duration idleLimit = std::chrono::seconds(4);
--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -20,6 +20,7 @@
 START_SECONDS = 20
 # Loopback addresses of this process alone, so that sites may run beside each other.
 SUBNET = f"127.{32 + os.getpid() % 190}.{os.getpid() // 190 % 250}"
+FLOOD_LIMIT = 256 << 20  # A caller that takes that much does not close.
 TOPICS = ("keyed.op", "keyed.servers", "keyed.status")
 
 
@@ -208,10 +209,28 @@
             self.close_connection = True
             self.connection.shutdown(socket.SHUT_RDWR)
             return None
+        if replica.endless:
+            return self.flood(replica, headers)
         if replica.kind != "streaming":
             return self.answer(200, replica.id.encode() + b":" + body, headers)
         return self.stream(replica, headers)
 
+    def flood(self, replica, headers):
+        """Bytes that are no answer until the caller closes, in the head or in the body."""
+        self.close_connection = True
+        replica.flooded = 0
+        with contextlib.suppress(OSError):
+            if replica.endless == "head":
+                self.wfile.write(b"HTTP/1.1 200 OK\r\n")
+            else:
+                self.send_response(200)
+                for name, value in headers:
+                    self.send_header(name, value)
+                self.end_headers()
+            while replica.flooded < FLOOD_LIMIT:
+                self.wfile.write(b"X-Noise: 0123456789\r\n" * 500)
+                replica.flooded += 500 * 21
+
     def stream(self, replica, headers):
         self.send_response(200)
         for name, value in (*headers, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")):
@@ -246,6 +265,8 @@
         self.loading_until = 0.0
         self.next_version = 1
         self.refuse = self.fail = self.drop = self.cut_after = 0
+        self.endless = None  # Where bytes come without end: "head" or "body".
+        self.flooded = 0
         self.delay, self.gap, self.pieces = 0.0, 0.0, 5
         self.server = Server("127.0.0.1", self, ReplicaHandler)
         self.address = link(self.server.address) if link else self.server.address
--- /dev/null
+++ b/test/event_ends_test.cc
@@ -0,0 +1,51 @@
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <string>
+
+#include "goldcrestwood/event_ends.h"
+
+using namespace goldcrestwood;
+
+TEST_CASE("events end where they end, however the bytes are cut")
+{
+    std::string text;
+    for (int number = 0; number < 40; ++number)
+        text += "id: " + std::to_string(number) + "\ndata: x\n\n";
+    text += "id: 40\nda";
+    const auto expected = text.rfind("\n\n") + 2;
+    for (std::uint64_t seed = 0; seed < 500; ++seed) {
+        std::mt19937_64 random(seed);
+        EventEnds ends;
+        std::size_t begin = 0;
+        std::size_t lastEnd = 0;
+        while (begin < text.size()) {
+            const auto size = std::min<std::size_t>(1 + random() % 9, text.size() - begin);
+            if (const auto whole = ends.next(std::string_view(text).substr(begin, size)); whole > 0)
+                lastEnd = begin + whole;
+            // Whatever is passed on so far ends with an event.
+            REQUIRE((lastEnd == 0 || text.substr(lastEnd - 2, 2) == "\n\n"));
+            begin += size;
+        }
+        CHECK(lastEnd == expected);
+        CHECK_FALSE(ends.isOverlong());
+    }
+}
+
+TEST_CASE("bytes without the end of an event are no stream, whether they hold newlines or not")
+{
+    for (const auto& piece : { std::string(16384, 'x'), std::string(8191, 'x') + "\n" + std::string(8191, 'x') }) {
+        EventEnds ends;
+        std::size_t sent = 0;
+        while (!ends.isOverlong()) {
+            CHECK(ends.next(piece) == 0);
+            sent += piece.size();
+            REQUIRE(sent <= 2 * EventEnds::largestEvent);
+        }
+    }
+    // One long stream of short events is one.
+    EventEnds ends;
+    for (int number = 0; number < 100000; ++number)
+        ends.next("data: 0123456789012345\n\n");
+    CHECK_FALSE(ends.isOverlong());
+}
--- a/test/process/edge_test.py
+++ b/test/process/edge_test.py
@@ -82,6 +82,30 @@
         self.assertIn(identifier, headers["X-Goldcrestwood-Response-Seal"])
         self.assertEqual(sum(request == identifier for replica in here.plain for request, _, _ in replica.requests), 2)
 
+    def flood(self, where, kind):
+        with site.EdgeSite(daemons=1) as here:
+            daemon, group = here.daemons[0], here.models if kind == "stream" else here.plain
+            arguments = {"body": b"p", **site.PROMPT} if kind == "stream" else {"method": "GET"}
+            self.assertEqual(site.request(daemon, f"/{kind}/a", **arguments)[1], 200)
+            preferred = max(group, key=lambda replica: len(replica.requests))
+            preferred.endless = where
+            # It is met once, avoided from then on, and the caller does not notice.
+            for _ in range(3):
+                _, status, _, body = site.request(daemon, f"/{kind}/a", **arguments)
+                self.assertEqual(status, 200)
+                self.assertNotIn(b"X-Noise", body)
+            self.assertGreater(preferred.flooded, 0)
+            self.assertLess(preferred.flooded, 32 << 20)
+            with open(f"/proc/{daemon.process.pid}/status", encoding="ascii") as status_file:
+                peak = int(next(line for line in status_file if line.startswith("VmHWM")).split()[1])
+            self.assertLess(peak, 64 << 10)  # KB
+
+    def test_bytes_without_end_are_no_answer(self):
+        for where in ("head", "body"):
+            for kind in ("safe", "stream"):
+                with self.subTest(where=where, kind=kind):
+                    self.flood(where, kind)
+
     def test_a_change_is_in_force_everywhere_and_survives_an_outage(self):
         here = self.start(daemons=3)
         changed = copy.deepcopy(site.CONFIGURATION)
