A reader takes every confirmation of an entry; peers are told each sixteenth

Cause, by reading: an entry that only counts another write was no news to its reader either, so an upstream that the board had dropped for another reason (an entry of another writer at its address) would not have come back before its entry changed. Change: the feed passes each newer record on to the board, and every sixteenth confirmation to peers. Test: keyed_feed_test.

--- a/include/goldcrestwood/keyed_feed.h
+++ b/include/goldcrestwood/keyed_feed.h
@@ -24,7 +24,7 @@
 class KeyedFeed {
 public:
     /// Whether two values of a key say the same. Load pattern: thousands of upstreams confirm their entries each second, and
-    /// nobody need hear of it.
+    /// peers need hear of few of these.
     using SaysSame = bool (*)(const std::string&, const std::string&);
 
     explicit KeyedFeed(SaysSame comparison = [](const std::string&, const std::string&) { return false; })
@@ -48,7 +48,8 @@
     /// @return Whether a listing or a peer's records have been applied.
     bool isKnown() const { return this->known; }
 
-    /// @return The records that changed from @p offset on, removals included, in order of their offsets.
+    /// @return The records from @p offset on that said something new, and a few that did not; removals included, in order of
+    /// their offsets.
     std::vector<KeyedRecord> since(std::uint64_t offset) const;
 
 private:
@@ -56,7 +57,8 @@
 
     struct Entry {
         KeyedRecord record;
-        std::uint64_t changed = 0; ///< Offset of the first record that said the same as this one.
+        std::uint64_t changed = 0; ///< Offset of the last record that is passed on.
+        std::uint32_t confirmations = 0; ///< Records since then that said the same.
     };
 
     SaysSame saysSame;
--- a/src/keyed_feed.cc
+++ b/src/keyed_feed.cc
@@ -5,9 +5,16 @@
 
 namespace goldcrestwood {
 
+namespace {
+
+    /// Confirmations of a key of which one is passed on: a belief that was wrong for another reason is mended by it.
+    constexpr std::uint32_t passedOnEvery = 16;
+
+} // namespace
+
 std::optional<KeyedRecord> KeyedFeed::merge(const KeyedRecord& record)
 {
-    const auto [position, isNew] = this->newest.try_emplace(record.key, Entry { record, record.offset });
+    const auto [position, isNew] = this->newest.try_emplace(record.key, Entry { record, record.offset, 0 });
     if (isNew)
         return record.value ? std::optional(record) : std::nullopt;
     auto& held = position->second;
@@ -15,9 +22,9 @@
         return std::nullopt;
     const bool isSame = record.value && held.record.value && this->saysSame(*record.value, *held.record.value);
     held.record = record;
-    if (isSame)
-        return std::nullopt;
-    held.changed = record.offset;
+    held.confirmations = isSame ? held.confirmations + 1 : 0;
+    if (!isSame || held.confirmations % passedOnEvery == 0)
+        held.changed = record.offset;
     return record;
 }
 
@@ -46,7 +53,7 @@
     for (auto& removal : removals) {
         auto& held = this->newest[removal.key];
         removal.offset = std::max(removal.offset, held.record.offset);
-        held = { removal, removal.offset };
+        held = { removal, removal.offset, 0 };
         news.push_back(removal);
     }
     auto changed = this->apply(records, listedUpTo);
--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -184,6 +184,7 @@
     for (std::size_t number = 0; number < daemons; ++number)
         names.emplace_back("d" + std::to_string(number));
     std::vector<DaemonCapacity> all;
+    all.reserve(daemons);
     for (const auto& name : names)
         all.push_back({ name, all.size() % 20 == 0 ? 0.5 : 0.12 });
     std::vector<std::unique_ptr<Site>> sites;
