Readers speak for the daemons also while the store is away; digests fit a datagram at any size

Cause, by reading: a reader that the store did not answer no longer counted as one that hears all daemons, so that in an outage of four seconds every other daemon would have named only readers to callers, and read the store itself; a daemon in whose hearing no reader was took that for an outage; a keeper's digest grew with the upstreams, past the datagram that is read. Change: hearing all and reading are told apart; in an outage a reader's word is as good as any; no evidence without readers; a digest tells of the busiest 80.

--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -307,9 +307,11 @@
     DaemonNews daemons;
     /// Orders to upstreams that are going on.
     std::optional<DutyNotice> duty;
-    /// Whether the sender reads the registry.
+    /// Whether the sender reads for all and hears all daemons.
+    bool hearsAll = false;
+    /// Whether the store answers the sender.
     bool isReading = false;
-    /// Since when, milliseconds ago.
+    /// Since when the registry could be read, milliseconds ago.
     std::uint64_t readingMs = 0;
 
     bool operator==(const FeedAnswer&) const = default;
--- a/include/goldcrestwood/store_outage.h
+++ b/include/goldcrestwood/store_outage.h
@@ -14,10 +14,13 @@
 /// whose own reads fail must not conclude that: its peers go on, and so do their orders.
 class StoreOutage {
 public:
-    /// @param readers Daemons that read the store, this one included.
-    /// @param daemons All daemons heard lately, this one included.
+    /// @param readers Readers that the store answers.
+    /// @param daemons All readers heard lately.
     void onView(std::size_t readers, std::size_t daemons, TimePoint now)
     {
+        // Whoever hears no reader learns nothing of the store.
+        if (daemons == 0)
+            return;
         if (!this->firstView)
             this->firstView = now;
         const bool wasAway = this->away;
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -46,6 +46,7 @@
     /// What one report to a keeper tells at most; together it fits a datagram of 8 KB with names of 20 letters.
     std::size_t mostToldUses = 80;
     std::size_t mostToldUpstreams = 80;
+    std::size_t mostToldLoads = 80;
     std::size_t mostToldSources = 24;
 };
 
@@ -126,7 +127,7 @@
     void onKeeperLoad(const InstanceId& keeper, const std::vector<UpstreamLoad>& loads, TimePoint now);
     /// @param receiver Its own work is left out.
     /// @param isKept Which upstreams to tell of.
-    /// @return Sums over all daemons but @p receiver at the upstreams that are not idle.
+    /// @return Sums over all daemons but @p receiver at the upstreams that are not idle, the busiest if they are many.
     std::vector<UpstreamLoad> loadsFor(const InstanceId& receiver, const std::function<bool(const UpstreamId&)>& isKept, TimePoint now) const;
     /// @return Sources of cached blocks that are slow now.
     std::vector<SourceExperience> slowSources(TimePoint now) const;
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -63,10 +63,10 @@
         return static_cast<std::size_t>(found - this->feedReaders.begin());
     }
 
-    /// @return Whether this daemon may tell others what the store says and whom it hears: it has heard all of them by now.
-    bool isServingFeed(TimePoint now) const
+    /// @return Whether this daemon reads for all, and has heard all of them by now.
+    bool hearsAll(TimePoint now) const
     {
-        return this->isSettled && this->readerSince && now - *this->readerSince >= readerWarmUp && this->readsStore();
+        return this->isSettled && this->readerSince && now - *this->readerSince >= readerWarmUp;
     }
 
     /// @return Whether a reader tells this daemon what the store says, so that it need not ask itself.
--- a/src/edge/feed_exchange.cc
+++ b/src/edge/feed_exchange.cc
@@ -197,16 +197,22 @@
         co_return false;
     }
     this->believe(*answer);
-    co_return answer->isReading;
+    co_return this->isFeed(*answer);
+}
+
+bool FeedExchange::isFeed(const FeedAnswer& answer) const
+{
+    return answer.hearsAll && (answer.isReading || this->state.storeOutage.isAway());
 }
 
 void FeedExchange::believeReader(const FeedAnswer& answer, TimePoint now)
 {
-    // Only a daemon that reads is as good as the store itself.
-    if (!answer.isReading || this->state.readerRank())
+    // A reader that reads is as good as the store itself, and while the store is away for all there is no better.
+    if (this->state.readerRank() || !isFeed(answer))
         return;
     this->state.fedAt = now;
-    this->state.registryContact = { true, now - std::chrono::milliseconds(answer.readingMs) };
+    if (answer.isReading)
+        this->state.registryContact = { true, now - std::chrono::milliseconds(answer.readingMs) };
     if (answer.duty && (!this->state.duty || answer.duty->record != this->state.duty->first))
         believeDuty(this->state, answer.duty->record, now - std::chrono::milliseconds(answer.duty->ageMs));
 }
@@ -226,10 +232,10 @@
         this->cacheFrom = follows ? answer.cache->end : 0;
     }
     // A daemon that hears few others may help one that knows none, and would mislead any other.
-    if (answer.isReading || !this->state.isSettled) {
+    if (answer.hearsAll || !this->state.isSettled) {
         this->daemonsSource = answer.daemons.source;
         this->daemonsFrom = answer.daemons.end;
-        this->peers.onNews(answer.daemons, answer.isReading);
+        this->peers.onNews(answer.daemons, answer.hearsAll);
     }
     this->queues.dispatchAll();
 }
@@ -260,7 +266,8 @@
     answer.daemons = this->peers.newsFor(query.daemonsSource, query.daemonsFrom);
     if (this->state.duty)
         answer.duty = DutyNotice { this->state.duty->first, ageMs(this->state.duty->second) };
-    answer.isReading = this->state.isServingFeed(now);
+    answer.hearsAll = this->state.hearsAll(now);
+    answer.isReading = this->state.readsStore();
     answer.readingMs = ageMs(this->state.registryContact.since);
     return answer;
 }
--- a/src/edge/feed_exchange.h
+++ b/src/edge/feed_exchange.h
@@ -42,6 +42,8 @@
     /// @return Whether a daemon answered that reads the store for all.
     Task<bool> query(QueryLink& link, std::string address, bool wantsCache);
     Task<std::optional<std::string>> exchange(QueryLink& link, const std::string& request);
+    /// @return Whether an answer stands for what the store says.
+    bool isFeed(const FeedAnswer& answer) const;
     void believe(const FeedAnswer& answer);
     void believeReader(const FeedAnswer& answer, TimePoint now);
     /// A daemon that knows more of a topic than this one.
--- a/src/upstream_board_peers.cc
+++ b/src/upstream_board_peers.cc
@@ -29,6 +29,17 @@
         }
     }
 
+    /// Drops all but the @p most with the most requests.
+    template <typename Use>
+    void keepBusiest(std::vector<Use>& uses, std::size_t most)
+    {
+        if (uses.size() <= most)
+            return;
+        const auto end = uses.begin() + static_cast<std::ptrdiff_t>(most);
+        std::nth_element(uses.begin(), end, uses.end(), [](const auto& left, const auto& right) { return left.requests > right.requests; });
+        uses.erase(end, uses.end());
+    }
+
 } // namespace
 
 void UpstreamBoard::onPeerUse(const InstanceId& peer, const std::vector<UpstreamUse>& uses, TimePoint now)
@@ -103,6 +114,7 @@
         if (load.requests > 0 || upstream.failureShare >= leastToldFailureShare)
             result.push_back({ id, load.requests, load.tokens, { load.backlog.begin(), load.backlog.end() }, upstream.failureShare });
     }
+    keepBusiest(result, this->settings.mostToldLoads);
     return result;
 }
 
@@ -124,11 +136,7 @@
     for (const auto& [id, upstream] : this->upstreams)
         if (upstream.own.requests > 0)
             uses.push_back({ id, upstream.own.requests, upstream.own.tokens, { upstream.own.backlog.begin(), upstream.own.backlog.end() } });
-    if (uses.size() > this->settings.mostToldUses) {
-        const auto end = uses.begin() + static_cast<std::ptrdiff_t>(this->settings.mostToldUses);
-        std::nth_element(uses.begin(), end, uses.end(), [](const auto& left, const auto& right) { return left.requests > right.requests; });
-        uses.erase(end, uses.end());
-    }
+    keepBusiest(uses, this->settings.mostToldUses);
     return uses;
 }
 
--- a/test/load_keepers_test.cc
+++ b/test/load_keepers_test.cc
@@ -198,3 +198,22 @@
     site.exchange(start + 250ms);
     CHECK(site.boards[50]->requestsAt(upstreamOf(4), start + 250ms) == 0);
 }
+
+TEST_CASE("a keeper's digest of a very large pool fits a datagram and tells of the busiest")
+{
+    // Load pattern: 4,500 upstreams, each with work of some daemon.
+    PartDirectory parts;
+    UpstreamBoard board(InstanceId("keeper"), SiteBounds {}, parts);
+    constexpr std::size_t upstreams = 1125; // A keeper's share.
+    for (std::size_t number = 0; number < upstreams; ++number) {
+        board.setUpstream(entryOf(number), start);
+        const auto requests = static_cast<std::uint32_t>(number < 80 ? 30 : 1);
+        board.onPeerUse(InstanceId("d" + std::to_string(number)), { { upstreamOf(number), requests, 300000, { 0, 9000, 9000, 9000, 9000 } } }, start);
+    }
+    LoadDigest digest { InstanceId("edge-with-a-long-name-100"), board.loadsFor(
+                                                                     InstanceId("other"), [](const UpstreamId&) { return true; }, start),
+        {} };
+    CHECK(encode(PeerDatagram { std::nullopt, std::nullopt, digest }).size() <= 8192);
+    CHECK(digest.loads.size() == 80);
+    CHECK(std::all_of(digest.loads.begin(), digest.loads.end(), [](const auto& load) { return load.requests == 30; }));
+}
--- a/test/weight_targets_test.cc
+++ b/test/weight_targets_test.cc
@@ -54,6 +54,9 @@
     outage.onView(4, 7, start + 2s);
     CHECK_FALSE(outage.isAway());
     CHECK(outage.endedAt() == start + 2s);
+    // Without any reader in hearing nothing is learned.
+    outage.onView(0, 0, start + 3s);
+    CHECK_FALSE(outage.isAway());
     outage.onView(0, 1, start + 3s);
     CHECK(outage.isAway());
 }
