--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -24,6 +24,7 @@
 #include "goldcrestwood/registry_entry.h"
 #include "goldcrestwood/time.h"
 #include "goldcrestwood/traffic.h"
+#include "goldcrestwood/upstream_notice.h"
 
 namespace goldcrestwood {
 
@@ -81,6 +82,7 @@
     std::vector<std::string> saveTo; ///< Likewise, where to save what no store holds.
     std::vector<std::string> movesFrom; ///< Addresses that parts are expected to come from.
     std::uint64_t weights = 0; ///< Weight version of the request's model there, as far as known.
+    std::int64_t born = 0; ///< Start of the incarnation that was chosen.
     TimePoint chosen; ///< When the choice was made.
 
     bool operator==(const PlacementChoice&) const = default;
@@ -92,6 +94,34 @@
     Full, ///< Each upstream has all that it can hold.
 };
 
+/// What keeps one upstream from taking a request.
+enum class Obstacle : std::uint8_t {
+    None,
+    Tried, ///< The request has been there.
+    Leaving, ///< It drains, or says that it leaves.
+    Resting, ///< It wants nothing from this instance for a while.
+    Evacuated, ///< Its failure domain is taken out.
+    Ordered, ///< It takes new weights.
+    OldWeights,
+    Cold, ///< It has just started, and this daemon's share of what it bears is used up.
+    Slots, ///< As many requests as it works on at the same time.
+    Memory, ///< The prompt does not fit beside those in flight.
+    Backlog, ///< Too much waits there to be read.
+};
+
+/// @return The name of @p obstacle in logs.
+const char* toString(Obstacle obstacle);
+
+/// Why a request finds no place.
+struct PlacementObstacles {
+    std::map<Obstacle, std::uint32_t> upstreams; ///< How many each obstacle shuts out; each counts once.
+    std::optional<TimePoint> opensAt; ///< The soonest end of a rest, if rests shut out all that are left.
+
+    /// @return The counts by name, as "memory:7 resting:1".
+    std::string text() const;
+    bool operator==(const PlacementObstacles&) const = default;
+};
+
 /// How an attempt ended, for the belief in its upstream.
 enum class AttemptResult : std::uint8_t {
     Answered, ///< A whole answer that is no failure.
@@ -142,6 +172,23 @@
     std::optional<PlacementChoice> choose(const PlacementRequest& request, const std::set<UpstreamId>& excluded,
         TimePoint now, PlacementRefusal& refusal);
 
+    /// @return What keeps each upstream of the service from taking @p request.
+    PlacementObstacles obstaclesOf(const PlacementRequest& request, const std::set<UpstreamId>& excluded, TimePoint now) const;
+
+    /// An incarnation said in an answer that it leaves or wants to rest. Only that incarnation is meant, whoever has its
+    /// name or address later.
+    /// @param born Start of the incarnation that answered.
+    /// @return Whether that was news.
+    bool onNotice(const UpstreamId& id, std::int64_t born, const UpstreamNotice& notice, TimePoint now);
+    /// @return Whether a request may still leave for @p choice; its upstream may have said otherwise since.
+    bool mayBegin(const PlacementChoice& choice, TimePoint now) const;
+    /// @return Whether an upstream says that it leaves.
+    bool isLeaving(const UpstreamId& id) const;
+    /// @return How much longer an upstream wants nothing from this instance.
+    Duration restLeft(const UpstreamId& id, TimePoint now) const;
+    /// @return Addresses of upstreams that say that they leave.
+    std::vector<std::string> leavingAddresses() const;
+
     /// The request leaves for @p choice; balance it with finish().
     void begin(const PlacementChoice& choice, const PlacementRequest& request, TimePoint now);
     /// The first byte of the answer came @p delay after the request was sent.
@@ -206,12 +253,21 @@
         double slowness = 1; ///< Moving average of measured over expected time to the first token.
         UpstreamExperience experience; ///< Since it was last told to the peers.
         std::deque<TimePoint> coldSends; ///< Of the last second.
+        std::optional<TimePoint> leavingSince; ///< When it said so first.
+        TimePoint restUntil; ///< It wants nothing from this instance before.
+    };
+    /// What an upstream said before its registry entry lapsed; the entry may come back, and binds as before.
+    struct KeptNotice {
+        std::int64_t born = 0;
+        std::optional<TimePoint> leavingSince;
+        TimePoint restUntil;
     };
 
     Load totalLoad(const Upstream& upstream, TimePoint now) const;
     static void addUse(Load& load, const UpstreamUse& use);
     double failureShareOf(const Upstream& upstream, TimePoint now) const;
-    bool isUsable(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const;
+    Obstacle obstacleAt(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const;
+    bool isLastResort(const Upstream& upstream, TimePoint now) const;
     bool takesCold(const Upstream& upstream, TimePoint now) const;
     std::size_t coldShare(const Upstream& upstream, double bound) const;
     /// How a prompt could be had at one engine.
@@ -232,12 +288,16 @@
 
     static const PartHolders& holdersUnder(std::vector<PartHolders>& known, const std::string& scope,
         const PlacementRequest& request, const std::vector<const Upstream*>& candidates);
+    /// @param leaving Whether to return those that say that they leave, rather than those that stay.
     std::vector<const Upstream*> candidatesFor(const PlacementRequest& request, const std::set<UpstreamId>& excluded,
-        TimePoint now, const Upstream*& preferred);
+        TimePoint now, bool leaving, const Upstream*& preferred);
+    std::optional<PlacementChoice> chooseAmong(const std::vector<const Upstream*>& candidates, const Upstream* preferred,
+        const PlacementRequest& request, TimePoint now, PlacementRefusal& refusal) const;
     Coverage cover(const Upstream& upstream, const PlacementRequest& request, const PartHolders& holders,
         const EngineLimits& engine, TimePoint now) const;
     double readCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing) const;
-    bool isFull(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const;
+    /// @return Why the upstream has no room, or Obstacle::None.
+    Obstacle fullness(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const;
     void planCache(const Upstream& upstream, const PlacementRequest& request, Coverage coverage, PlacementChoice& choice, TimePoint now) const;
     /// Whence a part can be moved, and how long that takes.
     struct Move {
@@ -267,6 +327,7 @@
     std::map<UpstreamId, Upstream> upstreams;
     std::map<ServiceName, std::set<UpstreamId>> byService;
     std::map<std::string, UpstreamId> byAddress; ///< Who registered last at each address.
+    std::map<UpstreamId, KeptNotice> keptNotices; ///< Of upstreams without an entry.
     std::map<InstanceId, std::vector<UpstreamId>> usedByPeer; ///< Upstreams of a peer's last report.
     std::set<FailureDomain> evacuated;
     std::set<UpstreamId> ordered;
--- a/include/goldcrestwood/weight_plan.h
+++ b/include/goldcrestwood/weight_plan.h
@@ -40,6 +40,7 @@
     UpstreamId upstream;
     std::uint64_t version = 0;
     std::uint32_t requests = 0;
+    bool isResting = false; ///< It wants no call for a while.
 };
 
 /// Progress of one model's move to a version, at the holder.
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -100,6 +100,23 @@
     });
 }
 
+void believeNotice(EdgeState& state, const UpstreamId& upstream, std::int64_t born, const platform::DecodedNotice& decoded, const std::string& source)
+{
+    reportFindings(upstream.value.c_str(), decoded.findings);
+    const auto& notice = decoded.notice;
+    if (notice.isEmpty() || !state.board.onNotice(upstream, born, notice, monotonicNow()))
+        return;
+    if (notice.isLeaving) {
+        edge::log(LogClass::Decision, "upstream_leaving", { { "upstream", upstream.value }, { "born", born }, { "source", source } });
+        state.metrics.count("goldcrest_upstream_leaving_total", "");
+    }
+    if (notice.rest) {
+        edge::log(LogClass::Decision, "upstream_rests",
+            { { "upstream", upstream.value }, { "born", born }, { "rest_ms", toMs(*notice.rest) }, { "source", source } });
+        state.metrics.count("goldcrest_upstream_rests_total", "");
+    }
+}
+
 void believeDuty(EdgeState& state, const DutyRecord& record, TimePoint readAt)
 {
     std::set<UpstreamId> ordered;
--- a/src/edge/cache_watch.cc
+++ b/src/edge/cache_watch.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "daemon/clock.h"
+#include "edge/beliefs.h"
 #include "edge/log.h"
 #include "goldcrestwood/feed_readers.h"
 #include "platform/store_calls.h"
@@ -47,7 +48,7 @@
                     asio::co_spawn(this->executor, this->follow(address), asio::detached);
         if (followsEngines(this->state.board.daemonCount()))
             for (const auto& [id, address] : this->state.board.engines())
-                if (this->followedEngines.insert(id).second)
+                if (!this->state.board.isLeaving(id) && this->followedEngines.insert(id).second)
                     asio::co_spawn(this->executor, this->followEngine(id, address), asio::detached);
         this->collectGarbage();
     }
@@ -120,9 +121,12 @@
     asio::steady_timer timer(this->executor);
     std::uint64_t next = 0;
     std::uint64_t epoch = 0;
-    while (followsEngines(this->state.board.daemonCount()) && this->state.board.cacheOf(upstream) != nullptr) {
+    const auto isWanted = [&] {
+        return followsEngines(this->state.board.daemonCount()) && this->state.board.cacheOf(upstream) != nullptr && !this->state.board.isLeaving(upstream);
+    };
+    while (isWanted()) {
         const bool isGood = co_await this->readEngine(caller, upstream, next, epoch);
-        timer.expires_after(isGood ? batchPause : failurePause);
+        timer.expires_after(std::max(isGood ? batchPause : failurePause, this->state.board.restLeft(upstream, monotonicNow())));
         ErrorCode ignored;
         co_await timer.async_wait(into(ignored));
     }
@@ -131,8 +135,12 @@
 
 Task<bool> CacheWatch::readEngine(HttpCaller& caller, UpstreamId upstream, std::uint64_t& next, std::uint64_t& epoch)
 {
+    const auto* entry = this->state.board.find(upstream);
+    const auto born = entry == nullptr ? 0 : entry->born;
     const auto call = platform::cacheEventsCall(next, eventsHold);
     const auto answer = co_await caller.call(call, eventsHold + answerLimit);
+    if (answer)
+        believeNotice(this->state, upstream, born, platform::decodeNotice(answer->status, answer->fields), call.target);
     if (!answer || answer->status != 200)
         co_return false;
     const auto events = platform::decodeCacheEvents(answer->body);
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -26,7 +26,7 @@
     /// With many loads at the same time each is asked less often, so that the holder's calls stay within 200 a second.
     constexpr Duration reportIntervalPerLoad = std::chrono::milliseconds(5);
     /// A replica that ends its runs before its order is asked so seldom, only to see that it lives.
-    constexpr Duration restingReportInterval = std::chrono::milliseconds(600);
+    constexpr Duration idleReportInterval = std::chrono::milliseconds(600);
     /// Replicas under order get no work for so long after the holder's last record.
     constexpr Duration orderedLifetime = std::chrono::milliseconds(2500);
     /// Each daemon further down the ranking waits so much longer before it claims, so that one append is enough.
@@ -56,9 +56,10 @@
 std::vector<WeightCandidate> DutyRunner::candidates(const std::string& model) const
 {
     std::vector<WeightCandidate> result;
+    const auto now = monotonicNow();
     this->state.board.forEach([&](const RegistryEntry& entry) {
-        if (const auto weights = entry.weights.find(model); weights != entry.weights.end() && !entry.isDraining)
-            result.push_back({ entry.id, weights->second, this->state.board.requestsAt(entry.id, monotonicNow()) });
+        if (const auto weights = entry.weights.find(model); weights != entry.weights.end() && !entry.isDraining && !this->state.board.isLeaving(entry.id))
+            result.push_back({ entry.id, weights->second, this->state.board.requestsAt(entry.id, now), this->state.board.restLeft(entry.id, now) > Duration(0) });
     });
     return result;
 }
@@ -236,10 +237,19 @@
     co_await timer.async_wait(into(ignored));
 }
 
+Task<std::optional<HttpAnswer>> DutyRunner::callUpstream(HttpCaller& caller, UpstreamId upstream, OutgoingCall call)
+{
+    const auto* entry = this->state.board.find(upstream);
+    const auto born = entry == nullptr ? 0 : entry->born;
+    auto answer = co_await caller.call(call, upstreamLimit);
+    if (answer)
+        believeNotice(this->state, upstream, born, platform::decodeNotice(answer->status, answer->fields), call.target);
+    co_return answer;
+}
+
 Task<> DutyRunner::ask(HttpCaller& caller, UpstreamId upstream)
 {
-    const auto question = platform::reportCall();
-    const auto answer = co_await caller.call(question, upstreamLimit);
+    const auto answer = co_await this->callUpstream(caller, upstream, platform::reportCall());
     if (!this->plan || !answer || answer->status != 200)
         co_return;
     const auto report = platform::decodeReport(answer->body);
@@ -253,7 +263,7 @@
     this->plan->onOrderSent(upstream, monotonicNow());
     const platform::WeightOrder order { target, platform::WeightStrategy::Retain, this->state.settings.instance.value, this->lease.fence(), report->orders };
     const auto call = platform::orderCall(order, upstream.value);
-    const auto accepted = co_await caller.call(call, upstreamLimit);
+    const auto accepted = co_await this->callUpstream(caller, upstream, call);
     edge::log(LogClass::Decision, "weights_ordered",
         { { "upstream", upstream.value }, { "model", target.model }, { "version", static_cast<std::int64_t>(target.version) },
             { "fence", static_cast<std::int64_t>(order.fence) }, { "status", static_cast<std::int64_t>(accepted ? accepted->status : 0) },
@@ -280,7 +290,8 @@
         const auto now = monotonicNow();
         const bool isLoading = this->plan->isLoading(upstream);
         const bool isDue = this->plan->isOrderDue(upstream, this->state.board.requestsAt(upstream, now), now);
-        if (isLoading || isDue || now - asked >= restingReportInterval) {
+        const bool isResting = this->state.board.restLeft(upstream, now) > Duration(0);
+        if (!isResting && (isLoading || isDue || now - asked >= idleReportInterval)) {
             asked = now;
             co_await this->ask(caller, upstream);
         }
--- a/src/edge/duty_runner.h
+++ b/src/edge/duty_runner.h
@@ -30,6 +30,8 @@
     Task<bool> append(const DutyRecord& record);
     Task<bool> readTopic(Duration hold);
     Task<> drive(UpstreamId upstream);
+    /// Makes a call to an upstream, and believes what its answer says of it.
+    Task<std::optional<HttpAnswer>> callUpstream(HttpCaller& caller, UpstreamId upstream, OutgoingCall call);
     /// Asks an upstream how far it is, and orders if its turn has come.
     Task<> ask(HttpCaller& caller, UpstreamId upstream);
     void believe(const DutyRecord& record);
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -231,7 +231,8 @@
     dump["active_requests"] = this->sessions.active();
     dump["waiting_requests"] = this->queues.waiting();
     this->state.board.forEach([&](const RegistryEntry& entry) {
-        dump["upstreams"][entry.id.value] = { { "service", entry.service.value }, { "address", entry.address }, { "draining", entry.isDraining } };
+        dump["upstreams"][entry.id.value] = { { "service", entry.service.value }, { "address", entry.address }, { "draining", entry.isDraining },
+            { "leaving", this->state.board.isLeaving(entry.id) }, { "rests_ms", toMs(this->state.board.restLeft(entry.id, monotonicNow())) } };
     });
     for (const auto* report : this->peers.view().live(monotonicNow()))
         dump["daemons"][report->heartbeat.instance.value] = nlohmann::json(report->heartbeat);
@@ -287,6 +288,8 @@
         ErrorCode ignored;
         co_await timer.async_wait(into(ignored));
         this->pool.sweep(monotonicNow());
+        for (const auto& address : this->state.board.leavingAddresses())
+            this->pool.close(address);
         dropLapsed(this->state, monotonicNow());
         this->queues.dispatchAll();
     }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -56,6 +56,7 @@
     asio::steady_timer limit; ///< Fires at the deadline.
     asio::steady_timer queued; ///< Cancelled when the request's turn comes.
     std::optional<PlacementChoice> turn; ///< The upstream that the queue assigned.
+    std::optional<Duration> comeBack; ///< If the request is refused: when to try again, as far as known.
     UpstreamConnection* active = nullptr;
 };
 
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -72,7 +72,7 @@
     edge::log(LogClass::Decision, "request_rejected",
         { { "request", exchange.info.id }, { "status", static_cast<std::int64_t>(status) }, { "reason", reason },
             { "after_ms", toMs(monotonicNow() - exchange.received) }, { "sends", static_cast<std::int64_t>(exchange.sends) },
-            { "rank", static_cast<std::int64_t>(exchange.rank) }, { "waiting", static_cast<std::int64_t>(this->queues.waiting()) },
+            { "obstacles", this->obstacles(exchange) }, { "rank", static_cast<std::int64_t>(exchange.rank) }, { "waiting", static_cast<std::int64_t>(this->queues.waiting()) },
             { "configuration", static_cast<std::int64_t>(exchange.table ? exchange.table->configuration().version : 0) } });
     this->state.metrics.count("goldcrest_rejected_total", std::string("reason=\"") + reason + "\"");
     ErrorCode error;
@@ -82,6 +82,14 @@
         exchange.keepClient = false;
 }
 
+std::string Pipeline::obstacles(const ClientExchange& exchange) const
+{
+    // Without a place to look for there is nothing in the way.
+    if (exchange.placement.service.value.empty())
+        return {};
+    return this->state.board.obstaclesOf(exchange.placement, exchange.tried, monotonicNow()).text();
+}
+
 bool Pipeline::admit(ClientExchange& exchange, unsigned& status, const char*& reason)
 {
     exchange.table = this->state.routes;
@@ -275,7 +283,7 @@
     if (exchange.mayHaveRun)
         co_await this->reject(exchange, exchange.timedOut ? 504 : 502, exchange.timedOut ? "no answer in time" : "the upstream broke off");
     else
-        co_await this->reject(exchange, 503, attempt.failure[0] == '\0' ? "not started in time" : attempt.failure, defaultRetryAfter);
+        co_await this->reject(exchange, 503, attempt.failure[0] == '\0' ? "not started in time" : attempt.failure, exchange.comeBack.value_or(defaultRetryAfter));
 }
 
 Task<ConnectionPtr> Pipeline::openConnection(ClientExchange& exchange, const std::string& address)
@@ -301,6 +309,11 @@
         attempt.failure = "no connection";
         co_return;
     }
+    if (!this->state.board.mayBegin(attempt.choice, monotonicNow())) {
+        attempt.failure = "the upstream wants no more requests";
+        this->keepConnection(attempt);
+        co_return;
+    }
     auto& link = *attempt.connection;
     exchange.active = &link;
     const auto sent = monotonicNow();
@@ -325,9 +338,16 @@
     }
     exchange.active = nullptr;
     if (attempt.connection && attempt.parser && attempt.parser->is_done() && attempt.parser->keep_alive() && !attempt.parser->need_eof())
-        this->pool.giveBack(std::move(attempt.connection), monotonicNow());
+        this->keepConnection(attempt);
     attempt.connection = nullptr;
     attempt.parser = nullptr;
 }
 
+void Pipeline::keepConnection(Attempt& attempt)
+{
+    if (!this->state.board.isLeaving(attempt.choice.upstream))
+        this->pool.giveBack(std::move(attempt.connection), monotonicNow());
+    attempt.connection = nullptr;
+}
+
 } // namespace goldcrestwood
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -30,8 +30,14 @@
     /// @return When a request that has not begun at @p choice must be withdrawn, since newer weights bind.
     std::optional<TimePoint> weightsDeadline(const ClientExchange& exchange, const PlacementChoice& choice) const;
     Task<> attempt(ClientExchange& exchange, Attempt& attempt);
+    /// @return What keeps upstreams from taking the request, for the log.
+    std::string obstacles(const ClientExchange& exchange) const;
+    /// The connection of an attempt that has ended may serve another.
+    void keepConnection(Attempt& attempt);
     Task<ConnectionPtr> openConnection(ClientExchange& exchange, const std::string& address);
     Task<bool> readHead(ClientExchange& exchange, Attempt& attempt);
+    /// Believes what the head of an answer says of its upstream.
+    void takeNotice(const ClientExchange& exchange, const Attempt& attempt);
     static Task<std::size_t> readPiece(Attempt& attempt, std::string& piece, ErrorCode& error);
     Task<> relayWhole(ClientExchange& exchange, Attempt& attempt);
     /// @param whole Length of the part of @p piece that ends with an event.
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -5,6 +5,7 @@
 
 #include "daemon/clock.h"
 #include "edge/attempt.h"
+#include "edge/beliefs.h"
 #include "goldcrestwood/event_ends.h"
 
 namespace goldcrestwood {
@@ -60,6 +61,7 @@
         if (attempt.status < 200)
             continue;
         attempt.answer = platform::decodeAnswer(attempt.parser->get().base());
+        this->takeNotice(exchange, attempt);
         if (attempt.answer.idleTimeout)
             link.idleLimit = *attempt.answer.idleTimeout;
         if (attempt.answer.requestId == exchange.info.id || (attempt.answer.requestId.empty() && !attempt.answer.isSealed))
@@ -81,6 +83,19 @@
     co_return false;
 }
 
+void Pipeline::takeNotice(const ClientExchange& exchange, const Attempt& attempt)
+{
+    const auto decoded = platform::decodeNotice(attempt.status, attempt.parser->get().base());
+    const auto& told = attempt.answer.instance;
+    if (told.empty() || told == attempt.choice.upstream.value) {
+        believeNotice(this->state, attempt.choice.upstream, attempt.choice.born, decoded, exchange.info.id);
+        return;
+    }
+    // Another incarnation has the address and speaks for itself.
+    if (const auto* entry = this->state.board.find(UpstreamId(told)))
+        believeNotice(this->state, entry->id, entry->born, decoded, exchange.info.id);
+}
+
 Task<std::size_t> Pipeline::readPiece(Attempt& attempt, std::string& piece, ErrorCode& error)
 {
     auto& link = *attempt.connection;
--- a/src/edge/service_queue.cc
+++ b/src/edge/service_queue.cc
@@ -35,7 +35,12 @@
     const auto patience = std::max(std::chrono::duration_cast<Duration>(objective * patienceShare),
         refusal == PlacementRefusal::NoUpstream ? absencePatience : Duration(0));
     const auto giveUp = std::min(exchange.received + patience, exchange.deadline);
-    if (monotonicNow() >= giveUp)
+    const auto now = monotonicNow();
+    // All that could serve the request have said when they want some again.
+    const auto opensAt = this->state.board.obstaclesOf(exchange.placement, exchange.tried, now).opensAt;
+    if (opensAt && *opensAt >= giveUp)
+        exchange.comeBack = *opensAt - now;
+    if (exchange.comeBack || now >= giveUp)
         co_return std::nullopt;
     const auto later = std::find_if(queue.begin(), queue.end(), [&](const auto* other) { return other->rank > exchange.rank; });
     const auto position = queue.insert(later, &exchange);
--- a/src/edge/upstream_pool.h
+++ b/src/edge/upstream_pool.h
@@ -64,6 +64,9 @@
     /// Keeps @p connection for the next request if it is clean.
     void giveBack(ConnectionPtr connection, TimePoint now);
 
+    /// Closes the idle connections to @p address.
+    void close(const std::string& address) { this->idle.erase(address); }
+
     /// Closes connections that have been idle for too long.
     void sweep(TimePoint now);
 
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -36,6 +36,10 @@
     constexpr Duration weightsRefusalPause = std::chrono::milliseconds(400);
     /// An incarnation that has ended is avoided until its entry has expired for certain.
     constexpr Duration endedAvoidance = std::chrono::seconds(10);
+    /// A request leaves so long before a leaving upstream must be left alone.
+    constexpr Duration leavingMargin = std::chrono::milliseconds(250);
+    /// What a lapsed upstream said is kept for so long: no upstream stays on for minutes after it has begun to leave.
+    constexpr Duration keptNoticeLifetime = std::chrono::minutes(10);
     /// Only reads of this many tokens tell the rate from fixed costs.
     constexpr std::uint64_t sampleTokens = 400;
 
@@ -58,6 +62,43 @@
 
 } // namespace
 
+const char* toString(Obstacle obstacle)
+{
+    switch (obstacle) {
+    case Obstacle::None:
+        return "none";
+    case Obstacle::Tried:
+        return "tried";
+    case Obstacle::Leaving:
+        return "leaving";
+    case Obstacle::Resting:
+        return "resting";
+    case Obstacle::Evacuated:
+        return "evacuated";
+    case Obstacle::Ordered:
+        return "ordered";
+    case Obstacle::OldWeights:
+        return "old_weights";
+    case Obstacle::Cold:
+        return "cold";
+    case Obstacle::Slots:
+        return "slots";
+    case Obstacle::Memory:
+        return "memory";
+    case Obstacle::Backlog:
+        return "backlog";
+    }
+    return "unknown";
+}
+
+std::string PlacementObstacles::text() const
+{
+    std::string result;
+    for (const auto& [obstacle, count] : this->upstreams)
+        result += (result.empty() ? "" : " ") + std::string(toString(obstacle)) + ':' + std::to_string(count);
+    return result;
+}
+
 std::string weightScope(const std::string& model, std::uint64_t version)
 {
     return model + "/w" + std::to_string(version) + "/";
@@ -89,8 +130,16 @@
         if (const auto old = this->upstreams.find(before->second); old != this->upstreams.end() && old->second.entry.born <= entry.born)
             this->removeUpstream(UpstreamId(before->second));
     this->byAddress[entry.address] = entry.id;
+    std::erase_if(this->keptNotices, [&](const auto& kept) {
+        const auto& [id, notice] = kept;
+        return now >= std::max(notice.restUntil, notice.leavingSince.value_or(TimePoint()) + keptNoticeLifetime);
+    });
     const auto [position, isNew] = this->upstreams.try_emplace(entry.id);
     auto& upstream = position->second;
+    if (const auto kept = this->keptNotices.extract(entry.id); isNew && kept && kept.mapped().born == entry.born) {
+        upstream.leavingSince = kept.mapped().leavingSince;
+        upstream.restUntil = kept.mapped().restUntil;
+    }
     const bool restarted = !isNew && (upstream.entry.born != entry.born || upstream.entry.address != entry.address);
     if (!isNew && upstream.entry.service != entry.service)
         this->byService[upstream.entry.service].erase(entry.id);
@@ -111,12 +160,68 @@
     const auto found = this->upstreams.find(id);
     if (found == this->upstreams.end())
         return;
-    this->byService[found->second.entry.service].erase(id);
-    if (const auto address = this->byAddress.find(found->second.entry.address); address != this->byAddress.end() && address->second == id)
+    const auto& upstream = found->second;
+    if (upstream.leavingSince || upstream.restUntil > TimePoint())
+        this->keptNotices[id] = { upstream.entry.born, upstream.leavingSince, upstream.restUntil };
+    this->byService[upstream.entry.service].erase(id);
+    if (const auto address = this->byAddress.find(upstream.entry.address); address != this->byAddress.end() && address->second == id)
         this->byAddress.erase(address);
     this->upstreams.erase(found);
 }
 
+bool UpstreamBoard::onNotice(const UpstreamId& id, std::int64_t born, const UpstreamNotice& notice, TimePoint now)
+{
+    const auto found = this->upstreams.find(id);
+    if (found == this->upstreams.end() || found->second.entry.born != born)
+        return false;
+    auto& upstream = found->second;
+    const bool isLeavingNew = notice.isLeaving && !upstream.leavingSince;
+    if (isLeavingNew)
+        upstream.leavingSince = now;
+    // Each word binds for its own time, so that the longest one stands.
+    const bool isRestNew = notice.rest && now + *notice.rest > upstream.restUntil;
+    if (isRestNew)
+        upstream.restUntil = now + *notice.rest;
+    return isLeavingNew || isRestNew;
+}
+
+bool UpstreamBoard::isLastResort(const Upstream& upstream, TimePoint now) const
+{
+    return upstream.leavingSince && now - *upstream.leavingSince < this->bounds.drain - leavingMargin;
+}
+
+bool UpstreamBoard::mayBegin(const PlacementChoice& choice, TimePoint now) const
+{
+    const auto found = this->upstreams.find(choice.upstream);
+    if (found == this->upstreams.end() || found->second.entry.born != choice.born)
+        return true;
+    const auto& upstream = found->second;
+    if (now < upstream.restUntil)
+        return false;
+    return !upstream.leavingSince || (*upstream.leavingSince <= choice.chosen && this->isLastResort(upstream, now));
+}
+
+bool UpstreamBoard::isLeaving(const UpstreamId& id) const
+{
+    const auto found = this->upstreams.find(id);
+    return found != this->upstreams.end() && found->second.leavingSince;
+}
+
+Duration UpstreamBoard::restLeft(const UpstreamId& id, TimePoint now) const
+{
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? Duration(0) : std::max(Duration(0), found->second.restUntil - now);
+}
+
+std::vector<std::string> UpstreamBoard::leavingAddresses() const
+{
+    std::vector<std::string> result;
+    for (const auto& [id, upstream] : this->upstreams)
+        if (upstream.leavingSince)
+            result.push_back(upstream.entry.address);
+    return result;
+}
+
 void UpstreamBoard::setWeights(const UpstreamId& id, const std::string& model, std::uint64_t version)
 {
     const auto found = this->upstreams.find(id);
@@ -170,17 +275,23 @@
     return static_cast<std::size_t>(recent) < share;
 }
 
-bool UpstreamBoard::isUsable(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const
+Obstacle UpstreamBoard::obstacleAt(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const
 {
     const auto& entry = upstream.entry;
-    if (entry.isDraining || this->evacuated.contains(entry.domain) || this->ordered.contains(entry.id))
-        return false;
+    if (entry.isDraining || (upstream.leavingSince && !this->isLastResort(upstream, now)))
+        return Obstacle::Leaving;
+    if (now < upstream.restUntil)
+        return Obstacle::Resting;
+    if (this->evacuated.contains(entry.domain))
+        return Obstacle::Evacuated;
+    if (this->ordered.contains(entry.id))
+        return Obstacle::Ordered;
     if (request.leastWeights > 0) {
         const auto weights = entry.weights.find(request.model);
         if (weights == entry.weights.end() || weights->second < request.leastWeights)
-            return false;
+            return Obstacle::OldWeights;
     }
-    return this->takesCold(upstream, now);
+    return this->takesCold(upstream, now) ? Obstacle::None : Obstacle::Cold;
 }
 
 double UpstreamBoard::readCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing) const
@@ -189,18 +300,43 @@
     return (read + load.requests * runningRequestMs) * upstream.slowness;
 }
 
-bool UpstreamBoard::isFull(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const
+Obstacle UpstreamBoard::fullness(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const
 {
     if (engine == nullptr)
-        return load.requests >= 2 * std::max(1U, upstream.entry.slots);
+        return load.requests >= 2 * std::max(1U, upstream.entry.slots) ? Obstacle::Slots : Obstacle::None;
     if (load.requests >= upstream.entry.slots)
-        return true;
+        return Obstacle::Slots;
     const auto memory = static_cast<double>(engine->cacheTokens) * this->settings.memoryShare;
     const auto wanted = static_cast<double>(load.tokens + request.promptTokens + request.outputTokens);
     if (load.requests > 0 && wanted > memory)
-        return true;
+        return Obstacle::Memory;
     const auto ahead = static_cast<double>(load.backlogAhead(classOf(request)));
-    return ahead > 0 && ahead / this->tokensPerMillisecond * upstream.slowness > toMs(request.objective) * this->settings.backlogShare;
+    const bool isLate = ahead > 0 && ahead / this->tokensPerMillisecond * upstream.slowness > toMs(request.objective) * this->settings.backlogShare;
+    return isLate ? Obstacle::Backlog : Obstacle::None;
+}
+
+PlacementObstacles UpstreamBoard::obstaclesOf(const PlacementRequest& request, const std::set<UpstreamId>& excluded, TimePoint now) const
+{
+    PlacementObstacles result;
+    const auto ids = this->byService.find(request.service);
+    if (ids == this->byService.end())
+        return result;
+    const auto* service = this->serviceOf(request.service);
+    const auto* engine = service != nullptr && service->engine ? &*service->engine : nullptr;
+    for (const auto& id : ids->second) {
+        const auto& upstream = this->upstreams.at(id);
+        auto obstacle = excluded.contains(id) ? Obstacle::Tried : this->obstacleAt(upstream, request, now);
+        if (obstacle == Obstacle::None)
+            obstacle = this->fullness(upstream, this->totalLoad(upstream, now), request, engine);
+        ++result.upstreams[obstacle];
+        if (obstacle == Obstacle::Resting)
+            result.opensAt = std::min(result.opensAt.value_or(upstream.restUntil), upstream.restUntil);
+    }
+    // Others may have room at any moment; only what has named its time is known to open then.
+    const auto closed = [](Obstacle obstacle) { return obstacle == Obstacle::Resting || obstacle == Obstacle::Leaving || obstacle == Obstacle::Tried; };
+    if (std::any_of(result.upstreams.begin(), result.upstreams.end(), [&](const auto& entry) { return !closed(entry.first); }))
+        result.opensAt.reset();
+    return result;
 }
 
 const TrafficService* UpstreamBoard::serviceOf(const ServiceName& name) const
@@ -210,14 +346,14 @@
 }
 
 std::vector<const UpstreamBoard::Upstream*> UpstreamBoard::candidatesFor(const PlacementRequest& request,
-    const std::set<UpstreamId>& excluded, TimePoint now, const Upstream*& preferred)
+    const std::set<UpstreamId>& excluded, TimePoint now, bool leaving, const Upstream*& preferred)
 {
     std::vector<const Upstream*> usable;
     std::vector<InstanceId> names;
     bool anyHealthy = false;
     for (const auto& id : this->byService[request.service]) {
         const auto& upstream = this->upstreams.at(id);
-        if (excluded.contains(id) || !this->isUsable(upstream, request, now))
+        if (upstream.leavingSince.has_value() != leaving || excluded.contains(id) || this->obstacleAt(upstream, request, now) != Obstacle::None)
             continue;
         anyHealthy = anyHealthy || upstream.avoidUntil <= now;
         usable.push_back(&upstream);
@@ -250,12 +386,22 @@
 std::optional<PlacementChoice> UpstreamBoard::choose(const PlacementRequest& request,
     const std::set<UpstreamId>& excluded, TimePoint now, PlacementRefusal& refusal)
 {
-    const auto* service = this->serviceOf(request.service);
-    const auto* engine = service != nullptr && service->engine ? &*service->engine : nullptr;
     refusal = PlacementRefusal::NoUpstream;
-    const Upstream* preferred = nullptr;
-    const auto candidates = this->candidatesFor(request, excluded, now, preferred);
+    // Whoever leaves is asked only if nobody else takes the request.
+    for (const bool leaving : { false, true }) {
+        const Upstream* preferred = nullptr;
+        const auto candidates = this->candidatesFor(request, excluded, now, leaving, preferred);
+        if (auto choice = this->chooseAmong(candidates, preferred, request, now, refusal))
+            return choice;
+    }
+    return std::nullopt;
+}
 
+std::optional<PlacementChoice> UpstreamBoard::chooseAmong(const std::vector<const Upstream*>& candidates, const Upstream* preferred,
+    const PlacementRequest& request, TimePoint now, PlacementRefusal& refusal) const
+{
+    const auto* service = this->serviceOf(request.service);
+    const auto* engine = service != nullptr && service->engine ? &*service->engine : nullptr;
     std::vector<PartHolders> holders;
     std::optional<PlacementChoice> best;
     Coverage bestCoverage;
@@ -264,7 +410,7 @@
     for (const auto* candidate : candidates) {
         const auto& upstream = *candidate;
         const auto load = this->totalLoad(upstream, now);
-        if (this->isFull(upstream, load, request, engine)) {
+        if (this->fullness(upstream, load, request, engine) != Obstacle::None) {
             refusal = PlacementRefusal::Full;
             continue;
         }
@@ -295,6 +441,7 @@
             best.emplace();
             best->upstream = upstream.entry.id;
             best->address = upstream.entry.address;
+            best->born = upstream.entry.born;
             best->chosen = now;
             best->missingTokens = coverage.missing;
             best->readTime = fromSeconds(readMs / 1000);
--- a/src/weight_plan.cc
+++ b/src/weight_plan.cc
@@ -14,7 +14,7 @@
     for (const auto& candidate : candidates) {
         const auto passed = this->silent.find(candidate.upstream);
         const bool isSilent = passed != this->silent.end() && now - passed->second < this->settings.silence;
-        if (candidate.version < this->target.version && !this->running.contains(candidate.upstream) && !isSilent)
+        if (candidate.version < this->target.version && !this->running.contains(candidate.upstream) && !isSilent && !candidate.isResting)
             behind.push_back(candidate);
     }
     std::sort(behind.begin(), behind.end(), [](const auto& left, const auto& right) { return left.requests < right.requests; });
--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -191,11 +191,15 @@
         body = self.body()
         request = self.headers.get("X-Goldcrestwood-Request-Id", "")
         headers = [("X-Goldcrestwood-Request-Id", request)]
+        if replica.leaving:
+            headers.append(("Server-Leaving", "1"))
         if self.headers.get("X-Goldcrestwood-Expect-Instance") not in (None, replica.id):
             return self.answer(421, headers=headers)
         replica.offers.append((time.monotonic(), request))
         if replica.refuse > 0:
             replica.refuse -= 1
+            if replica.rest:
+                headers.append(("Retry-After", str(replica.rest)))
             return self.answer(503, headers=[*headers, ("X-Goldcrestwood-Not-Executed", "1")])
         replica.requests.append((request, dict(self.headers.items()), body))
         replica.arrivals.append((time.monotonic(), request))
@@ -265,6 +269,8 @@
         self.loading_until = 0.0
         self.next_version = 1
         self.refuse = self.fail = self.drop = self.cut_after = 0
+        self.leaving = False  # Whether its answers say that it leaves.
+        self.rest = None  # Seconds that its refusals ask to be left alone.
         self.endless = None  # Where bytes come without end: "head" or "body".
         self.flooded = 0
         self.delay, self.gap, self.pieces = 0.0, 0.0, 5
--- a/support/soak_run.py
+++ b/support/soak_run.py
@@ -17,6 +17,7 @@
 SLACK_SECONDS = 1.0  # For stand-ins on a busy machine; how fast things are is measured on the users' bench.
 RECOVER_SECONDS = 20.0
 STORM_SECONDS = 2.0
+REST_SECONDS = 3.0
 # Tight, so that daemons which send again without asking their budget break it.
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW = 0.01, 7, 10.0
 REFUSALS = (408, 421, 429, 503)  # "Not run".
@@ -271,6 +272,30 @@
             if late:
                 self.breach(f"{replica.id} got {len(late)} requests after its drain")
 
+    def check_notices(self):
+        """In calm, a replica that says that it leaves gets nothing after its time, and one that asks for rest has it.
+
+        A daemon learns by its first answer only; until then each caller may have one request on its way through it.
+        """
+        leaving, resting = [replica for replica in self.site.plain if replica not in self.left]
+        leaving.leaving = True
+        since = time.monotonic()
+        time.sleep(DRAIN_SECONDS + 4 * SLACK_SECONDS)
+        late = sum(at > since + DRAIN_SECONDS + SLACK_SECONDS for at, _ in leaving.offers)
+        self.counts["after leaving"] = late
+        if late > CALLERS:
+            self.breach(f"{leaving.id} got {late} requests after it had said that it leaves")
+        leaving.leaving = False
+        leaving.register("ready", born=2)
+        resting.rest, resting.refuse = REST_SECONDS, 1 << 30
+        before = len(resting.offers)
+        time.sleep(REST_SECONDS)
+        offers = len(resting.offers) - before
+        resting.refuse = 0
+        self.counts["while resting"] = offers
+        if offers > CALLERS * len(self.site.daemons):
+            self.breach(f"{resting.id} got {offers} requests while it rested")
+
     def check_answers(self):
         runs = collections.Counter()
         accounts = {}
@@ -331,6 +356,7 @@
             soak.check_recovery()
             soak.play_storm()
             soak.check_drain()
+            soak.check_notices()
         finally:
             soak.is_over = True
             for thread in threads:
--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -84,6 +84,31 @@
     CHECK_FALSE(platform::decodeListing(R"({"items":[{"key":"a","value":"====","offset":1}],"end":4})"));
 }
 
+TEST_CASE("an answer may say that its upstream leaves or wants to rest, and what cannot be read is a finding")
+{
+    http::response_header<> header;
+    const auto decoded = [&](unsigned status) { return platform::decodeNotice(status, header); };
+    CHECK(decoded(503) == platform::DecodedNotice {});
+    header.set("server-leaving", "1");
+    CHECK(decoded(200).notice.isLeaving);
+    CHECK(decoded(421).notice.isLeaving);
+    header.set("Server-Leaving", "soon");
+    CHECK_FALSE(decoded(200).notice.isLeaving);
+    CHECK(toString(decoded(200).findings.at(0)) == "Server-Leaving: cannot be read: 'soon'");
+    header.clear();
+    header.set("Retry-After", "1.5");
+    CHECK(decoded(503).notice.rest == std::chrono::milliseconds(1500));
+    // Only whoever turns a request away names a rest.
+    CHECK(decoded(429) == platform::DecodedNotice {});
+    header.set("Retry-After", "1e300");
+    CHECK(decoded(503).notice.rest > std::chrono::hours(24 * 365));
+    for (const char* bad : { "", "-1", "nan", "inf", "Wed, 21 Oct 2026 07:28:00 GMT", "2s" }) {
+        header.set("Retry-After", bad);
+        CHECK_FALSE(decoded(503).notice.rest);
+        CHECK(decoded(503).findings.size() == 1);
+    }
+}
+
 TEST_CASE("nothing that only the system may say is taken from a caller")
 {
     http::request<http::string_body> request { http::verb::post, "/a/b?c", 11 };
--- a/test/process/edge_test.py
+++ b/test/process/edge_test.py
@@ -66,6 +66,59 @@
         runs = [request for replica in here.plain for request, _, _ in replica.requests if request == identifier]
         self.assertEqual(len(runs), 1)
 
+    def test_a_replica_that_says_that_it_leaves_is_left_alone(self):
+        here = self.start(daemons=1)
+        for kind, group, arguments in (("stream", here.models, site.PROMPT), ("safe", here.plain, {})):
+            self.assertEqual(site.request(here.daemons[0], f"/{kind}/first", **arguments)[1], 200)
+            leaving = max(group, key=lambda replica: len(replica.requests))
+            leaving.leaving = True
+            # Until its next answer nobody can know.
+            for number in range(200):
+                if len(leaving.requests) > 1:
+                    break
+                self.assertEqual(site.request(here.daemons[0], f"/{kind}/{number}", **arguments)[1], 200)
+            self.assertEqual(len(leaving.requests), 2)
+            for number in range(20):
+                self.assertEqual(site.request(here.daemons[0], f"/{kind}/{number}", **arguments)[1], 200)
+            self.assertEqual(len(leaving.requests), 2)
+        # A new incarnation under the same name has said nothing.
+        for replica in here.plain:
+            replica.leaving = replica is not leaving
+        leaving.register("ready", born=2)
+
+        def serves():
+            site.request(here.daemons[0], "/safe/again")
+            return len(leaving.requests) > 2
+        site.wait_until(serves, "the new incarnation serves")
+        state = json.loads(site.call(here.daemons[0].metrics, "GET", "/state")[2])["upstreams"]
+        self.assertFalse(state[leaving.id]["leaving"])
+        self.assertEqual(sum(upstream["leaving"] for upstream in state.values()), 2)
+        events = [line["upstream"] for line in here.daemons[0].log_lines() if line["event"] == "upstream_leaving"]
+        self.assertIn(leaving.id, events)
+
+    def test_a_replica_that_asks_for_rest_gets_it(self):
+        here = self.start(daemons=1, plain=2)
+        resting, other = here.plain
+        resting.rest, resting.refuse = 60, 1000
+        for number in range(200):
+            if resting.offers:
+                break
+            self.assertEqual(site.request(here.daemons[0], f"/once/{number}", b"x")[1], 200)
+        for number in range(20):
+            self.assertEqual(site.request(here.daemons[0], f"/once/{number}", b"x")[1], 200)
+        self.assertEqual(len(resting.offers), 1)
+        # With nobody else to ask a request has its refusal, and the time to come back.
+        other.rest, other.refuse = 90, 1000
+        _, status, headers, _ = site.request(here.daemons[0], "/once/a", b"x")
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["Retry-After"]), 30)
+        self.assertLess(float(headers["Retry-After"]), 90)
+        _, status, _, _ = site.request(here.daemons[0], "/once/b", b"x")
+        self.assertEqual(status, 503)
+        self.assertEqual((len(resting.offers), len(other.offers) - len(other.requests)), (1, 1))
+        rejected = [line for line in here.daemons[0].log_lines() if line["event"] == "request_rejected"]
+        self.assertEqual([line["obstacles"] for line in rejected], ["tried:1 resting:1", "resting:2"])
+
     def test_a_failed_read_is_repeated(self):
         here = self.start(daemons=1)
         here.plain[0].fail = 1
--- /dev/null
+++ b/test/upstream_notice_test.cc
@@ -0,0 +1,319 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+
+#include "goldcrestwood/upstream_board.h"
+
+using namespace goldcrestwood;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start { 100s };
+const ServiceName plain("plain");
+const UpstreamNotice leaves { true, std::nullopt };
+
+UpstreamNotice rests(Duration rest)
+{
+    return { false, rest };
+}
+
+RouteTable services()
+{
+    TrafficConfiguration configuration;
+    configuration.services.push_back({ plain, "", 96, 0, std::nullopt, std::nullopt });
+    return RouteTable(configuration);
+}
+
+RegistryEntry entryOf(int number, std::int64_t born = 1)
+{
+    RegistryEntry entry;
+    entry.id = UpstreamId("i-" + std::to_string(number));
+    entry.service = plain;
+    entry.address = "10.0.0." + std::to_string(number) + ":80";
+    entry.slots = 6;
+    entry.born = born;
+    return entry;
+}
+
+struct Site {
+    explicit Site(int upstreams = 0)
+        : board(InstanceId("self"), SiteBounds {}, this->parts)
+    {
+        this->board.setServices(services());
+        for (int number = 1; number <= upstreams; ++number)
+            this->board.setUpstream(entryOf(number), start);
+    }
+
+    std::optional<PlacementChoice> choose(TimePoint now, const std::set<UpstreamId>& tried = {})
+    {
+        PlacementRequest request;
+        request.service = plain;
+        return this->board.choose(request, tried, now, this->refusal);
+    }
+
+    PlacementObstacles obstacles(TimePoint now)
+    {
+        PlacementRequest request;
+        request.service = plain;
+        return this->board.obstaclesOf(request, {}, now);
+    }
+
+    PartDirectory parts;
+    UpstreamBoard board;
+    PlacementRefusal refusal = PlacementRefusal::NoUpstream;
+};
+
+const UpstreamId one("i-1");
+const UpstreamId two("i-2");
+
+} // namespace
+
+TEST_CASE("an upstream that says that it leaves gets only what nobody else takes, and soon nothing")
+{
+    Site site(2);
+    CHECK(site.board.onNotice(one, 1, leaves, start));
+    CHECK_FALSE(site.board.onNotice(one, 1, leaves, start + 1s));
+    for (int number = 0; number < 10; ++number)
+        CHECK(site.choose(start)->upstream == two);
+    // The bounds allow two seconds from the first answer that said it.
+    CHECK(site.choose(start + 1700ms, { two })->upstream == one);
+    CHECK_FALSE(site.choose(start + 1800ms, { two }));
+    CHECK(site.board.leavingAddresses() == std::vector<std::string> { "10.0.0.1:80" });
+}
+
+TEST_CASE("an upstream that rests gets nothing, whoever else is there or not")
+{
+    Site site(2);
+    CHECK(site.board.onNotice(one, 1, rests(3s), start));
+    // A shorter rest that it names meanwhile takes nothing back.
+    CHECK_FALSE(site.board.onNotice(one, 1, rests(1s), start + 1s));
+    CHECK(site.choose(start)->upstream == two);
+    CHECK_FALSE(site.choose(start, { two }));
+    CHECK(site.board.restLeft(one, start + 1s) == 2s);
+    CHECK_FALSE(site.choose(start + 2990ms, { two }));
+    CHECK(site.choose(start + 3s, { two })->upstream == one);
+}
+
+TEST_CASE("a notice binds the incarnation that gave it, not its name or address")
+{
+    Site site(1);
+    const auto notice = GENERATE(leaves, rests(60s));
+    site.board.onNotice(one, 1, notice, start);
+    CHECK_FALSE(site.choose(start + 2s));
+    site.board.setUpstream(entryOf(1, 2), start + 2s);
+    CHECK(site.choose(start + 2s));
+    // A late answer of the incarnation before says nothing of this one.
+    CHECK_FALSE(site.board.onNotice(one, 1, notice, start + 2s));
+    CHECK(site.choose(start + 2s));
+}
+
+TEST_CASE("an entry that lapses and comes back is still the incarnation that leaves or rests")
+{
+    // Load pattern: the store is away for seconds and entries expire meanwhile.
+    Site site(1);
+    const auto notice = GENERATE(leaves, rests(20s));
+    site.board.onNotice(one, 1, notice, start);
+    site.board.removeUpstream(one);
+    site.board.setUpstream(entryOf(1), start + 5s);
+    CHECK_FALSE(site.choose(start + 5s));
+    site.board.removeUpstream(one);
+    site.board.setUpstream(entryOf(1, 2), start + 6s);
+    CHECK(site.choose(start + 6s));
+}
+
+TEST_CASE("a choice that was made before its upstream said otherwise is not sent any more")
+{
+    Site site(1);
+    const auto before = *site.choose(start);
+    CHECK(site.board.mayBegin(before, start));
+    site.board.onNotice(one, 1, leaves, start + 50ms);
+    CHECK_FALSE(site.board.mayBegin(before, start + 100ms));
+    const auto lastResort = *site.choose(start + 100ms);
+    CHECK(site.board.mayBegin(lastResort, start + 100ms));
+    CHECK_FALSE(site.board.mayBegin(lastResort, start + 2s));
+    site.board.onNotice(one, 1, rests(1s), start + 200ms);
+    CHECK_FALSE(site.board.mayBegin(lastResort, start + 300ms));
+}
+
+TEST_CASE("what keeps upstreams from a request is counted, and when the last of them opens")
+{
+    Site site(3);
+    site.board.onNotice(one, 1, rests(1s), start);
+    site.board.onNotice(two, 1, rests(2s), start);
+    CHECK_FALSE(site.obstacles(start).opensAt);
+    site.board.onNotice(UpstreamId("i-3"), 1, leaves, start - 5s);
+    const auto obstacles = site.obstacles(start);
+    CHECK(obstacles.text() == "leaving:1 resting:2");
+    CHECK(obstacles.opensAt == start + 1s);
+}
+
+namespace {
+
+/// What each replica of the model sees of one daemon, and what the rules allow.
+struct Replica {
+    RegistryEntry entry;
+    bool isLeaving = false;
+    std::map<std::size_t, TimePoint> toldLeaving; ///< When it first told each daemon.
+    std::map<std::size_t, TimePoint> restFrom; ///< By daemon, the last refusal that named a rest.
+    std::map<std::size_t, TimePoint> restUntil;
+};
+
+struct Request {
+    std::size_t daemon = 0;
+    TimePoint sentByClient;
+    TimePoint leaves; ///< From the daemon, once a connection is there.
+    PlacementChoice choice;
+    std::set<UpstreamId> tried;
+};
+
+/// Daemons and replicas in simulated time: replicas leave, rest and start again; requests wait for connections, are repeated
+/// after refusals, and reach their replica some time after the daemon sent them.
+class Model {
+public:
+    Model(std::uint64_t seed, bool believes)
+        : random(seed)
+        , isBelieving(believes)
+    {
+        for (std::size_t daemon = 0; daemon < daemons; ++daemon)
+            this->sites.push_back(std::make_unique<Site>());
+        for (int number = 1; number <= 4; ++number)
+            this->replicas[UpstreamId("i-" + std::to_string(number))].entry = entryOf(number);
+        for (auto& [id, replica] : this->replicas)
+            this->announce(replica, start);
+    }
+
+    void play()
+    {
+        for (auto now = start; now < start + 30s; now += 10ms) {
+            this->change(now);
+            if (this->chance(0.8))
+                this->requests.push_back({ this->draw(daemons), now - 5ms, now, {}, {} });
+            auto all = std::move(this->requests);
+            this->requests.clear();
+            for (auto& request : all)
+                this->step(std::move(request), now);
+        }
+    }
+
+    int late = 0; ///< Requests that reached a replica that had told the daemon that it leaves, the client having sent them later than allowed.
+    int restless = 0; ///< Requests that reached a replica in its rest, half a second after it had named it.
+    int served = 0;
+
+private:
+    static constexpr std::size_t daemons = 5;
+
+    std::size_t draw(std::size_t end) { return std::uniform_int_distribution<std::size_t>(0, end - 1)(this->random); }
+    bool chance(double probability) { return uniform(this->random) < probability; }
+
+    void announce(Replica& replica, TimePoint now)
+    {
+        for (auto& site : this->sites)
+            site->board.setUpstream(replica.entry, now);
+    }
+
+    void change(TimePoint now)
+    {
+        if (!this->chance(0.01))
+            return;
+        auto position = std::next(this->replicas.begin(), static_cast<std::ptrdiff_t>(this->draw(this->replicas.size())));
+        auto& replica = position->second;
+        if (!replica.isLeaving) {
+            replica.isLeaving = true;
+            return;
+        }
+        // It ends and starts again under its name.
+        const auto born = replica.entry.born + 1;
+        const auto number = std::stoi(replica.entry.id.value.substr(2));
+        replica = {};
+        replica.entry = entryOf(number, born);
+        this->announce(replica, now);
+    }
+
+    void step(Request request, TimePoint now)
+    {
+        if (now < request.leaves) {
+            this->requests.push_back(std::move(request));
+            return;
+        }
+        auto& site = *this->sites[request.daemon];
+        if (request.choice.upstream.value.empty()) {
+            if (now - request.sentByClient > 3s)
+                return;
+            const auto choice = site.choose(now, request.tried);
+            if (choice) {
+                request.choice = *choice;
+                // A connection may take up to 200 ms.
+                request.leaves = now + std::chrono::milliseconds(this->draw(20) * 10);
+            }
+            this->requests.push_back(std::move(request));
+            return;
+        }
+        if (this->isBelieving && !site.board.mayBegin(request.choice, now))
+            request.tried.insert(request.choice.upstream);
+        else if (this->arrive(request, now))
+            return;
+        request.choice = {};
+        this->requests.push_back(std::move(request));
+    }
+
+    /// @return Whether the request has its answer.
+    bool arrive(Request& request, TimePoint now)
+    {
+        auto& replica = this->replicas.at(request.choice.upstream);
+        auto& board = this->sites[request.daemon]->board;
+        if (replica.entry.born != request.choice.born)
+            return true; // Its connection broke.
+        const SiteBounds bounds;
+        if (const auto told = replica.toldLeaving.find(request.daemon); told != replica.toldLeaving.end() && request.sentByClient > told->second + bounds.drain)
+            ++this->late;
+        if (const auto until = replica.restUntil.find(request.daemon); until != replica.restUntil.end() && now < until->second && now > replica.restFrom[request.daemon] + 500ms)
+            ++this->restless;
+        UpstreamNotice notice;
+        notice.isLeaving = replica.isLeaving;
+        const bool refuses = this->chance(0.1);
+        if (refuses) {
+            notice.rest = std::chrono::milliseconds(500 + this->draw(20) * 100);
+            replica.restFrom[request.daemon] = now;
+            replica.restUntil[request.daemon] = std::max(replica.restUntil[request.daemon], now + *notice.rest);
+            request.tried.insert(request.choice.upstream);
+        } else {
+            ++this->served;
+        }
+        if (notice.isLeaving)
+            replica.toldLeaving.emplace(request.daemon, now);
+        if (this->isBelieving)
+            board.onNotice(replica.entry.id, replica.entry.born, notice, now);
+        return !refuses;
+    }
+
+    Random random;
+    bool isBelieving;
+    std::vector<std::unique_ptr<Site>> sites;
+    std::map<UpstreamId, Replica> replicas;
+    std::vector<Request> requests;
+};
+
+} // namespace
+
+TEST_CASE("many daemons leave alone whoever leaves or rests, in any interleaving")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        Model model(seed, true);
+        model.play();
+        INFO("seed " << seed);
+        CHECK(model.late == 0);
+        CHECK(model.restless == 0);
+        CHECK(model.served > 500);
+    }
+}
+
+TEST_CASE("the model of leaving and resting upstreams breaks both rules where nobody believes them")
+{
+    Model model(1, false);
+    model.play();
+    CHECK(model.late > 0);
+    CHECK(model.restless > 2);
+}
--- a/test/weight_plan_test.cc
+++ b/test/weight_plan_test.cc
@@ -32,6 +32,18 @@
     CHECK(plan.done().size() == 1);
 }
 
+TEST_CASE("a replica that wants no calls for a while takes its weights after the others")
+{
+    WeightPlan plan({ "m", 2 });
+    auto candidates = nine();
+    candidates[8].isResting = true;
+    CHECK(plan.start(candidates, start) == std::vector { UpstreamId("r7"), UpstreamId("r6"), UpstreamId("r5") });
+    plan.onReport(UpstreamId("r7"), 2, false, start + 1s);
+    candidates[7].version = 2;
+    candidates[8].isResting = false;
+    CHECK(plan.start(candidates, start + 1s) == std::vector { UpstreamId("r8") });
+}
+
 TEST_CASE("few replicas still change two at a time")
 {
     WeightPlan plan({ "m", 2 });
