What requests share counts once in an engine's memory

Cause: refusals 'all upstreams are full' were nearly all by memory (request_rejected's obstacles), and memory was counted as the sum of whole prompts, though four fifths of a prompt are parts that stand in an engine's memory once. Change: each upstream keeps its shared parts in flight by scope, and its own tokens apart. Daemons tell parts by a hash of four bytes; keepers of a large site add them up. Parts that do not fit a datagram count as if nobody shared them. Test: upstream_board_test (fails before).

--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -19,16 +19,28 @@
 
 namespace goldcrestwood {
 
+/// A shared prompt part that requests in flight use; it stands in an engine's memory once.
+struct PartUse {
+    /// Hash of the part and its scope.
+    std::uint32_t key = 0;
+    /// Its size.
+    std::uint32_t tokens = 0;
+
+    bool operator==(const PartUse&) const = default;
+};
+
 /// What one daemon has in flight at one upstream.
 struct UpstreamUse {
     /// The upstream.
     UpstreamId upstream;
     /// Requests in flight.
     std::uint32_t requests = 0;
-    /// Prompt and expected output tokens of these.
+    /// Prompt and expected output tokens that each of these has for itself.
     std::uint64_t tokens = 0;
     /// Prompt tokens that the upstream still has to read, by the engine's classes, the first class first.
     std::vector<std::uint64_t> backlog;
+    /// What these share, with each other and with requests of other daemons.
+    std::vector<PartUse> parts;
 
     bool operator==(const UpstreamUse&) const = default;
 };
@@ -127,7 +139,7 @@
     UpstreamId upstream;
     /// Requests in flight.
     std::uint32_t requests = 0;
-    /// Prompt and expected output tokens of these.
+    /// Prompt and expected output tokens of these, shared parts once.
     std::uint64_t tokens = 0;
     /// Prompt tokens still to be read, by the engine's classes, the first class first.
     std::vector<std::uint64_t> backlog;
@@ -317,6 +329,11 @@
     bool operator==(const FeedAnswer&) const = default;
 };
 
+template <>
+std::string encode(const PartUse& message);
+template <>
+tl::expected<PartUse, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const PartUse& message);
 template <>
 std::string encode(const UpstreamUse& message);
 template <>
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -49,6 +49,7 @@
     std::size_t mostToldUpstreams = 80;
     std::size_t mostToldLoads = 80;
     std::size_t mostToldSources = 24;
+    std::size_t mostToldParts = 160;
 };
 
 /// What a request asks of an upstream.
@@ -216,12 +217,21 @@
 private:
     struct Load {
         std::uint32_t requests = 0;
-        std::uint64_t tokens = 0;
+        std::uint64_t tokens = 0; ///< That each request has for itself.
+        std::vector<PartUse> parts; ///< That requests share; each stands in memory once.
         /// Prompt tokens still to be read, by the engine's classes.
         std::array<std::uint64_t, engineClasses> backlog {};
 
         /// @return Tokens that are read before those of a further request of a class.
         std::uint64_t backlogAhead(std::size_t engineClass) const;
+        bool uses(std::uint32_t part) const;
+        /// @return Tokens in the engine's memory that cannot yield.
+        std::uint64_t memory() const;
+    };
+    /// A shared part in use by requests of this daemon.
+    struct PartCount {
+        std::uint32_t tokens = 0;
+        std::uint32_t requests = 0;
     };
     struct PeerUse {
         UpstreamUse use;
@@ -242,7 +252,8 @@
     struct Upstream {
         RegistryEntry entry;
         TimePoint coldUntil;
-        Load own;
+        Load own; ///< Without the parts, which are counted.
+        std::map<std::uint32_t, PartCount> ownParts;
         std::map<InstanceId, PeerUse> peers;
         std::optional<ToldLoad> told;
         PartCache cache;
@@ -265,6 +276,7 @@
 
     Load totalLoad(const Upstream& upstream, TimePoint now) const;
     static void addUse(Load& load, const UpstreamUse& use);
+    static Load ownLoad(const Upstream& upstream);
     double failureShareOf(const Upstream& upstream, TimePoint now) const;
     Obstacle obstacleAt(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const;
     bool isLastResort(const Upstream& upstream, TimePoint now) const;
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -51,6 +51,23 @@
         return engineClass(request.rank, request.promptTokens);
     }
 
+    /// Calls @p visit with the key and the tokens of each part that the request shares: all but its last.
+    template <typename Visit>
+    void forEachShared(const PlacementRequest& request, const std::string& scope, Visit visit)
+    {
+        for (std::size_t index = 0; index + 1 < request.parts.size(); ++index)
+            visit(static_cast<std::uint32_t>(stableHash(scope + '/' + request.parts[index].id)), request.parts[index].tokens);
+    }
+
+    /// @return Tokens that stand in an engine's memory for this request alone.
+    std::uint64_t privateTokens(const PlacementRequest& request)
+    {
+        std::uint64_t shared = 0;
+        for (std::size_t index = 0; index + 1 < request.parts.size(); ++index)
+            shared += request.parts[index].tokens;
+        return request.promptTokens - std::min(request.promptTokens, shared) + request.outputTokens;
+    }
+
     /// The parts that decide where a prompt goes: all but the last, which belongs to the request alone.
     std::string affinityKey(const PlacementRequest& request)
     {
@@ -144,9 +161,12 @@
     if (!isNew && upstream.entry.service != entry.service)
         this->byService[upstream.entry.service].erase(entry.id);
     if (restarted) {
-        const auto load = upstream.own;
+        // Requests in flight still have to balance.
+        auto load = std::move(upstream.own);
+        auto sharedParts = std::move(upstream.ownParts);
         upstream = {};
-        upstream.own = load; // Requests in flight still have to balance.
+        upstream.own = std::move(load);
+        upstream.ownParts = std::move(sharedParts);
     }
     upstream.entry = entry;
     upstream.coldUntil = now + entry.coldLeft;
@@ -231,6 +251,16 @@
     found->second.cache.clear();
 }
 
+bool UpstreamBoard::Load::uses(std::uint32_t part) const
+{
+    return std::any_of(this->parts.begin(), this->parts.end(), [&](const auto& use) { return use.key == part; });
+}
+
+std::uint64_t UpstreamBoard::Load::memory() const
+{
+    return std::accumulate(this->parts.begin(), this->parts.end(), this->tokens, [](std::uint64_t sum, const auto& use) { return sum + use.tokens; });
+}
+
 std::uint64_t UpstreamBoard::Load::backlogAhead(std::size_t engineClass) const
 {
     return std::accumulate(this->backlog.begin(), this->backlog.begin() + static_cast<std::ptrdiff_t>(engineClass) + 1, std::uint64_t { 0 });
@@ -307,8 +337,12 @@
     if (load.requests >= upstream.entry.slots)
         return Obstacle::Slots;
     const auto memory = static_cast<double>(engine->cacheTokens) * this->settings.memoryShare;
-    const auto wanted = static_cast<double>(load.tokens + request.promptTokens + request.outputTokens);
-    if (load.requests > 0 && wanted > memory)
+    auto wanted = load.memory() + privateTokens(request);
+    forEachShared(request, scopeOf(upstream.entry, request), [&](std::uint32_t key, std::uint32_t tokens) {
+        if (!load.uses(key))
+            wanted += tokens;
+    });
+    if (load.requests > 0 && static_cast<double>(wanted) > memory)
         return Obstacle::Memory;
     const auto ahead = static_cast<double>(load.backlogAhead(classOf(request)));
     const bool isLate = ahead > 0 && ahead / this->tokensPerMillisecond * upstream.slowness > toMs(request.objective) * this->settings.backlogShare;
@@ -462,7 +496,12 @@
         return;
     auto& upstream = found->second;
     ++upstream.own.requests;
-    upstream.own.tokens += request.promptTokens + request.outputTokens;
+    upstream.own.tokens += privateTokens(request);
+    forEachShared(request, choice.scope, [&](std::uint32_t key, std::uint32_t tokens) {
+        auto& part = upstream.ownParts[key];
+        part.tokens = tokens;
+        ++part.requests;
+    });
     upstream.own.backlog[classOf(request)] += choice.missingTokens;
     if (now < upstream.coldUntil) {
         while (!upstream.coldSends.empty() && now - upstream.coldSends.front() > std::chrono::milliseconds(1100))
@@ -518,7 +557,11 @@
         return;
     auto& upstream = found->second;
     upstream.own.requests -= std::min(upstream.own.requests, 1U);
-    upstream.own.tokens -= std::min(upstream.own.tokens, request.promptTokens + request.outputTokens);
+    upstream.own.tokens -= std::min(upstream.own.tokens, privateTokens(request));
+    forEachShared(request, choice.scope, [&](std::uint32_t key, std::uint32_t /*tokens*/) {
+        if (const auto part = upstream.ownParts.find(key); part != upstream.ownParts.end() && --part->second.requests == 0)
+            upstream.ownParts.erase(part);
+    });
     auto& backlog = upstream.own.backlog[classOf(request)];
     if (!hadFirstByte)
         backlog -= std::min(backlog, choice.missingTokens);
--- a/src/upstream_board_peers.cc
+++ b/src/upstream_board_peers.cc
@@ -66,7 +66,7 @@
     for (const auto& load : loads)
         if (const auto found = this->upstreams.find(load.upstream); found != this->upstreams.end()) {
             ToldLoad sum { keeper, {}, load.failureShare, now };
-            addUse(sum.load, { load.upstream, load.requests, load.tokens, load.backlog });
+            addUse(sum.load, { load.upstream, load.requests, load.tokens, load.backlog, {} });
             found->second.told = std::move(sum);
             told.push_back(load.upstream);
         }
@@ -78,14 +78,25 @@
     load.tokens += use.tokens;
     for (std::size_t index = 0; index < std::min(engineClasses, use.backlog.size()); ++index)
         load.backlog[index] += use.backlog[index];
+    for (const auto& part : use.parts)
+        if (!load.uses(part.key))
+            load.parts.push_back(part);
 }
 
-UpstreamBoard::Load UpstreamBoard::totalLoad(const Upstream& upstream, TimePoint now) const
+UpstreamBoard::Load UpstreamBoard::ownLoad(const Upstream& upstream)
 {
     auto load = upstream.own;
+    for (const auto& [key, part] : upstream.ownParts)
+        load.parts.push_back({ key, part.tokens });
+    return load;
+}
+
+UpstreamBoard::Load UpstreamBoard::totalLoad(const Upstream& upstream, TimePoint now) const
+{
+    auto load = ownLoad(upstream);
     if (upstream.told && now - upstream.told->at <= this->settings.peerReportLifetime) {
         const auto& told = upstream.told->load;
-        addUse(load, { {}, told.requests, told.tokens, { told.backlog.begin(), told.backlog.end() } });
+        addUse(load, { {}, told.requests, told.tokens, { told.backlog.begin(), told.backlog.end() }, {} });
         return load;
     }
     for (const auto& [peer, report] : upstream.peers)
@@ -107,12 +118,12 @@
     for (const auto& [id, upstream] : this->upstreams) {
         if (!isKept(id))
             continue;
-        auto load = upstream.own;
+        auto load = ownLoad(upstream);
         for (const auto& [peer, report] : upstream.peers)
             if (peer != receiver && now - report.at <= this->settings.peerReportLifetime)
                 addUse(load, report.use);
         if (load.requests > 0 || upstream.failureShare >= leastToldFailureShare)
-            result.push_back({ id, load.requests, load.tokens, { load.backlog.begin(), load.backlog.end() }, upstream.failureShare });
+            result.push_back({ id, load.requests, load.memory(), { load.backlog.begin(), load.backlog.end() }, upstream.failureShare });
     }
     keepBusiest(result, this->settings.mostToldLoads);
     return result;
@@ -133,10 +144,20 @@
 std::vector<UpstreamUse> UpstreamBoard::ownUses() const
 {
     std::vector<UpstreamUse> uses;
-    for (const auto& [id, upstream] : this->upstreams)
-        if (upstream.own.requests > 0)
-            uses.push_back({ id, upstream.own.requests, upstream.own.tokens, { upstream.own.backlog.begin(), upstream.own.backlog.end() } });
+    for (const auto& [id, upstream] : this->upstreams) {
+        if (upstream.own.requests == 0)
+            continue;
+        const auto load = ownLoad(upstream);
+        uses.push_back({ id, load.requests, load.tokens, { load.backlog.begin(), load.backlog.end() }, load.parts });
+    }
     keepBusiest(uses, this->settings.mostToldUses);
+    // Parts that do not fit count as if nobody shared them.
+    auto left = this->settings.mostToldParts;
+    for (auto& use : uses) {
+        for (; use.parts.size() > left; use.parts.pop_back())
+            use.tokens += use.parts.back().tokens;
+        left -= use.parts.size();
+    }
     return uses;
 }
 
--- a/support/bench/peer_bytes.cc
+++ b/support/bench/peer_bytes.cc
@@ -55,7 +55,7 @@
     const LoadKeepers keepers(isMesh ? names : feedReaders(all), isMesh);
     LoadReport report;
     for (std::size_t number = 0; number < ownUpstreams; ++number) {
-        report.uses.push_back({ upstreamOf(number), 3, 24000, { 0, 0, 0, 9000, 0, 0, 0, 0, 0, 0 } });
+        report.uses.push_back({ upstreamOf(number), 3, 15000, { 0, 0, 0, 9000, 0, 0, 0, 0, 0, 0 }, { { 0x87654321U, 2500 }, { 0x12345678U, 5000 } } });
         report.upstreams.push_back({ upstreamOf(number), 1, 0 });
     }
     double reported = 0;
--- a/support/bench/placement_cost.cc
+++ b/support/bench/placement_cost.cc
@@ -69,7 +69,7 @@
     LoadReport message;
     message.instance = InstanceId("edge-bayanzurkh-1");
     for (int number = 0; number < upstreams; ++number)
-        message.uses.push_back({ UpstreamId("i-7f3a91c2" + std::to_string(number)), 3, 24000, { 0, 0, 0, 9000, 0, 0, 0, 0, 0, 0 } });
+        message.uses.push_back({ UpstreamId("i-7f3a91c2" + std::to_string(number)), 3, 24000, { 0, 0, 0, 9000, 0, 0, 0, 0, 0, 0 }, {} });
     const auto bytes = encode(message).size();
     const auto cost = microseconds(rounds, [&](int) { static_cast<void>(decode<LoadReport>(encode(message))); });
     std::printf("report     upstreams in use %4d  %6zu bytes  %7.1f us to encode and decode\n", upstreams, bytes, cost);
--- a/test/load_keepers_test.cc
+++ b/test/load_keepers_test.cc
@@ -43,7 +43,7 @@
 {
     LoadReport report;
     for (std::size_t number = 0; number < upstreams; ++number) {
-        report.uses.push_back({ upstreamOf(number), 2, 9000, { 0, 4000, 0 } });
+        report.uses.push_back({ upstreamOf(number), 2, 9000, { 0, 4000, 0 }, {} });
         report.upstreams.push_back({ upstreamOf(number), 3, 1 });
     }
     return report;
@@ -208,7 +208,7 @@
     for (std::size_t number = 0; number < upstreams; ++number) {
         board.setUpstream(entryOf(number), start);
         const auto requests = static_cast<std::uint32_t>(number < 80 ? 30 : 1);
-        board.onPeerUse(InstanceId("d" + std::to_string(number)), { { upstreamOf(number), requests, 300000, { 0, 9000, 9000, 9000, 9000 } } }, start);
+        board.onPeerUse(InstanceId("d" + std::to_string(number)), { { upstreamOf(number), requests, 300000, { 0, 9000, 9000, 9000, 9000 }, {} } }, start);
     }
     LoadDigest digest { InstanceId("edge-with-a-long-name-100"), board.loadsFor(
                                                                      InstanceId("other"), [](const UpstreamId&) { return true; }, start),
--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -156,7 +156,7 @@
     Site site;
     site.board.setUpstream(entryOf(1, plain), start);
     const auto request = plainRequest();
-    site.board.onPeerUse(InstanceId("peer"), { { UpstreamId("plain1"), 12, 0, {} } }, start);
+    site.board.onPeerUse(InstanceId("peer"), { { UpstreamId("plain1"), 12, 0, {}, {} } }, start);
     CHECK_FALSE(site.choose(request));
     CHECK(site.refusal == PlacementRefusal::Full);
     CHECK(site.choose(request, start + 2600ms));
@@ -436,7 +436,7 @@
     Site site;
     site.board.setUpstream(entryOf(1, plain), start);
     const UpstreamId upstream("plain1");
-    site.board.onPeerUse(InstanceId("gone"), { { upstream, 3, 0, {} } }, start);
+    site.board.onPeerUse(InstanceId("gone"), { { upstream, 3, 0, {}, {} } }, start);
     CHECK(site.board.requestsAt(upstream, start) == 3);
     CHECK(site.board.requestsAt(upstream, start + 2600ms) == 0);
     CHECK(site.board.knownPeers() == 1);
@@ -466,3 +466,38 @@
     CHECK(site.choose(request, start + 1040ms)->upstream != refused);
     CHECK(site.choose(request, start + 1060ms)->upstream == refused);
 }
+
+TEST_CASE("what requests share stands in an engine's memory once, also if they came through several daemons")
+{
+    // Load pattern: long prompts with the same head and few own tokens at once, on engines with little memory.
+    Site site;
+    site.board.setUpstream(entryOf(1, model), start);
+    const auto request = prompt(30000, "manual"); // 29,900 of them shared, of 100,000.
+    std::vector<PlacementChoice> choices;
+    for (int number = 0; number < 20; ++number) {
+        const auto choice = site.choose(request);
+        REQUIRE(choice);
+        site.board.begin(*choice, request, start);
+        site.board.onFirstByte(*choice, request, 40ms, start);
+        choices.push_back(*choice);
+    }
+    const auto uses = site.board.ownUses();
+    CHECK(uses.at(0).tokens == 20 * 200);
+    CHECK(uses.at(0).parts.size() == 2);
+    // The same parts at a peer add nothing, others do.
+    const auto other = prompt(50000, "other");
+    site.board.onPeerUse(InstanceId("peer"), uses, start);
+    CHECK(site.choose(other));
+    auto apart = uses;
+    apart.at(0).parts = { { 1, 20000 } };
+    site.board.onPeerUse(InstanceId("peer"), apart, start);
+    CHECK_FALSE(site.choose(other));
+    site.board.onPeerUse(InstanceId("peer"), {}, start);
+    CHECK(site.choose(other));
+    // A part is in use until the last request with it has ended.
+    for (const auto& choice : choices) {
+        CHECK(site.board.ownUses().at(0).parts.size() == 2);
+        site.board.finish(choice, request, true, AttemptResult::Answered, start);
+    }
+    CHECK(site.board.ownUses().empty());
+}
