Streams avoid engines whose pauses make them late

Longest pauses are 205 to 211 ms at the median and 271 to 286 ms at p90, the limit is 250: a third of the engines is 1.3 times slower. Change: the board keeps a moving average of the longest pause of each stream by engine and class. Its risk to pass the route's limit is a cost, up to the objective, and halves every four seconds without a new sample. Test: upstream_board_test (fails before).

--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -61,6 +61,7 @@
     std::uint64_t outputTokens = 0;
     std::uint32_t rank = 0;
     Duration objective = std::chrono::seconds(1); ///< Time to the first token or answer that is still on time.
+    Duration gapObjective = Duration(0); ///< Longest pause between events that is still on time; 0: any.
     std::string model;
     /// Least weight version that the upstream must have.
     std::uint64_t leastWeights = 0;
@@ -194,6 +195,8 @@
     void begin(const PlacementChoice& choice, const PlacementRequest& request, TimePoint now);
     /// The first byte of the answer came @p delay after the request was sent.
     void onFirstByte(const PlacementChoice& choice, const PlacementRequest& request, Duration delay, TimePoint now);
+    /// A whole stream has come, with @p longestGap between two of its events.
+    void onStreamEnd(const PlacementChoice& choice, const PlacementRequest& request, Duration longestGap, TimePoint now);
     void finish(const PlacementChoice& choice, const PlacementRequest& request, bool hadFirstByte, AttemptResult result, TimePoint now);
 
     /// @return Own requests in flight.
@@ -249,6 +252,11 @@
         TimePoint at;
         double slowness = 1;
     };
+    /// How long the streams of one class paused at an engine lately.
+    struct PauseBelief {
+        double ms = 0; ///< Moving average of the longest pause of each stream.
+        TimePoint at; ///< Of the last sample; what was not seen again is forgotten.
+    };
     struct Upstream {
         RegistryEntry entry;
         TimePoint coldUntil;
@@ -262,6 +270,7 @@
         double failureShare = 0; ///< Moving average of failure answers.
         double latencyMs = 0; ///< Moving average of the time to the first byte of a plain answer.
         double slowness = 1; ///< Moving average of measured over expected time to the first token.
+        std::array<PauseBelief, engineClasses> pauses {}; ///< By the engine's classes.
         UpstreamExperience experience; ///< Since it was last told to the peers.
         std::deque<TimePoint> coldSends; ///< Of the last second.
         std::optional<TimePoint> leavingSince; ///< When it said so first.
@@ -307,6 +316,7 @@
         const PlacementRequest& request, TimePoint now, PlacementRefusal& refusal) const;
     Coverage cover(const Upstream& upstream, const PlacementRequest& request, const PartHolders& holders,
         const EngineLimits& engine, TimePoint now) const;
+    double pauseCost(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const;
     double readCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing) const;
     /// @return Why the upstream has no room, or Obstacle::None.
     Obstacle fullness(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -166,6 +166,7 @@
     placement.outputTokens = exchange.info.outputTokens;
     placement.rank = exchange.rank;
     placement.objective = exchange.route->objective;
+    placement.gapObjective = exchange.route->gapObjective;
     placement.model = exchange.info.model;
     if (exchange.account != nullptr && exchange.account->isIsolated)
         placement.sharing = "account-" + exchange.account->name.value;
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -251,6 +251,7 @@
     const bool isEnded = co_await this->writeStreamPiece(exchange, attempt, nullptr, 0, false);
     if (!isEnded)
         co_return;
+    this->state.board.onStreamEnd(attempt.choice, exchange.placement, attempt.longestGap, monotonicNow());
     attempt.isRelayed = true;
     attempt.result = AttemptResult::Answered;
 }
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -40,6 +40,13 @@
     constexpr Duration leavingMargin = std::chrono::milliseconds(250);
     /// What a lapsed upstream said is kept for so long: no upstream stays on for minutes after it has begun to leave.
     constexpr Duration keptNoticeLifetime = std::chrono::minutes(10);
+    /// Pauses of so much of what a route allows are none too many yet; at the second share a stream is most likely late.
+    constexpr double calmPauseShare = 0.85;
+    constexpr double latePauseShare = 1.05;
+    /// A belief in pauses loses half of its weight in this time, so that an engine that was avoided is tried again.
+    constexpr Duration pauseHalfLife = std::chrono::seconds(4);
+    /// Streams are fewer than answers: a sample weighs more than in other averages.
+    constexpr double pauseSampleWeight = 0.25;
     /// Only reads of this many tokens tell the rate from fixed costs.
     constexpr std::uint64_t sampleTokens = 400;
 
@@ -330,6 +337,27 @@
     return (read + load.requests * runningRequestMs) * upstream.slowness;
 }
 
+double UpstreamBoard::pauseCost(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const
+{
+    const auto& pauses = upstream.pauses[classOf(request)];
+    if (request.gapObjective <= Duration(0) || pauses.ms <= 0)
+        return 0;
+    const auto share = pauses.ms / toMs(request.gapObjective);
+    const auto risk = std::clamp((share - calmPauseShare) / (latePauseShare - calmPauseShare), 0.0, 1.0);
+    // An answer that is late by a pause is as late as one whose first token misses the objective.
+    return risk * std::exp2(-toSeconds(now - pauses.at) / toSeconds(pauseHalfLife)) * toMs(request.objective);
+}
+
+void UpstreamBoard::onStreamEnd(const PlacementChoice& choice, const PlacementRequest& request, Duration longestGap, TimePoint now)
+{
+    const auto found = this->upstreams.find(choice.upstream);
+    if (found == this->upstreams.end() || request.promptTokens == 0)
+        return;
+    auto& pauses = found->second.pauses[classOf(request)];
+    pauses.ms = pauses.ms == 0 ? toMs(longestGap) : pauses.ms * (1 - pauseSampleWeight) + toMs(longestGap) * pauseSampleWeight;
+    pauses.at = now;
+}
+
 Obstacle UpstreamBoard::fullness(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const
 {
     if (engine == nullptr)
@@ -455,7 +483,7 @@
             const auto& known = holdersUnder(holders, scopeOf(upstream.entry, request), request, candidates);
             coverage = this->cover(upstream, request, known, *engine, now);
             readMs = this->readCost(upstream, load, request, coverage.missing);
-            cost = readMs + coverage.moveMs;
+            cost = readMs + coverage.moveMs + this->pauseCost(upstream, request, now);
             // Other daemons' prompts with the same parts go to the same engine, which then most likely holds them.
             if (preferred != candidate) {
                 const auto own = request.parts.empty() ? 0 : request.parts.back().tokens;
--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -501,3 +501,31 @@
     }
     CHECK(site.board.ownUses().empty());
 }
+
+TEST_CASE("streams avoid an engine whose pauses make them late, until that is long ago")
+{
+    // Load pattern: a third of the engines is slower; long prompts are read everywhere between the tokens of running streams,
+    // which pause for longer than their route allows at the slow engines alone.
+    Site site;
+    site.board.setUpstream(entryOf(1, model), start);
+    site.board.setUpstream(entryOf(2, model), start);
+    auto stream = prompt(800, "advice", 0);
+    stream.gapObjective = 250ms;
+    const auto preferred = *site.choose(stream);
+    const auto other = choiceOf(preferred.upstream == UpstreamId("model1") ? "model2" : "model1");
+    for (int number = 0; number < 8; ++number) {
+        site.board.onStreamEnd(preferred, stream, 275ms, start);
+        site.board.onStreamEnd(other, stream, 205ms, start);
+    }
+    CHECK(site.choose(stream)->upstream == other.upstream);
+    // Other classes have pauses of their own, and some routes allow any.
+    CHECK(site.choose(prompt(800, "advice", 1))->upstream == preferred.upstream);
+    stream.gapObjective = 0ms;
+    CHECK(site.choose(stream)->upstream == preferred.upstream);
+    stream.gapObjective = 250ms;
+    CHECK(site.choose(stream, start + 30s)->upstream == preferred.upstream);
+    // Pauses that are short enough everywhere decide nothing.
+    for (int number = 0; number < 20; ++number)
+        site.board.onStreamEnd(preferred, stream, 205ms, start + 1s);
+    CHECK(site.choose(stream, start + 1s)->upstream == preferred.upstream);
+}
