Admission: whoever can be on time first, whoever is late when there is room, and a time of its own for whoever is refused

Change: a part without I/O (admission.h) decides. By rank; within it those that can still be on time, then callers that come back when they were told to, then those that are late, then those that came back too soon. A request waits for half of the time that its caller leaves for an answer. It is refused at once if it would wait in vain at twice the rate that is measured. Each refused caller is told the next placement that is not promised yet, with some spread. A request that cannot be on time any more leaves room for one as large that can. Tests: admission_test, upstream_board_test.

--- a/include/goldcrestwood/traffic.h
+++ b/include/goldcrestwood/traffic.h
@@ -3,6 +3,7 @@
 /// @file
 /// The traffic configuration in force: routes, services, client accounts and limits, and the lookups on it.
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -54,6 +55,12 @@
 
     bool operator==(const TrafficRoute&) const = default;
 
+    /// @return The silence after which callers give up a stream, also before its first event (the platform's page on requests).
+    Duration silenceLimit() const
+    {
+        return std::max({ Duration(std::chrono::seconds(2)), 4 * this->objective, 8 * this->gapObjective });
+    }
+
     /// @return Whether a request may run a second time.
     bool isRepeatable() const
     {
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -62,6 +62,7 @@
     std::uint32_t rank = 0;
     Duration objective = std::chrono::seconds(1); ///< Time to the first token or answer that is still on time.
     Duration gapObjective = Duration(0); ///< Longest pause between events that is still on time; 0: any.
+    bool isLate = false; ///< It cannot be on time any more, and leaves room for one that can.
     std::string model;
     /// Least weight version that the upstream must have.
     std::uint64_t leastWeights = 0;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -72,7 +72,7 @@
     edge::log(LogClass::Decision, "request_rejected",
         { { "request", exchange.info.id }, { "status", static_cast<std::int64_t>(status) }, { "reason", reason },
             { "after_ms", toMs(monotonicNow() - exchange.received) }, { "sends", static_cast<std::int64_t>(exchange.sends) },
-            { "obstacles", this->obstacles(exchange) }, { "rank", static_cast<std::int64_t>(exchange.rank) }, { "waiting", static_cast<std::int64_t>(this->queues.waiting()) },
+            { "retry_after_ms", retryAfter ? toMs(*retryAfter) : 0.0 }, { "obstacles", this->obstacles(exchange) }, { "rank", static_cast<std::int64_t>(exchange.rank) }, { "waiting", static_cast<std::int64_t>(this->queues.waiting()) },
             { "configuration", static_cast<std::int64_t>(exchange.table ? exchange.table->configuration().version : 0) } });
     this->state.metrics.count("goldcrest_rejected_total", std::string("reason=\"") + reason + "\"");
     ErrorCode error;
@@ -247,7 +247,7 @@
                 { "expected_ms", toMs(attempt.choice.expectedWait) }, { "missing", static_cast<std::int64_t>(attempt.choice.missingTokens) },
                 { "moved", static_cast<std::int64_t>(attempt.choice.movedTokens) }, { "prompt", static_cast<std::int64_t>(exchange.info.promptTokens) },
                 { "own", static_cast<std::int64_t>(exchange.info.parts.empty() ? 0 : exchange.info.parts.back().tokens) }, { "saves", !attempt.choice.saveTo.empty() },
-                { "first_ms", toMs(attempt.firstByte) }, { "gap_ms", toMs(attempt.longestGap) }, { "age_ms", toMs(now - exchange.received) }, { "client_gone", exchange.clientGone } });
+                { "placed_ms", toMs(attempt.choice.chosen - exchange.received) }, { "first_ms", toMs(attempt.firstByte) }, { "gap_ms", toMs(attempt.longestGap) }, { "age_ms", toMs(now - exchange.received) }, { "client_gone", exchange.clientGone } });
         this->state.metrics.count("goldcrest_attempts_total", std::string("result=\"") + toString(attempt.result) + "\"");
         if (attempt.isRelayed || exchange.isOver() || !this->maySendAgain(exchange, attempt))
             break;
--- a/src/edge/service_queue.cc
+++ b/src/edge/service_queue.cc
@@ -3,58 +3,100 @@
 #include <algorithm>
 
 #include "daemon/clock.h"
+#include "goldcrestwood/hash.h"
 
 namespace goldcrestwood {
 
 namespace {
 
-    /// A request waits for a place up to this share of its objective; then it could hardly be answered in time.
-    constexpr double patienceShare = 0.5;
+    /// A place within this share of the time that an answer has is mostly soon enough: reading and the first token take the rest.
+    constexpr double placeShare = 0.5;
     /// A service without any usable upstream is looked at again for so long: replicas are being replaced.
     constexpr Duration absencePatience = std::chrono::milliseconds(300);
 
+    /// @return What tells a caller's request apart from others, and is the same when it comes back with another id.
+    std::uint64_t callerKey(const ClientExchange& exchange)
+    {
+        std::string text = exchange.account == nullptr ? std::string() : exchange.account->name.value;
+        text += '\n' + std::string(exchange.request.target()) + '\n';
+        if (!exchange.info.parts.empty())
+            text += exchange.info.parts.back().id;
+        return stableHash(text + '\n' + exchange.request.body());
+    }
+
+    /// @return Until when a place still allows an answer on time.
+    TimePoint onTimeUntil(const ClientExchange& exchange)
+    {
+        return exchange.received + std::chrono::duration_cast<Duration>(exchange.route->objective * placeShare);
+    }
+
+    /// @return Until when a place still serves the caller, who waits for an answer no longer than that.
+    TimePoint lastUseOf(const ClientExchange& exchange)
+    {
+        const auto& route = *exchange.route;
+        auto end = exchange.deadline;
+        if (route.kind == RequestKind::Stream)
+            end = std::min(end, exchange.received + route.silenceLimit());
+        return exchange.received + std::chrono::duration_cast<Duration>((end - exchange.received) * placeShare);
+    }
+
 } // namespace
 
 std::optional<PlacementChoice> ServiceQueues::tryAssign(ClientExchange& exchange, PlacementRefusal& refusal)
 {
     const auto now = monotonicNow();
+    exchange.placement.isLate = now >= onTimeUntil(exchange);
     auto choice = this->state.board.choose(exchange.placement, exchange.tried, now, refusal);
     if (choice)
         this->state.board.begin(*choice, exchange.placement, now);
     return choice;
 }
 
+Waiter ServiceQueues::describe(const ClientExchange& exchange)
+{
+    return { ++this->lastWaiter, exchange.rank, callerKey(exchange), exchange.received, onTimeUntil(exchange), lastUseOf(exchange) };
+}
+
 Task<std::optional<PlacementChoice>> ServiceQueues::place(ClientExchange& exchange, PlacementRefusal& refusal)
 {
     auto& queue = this->queues[exchange.placement.service];
-    const bool isFirst = queue.empty() || exchange.rank < queue.front()->rank;
-    if (isFirst)
+    const auto now = monotonicNow();
+    auto waiter = this->describe(exchange);
+    refusal = PlacementRefusal::Full;
+    if (queue.admission.isNext(waiter, now))
         if (auto choice = this->tryAssign(exchange, refusal))
             co_return choice;
-    const auto objective = exchange.route->objective;
-    const auto patience = std::max(std::chrono::duration_cast<Duration>(objective * patienceShare),
-        refusal == PlacementRefusal::NoUpstream ? absencePatience : Duration(0));
-    const auto giveUp = std::min(exchange.received + patience, exchange.deadline);
-    const auto now = monotonicNow();
+    if (refusal == PlacementRefusal::NoUpstream)
+        waiter.lastUse = std::min(waiter.lastUse, std::max(waiter.onTimeUntil, exchange.received + absencePatience));
     // All that could serve the request have said when they want some again.
     const auto opensAt = this->state.board.obstaclesOf(exchange.placement, exchange.tried, now).opensAt;
-    if (opensAt && *opensAt >= giveUp)
+    if (opensAt && *opensAt >= waiter.lastUse) {
         exchange.comeBack = *opensAt - now;
-    if (exchange.comeBack || now >= giveUp)
         co_return std::nullopt;
-    const auto later = std::find_if(queue.begin(), queue.end(), [&](const auto* other) { return other->rank > exchange.rank; });
-    const auto position = queue.insert(later, &exchange);
+    }
+    std::optional<PlacementChoice> choice;
+    if (now < waiter.lastUse && !queue.admission.isHopeless(waiter, now))
+        choice = co_await this->wait(exchange, queue, waiter, refusal);
+    if (!choice && !exchange.isOver())
+        exchange.comeBack = queue.admission.refuse(waiter, monotonicNow(), this->state.random);
+    co_return choice;
+}
+
+Task<std::optional<PlacementChoice>> ServiceQueues::wait(ClientExchange& exchange, Queue& queue, const Waiter& waiter, PlacementRefusal& refusal)
+{
+    queue.admission.add(waiter, monotonicNow());
+    queue.exchanges[waiter.id] = &exchange;
     exchange.turn.reset();
-    exchange.queued.expires_at(giveUp);
+    exchange.queued.expires_at(waiter.lastUse);
     ErrorCode ignored;
     co_await exchange.queued.async_wait(into(ignored));
-    if (!exchange.turn) {
-        queue.erase(position);
-        if (!exchange.isOver())
-            co_return this->tryAssign(exchange, refusal);
-        co_return std::nullopt;
-    }
-    co_return std::exchange(exchange.turn, std::nullopt);
+    if (exchange.turn)
+        co_return std::exchange(exchange.turn, std::nullopt);
+    queue.admission.remove(waiter.id, false, monotonicNow());
+    queue.exchanges.erase(waiter.id);
+    if (!exchange.isOver())
+        co_return this->tryAssign(exchange, refusal);
+    co_return std::nullopt;
 }
 
 void ServiceQueues::dispatch(const ServiceName& service)
@@ -63,21 +105,19 @@
     if (found == this->queues.end())
         return;
     auto& queue = found->second;
-    for (auto position = queue.begin(); position != queue.end();) {
-        auto& exchange = **position;
-        if (exchange.isOver()) {
-            ++position;
+    const auto now = monotonicNow();
+    for (const auto id : queue.admission.order(now)) {
+        auto& exchange = *queue.exchanges.at(id);
+        if (exchange.isOver())
             continue;
-        }
         PlacementRefusal refusal {};
         exchange.turn = this->tryAssign(exchange, refusal);
         if (!exchange.turn && refusal == PlacementRefusal::Full)
             return; // Whoever comes later must not take what the first one waits for.
-        if (!exchange.turn) {
-            ++position;
+        if (!exchange.turn)
             continue;
-        }
-        position = queue.erase(position);
+        queue.admission.remove(id, true, now);
+        queue.exchanges.erase(id);
         exchange.queued.cancel();
     }
 }
@@ -85,7 +125,7 @@
 void ServiceQueues::dispatchAll()
 {
     for (const auto& [service, queue] : this->queues)
-        if (!queue.empty())
+        if (queue.admission.size() > 0)
             this->dispatch(service);
 }
 
@@ -93,7 +133,7 @@
 {
     std::size_t sum = 0;
     for (const auto& [service, queue] : this->queues)
-        sum += queue.size();
+        sum += queue.admission.size();
     return sum;
 }
 
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -360,8 +360,10 @@
 
 Obstacle UpstreamBoard::fullness(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const
 {
+    // One that comes later and can still be on time is as large, most likely.
+    const auto kept = request.isLate ? request.promptTokens + request.outputTokens : 0;
     if (engine == nullptr)
-        return load.requests >= 2 * std::max(1U, upstream.entry.slots) ? Obstacle::Slots : Obstacle::None;
+        return load.requests + (request.isLate ? 1 : 0) >= 2 * std::max(1U, upstream.entry.slots) ? Obstacle::Slots : Obstacle::None;
     if (load.requests >= upstream.entry.slots)
         return Obstacle::Slots;
     const auto memory = static_cast<double>(engine->cacheTokens) * this->settings.memoryShare;
@@ -370,7 +372,7 @@
         if (!load.uses(key))
             wanted += tokens;
     });
-    if (load.requests > 0 && static_cast<double>(wanted) > memory)
+    if (load.requests > 0 && static_cast<double>(wanted + kept) > memory)
         return Obstacle::Memory;
     const auto ahead = static_cast<double>(load.backlogAhead(classOf(request)));
     const bool isLate = ahead > 0 && ahead / this->tokensPerMillisecond * upstream.slowness > toMs(request.objective) * this->settings.backlogShare;
--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -529,3 +529,28 @@
         site.board.onStreamEnd(preferred, stream, 205ms, start + 1s);
     CHECK(site.choose(stream, start + 1s)->upstream == preferred.upstream);
 }
+
+TEST_CASE("a request that cannot be on time any more leaves room for one that can")
+{
+    // Load pattern: after a burst the late ones that still wait would fill whatever comes free, and make newcomers late as well.
+    Site site;
+    site.board.setUpstream(entryOf(1, model), start);
+    site.board.setUpstream(entryOf(2, plain), start);
+    auto request = prompt(30000, "first");
+    const auto first = *site.choose(request);
+    site.board.begin(first, request, start);
+    site.board.onFirstByte(first, request, 40ms, start);
+    auto late = prompt(40000, "second");
+    CHECK(site.choose(late));
+    late.isLate = true;
+    CHECK_FALSE(site.choose(late));
+    CHECK(site.refusal == PlacementRefusal::Full);
+    site.board.finish(first, request, true, AttemptResult::Answered, start);
+    CHECK(site.choose(late));
+    auto order = plainRequest();
+    for (int number = 0; number < 11; ++number)
+        site.board.begin(choiceOf("plain2"), order, start);
+    CHECK(site.choose(order));
+    order.isLate = true;
+    CHECK_FALSE(site.choose(order));
+}
