--- a/src/daemon/goldcrestctl.cc
+++ b/src/daemon/goldcrestctl.cc
@@ -2,6 +2,7 @@
 /// The operators' command-line tool.
 
 #include <cstdlib>
+#include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <thread>
@@ -11,6 +12,7 @@
 
 #include "daemon/clock.h"
 #include "daemon/http_client.h"
+#include "daemon/log_story.h"
 #include "daemon/settings_file.h"
 #include "goldcrestwood/catalog.h"
 #include "goldcrestwood/keys.h"
@@ -41,6 +43,8 @@
   upstream leave|return ID         stop or resume new work at an upstream
   state                            dump the state of the daemon
   metrics                          print the daemon's metrics
+  failures FILE...                 group the failed and late requests of daemons' logs by cause
+  explain ID FILE...               tell the story of one request from daemons' logs
   key ACCOUNT SECRET               print the salt and hash of a client account's key
 
 Exit codes: 0 done, 1 refused or conflict, 2 usage, 3 findings, 4 no answer,
@@ -195,6 +199,56 @@
     return exitOk;
 }
 
+/// Reads logs from the files that begin at word @p first. @return Nothing if one cannot be opened.
+tl::expected<LogLines, int> readLogs(const Options& options, std::size_t first)
+{
+    LogLines lines;
+    for (std::size_t index = first; index < options.words.size(); ++index) {
+        std::ifstream file(options.words[index]);
+        if (!file) {
+            std::cerr << "goldcrestctl: cannot open the log '" << options.words[index] << "'\n";
+            return tl::unexpected(exitUsage);
+        }
+        readLog(file, lines);
+    }
+    if (lines.unreadable > 0)
+        std::cerr << "goldcrestctl: " << lines.unreadable << " lines are no log events; passed over\n";
+    return lines;
+}
+
+int failures(const Options& options)
+{
+    const auto lines = readLogs(options, 1);
+    if (!lines)
+        return lines.error();
+    const auto groups = groupFailures(*lines);
+    if (options.output == "json") {
+        json rows = json::array();
+        for (const auto& group : groups)
+            rows.push_back({ { "cause", group.cause }, { "requests", group.requests }, { "example", group.example }, { "first", group.firstSecond }, { "last", group.lastSecond } });
+        std::cout << rows.dump(2) << '\n';
+        return exitOk;
+    }
+    std::cout << std::right << std::setw(8) << "REQUESTS"
+              << "  " << std::left << std::setw(18) << "EXAMPLE" << std::setw(16) << "FIRST" << std::setw(16) << "LAST"
+              << "CAUSE\n";
+    for (const auto& group : groups)
+        std::cout << std::right << std::setw(8) << group.requests << "  " << std::left << std::setw(18) << group.example << std::fixed << std::setprecision(1)
+                  << std::setw(16) << group.firstSecond << std::setw(16) << group.lastSecond << group.cause << '\n';
+    return exitOk;
+}
+
+int explain(const Options& options)
+{
+    const auto lines = readLogs(options, 2);
+    if (!lines)
+        return lines.error();
+    if (explainRequest(*lines, options.words[1], std::cout))
+        return exitOk;
+    std::cerr << "goldcrestctl: no line names the request '" << options.words[1] << "'; lines of requests that went well are limited\n";
+    return exitRefused;
+}
+
 int runCommand(const Options& options)
 {
     const auto& words = options.words;
@@ -218,6 +272,10 @@
         return report(call(options, "GET", "/metrics"));
     if (is("key", 3))
         return makeKey(options);
+    if (words.front() == "failures" && count >= 2)
+        return failures(options);
+    if (words.front() == "explain" && count >= 3)
+        return explain(options);
     std::cerr << "goldcrestctl: unknown command or wrong number of arguments; see --help\n";
     return exitUsage;
 }
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -82,6 +82,17 @@
         exchange.keepClient = false;
 }
 
+const char* Pipeline::lateness(const ClientExchange& exchange, const Attempt& attempt)
+{
+    const auto& route = *exchange.route;
+    const auto placed = attempt.choice.chosen - exchange.received;
+    if (attempt.result != AttemptResult::Answered)
+        return "";
+    if (placed + attempt.firstByte > route.objective)
+        return placed > attempt.firstByte ? "waited for a place" : "first token";
+    return route.gapObjective > Duration(0) && attempt.longestGap > route.gapObjective ? "pause" : "";
+}
+
 std::string Pipeline::obstacles(const ClientExchange& exchange) const
 {
     // Without a place to look for there is nothing in the way.
@@ -240,10 +251,11 @@
             exchange.mayHaveRun = true;
             ++exchange.runs;
         }
-        const bool isGood = attempt.result == AttemptResult::Answered && attempt.isRelayed;
+        const auto* late = lateness(exchange, attempt);
+        const bool isGood = attempt.result == AttemptResult::Answered && attempt.isRelayed && late[0] == '\0';
         edge::log(isGood ? LogClass::Routine : LogClass::Decision, "request_attempt",
             { { "request", exchange.info.id }, { "upstream", attempt.choice.upstream.value }, { "result", toString(attempt.result) },
-                { "status", static_cast<std::int64_t>(attempt.status) }, { "failure", attempt.failure }, { "detail", attempt.detail }, { "send", static_cast<std::int64_t>(exchange.sends) },
+                { "status", static_cast<std::int64_t>(attempt.status) }, { "failure", attempt.failure }, { "late", late }, { "detail", attempt.detail }, { "send", static_cast<std::int64_t>(exchange.sends) },
                 { "expected_ms", toMs(attempt.choice.expectedWait) }, { "missing", static_cast<std::int64_t>(attempt.choice.missingTokens) },
                 { "moved", static_cast<std::int64_t>(attempt.choice.movedTokens) }, { "prompt", static_cast<std::int64_t>(exchange.info.promptTokens) },
                 { "own", static_cast<std::int64_t>(exchange.info.parts.empty() ? 0 : exchange.info.parts.back().tokens) }, { "saves", !attempt.choice.saveTo.empty() },
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -30,6 +30,8 @@
     /// @return When a request that has not begun at @p choice must be withdrawn, since newer weights bind.
     std::optional<TimePoint> weightsDeadline(const ClientExchange& exchange, const PlacementChoice& choice) const;
     Task<> attempt(ClientExchange& exchange, Attempt& attempt);
+    /// @return Why an answer was late, for the log; empty if it was not. A caller that came back was late before.
+    static const char* lateness(const ClientExchange& exchange, const Attempt& attempt);
     /// @return What keeps upstreams from taking the request, for the log.
     std::string obstacles(const ClientExchange& exchange) const;
     /// The connection of an attempt that has ended may serve another.
--- a/support/check.sh
+++ b/support/check.sh
@@ -4,6 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 support/generate.py --check
+support/ablation --check
 git ls-files --cached --others --exclude-standard '*.h' '*.cc' | xargs clang-format --dry-run --Werror
 [ -e build/compile_commands.json ] || cmake -S . -B build -G Ninja >/dev/null
 if [ $# -gt 0 ]; then
