A request that an upstream broke off may wait again, for half of what its caller still gives

Ruled out: a proof that nothing was sent (the bytes left, the acknowledgement may be what was lost); a shorter silence (links that lose packets pause as long). Test: admission_test.

--- a/include/goldcrestwood/admission.h
+++ b/include/goldcrestwood/admission.h
@@ -36,6 +36,17 @@
     Duration expectedLifetime = std::chrono::seconds(10);
 };
 
+/// A place within this share of the time that an answer has is mostly soon enough: reading and the first token take the rest.
+inline constexpr double placeShare = 0.5;
+
+/// @param from When the request came, or came back from an upstream that did not serve it.
+/// @param end When its answer is late, or when nobody waits for it any more.
+/// @return Until when a place is soon enough.
+constexpr TimePoint placeNeededBy(TimePoint from, TimePoint end)
+{
+    return end <= from ? from : from + std::chrono::duration_cast<Duration>((end - from) * placeShare);
+}
+
 /// A request that waits for a place at one of a service's upstreams.
 struct Waiter {
     std::uint64_t id = 0; ///< Of the waiting, unique in one queue.
--- a/src/edge/service_queue.cc
+++ b/src/edge/service_queue.cc
@@ -9,8 +9,6 @@
 
 namespace {
 
-    /// A place within this share of the time that an answer has is mostly soon enough: reading and the first token take the rest.
-    constexpr double placeShare = 0.5;
     /// A service without any usable upstream is looked at again for so long: replicas are being replaced.
     constexpr Duration absencePatience = std::chrono::milliseconds(300);
 
@@ -27,17 +25,17 @@
     /// @return Until when a place still allows an answer on time.
     TimePoint onTimeUntil(const ClientExchange& exchange)
     {
-        return exchange.received + std::chrono::duration_cast<Duration>(exchange.route->objective * placeShare);
+        return placeNeededBy(exchange.received, exchange.received + exchange.route->objective);
     }
 
     /// @return Until when a place still serves the caller, who waits for an answer no longer than that.
-    TimePoint lastUseOf(const ClientExchange& exchange)
+    TimePoint lastUseOf(const ClientExchange& exchange, TimePoint now)
     {
         const auto& route = *exchange.route;
         auto end = exchange.deadline;
         if (route.kind == RequestKind::Stream)
             end = std::min(end, exchange.received + route.silenceLimit());
-        return exchange.received + std::chrono::duration_cast<Duration>((end - exchange.received) * placeShare);
+        return placeNeededBy(now, end);
     }
 
 } // namespace
@@ -52,16 +50,16 @@
     return choice;
 }
 
-Waiter ServiceQueues::describe(const ClientExchange& exchange)
+Waiter ServiceQueues::describe(const ClientExchange& exchange, TimePoint now)
 {
-    return { ++this->lastWaiter, exchange.rank, callerKey(exchange), exchange.received, onTimeUntil(exchange), lastUseOf(exchange) };
+    return { ++this->lastWaiter, exchange.rank, callerKey(exchange), exchange.received, onTimeUntil(exchange), lastUseOf(exchange, now) };
 }
 
 Task<std::optional<PlacementChoice>> ServiceQueues::place(ClientExchange& exchange, PlacementRefusal& refusal)
 {
     auto& queue = this->queues[exchange.placement.service];
     const auto now = monotonicNow();
-    auto waiter = this->describe(exchange);
+    auto waiter = this->describe(exchange, now);
     refusal = PlacementRefusal::Full;
     if (queue.admission.isNext(waiter, now))
         if (auto choice = this->tryAssign(exchange, refusal))
--- a/src/edge/service_queue.h
+++ b/src/edge/service_queue.h
@@ -38,7 +38,7 @@
     };
 
     std::optional<PlacementChoice> tryAssign(ClientExchange& exchange, PlacementRefusal& refusal);
-    Waiter describe(const ClientExchange& exchange);
+    Waiter describe(const ClientExchange& exchange, TimePoint now);
     Task<std::optional<PlacementChoice>> wait(ClientExchange& exchange, Queue& queue, const Waiter& waiter, PlacementRefusal& refusal);
 
     EdgeState& state;
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -52,6 +52,14 @@
     CHECK(queue.isNext(waiterOf(6, 160ms), start + 160ms));
 }
 
+TEST_CASE("a request that an upstream broke off has half of what its caller still gives")
+{
+    // Load pattern: an engine goes dark; what was sent there is known to be lost after a second, and all others are busy.
+    CHECK(placeNeededBy(start, start + 2s) == start + 1s);
+    CHECK(placeNeededBy(start + 1s, start + 2s) == start + 1500ms);
+    CHECK(placeNeededBy(start + 3s, start + 2s) == start + 3s);
+}
+
 TEST_CASE("whoever would wait in vain is refused at once, with a time at which the others have been served")
 {
     AdmissionQueue queue;
