--- a/src/daemon/log_story.cc
+++ b/src/daemon/log_story.cc
@@ -112,6 +112,7 @@
         group.lastSecond = std::max(group.lastSecond, second);
     }
     std::vector<FailureGroup> result;
+    result.reserve(groups.size());
     for (auto& [cause, group] : groups)
         result.push_back(std::move(group));
     std::stable_sort(result.begin(), result.end(), [](const auto& left, const auto& right) { return left.requests > right.requests; });
--- a/test/daemon/log_story_test.cc
+++ b/test/daemon/log_story_test.cc
@@ -16,7 +16,7 @@
     return lines;
 }
 
-const char* log = R"(built in 0.0 s
+const char* sample = R"(built in 0.0 s
   1.0 edge-1 {"time_ms":1500,"instance":"edge-1","event":"upstream_rests","upstream":"i-2","rest_ms":900}
   1.0 edge-1 {"time_ms":2000,"instance":"edge-1","event":"request_rejected","request":"a","status":503,"reason":"all upstreams are full","after_ms":400,"obstacles":"memory:7 resting:1"}
   1.0 edge-1 {"time_ms":1900,"instance":"edge-1","event":"request_attempt","request":"a","result":"refused","failure":"refused by the upstream","age_ms":300}
@@ -30,7 +30,7 @@
 
 TEST_CASE("failed and late requests are grouped by how they ended, with one to look at")
 {
-    const auto lines = linesOf(log);
+    const auto lines = linesOf(sample);
     CHECK(lines.unreadable == 1);
     const auto groups = groupFailures(lines);
     REQUIRE(groups.size() == 3);
@@ -41,7 +41,7 @@
 
 TEST_CASE("the story of a request has its lines in order and what its daemon came to believe")
 {
-    const auto lines = linesOf(log);
+    const auto lines = linesOf(sample);
     std::ostringstream output;
     REQUIRE(explainRequest(lines, "a", output));
     const auto story = output.str();
