Requests that cannot be told apart are not taken for callers that come back too soon

Cause, found by reading: a caller is known by account, target, own prompt part and body. A read has neither part nor body, so that after one refusal every caller of the same roster went behind all others of its rank until that caller's time. Change: a request without anything of its own is nobody's return. Test: admission_test (fails before).

--- a/include/goldcrestwood/admission.h
+++ b/include/goldcrestwood/admission.h
@@ -51,7 +51,7 @@
 struct Waiter {
     std::uint64_t id = 0; ///< Of the waiting, unique in one queue.
     std::uint32_t rank = 0; ///< 0 is the most urgent.
-    std::uint64_t caller = 0; ///< The same for a caller's request when it comes back.
+    std::uint64_t caller = 0; ///< The same for a caller's request when it comes back; 0 if that cannot be told.
     TimePoint arrived;
     TimePoint onTimeUntil; ///< With a place by then the answer can still be on time.
     TimePoint lastUse; ///< A place later than that serves nobody.
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -88,7 +88,7 @@
         this->lastReturn = std::min(this->lastReturn, now + this->settings.longestComeBack);
     }
     wait = std::chrono::duration_cast<Duration>(wait * (1 + this->settings.spread * (uniform(random) - 0.5)));
-    if (this->expected.size() < this->settings.mostExpected) {
+    if (waiter.caller != 0 && this->expected.size() < this->settings.mostExpected) {
         this->expected[waiter.caller] = { now, now + wait };
         this->expectedOrder.emplace_back(now + wait, waiter.caller);
     }
--- a/src/edge/service_queue.cc
+++ b/src/edge/service_queue.cc
@@ -12,9 +12,12 @@
     /// A service without any usable upstream is looked at again for so long: replicas are being replaced.
     constexpr Duration absencePatience = std::chrono::milliseconds(300);
 
-    /// @return What tells a caller's request apart from others, and is the same when it comes back with another id.
+    /// @return What tells a caller's request apart from others, and is the same when it comes back with another id; 0 if it
+    /// has nothing of its own, such as a read of what many read.
     std::uint64_t callerKey(const ClientExchange& exchange)
     {
+        if (exchange.info.parts.empty() && exchange.request.body().empty())
+            return 0;
         std::string text = exchange.account == nullptr ? std::string() : exchange.account->name.value;
         text += '\n' + std::string(exchange.request.target()) + '\n';
         if (!exchange.info.parts.empty())
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -52,6 +52,20 @@
     CHECK(queue.isNext(waiterOf(6, 160ms), start + 160ms));
 }
 
+TEST_CASE("requests that cannot be told apart are not taken for those that come back too soon")
+{
+    // Load pattern: many callers read the same roster, and one of them was refused.
+    AdmissionQueue queue;
+    Random random { 1 };
+    Waiter reader = waiterOf(1, 0ms);
+    reader.caller = 0;
+    queue.refuse(reader, start, random);
+    queue.add(waiterOf(2, 50ms), start + 50ms);
+    reader.id = 3;
+    reader.arrived = start + 40ms;
+    CHECK(queue.isNext(reader, start + 50ms));
+}
+
 TEST_CASE("a request that an upstream broke off has half of what its caller still gives")
 {
     // Load pattern: an engine goes dark; what was sent there is known to be lost after a second, and all others are busy.
