--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -482,7 +482,7 @@
         choices.push_back(*choice);
     }
     const auto uses = site.board.ownUses();
-    CHECK(uses.at(0).tokens == 20U * 200U);
+    CHECK(uses.at(0).tokens == 4000); // Twenty requests with 100 own tokens in and 100 out.
     CHECK(uses.at(0).parts.size() == 2);
     // The same parts at a peer add nothing, others do.
     const auto other = prompt(50000, "other");
