A request that finds no place asks for the end of rests alone

Cause, found by reading: each request that had to wait had all upstreams of its service counted by obstacle, loads included, to learn one time; at 4,500 upstreams that is a whole placement again on the path of an overload. Change: opensAt() stops at the first upstream that does not rest; obstacles are counted for the log of a refusal only. The comment on regions says its reason. Tests: upstream_notice_test, the same expectations.

--- a/include/goldcrestwood/peer_addresses.h
+++ b/include/goldcrestwood/peer_addresses.h
@@ -41,7 +41,7 @@
     }
 
 private:
-    /// Regions part for minutes (the brief).
+    /// Regions lose each other for minutes, several times a year.
     static constexpr Duration memory = std::chrono::minutes(15);
 
     struct Entry {
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -118,7 +118,6 @@
 /// Why a request finds no place.
 struct PlacementObstacles {
     std::map<Obstacle, std::uint32_t> upstreams; ///< How many each obstacle shuts out; each counts once.
-    std::optional<TimePoint> opensAt; ///< The soonest end of a rest, if rests shut out all that are left.
 
     /// @return The counts by name, as "memory:7 resting:1".
     std::string text() const;
@@ -177,6 +176,8 @@
 
     /// @return What keeps each upstream of the service from taking @p request.
     PlacementObstacles obstaclesOf(const PlacementRequest& request, const std::set<UpstreamId>& excluded, TimePoint now) const;
+    /// @return The soonest end of a rest, if rests shut out all upstreams that are left; any other may have room at any moment.
+    std::optional<TimePoint> opensAt(const PlacementRequest& request, const std::set<UpstreamId>& excluded, TimePoint now) const;
 
     /// An incarnation said in an answer that it leaves or wants to rest. Only that incarnation is meant, whoever has its
     /// name or address later.
--- a/src/edge/service_queue.cc
+++ b/src/edge/service_queue.cc
@@ -70,7 +70,7 @@
     if (refusal == PlacementRefusal::NoUpstream)
         waiter.lastUse = std::min(waiter.lastUse, std::max(waiter.onTimeUntil, exchange.received + absencePatience));
     // All that could serve the request have said when they want some again.
-    const auto opensAt = this->state.board.obstaclesOf(exchange.placement, exchange.tried, now).opensAt;
+    const auto opensAt = this->state.board.opensAt(exchange.placement, exchange.tried, now);
     if (opensAt && *opensAt >= waiter.lastUse) {
         exchange.comeBack = *opensAt - now;
         co_return std::nullopt;
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -393,13 +393,26 @@
         if (obstacle == Obstacle::None)
             obstacle = this->fullness(upstream, this->totalLoad(upstream, now), request, engine);
         ++result.upstreams[obstacle];
+    }
+    return result;
+}
+
+std::optional<TimePoint> UpstreamBoard::opensAt(const PlacementRequest& request, const std::set<UpstreamId>& excluded, TimePoint now) const
+{
+    std::optional<TimePoint> result;
+    const auto ids = this->byService.find(request.service);
+    if (ids == this->byService.end())
+        return result;
+    for (const auto& id : ids->second) {
+        if (excluded.contains(id))
+            continue;
+        const auto& upstream = this->upstreams.at(id);
+        const auto obstacle = this->obstacleAt(upstream, request, now);
         if (obstacle == Obstacle::Resting)
-            result.opensAt = std::min(result.opensAt.value_or(upstream.restUntil), upstream.restUntil);
+            result = std::min(result.value_or(upstream.restUntil), upstream.restUntil);
+        else if (obstacle != Obstacle::Leaving)
+            return std::nullopt;
     }
-    // Others may have room at any moment; only what has named its time is known to open then.
-    const auto closed = [](Obstacle obstacle) { return obstacle == Obstacle::Resting || obstacle == Obstacle::Leaving || obstacle == Obstacle::Tried; };
-    if (std::any_of(result.upstreams.begin(), result.upstreams.end(), [&](const auto& entry) { return !closed(entry.first); }))
-        result.opensAt.reset();
     return result;
 }
 
--- a/test/upstream_notice_test.cc
+++ b/test/upstream_notice_test.cc
@@ -54,11 +54,18 @@
         return this->board.choose(request, tried, now, this->refusal);
     }
 
-    PlacementObstacles obstacles(TimePoint now)
+    std::string obstacles(TimePoint now)
     {
         PlacementRequest request;
         request.service = plain;
-        return this->board.obstaclesOf(request, {}, now);
+        return this->board.obstaclesOf(request, {}, now).text();
+    }
+
+    std::optional<TimePoint> opensAt(TimePoint now)
+    {
+        PlacementRequest request;
+        request.service = plain;
+        return this->board.opensAt(request, {}, now);
     }
 
     PartDirectory parts;
@@ -143,11 +150,10 @@
     Site site(3);
     site.board.onNotice(one, 1, rests(1s), start);
     site.board.onNotice(two, 1, rests(2s), start);
-    CHECK_FALSE(site.obstacles(start).opensAt);
+    CHECK_FALSE(site.opensAt(start));
     site.board.onNotice(UpstreamId("i-3"), 1, leaves, start - 5s);
-    const auto obstacles = site.obstacles(start);
-    CHECK(obstacles.text() == "leaving:1 resting:2");
-    CHECK(obstacles.opensAt == start + 1s);
+    CHECK(site.obstacles(start) == "leaving:1 resting:2");
+    CHECK(site.opensAt(start) == start + 1s);
 }
 
 namespace {
