--- /dev/null
+++ b/src/upstream_board_obstacles.cc
@@ -0,0 +1,184 @@
+/// @file
+/// The part of the board that knows what keeps an upstream from taking a request, its own word included.
+
+#include <algorithm>
+
+#include "upstream_cost.h"
+
+namespace goldcrestwood {
+
+namespace {
+
+    /// A request leaves so long before a leaving upstream must be left alone.
+    constexpr Duration leavingMargin = std::chrono::milliseconds(250);
+
+} // namespace
+
+const char* toString(Obstacle obstacle)
+{
+    switch (obstacle) {
+    case Obstacle::None:
+        return "none";
+    case Obstacle::Tried:
+        return "tried";
+    case Obstacle::Leaving:
+        return "leaving";
+    case Obstacle::Resting:
+        return "resting";
+    case Obstacle::Evacuated:
+        return "evacuated";
+    case Obstacle::Ordered:
+        return "ordered";
+    case Obstacle::OldWeights:
+        return "old_weights";
+    case Obstacle::Cold:
+        return "cold";
+    case Obstacle::Slots:
+        return "slots";
+    case Obstacle::Memory:
+        return "memory";
+    case Obstacle::Backlog:
+        return "backlog";
+    }
+    return "unknown";
+}
+
+std::string PlacementObstacles::text() const
+{
+    std::string result;
+    for (const auto& [obstacle, count] : this->upstreams)
+        result += (result.empty() ? "" : " ") + std::string(toString(obstacle)) + ':' + std::to_string(count);
+    return result;
+}
+
+bool UpstreamBoard::onNotice(const UpstreamId& id, std::int64_t born, const UpstreamNotice& notice, TimePoint now)
+{
+    const auto found = this->upstreams.find(id);
+    if (found == this->upstreams.end() || found->second.entry.born != born)
+        return false;
+    auto& upstream = found->second;
+    const bool isLeavingNew = notice.isLeaving && !upstream.leavingSince;
+    if (isLeavingNew)
+        upstream.leavingSince = now;
+    // Each word binds for its own time, so that the longest one stands.
+    const bool isRestNew = notice.rest && now + *notice.rest > upstream.restUntil;
+    if (isRestNew)
+        upstream.restUntil = now + *notice.rest;
+    return isLeavingNew || isRestNew;
+}
+
+bool UpstreamBoard::isLastResort(const Upstream& upstream, TimePoint now) const
+{
+    return upstream.leavingSince && now - *upstream.leavingSince < this->bounds.drain - leavingMargin;
+}
+
+bool UpstreamBoard::mayBegin(const PlacementChoice& choice, TimePoint now) const
+{
+    const auto found = this->upstreams.find(choice.upstream);
+    if (found == this->upstreams.end() || found->second.entry.born != choice.born)
+        return true;
+    const auto& upstream = found->second;
+    if (now < upstream.restUntil)
+        return false;
+    return !upstream.leavingSince || (*upstream.leavingSince <= choice.chosen && this->isLastResort(upstream, now));
+}
+
+bool UpstreamBoard::isLeaving(const UpstreamId& id) const
+{
+    const auto found = this->upstreams.find(id);
+    return found != this->upstreams.end() && found->second.leavingSince;
+}
+
+Duration UpstreamBoard::restLeft(const UpstreamId& id, TimePoint now) const
+{
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? Duration(0) : std::max(Duration(0), found->second.restUntil - now);
+}
+
+std::vector<std::string> UpstreamBoard::leavingAddresses() const
+{
+    std::vector<std::string> result;
+    for (const auto& [id, upstream] : this->upstreams)
+        if (upstream.leavingSince)
+            result.push_back(upstream.entry.address);
+    return result;
+}
+
+Obstacle UpstreamBoard::obstacleAt(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const
+{
+    const auto& entry = upstream.entry;
+    if (entry.isDraining || (upstream.leavingSince && !this->isLastResort(upstream, now)))
+        return Obstacle::Leaving;
+    if (now < upstream.restUntil)
+        return Obstacle::Resting;
+    if (this->evacuated.contains(entry.domain))
+        return Obstacle::Evacuated;
+    if (this->ordered.contains(entry.id))
+        return Obstacle::Ordered;
+    if (request.leastWeights > 0) {
+        const auto weights = entry.weights.find(request.model);
+        if (weights == entry.weights.end() || weights->second < request.leastWeights)
+            return Obstacle::OldWeights;
+    }
+    return this->takesCold(upstream, now) ? Obstacle::None : Obstacle::Cold;
+}
+
+Obstacle UpstreamBoard::fullness(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const
+{
+    // One that comes later and can still be on time is as large, most likely.
+    const auto kept = request.isLate ? request.promptTokens + request.outputTokens : 0;
+    if (engine == nullptr)
+        return load.requests + (request.isLate ? 1 : 0) >= 2 * std::max(1U, upstream.entry.slots) ? Obstacle::Slots : Obstacle::None;
+    if (load.requests >= upstream.entry.slots)
+        return Obstacle::Slots;
+    const auto memory = static_cast<double>(engine->cacheTokens) * this->settings.memoryShare;
+    auto wanted = load.memory() + privateTokens(request);
+    forEachShared(request, scopeOf(upstream.entry, request), [&](std::uint32_t key, std::uint32_t tokens) {
+        if (!load.uses(key))
+            wanted += tokens;
+    });
+    if (load.requests > 0 && static_cast<double>(wanted + kept) > memory)
+        return Obstacle::Memory;
+    const auto ahead = static_cast<double>(load.backlogAhead(classOf(request)));
+    const bool isLate = ahead > 0 && ahead / this->tokensPerMillisecond * upstream.slowness > toMs(request.objective) * this->settings.backlogShare;
+    return isLate ? Obstacle::Backlog : Obstacle::None;
+}
+
+PlacementObstacles UpstreamBoard::obstaclesOf(const PlacementRequest& request, const std::set<UpstreamId>& excluded, TimePoint now) const
+{
+    PlacementObstacles result;
+    const auto ids = this->byService.find(request.service);
+    if (ids == this->byService.end())
+        return result;
+    const auto* service = this->serviceOf(request.service);
+    const auto* engine = service != nullptr && service->engine ? &*service->engine : nullptr;
+    for (const auto& id : ids->second) {
+        const auto& upstream = this->upstreams.at(id);
+        auto obstacle = excluded.contains(id) ? Obstacle::Tried : this->obstacleAt(upstream, request, now);
+        if (obstacle == Obstacle::None)
+            obstacle = this->fullness(upstream, this->totalLoad(upstream, now), request, engine);
+        ++result.upstreams[obstacle];
+    }
+    return result;
+}
+
+std::optional<TimePoint> UpstreamBoard::opensAt(const PlacementRequest& request, const std::set<UpstreamId>& excluded, TimePoint now) const
+{
+    std::optional<TimePoint> result;
+    const auto ids = this->byService.find(request.service);
+    if (ids == this->byService.end())
+        return result;
+    for (const auto& id : ids->second) {
+        if (excluded.contains(id))
+            continue;
+        const auto& upstream = this->upstreams.at(id);
+        const auto obstacle = this->obstacleAt(upstream, request, now);
+        if (obstacle == Obstacle::Resting)
+            result = std::min(result.value_or(upstream.restUntil), upstream.restUntil);
+        else if (obstacle != Obstacle::Leaving)
+            return std::nullopt;
+    }
+    return result;
+}
+
+} // namespace goldcrestwood
--- a/src/upstream_cost.h
+++ b/src/upstream_cost.h
@@ -3,9 +3,11 @@
 /// @file
 /// What the two halves of the board share: costs, weights and scopes.
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 
+#include "goldcrestwood/hash.h"
 #include "goldcrestwood/upstream_board.h"
 
 namespace goldcrestwood {
@@ -30,4 +32,27 @@
     return weightScope(request.model, weightsOf(entry, request.model)) + request.sharing;
 }
 
+/// @return The engine's class of a request.
+inline std::size_t classOf(const PlacementRequest& request)
+{
+    return engineClass(request.rank, request.promptTokens);
+}
+
+/// Calls @p visit with the key and the tokens of each part that the request shares: all but its last.
+template <typename Visit>
+void forEachShared(const PlacementRequest& request, const std::string& scope, Visit visit)
+{
+    for (std::size_t index = 0; index + 1 < request.parts.size(); ++index)
+        visit(static_cast<std::uint32_t>(stableHash(scope + '/' + request.parts[index].id)), request.parts[index].tokens);
+}
+
+/// @return Tokens that stand in an engine's memory for this request alone.
+inline std::uint64_t privateTokens(const PlacementRequest& request)
+{
+    std::uint64_t shared = 0;
+    for (std::size_t index = 0; index + 1 < request.parts.size(); ++index)
+        shared += request.parts[index].tokens;
+    return request.promptTokens - std::min(request.promptTokens, shared) + request.outputTokens;
+}
+
 } // namespace goldcrestwood
