Each decision on a further send is logged with the budget's inputs

1. a budget starts with the share of a daemon that is alone, until the next look at the peers; 2. a process that restarts forgets what it has taken in the window; 3. further sends are counted when they are decided and leave much later, many at once.

Nothing in the logs told the hypotheses apart. `further_send` now says the requests and further sends in the window, who shares the slack, what is left and how old the process is; a counter says how many were allowed.

--- a/include/goldcrestwood/send_budget.h
+++ b/include/goldcrestwood/send_budget.h
@@ -11,6 +11,16 @@
 
 namespace goldcrestwood {
 
+/// A budget at one moment: the inputs of a decision on a further send.
+struct SendBudgetAccount {
+    std::size_t requests = 0; ///< Of callers, in the window.
+    std::size_t taken = 0; ///< Further sends in the window.
+    std::size_t sharers = 0; ///< Daemons that share the slack.
+    double left = 0; ///< Further sends that are left.
+
+    bool operator==(const SendBudgetAccount&) const = default;
+};
+
 /// Budget of one daemon for one service, over a sliding window. Load pattern: many answers fail at the same time,
 /// and each further send adds to the load that makes them fail.
 class SendBudget {
@@ -25,6 +35,7 @@
     bool tryTake(TimePoint now);
     /// @return Further sends that are left in the window now.
     double left(TimePoint now);
+    SendBudgetAccount account(TimePoint now);
 
 private:
     void expire(TimePoint now);
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -80,6 +80,7 @@
 
     EdgeSettings settings;
     std::uint64_t incarnation = 0; ///< Start of the process, Unix microseconds.
+    TimePoint started = monotonicNow();
     std::shared_ptr<const RouteTable> routes; ///< Null until a configuration is known.
     PartDirectory parts;
     UpstreamBoard board;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -279,7 +279,21 @@
     if (exchange.headSent && !exchange.route->isResumable)
         return false;
     // A send that never left costs the service nothing.
-    return !attempt.isSent || this->state.sendBudget(exchange.placement.service).tryTake(monotonicNow());
+    return !attempt.isSent || this->takeFurtherSend(exchange);
+}
+
+bool Pipeline::takeFurtherSend(const ClientExchange& exchange)
+{
+    const auto now = monotonicNow();
+    auto& budget = this->state.sendBudget(exchange.placement.service);
+    const auto account = budget.account(now);
+    const bool isTaken = budget.tryTake(now);
+    edge::log(LogClass::Decision, "further_send",
+        { { "request", exchange.info.id }, { "service", exchange.placement.service.value }, { "allowed", isTaken },
+            { "window_requests", static_cast<std::int64_t>(account.requests) }, { "window_further_sends", static_cast<std::int64_t>(account.taken) },
+            { "sharers", static_cast<std::int64_t>(account.sharers) }, { "left", account.left }, { "uptime_ms", toMs(now - this->state.started) } });
+    this->state.metrics.count("goldcrest_further_sends_total", std::string("allowed=\"") + (isTaken ? "yes" : "no") + "\"");
+    return isTaken;
 }
 
 Task<> Pipeline::giveUp(ClientExchange& exchange, Attempt& attempt)
--- a/src/send_budget.cc
+++ b/src/send_budget.cc
@@ -38,6 +38,12 @@
     return bound - static_cast<double>(this->taken.size());
 }
 
+SendBudgetAccount SendBudget::account(TimePoint now)
+{
+    const auto remaining = this->left(now);
+    return { this->requests.size(), this->taken.size(), this->sharers, remaining };
+}
+
 void SendBudget::expire(TimePoint now)
 {
     while (!this->requests.empty() && now - this->requests.front() > this->bounds.retryWindow)
