A send budget made between two heartbeats has its share of a known site

What callers' services saw: on a service that a daemon is first asked for, that daemon could make a third of the site's further sends by itself, until its next heartbeat. Cause: budgets are made at the first request for a service, and only the look at the peers, each second at a large site, told them who shares the slack; until then a budget had the share of a daemon that is alone. Class: a default that stands in for what is already known. Fix: the budgets of a daemon are one object that knows the site's size, and gives it to each new one. The test failed before: sharers 1, 90 daemons with 58 further sends each where 220 are allowed to all (the old code had no place to ask; its `try_emplace` in the daemon's state is the same line of reasoning).

--- a/include/goldcrestwood/send_budget.h
+++ b/include/goldcrestwood/send_budget.h
@@ -5,8 +5,10 @@
 
 #include <cstddef>
 #include <deque>
+#include <map>
 
 #include "goldcrestwood/edge_settings.h"
+#include "goldcrestwood/names.h"
 #include "goldcrestwood/time.h"
 
 namespace goldcrestwood {
@@ -46,4 +48,20 @@
     std::deque<TimePoint> taken;
 };
 
+/// Budgets of one daemon by service; one that is made later knows what the others know.
+class SendBudgets {
+public:
+    explicit SendBudgets(SiteBounds bounds);
+
+    /// @param daemons Daemons of the site, this one included.
+    void setDaemons(std::size_t daemons);
+    /// @return The budget of @p service, made at its first use.
+    SendBudget& of(const ServiceName& service);
+
+private:
+    SiteBounds bounds;
+    std::size_t sharers = 1;
+    std::map<ServiceName, SendBudget> byService;
+};
+
 } // namespace goldcrestwood
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -43,15 +43,11 @@
         : settings(std::move(initial))
         , board(settings.instance, settings.bounds, parts)
         , random(seed)
+        , sendBudgets(settings.bounds)
     {
         this->incarnation = static_cast<std::uint64_t>(wallClock().count());
     }
 
-    SendBudget& sendBudget(const ServiceName& service)
-    {
-        return this->sendBudgets.try_emplace(service, this->settings.bounds).first->second;
-    }
-
     bool readsStore() const { return this->operatorContact.isReachable && this->registryContact.isReachable; }
 
     /// @return This daemon's rank among the feed's readers, if it is one of them.
@@ -108,7 +104,7 @@
     std::map<UpstreamId, TimePoint> lapsed;
     Random random;
     Metrics metrics;
-    std::map<ServiceName, SendBudget> sendBudgets;
+    SendBudgets sendBudgets;
 };
 
 } // namespace goldcrestwood
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -188,8 +188,7 @@
     auto all = this->daemons.instances();
     all.push_back({ this->state.settings.instance, capacityOf(this->state.settings) });
     this->state.board.setDaemons(std::move(all));
-    for (auto& [service, budget] : this->state.sendBudgets)
-        budget.setDaemons(this->siteSize());
+    this->state.sendBudgets.setDaemons(this->siteSize());
 }
 
 Task<> PeerLink::sendDatagrams()
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -184,7 +184,7 @@
     else
         placement.sharing = "all";
     ++this->state.requests;
-    this->state.sendBudget(*service).onRequest(exchange.received);
+    this->state.sendBudgets.of(*service).onRequest(exchange.received);
 
     exchange.limit.expires_at(exchange.deadline);
     // A timer that has fired cannot be cancelled any more; its handler may run after the request has ended.
@@ -285,7 +285,7 @@
 bool Pipeline::takeFurtherSend(const ClientExchange& exchange)
 {
     const auto now = monotonicNow();
-    auto& budget = this->state.sendBudget(exchange.placement.service);
+    auto& budget = this->state.sendBudgets.of(exchange.placement.service);
     const auto account = budget.account(now);
     const bool isTaken = budget.tryTake(now);
     edge::log(LogClass::Decision, "further_send",
--- a/src/send_budget.cc
+++ b/src/send_budget.cc
@@ -52,4 +52,24 @@
         this->taken.pop_front();
 }
 
+SendBudgets::SendBudgets(SiteBounds siteBounds)
+    : bounds(siteBounds)
+{
+}
+
+void SendBudgets::setDaemons(std::size_t daemons)
+{
+    this->sharers = daemons;
+    for (auto& [service, budget] : this->byService)
+        budget.setDaemons(daemons);
+}
+
+SendBudget& SendBudgets::of(const ServiceName& service)
+{
+    const auto [position, isNew] = this->byService.try_emplace(service, this->bounds);
+    if (isNew)
+        position->second.setDaemons(this->sharers);
+    return position->second;
+}
+
 } // namespace goldcrestwood
--- a/test/send_budget_test.cc
+++ b/test/send_budget_test.cc
@@ -45,3 +45,15 @@
     CHECK_FALSE(budget.tryTake(start + 9s));
     CHECK(budget.tryTake(start + 10100ms));
 }
+
+TEST_CASE("a budget that is made between two heartbeats has the share of a site of many daemons")
+{
+    SiteBounds bounds;
+    bounds.retrySlack = 220;
+    SendBudgets budgets(bounds);
+    budgets.setDaemons(90);
+    const TimePoint start { 100s };
+    auto& budget = budgets.of(ServiceName("crock-desk"));
+    CHECK(budget.account(start).sharers == 90);
+    CHECK(90 * budget.left(start) <= bounds.retrySlack);
+}
