A daemon that restarts takes no slack of the send budget in its first window

Cause: a new process has neither the memory of what the one before took in the same window nor, for its first second, the number of daemons that share the slack. Each of 90 daemons took a third of the site's slack at once, and what was taken before the restart counted for nobody. Class: state of a bound in time that lives in the process only. Fix: the share of the slack begins one window after the start of the process; until then only its own requests earn further sends. What the process before took is then out of every window, and the daemons are known. The part earned by requests needs no memory: each process counts its own requests and sends alike. The test failed before: 6160 further sends of 2220 allowed.

--- a/include/goldcrestwood/send_budget.h
+++ b/include/goldcrestwood/send_budget.h
@@ -27,7 +27,8 @@
 /// and each further send adds to the load that makes them fail.
 class SendBudget {
 public:
-    explicit SendBudget(SiteBounds bounds);
+    /// @param started Start of the process. An earlier one may have used the slack of the window before.
+    SendBudget(SiteBounds bounds, TimePoint started);
 
     /// @param daemons Daemons that share the slack, this one included.
     void setDaemons(std::size_t daemons) { this->sharers = daemons; }
@@ -42,7 +43,10 @@
 private:
     void expire(TimePoint now);
 
+    double slack(TimePoint now) const;
+
     SiteBounds bounds;
+    TimePoint started;
     std::size_t sharers = 1;
     std::deque<TimePoint> requests;
     std::deque<TimePoint> taken;
@@ -51,7 +55,7 @@
 /// Budgets of one daemon by service; one that is made later knows what the others know.
 class SendBudgets {
 public:
-    explicit SendBudgets(SiteBounds bounds);
+    SendBudgets(SiteBounds bounds, TimePoint started);
 
     /// @param daemons Daemons of the site, this one included.
     void setDaemons(std::size_t daemons);
@@ -60,6 +64,7 @@
 
 private:
     SiteBounds bounds;
+    TimePoint started;
     std::size_t sharers = 1;
     std::map<ServiceName, SendBudget> byService;
 };
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -43,7 +43,7 @@
         : settings(std::move(initial))
         , board(settings.instance, settings.bounds, parts)
         , random(seed)
-        , sendBudgets(settings.bounds)
+        , sendBudgets(settings.bounds, started)
     {
         this->incarnation = static_cast<std::uint64_t>(wallClock().count());
     }
--- a/src/send_budget.cc
+++ b/src/send_budget.cc
@@ -11,8 +11,9 @@
 
 } // namespace
 
-SendBudget::SendBudget(SiteBounds siteBounds)
+SendBudget::SendBudget(SiteBounds siteBounds, TimePoint processStart)
     : bounds(siteBounds)
+    , started(processStart)
 {
 }
 
@@ -33,11 +34,17 @@
 double SendBudget::left(TimePoint now)
 {
     this->expire(now);
-    const auto slack = this->bounds.retrySlack / static_cast<double>(this->sharers + unseenDaemons);
-    const auto bound = usableShare * (this->bounds.retryRatio * static_cast<double>(this->requests.size()) + slack);
+    const auto bound = usableShare * (this->bounds.retryRatio * static_cast<double>(this->requests.size()) + this->slack(now));
     return bound - static_cast<double>(this->taken.size());
 }
 
+double SendBudget::slack(TimePoint now) const
+{
+    if (now - this->started < this->bounds.retryWindow)
+        return 0;
+    return this->bounds.retrySlack / static_cast<double>(this->sharers + unseenDaemons);
+}
+
 SendBudgetAccount SendBudget::account(TimePoint now)
 {
     const auto remaining = this->left(now);
@@ -52,8 +59,9 @@
         this->taken.pop_front();
 }
 
-SendBudgets::SendBudgets(SiteBounds siteBounds)
+SendBudgets::SendBudgets(SiteBounds siteBounds, TimePoint processStart)
     : bounds(siteBounds)
+    , started(processStart)
 {
 }
 
@@ -66,7 +74,7 @@
 
 SendBudget& SendBudgets::of(const ServiceName& service)
 {
-    const auto [position, isNew] = this->byService.try_emplace(service, this->bounds);
+    const auto [position, isNew] = this->byService.try_emplace(service, this->bounds, this->started);
     if (isNew)
         position->second.setDaemons(this->sharers);
     return position->second;
--- a/test/send_budget_test.cc
+++ b/test/send_budget_test.cc
@@ -10,12 +10,12 @@
     // Load pattern: 100 requests a second over seven daemons for half a minute, each of which would be sent again.
     SiteBounds bounds;
     constexpr std::size_t daemons = 7;
-    std::vector<SendBudget> budgets(daemons, SendBudget(bounds));
+    const TimePoint start { 100s };
+    std::vector<SendBudget> budgets(daemons, SendBudget(bounds, start - bounds.retryWindow));
     for (auto& budget : budgets)
         budget.setDaemons(daemons);
     std::vector<TimePoint> sends;
     std::vector<TimePoint> requests;
-    const TimePoint start { 100s };
     for (int number = 0; number < 3000; ++number) {
         const auto now = start + number * 10ms;
         auto& budget = budgets[static_cast<std::size_t>(number) % daemons];
@@ -36,8 +36,8 @@
 {
     SiteBounds bounds;
     bounds.retrySlack = 30;
-    SendBudget budget(bounds);
     const TimePoint start { 100s };
+    SendBudget budget(bounds, start - bounds.retryWindow);
     int taken = 0;
     while (budget.tryTake(start))
         ++taken;
@@ -50,10 +50,41 @@
 {
     SiteBounds bounds;
     bounds.retrySlack = 220;
-    SendBudgets budgets(bounds);
-    budgets.setDaemons(90);
     const TimePoint start { 100s };
+    SendBudgets budgets(bounds, start - bounds.retryWindow);
+    budgets.setDaemons(90);
     auto& budget = budgets.of(ServiceName("crock-desk"));
     CHECK(budget.account(start).sharers == 90);
     CHECK(90 * budget.left(start) <= bounds.retrySlack);
 }
+
+TEST_CASE("daemons that all restart in the middle of a window stay within the site's budget")
+{
+    // Load pattern: replicas turn all away; all daemons lose power 4 s later, and know nobody for the first second.
+    constexpr std::size_t daemons = 90;
+    const ServiceName service("kiln-voice");
+    SiteBounds bounds;
+    bounds.retrySlack = 220;
+    const TimePoint start { 100s };
+    const auto restart = start + 4s;
+    std::vector<SendBudgets> budgets(daemons, SendBudgets(bounds, start - 1min));
+    for (auto& budget : budgets)
+        budget.setDaemons(daemons);
+    std::size_t requests = 0;
+    std::size_t sends = 0;
+    for (auto now = start; now < start + bounds.retryWindow; now += 10ms) {
+        if (now == restart)
+            budgets.assign(daemons, SendBudgets(bounds, restart));
+        if (now == restart + 1s)
+            for (auto& budget : budgets)
+                budget.setDaemons(daemons);
+        for (std::size_t each = 0; each < 10; ++each, ++requests) {
+            auto& budget = budgets[requests % daemons].of(service);
+            budget.onRequest(now);
+            while (budget.tryTake(now))
+                ++sends;
+        }
+    }
+    CHECK(static_cast<double>(sends) <= bounds.retryRatio * static_cast<double>(requests) + bounds.retrySlack);
+    CHECK(static_cast<double>(sends) > 0.5 * bounds.retryRatio * static_cast<double>(requests));
+}
