Parts of a site that cannot hear each other share one slack of the send budget

Cause: the slack was divided by the daemons that are heard now. A part of the site that is cut off hears fewer, and each part divided the whole slack anew; so did each daemon that is cut off alone. Class: a bound on a sum that takes who is heard for who is there. Fix: the most daemons that were known at one time share the slack. A site that shrinks for good keeps the smaller shares until its daemons restart.

--- a/include/goldcrestwood/send_budget.h
+++ b/include/goldcrestwood/send_budget.h
@@ -30,8 +30,8 @@
     /// @param started Start of the process. An earlier one may have used the slack of the window before.
     SendBudget(SiteBounds bounds, TimePoint started);
 
-    /// @param daemons Daemons that share the slack, this one included.
-    void setDaemons(std::size_t daemons) { this->sharers = daemons; }
+    /// @param daemons Daemons that are known now, this one included. The most that ever were share the slack.
+    void setDaemons(std::size_t daemons);
     /// A caller's request for the service arrived.
     void onRequest(TimePoint now);
     /// Takes one further send if the budget has it.
@@ -57,7 +57,7 @@
 public:
     SendBudgets(SiteBounds bounds, TimePoint started);
 
-    /// @param daemons Daemons of the site, this one included.
+    /// @param daemons Daemons that are known now, this one included.
     void setDaemons(std::size_t daemons);
     /// @return The budget of @p service, made at its first use.
     SendBudget& of(const ServiceName& service);
--- a/src/send_budget.cc
+++ b/src/send_budget.cc
@@ -1,5 +1,7 @@
 #include "goldcrestwood/send_budget.h"
 
+#include <algorithm>
+
 namespace goldcrestwood {
 
 namespace {
@@ -23,6 +25,12 @@
     this->expire(now);
 }
 
+void SendBudget::setDaemons(std::size_t daemons)
+{
+    // Those that are not heard any more may only be cut off, and go on sending.
+    this->sharers = std::max(this->sharers, daemons);
+}
+
 bool SendBudget::tryTake(TimePoint now)
 {
     if (this->left(now) < 1)
@@ -67,7 +75,7 @@
 
 void SendBudgets::setDaemons(std::size_t daemons)
 {
-    this->sharers = daemons;
+    this->sharers = std::max(this->sharers, daemons);
     for (auto& [service, budget] : this->byService)
         budget.setDaemons(daemons);
 }
--- a/test/send_budget_test.cc
+++ b/test/send_budget_test.cc
@@ -88,3 +88,16 @@
     CHECK(static_cast<double>(sends) <= bounds.retryRatio * static_cast<double>(requests) + bounds.retrySlack);
     CHECK(static_cast<double>(sends) > 0.5 * bounds.retryRatio * static_cast<double>(requests));
 }
+
+TEST_CASE("parts of a site that cannot hear each other share one slack")
+{
+    SiteBounds bounds;
+    bounds.retrySlack = 200;
+    const TimePoint start { 100s };
+    constexpr std::size_t daemons = 76;
+    constexpr std::size_t parts = 4;
+    SendBudget budget(bounds, start - bounds.retryWindow);
+    budget.setDaemons(daemons);
+    budget.setDaemons(daemons / parts);
+    CHECK(daemons * budget.left(start) <= bounds.retrySlack);
+}
