A further send counts in its window when it leaves

Cause: a further send was counted when it was decided; the request then waits for a place for up to half of the time its caller gives. What was decided over 16 s can leave in one window of 10 s, when full upstreams take work again. Class: a rate bound at the decision, not at the act. Fix: a further send is reserved at the decision, counts in the window from the moment it leaves, and is given back if it does not leave.

--- a/include/goldcrestwood/send_budget.h
+++ b/include/goldcrestwood/send_budget.h
@@ -17,6 +17,7 @@
 struct SendBudgetAccount {
     std::size_t requests = 0; ///< Of callers, in the window.
     std::size_t taken = 0; ///< Further sends in the window.
+    std::size_t reserved = 0; ///< Further sends that wait for a place.
     std::size_t sharers = 0; ///< Daemons that share the slack.
     double left = 0; ///< Further sends that are left.
 
@@ -34,8 +35,12 @@
     void setDaemons(std::size_t daemons);
     /// A caller's request for the service arrived.
     void onRequest(TimePoint now);
-    /// Takes one further send if the budget has it.
-    bool tryTake(TimePoint now);
+    /// Sets one further send aside if the budget has it; onSent() or release() must follow. A request may wait for long in between.
+    bool reserve(TimePoint now);
+    /// A reserved send leaves: it counts in the window from now on.
+    void onSent(TimePoint now);
+    /// A reserved send does not leave.
+    void release();
     /// @return Further sends that are left in the window now.
     double left(TimePoint now);
     SendBudgetAccount account(TimePoint now);
@@ -50,6 +55,7 @@
     std::size_t sharers = 1;
     std::deque<TimePoint> requests;
     std::deque<TimePoint> taken;
+    std::size_t reserved = 0;
 };
 
 /// Budgets of one daemon by service; one that is made later knows what the others know.
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -48,6 +48,7 @@
     std::set<UpstreamId> tried;
     std::uint32_t runs = 0; ///< Upstreams that may have run the request.
     std::uint32_t sends = 0;
+    bool hasReservedSend = false; ///< A further send is set aside in the service's budget.
     bool mayHaveRun = false;
     bool clientGone = false;
     bool timedOut = false;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -1,6 +1,7 @@
 #include "edge/pipeline.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "daemon/clock.h"
 #include "edge/attempt.h"
@@ -265,6 +266,8 @@
             break;
         exchange.tried.insert(attempt.choice.upstream);
     }
+    if (std::exchange(exchange.hasReservedSend, false))
+        this->state.sendBudgets.of(exchange.placement.service).release();
     if (!attempt.isRelayed)
         co_await this->giveUp(exchange, attempt);
     this->state.metrics.observe("goldcrest_request_seconds", std::string("kind=\"") + goldcrestwood::toString(exchange.route->kind) + "\"",
@@ -279,21 +282,21 @@
     if (exchange.headSent && !exchange.route->isResumable)
         return false;
     // A send that never left costs the service nothing.
-    return !attempt.isSent || this->takeFurtherSend(exchange);
+    return !attempt.isSent || this->reserveFurtherSend(exchange);
 }
 
-bool Pipeline::takeFurtherSend(const ClientExchange& exchange)
+bool Pipeline::reserveFurtherSend(ClientExchange& exchange)
 {
     const auto now = monotonicNow();
     auto& budget = this->state.sendBudgets.of(exchange.placement.service);
     const auto account = budget.account(now);
-    const bool isTaken = budget.tryTake(now);
+    exchange.hasReservedSend = budget.reserve(now);
     edge::log(LogClass::Decision, "further_send",
-        { { "request", exchange.info.id }, { "service", exchange.placement.service.value }, { "allowed", isTaken },
+        { { "request", exchange.info.id }, { "service", exchange.placement.service.value }, { "allowed", exchange.hasReservedSend },
             { "window_requests", static_cast<std::int64_t>(account.requests) }, { "window_further_sends", static_cast<std::int64_t>(account.taken) },
-            { "sharers", static_cast<std::int64_t>(account.sharers) }, { "left", account.left }, { "uptime_ms", toMs(now - this->state.started) } });
-    this->state.metrics.count("goldcrest_further_sends_total", std::string("allowed=\"") + (isTaken ? "yes" : "no") + "\"");
-    return isTaken;
+            { "reserved", static_cast<std::int64_t>(account.reserved) }, { "sharers", static_cast<std::int64_t>(account.sharers) }, { "left", account.left }, { "uptime_ms", toMs(now - this->state.started) } });
+    this->state.metrics.count("goldcrest_further_sends_total", std::string("allowed=\"") + (exchange.hasReservedSend ? "yes" : "no") + "\"");
+    return exchange.hasReservedSend;
 }
 
 Task<> Pipeline::giveUp(ClientExchange& exchange, Attempt& attempt)
@@ -347,6 +350,8 @@
     auto request = this->upstreamRequest(exchange, attempt.choice, attempt.lastEvent);
     attempt.isSent = true;
     ++exchange.sends;
+    if (std::exchange(exchange.hasReservedSend, false))
+        this->state.sendBudgets.of(exchange.placement.service).onSent(sent);
     ErrorCode error;
     co_await http::async_write(link.stream, request, into(error));
     // An upstream may answer before it has read a long request, so a failed write is no reason not to read.
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -48,8 +48,8 @@
     Task<bool> writeStreamPiece(ClientExchange& exchange, Attempt& attempt, const char* data, std::size_t size, bool more);
     Task<> forwardHeldAnswer(ClientExchange& exchange, Attempt& attempt);
     bool maySendAgain(ClientExchange& exchange, const Attempt& attempt);
-    /// Takes a further send from the service's budget.
-    bool takeFurtherSend(const ClientExchange& exchange);
+    /// Sets a further send aside in the service's budget.
+    bool reserveFurtherSend(ClientExchange& exchange);
     Task<> giveUp(ClientExchange& exchange, Attempt& attempt);
     http::request<http::string_body> upstreamRequest(const ClientExchange& exchange, const PlacementChoice& choice, const std::string& lastEvent) const;
 
--- a/src/send_budget.cc
+++ b/src/send_budget.cc
@@ -31,19 +31,30 @@
     this->sharers = std::max(this->sharers, daemons);
 }
 
-bool SendBudget::tryTake(TimePoint now)
+bool SendBudget::reserve(TimePoint now)
 {
     if (this->left(now) < 1)
         return false;
-    this->taken.push_back(now);
+    ++this->reserved;
     return true;
 }
 
+void SendBudget::onSent(TimePoint now)
+{
+    this->release();
+    this->taken.push_back(now);
+}
+
+void SendBudget::release()
+{
+    this->reserved -= std::min<std::size_t>(this->reserved, 1);
+}
+
 double SendBudget::left(TimePoint now)
 {
     this->expire(now);
     const auto bound = usableShare * (this->bounds.retryRatio * static_cast<double>(this->requests.size()) + this->slack(now));
-    return bound - static_cast<double>(this->taken.size());
+    return bound - static_cast<double>(this->taken.size() + this->reserved);
 }
 
 double SendBudget::slack(TimePoint now) const
@@ -56,7 +67,7 @@
 SendBudgetAccount SendBudget::account(TimePoint now)
 {
     const auto remaining = this->left(now);
-    return { this->requests.size(), this->taken.size(), this->sharers, remaining };
+    return { this->requests.size(), this->taken.size(), this->reserved, this->sharers, remaining };
 }
 
 void SendBudget::expire(TimePoint now)
--- a/test/send_budget_test.cc
+++ b/test/send_budget_test.cc
@@ -5,6 +5,18 @@
 using namespace goldcrestwood;
 using namespace std::chrono_literals;
 
+namespace {
+
+bool takeAtOnce(SendBudget& budget, TimePoint now)
+{
+    if (!budget.reserve(now))
+        return false;
+    budget.onSent(now);
+    return true;
+}
+
+} // namespace
+
 TEST_CASE("all daemons together stay within the site's budget when every answer fails")
 {
     // Load pattern: 100 requests a second over seven daemons for half a minute, each of which would be sent again.
@@ -21,7 +33,7 @@
         auto& budget = budgets[static_cast<std::size_t>(number) % daemons];
         budget.onRequest(now);
         requests.push_back(now);
-        if (budget.tryTake(now))
+        if (takeAtOnce(budget, now))
             sends.push_back(now);
         const auto inWindow = [&](const std::vector<TimePoint>& times) {
             return static_cast<double>(std::count_if(times.begin(), times.end(), [&](TimePoint time) { return now - time < bounds.retryWindow; }));
@@ -39,11 +51,11 @@
     const TimePoint start { 100s };
     SendBudget budget(bounds, start - bounds.retryWindow);
     int taken = 0;
-    while (budget.tryTake(start))
+    while (takeAtOnce(budget, start))
         ++taken;
     CHECK(taken > 0);
-    CHECK_FALSE(budget.tryTake(start + 9s));
-    CHECK(budget.tryTake(start + 10100ms));
+    CHECK_FALSE(takeAtOnce(budget, start + 9s));
+    CHECK(takeAtOnce(budget, start + 10100ms));
 }
 
 TEST_CASE("a budget that is made between two heartbeats has the share of a site of many daemons")
@@ -81,7 +93,7 @@
         for (std::size_t each = 0; each < 10; ++each, ++requests) {
             auto& budget = budgets[requests % daemons].of(service);
             budget.onRequest(now);
-            while (budget.tryTake(now))
+            while (takeAtOnce(budget, now))
                 ++sends;
         }
     }
@@ -101,3 +113,44 @@
     budget.setDaemons(daemons / parts);
     CHECK(daemons * budget.left(start) <= bounds.retrySlack);
 }
+
+TEST_CASE("further sends that wait for a place and leave together stay within the budget of their window")
+{
+    // Load pattern: all upstreams are full for 6 s while requests fail, then all that wait leave together.
+    SiteBounds bounds;
+    const TimePoint start { 100s };
+    const auto opening = start + 16s;
+    SendBudget budget(bounds, start - bounds.retryWindow);
+    std::size_t waiting = 0;
+    std::size_t sends = 0;
+    std::size_t requests = 0;
+    for (auto now = start; now < opening + 4s; now += 10ms) {
+        budget.onRequest(now);
+        const bool isInWindow = now >= opening - 6s;
+        requests += isInWindow ? 1 : 0;
+        while (budget.reserve(now)) {
+            if (now < opening) {
+                ++waiting;
+                continue;
+            }
+            budget.onSent(now);
+            ++sends;
+        }
+        for (; now >= opening && waiting > 0; --waiting, ++sends)
+            budget.onSent(now);
+    }
+    CHECK(static_cast<double>(sends) <= bounds.retryRatio * static_cast<double>(requests) + bounds.retrySlack);
+    CHECK(sends > 0);
+}
+
+TEST_CASE("a further send that does not leave is given back")
+{
+    SiteBounds bounds;
+    const TimePoint start { 100s };
+    SendBudget budget(bounds, start - bounds.retryWindow);
+    const auto before = budget.account(start);
+    REQUIRE(budget.reserve(start));
+    CHECK(budget.account(start) != before);
+    budget.release();
+    CHECK(budget.account(start) == before);
+}
