After a takeover a request waits for the new version

Found by reading. Cause: a request that found the new version full fell back to an old replica also after the takeover, though old replicas stop at `complete` and would break it off. Class: a rule for the trial applied beyond it. Fix: which version a request may have is one decision of the roll-out (`demandFor`): the way back to the old version belongs to the trial alone, and if no replica of the new version is left any may serve. The test failed to compile before, as the decision stood in the daemon's queue, out of reach of tests.

--- a/include/goldcrestwood/rollout.h
+++ b/include/goldcrestwood/rollout.h
@@ -34,6 +34,15 @@
 /// @return The name of @p state in logs.
 const char* toString(RolloutState state);
 
+/// What a request asks of the software version of its upstream; empty: anything.
+struct VersionDemand {
+    std::string wanted;
+    std::string avoided;
+    bool isTrial = false; ///< The old version stays the way if the wanted one has no place.
+
+    bool operator==(const VersionDemand&) const = default;
+};
+
 struct RolloutSettings {
     /// Share of the bound on exposure that the trial uses up to the takeover; the rest is for the time after it.
     double trialShare = 0.5;
@@ -84,8 +93,10 @@
     /// @return Whether the old version gets no new request.
     bool hasTakenOver(TimePoint now) const;
     /// @param requestId The same request always comes to the same side.
-    /// @return Whether the new version may take the request.
-    bool mayTryTarget(const std::string& requestId, TimePoint now) const;
+    /// @param isFirstTry Whether the request has been nowhere yet; a trial is not repeated.
+    /// @param readyTargets Upstreams of the new version that take requests.
+    /// @param readyOthers Those of older versions.
+    VersionDemand demandFor(const std::string& requestId, bool isFirstTry, std::size_t readyTargets, std::size_t readyOthers, TimePoint now) const;
     /// @return Whether the roll-out has ended so long ago that no upstream of the old version is left.
     bool isForgotten(TimePoint now) const;
     /// @return Whether the old upstreams may be stopped.
@@ -112,6 +123,8 @@
     using Outcomes = std::map<std::pair<std::string, bool>, RolloutOutcomes>;
 
     TimePoint takeover() const;
+    /// @return Whether the new version may take the request.
+    bool mayTryTarget(const std::string& requestId, TimePoint now) const;
     /// @return Whether the new version is surely worse.
     bool isWorse(const RolloutOutcomes& target, const RolloutOutcomes& others) const;
     /// @return Whether the new version is most likely not worse.
--- a/src/edge/service_queue.cc
+++ b/src/edge/service_queue.cc
@@ -48,10 +48,11 @@
 {
     const auto now = monotonicNow();
     exchange.placement.isLate = now >= onTimeUntil(exchange);
-    this->demandVersion(exchange, now);
+    const auto demand = this->demandVersion(exchange, now);
+    exchange.placement.wantedVersion = demand.wanted;
+    exchange.placement.avoidedVersion = demand.avoided;
     auto choice = this->state.board.choose(exchange.placement, exchange.tried, now, refusal);
-    if (!choice && !exchange.placement.wantedVersion.empty()) {
-        // The old version stays the way for a request that its trial does not take.
+    if (!choice && demand.isTrial) {
         exchange.placement.avoidedVersion = std::exchange(exchange.placement.wantedVersion, {});
         choice = this->state.board.choose(exchange.placement, exchange.tried, now, refusal);
     }
@@ -60,22 +61,15 @@
     return choice;
 }
 
-void ServiceQueues::demandVersion(ClientExchange& exchange, TimePoint now) const
+VersionDemand ServiceQueues::demandVersion(const ClientExchange& exchange, TimePoint now) const
 {
-    auto& placement = exchange.placement;
-    placement.wantedVersion.clear();
-    placement.avoidedVersion.clear();
-    const auto* rollout = this->state.rolloutOf(placement.service);
-    if (rollout == nullptr || rollout->isForgotten(now))
-        return;
+    const auto& service = exchange.placement.service;
+    const auto* rollout = this->state.rolloutOf(service);
+    if (rollout == nullptr)
+        return {};
     const auto& target = rollout->order().target;
-    const bool hasOthers = this->state.board.readyCount(placement.service, target, false) > 0;
-    // Whoever has tried in vain is not tried on again.
-    const bool isTrial = rollout->hasTakenOver(now) || exchange.tried.empty();
-    if (isTrial && rollout->mayTryTarget(exchange.info.id, now))
-        placement.wantedVersion = target;
-    else if (hasOthers)
-        placement.avoidedVersion = target;
+    const auto& board = this->state.board;
+    return rollout->demandFor(exchange.info.id, exchange.tried.empty(), board.readyCount(service, target, true), board.readyCount(service, target, false), now);
 }
 
 Waiter ServiceQueues::describe(const ClientExchange& exchange, TimePoint now)
--- a/src/edge/service_queue.h
+++ b/src/edge/service_queue.h
@@ -38,7 +38,7 @@
     };
 
     /// A roll-out says which versions may take the request now.
-    void demandVersion(ClientExchange& exchange, TimePoint now) const;
+    VersionDemand demandVersion(const ClientExchange& exchange, TimePoint now) const;
     std::optional<PlacementChoice> tryAssign(ClientExchange& exchange, PlacementRefusal& refusal);
     Waiter describe(const ClientExchange& exchange, TimePoint now);
     Task<std::optional<PlacementChoice>> wait(ClientExchange& exchange, Queue& queue, const Waiter& waiter, PlacementRefusal& refusal);
--- a/src/rollout.cc
+++ b/src/rollout.cc
@@ -100,12 +100,22 @@
     return this->hasTakenOver(now) && now >= this->takeover() + std::chrono::duration_cast<Duration>(this->ordered.duration * this->settings.drainShare);
 }
 
+VersionDemand Rollout::demandFor(const std::string& requestId, bool isFirstTry, std::size_t readyTargets, std::size_t readyOthers, TimePoint now) const
+{
+    const auto& target = this->ordered.target;
+    if (this->isForgotten(now))
+        return {};
+    if (this->hasTakenOver(now))
+        return readyTargets > 0 ? VersionDemand { target, {}, false } : VersionDemand {};
+    if (isFirstTry && this->mayTryTarget(requestId, now))
+        return { target, {}, true };
+    return readyOthers > 0 ? VersionDemand { {}, target, false } : VersionDemand {};
+}
+
 bool Rollout::mayTryTarget(const std::string& requestId, TimePoint now) const
 {
     if (this->reverted || !this->since)
         return false;
-    if (this->hasTakenOver(now))
-        return true;
     constexpr std::uint64_t steps = 10000;
     const auto trial = this->bounds.exposeShare * this->settings.trialShare;
     return now < *this->since + this->ordered.duration
--- a/test/rollout_test.cc
+++ b/test/rollout_test.cc
@@ -47,6 +47,11 @@
     };
 }
 
+bool isSentToTarget(const Rollout& rollout, const std::string& requestId, TimePoint now)
+{
+    return rollout.demandFor(requestId, true, 9, 9, now).wanted == order.target;
+}
+
 struct Day {
     std::size_t requests = 0;
     std::size_t exposed = 0;
@@ -75,7 +80,7 @@
         }
         auto& daemon = site[day.requests % daemons];
         const auto route = static_cast<int>(day.requests % 3);
-        const bool isTarget = daemon.mayTryTarget(std::to_string(seed) + "-" + std::to_string(day.requests), now);
+        const bool isTarget = isSentToTarget(daemon, std::to_string(seed) + "-" + std::to_string(day.requests), now);
         ++day.requests;
         const auto answer = isTarget ? target(random, now, route) : others(random, now, route);
         daemon.onOutcome({ "route-" + std::to_string(route), isTarget, answer.isFailure, answer.ratio });
@@ -140,7 +145,7 @@
     const auto tried = [&] {
         std::size_t count = 0;
         for (int number = 0; number < 1000; ++number)
-            count += rollout.mayTryTarget(std::to_string(number), start + 5s) ? 1 : 0;
+            count += isSentToTarget(rollout, std::to_string(number), start + 5s) ? 1 : 0;
         return count;
     };
     CHECK(tried() == 0);
@@ -186,3 +191,16 @@
     CHECK_FALSE(rollout.isReverted());
     CHECK_FALSE(rollout.isApproved());
 }
+
+TEST_CASE("after the takeover a request waits for the new version rather than begin at an old one that is about to stop")
+{
+    Rollout rollout(order, 5, start, SiteBounds {});
+    for (int answer = 0; answer < 100; ++answer)
+        for (const bool isTarget : { false, true })
+            rollout.onOutcome({ "route", isTarget, false, 1.0 });
+    REQUIRE(rollout.judge(9, 9, start + 14s));
+    const auto late = start + 14800ms;
+    CHECK(rollout.demandFor("any", false, 9, 9, late) == VersionDemand { "v2", {}, false });
+    CHECK(rollout.demandFor("any", false, 0, 9, late) == VersionDemand {});
+    CHECK(rollout.demandFor("any", false, 9, 9, start + 14s) == VersionDemand { {}, "v2", false });
+}
