The first processes of a site have their slack of the send budget at once

Cause: the start of the process was taken for a restart. Fix: the platform's settings tell the first start of the whole system (`bootstrap`); no process ran before it, so nothing can have been taken. The stand-in's settings say so now, as the platform's do; no check was changed. The tests failed before; after: process_edge, process_rollout, process_soak and process_streams tests pass, the unit test of the budget too.

--- a/include/goldcrestwood/edge_settings.h
+++ b/include/goldcrestwood/edge_settings.h
@@ -44,6 +44,7 @@
     std::string peerAddress; ///< Other daemons connect here.
     std::vector<std::string> seeds; ///< Peer addresses of a few daemons; may be stale.
     std::string storeAddress; ///< The platform's metadata store.
+    bool isFirstStart = false; ///< The whole site starts for the first time: no process of it ran before.
     double processorShare = 1; ///< Of one core.
     double linkMegabits = 0; ///< Of the machine's link, a second; 0: not told.
     SiteBounds bounds;
--- a/include/goldcrestwood/send_budget.h
+++ b/include/goldcrestwood/send_budget.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <optional>
 
 #include "goldcrestwood/edge_settings.h"
 #include "goldcrestwood/names.h"
@@ -28,8 +29,8 @@
 /// and each further send adds to the load that makes them fail.
 class SendBudget {
 public:
-    /// @param started Start of the process. An earlier one may have used the slack of the window before.
-    SendBudget(SiteBounds bounds, TimePoint started);
+    /// @param started Start of the process; nothing if no process ran before it, which may have used the slack of its window.
+    SendBudget(SiteBounds bounds, std::optional<TimePoint> started);
 
     /// @param daemons Daemons that are known now, this one included. The most that ever were share the slack.
     void setDaemons(std::size_t daemons);
@@ -51,7 +52,7 @@
     double slack(TimePoint now) const;
 
     SiteBounds bounds;
-    TimePoint started;
+    std::optional<TimePoint> started;
     std::size_t sharers = 1;
     std::deque<TimePoint> requests;
     std::deque<TimePoint> taken;
@@ -61,7 +62,7 @@
 /// Budgets of one daemon by service; one that is made later knows what the others know.
 class SendBudgets {
 public:
-    SendBudgets(SiteBounds bounds, TimePoint started);
+    SendBudgets(SiteBounds bounds, std::optional<TimePoint> started);
 
     /// @param daemons Daemons that are known now, this one included.
     void setDaemons(std::size_t daemons);
@@ -70,7 +71,7 @@
 
 private:
     SiteBounds bounds;
-    TimePoint started;
+    std::optional<TimePoint> started;
     std::size_t sharers = 1;
     std::map<ServiceName, SendBudget> byService;
 };
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -44,7 +44,7 @@
         : settings(std::move(initial))
         , board(settings.instance, settings.bounds, parts)
         , random(seed)
-        , sendBudgets(settings.bounds, started)
+        , sendBudgets(settings.bounds, settings.isFirstStart ? std::nullopt : std::optional(started))
     {
         this->incarnation = static_cast<std::uint64_t>(wallClock().count());
     }
--- a/src/send_budget.cc
+++ b/src/send_budget.cc
@@ -13,7 +13,7 @@
 
 } // namespace
 
-SendBudget::SendBudget(SiteBounds siteBounds, TimePoint processStart)
+SendBudget::SendBudget(SiteBounds siteBounds, std::optional<TimePoint> processStart)
     : bounds(siteBounds)
     , started(processStart)
 {
@@ -59,7 +59,7 @@
 
 double SendBudget::slack(TimePoint now) const
 {
-    if (now - this->started < this->bounds.retryWindow)
+    if (this->started && now - *this->started < this->bounds.retryWindow)
         return 0;
     return this->bounds.retrySlack / static_cast<double>(this->sharers + unseenDaemons);
 }
@@ -78,7 +78,7 @@
         this->taken.pop_front();
 }
 
-SendBudgets::SendBudgets(SiteBounds siteBounds, TimePoint processStart)
+SendBudgets::SendBudgets(SiteBounds siteBounds, std::optional<TimePoint> processStart)
     : bounds(siteBounds)
     , started(processStart)
 {
--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -330,6 +330,7 @@
 node = "{node}"
 zone = "{zone}"
 region = "here"
+bootstrap = true
 ip = "{ip}"
 seeds = [{seeds}]
 [listen]
--- a/test/send_budget_test.cc
+++ b/test/send_budget_test.cc
@@ -154,3 +154,13 @@
     budget.release();
     CHECK(budget.account(start) == before);
 }
+
+TEST_CASE("the first processes of a site have their slack at once, a restarted one after a window")
+{
+    const SiteBounds bounds;
+    const TimePoint start { 100s };
+    CHECK(SendBudget(bounds, std::nullopt).reserve(start));
+    SendBudget restarted(bounds, start);
+    CHECK_FALSE(restarted.reserve(start + bounds.retryWindow - 1ms));
+    CHECK(restarted.reserve(start + bounds.retryWindow));
+}
