The stand-in tells the first start of a process from a later one

Cause: its settings said first start at each start, so that the soak and the process tests played no restarted daemon as the platform does. Change: a daemon that starts again gets bootstrap = false.

--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -367,6 +367,8 @@
         self.process = None
 
     def start(self):
+        if self.process:  # As the platform tells a process that starts again.
+            self.settings.write_text(self.settings.read_text().replace("bootstrap = true", "bootstrap = false"))
         environment = {**os.environ, "GOLDCRESTWOOD_NODE_FILE": str(self.settings)}
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen([BUILD / "goldcrestd", "edge"], stdout=log, stderr=log, env=environment)
