What a request earns of the send budget lapses soon, whoever spends it

What callers see: repeats beyond the site's budget (BUDGET), taking the places of first attempts at services that already turn work away.

Cause: each daemon held its further sends against its own requests of a whole window. If the process restarts, or its callers go to another daemon, the same requests, or those of the window before, earn a second time. Class: a bound in time over the whole site, kept in the memory of one process.

Evidence: two tests that fail on: all of 90 daemons restart 5 s after replicas began to turn all away, behind a calm window: 250 further sends too many; half of the daemons' callers move a second after that: 160 too many.

Change: a request earns a part of a further send that lapses after a fifth of the window; so the sum over all daemons follows the requests of 1.2 windows, whoever spends it. Only the slack is remembered for a window.

--- a/include/goldcrestwood/send_budget.h
+++ b/include/goldcrestwood/send_budget.h
@@ -16,8 +16,8 @@
 
 /// A budget at one moment: the inputs of a decision on a further send.
 struct SendBudgetAccount {
-    std::size_t requests = 0; ///< Of callers, in the window.
-    std::size_t taken = 0; ///< Further sends in the window.
+    double earned = 0; ///< Further sends that requests of callers have earned and that have not lapsed.
+    double slack = 0; ///< This daemon's share of the slack that is left; negative if more left than was earned.
     std::size_t reserved = 0; ///< Further sends that wait for a place.
     std::size_t sharers = 0; ///< Daemons that share the slack.
     double left = 0; ///< Further sends that are left.
@@ -27,6 +27,10 @@
 
 /// Budget of one daemon for one service, over a sliding window. Load pattern: many answers fail at the same time,
 /// and each further send adds to the load that makes them fail.
+///
+/// Each request of a caller earns a part of a further send, which lapses soon. So the sum over all daemons follows the
+/// requests of little more than a window, whichever daemons they came to and whether those restarted since.
+/// Only the slack needs the memory of a whole window.
 class SendBudget {
 public:
     /// @param started Start of the process; nothing if no process ran before it, which may have used the slack of its window.
@@ -38,24 +42,31 @@
     void onRequest(TimePoint now);
     /// Sets one further send aside if the budget has it; onSent() or release() must follow. A request may wait for long in between.
     bool reserve(TimePoint now);
-    /// A reserved send leaves: it counts in the window from now on.
+    /// A reserved send leaves: it takes what lapses first.
     void onSent(TimePoint now);
     /// A reserved send does not leave.
     void release();
-    /// @return Further sends that are left in the window now.
+    /// @return Further sends that are left now.
     double left(TimePoint now);
     SendBudgetAccount account(TimePoint now);
 
 private:
+    /// A part of a further send, and when it was earned or taken.
+    struct Part {
+        TimePoint at;
+        double size;
+    };
+
     void expire(TimePoint now);
 
-    double slack(TimePoint now) const;
+    /// @return This daemon's share of the slack that is left.
+    double slackLeft(TimePoint now) const;
 
     SiteBounds bounds;
     std::optional<TimePoint> started;
     std::size_t sharers = 1;
-    std::deque<TimePoint> requests;
-    std::deque<TimePoint> taken;
+    std::deque<Part> earned; ///< By requests; not taken yet.
+    std::deque<Part> slackTaken; ///< By sends in the window.
     std::size_t reserved = 0;
 };
 
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -310,8 +310,7 @@
     exchange.hasReservedSend = budget.reserve(now);
     edge::log(LogClass::Decision, "further_send",
         { { "request", exchange.info.id }, { "service", exchange.placement.service.value }, { "allowed", exchange.hasReservedSend },
-            { "window_requests", static_cast<std::int64_t>(account.requests) }, { "window_further_sends", static_cast<std::int64_t>(account.taken) },
-            { "reserved", static_cast<std::int64_t>(account.reserved) }, { "sharers", static_cast<std::int64_t>(account.sharers) }, { "left", account.left }, { "uptime_ms", toMs(now - this->state.started) } });
+            { "earned", account.earned }, { "slack", account.slack }, { "reserved", static_cast<std::int64_t>(account.reserved) }, { "sharers", static_cast<std::int64_t>(account.sharers) }, { "left", account.left }, { "uptime_ms", toMs(now - this->state.started) } });
     this->state.metrics.count("goldcrest_further_sends_total", std::string("allowed=\"") + (exchange.hasReservedSend ? "yes" : "no") + "\"");
     return exchange.hasReservedSend;
 }
--- a/test/send_budget_test.cc
+++ b/test/send_budget_test.cc
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include "goldcrestwood/send_budget.h"
@@ -15,6 +18,43 @@
     return true;
 }
 
+/// Requests and further sends of a whole site, and the bound on any window of them.
+class SiteRecord {
+public:
+    explicit SiteRecord(SiteBounds siteBounds)
+        : bounds(siteBounds)
+    {
+    }
+
+    void onRequest(TimePoint now) { this->requests.push_back(now); }
+    void onSent(TimePoint now) { this->sends.push_back(now); }
+
+    /// @return The most further sends in a window beyond what its requests and the slack allow; negative if there is room.
+    /// Requests count in the window itself, the one before it or the one half a window before it, whichever has most.
+    double excess() const
+    {
+        const auto window = this->bounds.retryWindow;
+        double most = -this->bounds.retrySlack;
+        for (const auto end : this->sends) {
+            const auto known = std::max({ this->inWindow(this->requests, end), this->inWindow(this->requests, end - window / 2), this->inWindow(this->requests, end - window) });
+            most = std::max(most, this->inWindow(this->sends, end) - this->bounds.retryRatio * known - this->bounds.retrySlack);
+        }
+        return most;
+    }
+
+private:
+    /// @return Entries of the sorted @p times in the window that ends at @p end.
+    double inWindow(const std::vector<TimePoint>& times, TimePoint end) const
+    {
+        const auto from = std::upper_bound(times.begin(), times.end(), end - this->bounds.retryWindow);
+        return static_cast<double>(std::upper_bound(from, times.end(), end) - from);
+    }
+
+    SiteBounds bounds;
+    std::vector<TimePoint> requests;
+    std::vector<TimePoint> sends;
+};
+
 } // namespace
 
 TEST_CASE("all daemons together stay within the site's budget when every answer fails")
@@ -101,6 +141,63 @@
     CHECK(static_cast<double>(sends) > 0.5 * bounds.retryRatio * static_cast<double>(requests));
 }
 
+TEST_CASE("daemons that all restart after a calm window stay within the site's budget")
+{
+    // Load pattern: nothing fails for a window, then replicas turn all away; all daemons lose power 5 s later.
+    constexpr std::size_t daemons = 90;
+    const ServiceName service("kiln-voice");
+    SiteBounds bounds;
+    bounds.retrySlack = 220;
+    const TimePoint start { 100s };
+    const auto failure = start + bounds.retryWindow;
+    const auto restart = failure + 5s;
+    std::vector<SendBudgets> budgets(daemons, SendBudgets(bounds, start - 1min));
+    for (auto& budget : budgets)
+        budget.setDaemons(daemons);
+    SiteRecord record(bounds);
+    std::size_t number = 0;
+    for (auto now = start; now < restart + bounds.retryWindow; now += 10ms) {
+        if (now == restart)
+            budgets.assign(daemons, SendBudgets(bounds, restart));
+        if (now == restart + 1s)
+            for (auto& budget : budgets)
+                budget.setDaemons(daemons);
+        for (std::size_t each = 0; each < 8; ++each, ++number) {
+            auto& budget = budgets[number % daemons].of(service);
+            budget.onRequest(now);
+            record.onRequest(now);
+            while (now >= failure && takeAtOnce(budget, now))
+                record.onSent(now);
+        }
+    }
+    CHECK(record.excess() <= 0);
+}
+
+TEST_CASE("callers that come to other daemons while everything fails do not raise the site's budget")
+{
+    // Load pattern: replicas turn all away; half of the daemons lose power a second later and their callers come to the others.
+    constexpr std::size_t daemons = 90;
+    SiteBounds bounds;
+    bounds.retrySlack = 220;
+    const TimePoint start { 100s };
+    const auto failure = start + bounds.retryWindow;
+    const auto move = failure + 1s;
+    std::vector<SendBudget> budgets(daemons, SendBudget(bounds, start - 1min));
+    for (auto& budget : budgets)
+        budget.setDaemons(daemons);
+    SiteRecord record(bounds);
+    std::size_t number = 0;
+    for (auto now = start; now < move + bounds.retryWindow; now += 10ms)
+        for (std::size_t each = 0; each < 8; ++each, ++number) {
+            auto& budget = budgets[number % (now < move ? daemons : daemons / 2)];
+            budget.onRequest(now);
+            record.onRequest(now);
+            while (now >= failure && takeAtOnce(budget, now))
+                record.onSent(now);
+        }
+    CHECK(record.excess() <= 0);
+}
+
 TEST_CASE("parts of a site that cannot hear each other share one slack")
 {
     SiteBounds bounds;
