A daemon that does not know its site yet sends nothing to cold upstreams

What callers see: cold replicas get more than they bear, and crash, if daemons start at the same moment (FAILBACK).

Cause: a cold upstream's bound is divided by the daemons known; one that has just started knows none and takes a third of it. Same class as the send budget: a share of a sum, worked out from what a new process does not know.

Change: the board is told when the daemons are all of the site (no new one heard for 0.9 s, five seconds at most); until then its share is nothing.

--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -160,6 +160,9 @@
     /// Reports of others are forgotten.
     /// @param all Daemons that may send to an upstream at the same time, this one included.
     void setDaemons(std::vector<DaemonCapacity> all);
+    /// The daemons that were set are all of the site, rather than those that were heard first. Until then a cold upstream
+    /// gets nothing, as nobody can tell with how many to share what it bears.
+    void setWholeSiteKnown() { this->isWholeSiteKnown = true; }
     std::size_t daemonCount() const { return this->daemons.size(); }
     void onPeerUse(const InstanceId& peer, const std::vector<UpstreamUse>& uses, TimePoint now);
     /// A keeper told of the sums at the upstreams that it keeps; those that it left out are idle.
@@ -381,6 +384,7 @@
     std::map<std::string, MoveSource> moveSources;
     std::map<InstanceId, std::vector<UpstreamId>> toldByKeeper; ///< Upstreams of a keeper's last digest.
     std::vector<DaemonCapacity> daemons;
+    bool isWholeSiteKnown = false;
     std::uint32_t inFlight = 0;
     UpstreamId lastToldUpstream; ///< Where the next call goes on.
     std::string lastToldSource;
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -182,6 +182,7 @@
     const bool isQuiet = now - std::max(this->daemons.lastArrival(), this->started) >= quietArrival;
     if (!this->state.isSettled && (isQuiet || now - this->started >= mostSettling)) {
         this->state.isSettled = true;
+        this->state.board.setWholeSiteKnown();
         edge::log(edge::LogClass::Lifecycle, "site_known",
             { { "daemons", static_cast<std::int64_t>(this->siteSize()) }, { "after_ms", toMs(now - this->started) } });
     }
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -167,6 +167,8 @@
 
 std::size_t UpstreamBoard::coldShare(const Upstream& upstream, double bound) const
 {
+    if (!this->isWholeSiteKnown)
+        return 0;
     const auto whole = static_cast<std::size_t>(bound);
     const auto all = std::max<std::size_t>(this->daemons.size(), 1);
     const auto wanted = std::max(whole / leastColdShare, unseenDaemons + 1) - unseenDaemons;
--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -108,6 +108,7 @@
     for (std::size_t number = 0; number < daemons; ++number) {
         sites.push_back(std::make_unique<Site>(coldPerSecond, names[number].value.c_str()));
         sites.back()->board.setDaemons(all);
+        sites.back()->board.setWholeSiteKnown();
         auto cold = entryOf(1, plain);
         cold.coldLeft = 3s;
         sites.back()->board.setUpstream(cold, start);
@@ -130,6 +131,35 @@
     CHECK(sites.front()->choose(request, start + 3s));
 }
 
+TEST_CASE("daemons that all start beside a cold upstream send it nothing until they know each other")
+{
+    // Load pattern: a failure domain comes back cold just before all daemons do; each has heard of few others or of none.
+    constexpr std::size_t daemons = 90;
+    constexpr double coldPerSecond = 11;
+    const auto request = plainRequest();
+    std::size_t sends = 0;
+    std::vector<std::unique_ptr<Site>> sites;
+    for (std::size_t number = 0; number < daemons; ++number) {
+        const auto name = "d" + std::to_string(number);
+        sites.push_back(std::make_unique<Site>(coldPerSecond, name.c_str()));
+        auto& site = *sites.back();
+        auto cold = entryOf(1, plain);
+        cold.coldLeft = 3s;
+        site.board.setUpstream(cold, start);
+        if (number % 2 == 0)
+            site.board.setDaemons({ { InstanceId(name), 0.12 } });
+        while (const auto choice = site.choose(request)) {
+            site.board.begin(*choice, request, start);
+            site.board.finish(*choice, request, true, AttemptResult::Answered, start);
+            ++sends;
+        }
+    }
+    const SiteBounds bounds;
+    CHECK(static_cast<double>(sends) <= coldPerSecond * bounds.coldOver + bounds.coldSlack);
+    sites.front()->board.setWholeSiteKnown();
+    CHECK(sites.front()->choose(request));
+}
+
 TEST_CASE("an upstream that cannot be reached is avoided for longer each time, but used when there is no other")
 {
     Site site;
