--- a/test/send_budget_test.cc
+++ b/test/send_budget_test.cc
@@ -55,6 +55,53 @@
     std::vector<TimePoint> sends;
 };
 
+/// A site of 90 daemons that get 800 requests a second for one service.
+class BusySite {
+public:
+    BusySite()
+        : record(this->bounds)
+    {
+        this->budgets.assign(size, SendBudgets(this->bounds, this->now - 1min));
+        this->meet();
+    }
+
+    /// All daemons learn of each other.
+    void meet()
+    {
+        for (auto& budget : this->budgets)
+            budget.setDaemons(size);
+    }
+
+    /// All daemons are new processes that know nobody.
+    void restart() { this->budgets.assign(size, SendBudgets(this->bounds, this->now)); }
+
+    /// @param receivers Daemons that callers come to.
+    /// @param isFailing Whether requests are sent again as often as the budget allows.
+    void play(Duration length, std::size_t receivers, bool isFailing)
+    {
+        for (const auto end = this->now + length; this->now < end; this->now += 10ms)
+            for (std::size_t each = 0; each < 8; ++each, ++this->requests) {
+                auto& budget = this->budgets[this->requests % receivers].of(service);
+                budget.onRequest(this->now);
+                this->record.onRequest(this->now);
+                while (isFailing && takeAtOnce(budget, this->now))
+                    this->record.onSent(this->now);
+            }
+    }
+
+    double excess() const { return this->record.excess(); }
+
+    static constexpr std::size_t size = 90;
+    const SiteBounds bounds { .retrySlack = 220 };
+
+private:
+    const ServiceName service { "kiln-voice" };
+    std::vector<SendBudgets> budgets;
+    SiteRecord record;
+    TimePoint now { 100s };
+    std::size_t requests = 0;
+};
+
 } // namespace
 
 TEST_CASE("all daemons together stay within the site's budget when every answer fails")
@@ -144,58 +191,24 @@
 TEST_CASE("daemons that all restart after a calm window stay within the site's budget")
 {
     // Load pattern: nothing fails for a window, then replicas turn all away; all daemons lose power 5 s later.
-    constexpr std::size_t daemons = 90;
-    const ServiceName service("kiln-voice");
-    SiteBounds bounds;
-    bounds.retrySlack = 220;
-    const TimePoint start { 100s };
-    const auto failure = start + bounds.retryWindow;
-    const auto restart = failure + 5s;
-    std::vector<SendBudgets> budgets(daemons, SendBudgets(bounds, start - 1min));
-    for (auto& budget : budgets)
-        budget.setDaemons(daemons);
-    SiteRecord record(bounds);
-    std::size_t number = 0;
-    for (auto now = start; now < restart + bounds.retryWindow; now += 10ms) {
-        if (now == restart)
-            budgets.assign(daemons, SendBudgets(bounds, restart));
-        if (now == restart + 1s)
-            for (auto& budget : budgets)
-                budget.setDaemons(daemons);
-        for (std::size_t each = 0; each < 8; ++each, ++number) {
-            auto& budget = budgets[number % daemons].of(service);
-            budget.onRequest(now);
-            record.onRequest(now);
-            while (now >= failure && takeAtOnce(budget, now))
-                record.onSent(now);
-        }
-    }
-    CHECK(record.excess() <= 0);
+    BusySite site;
+    site.play(site.bounds.retryWindow, BusySite::size, false);
+    site.play(5s, BusySite::size, true);
+    site.restart();
+    site.play(1s, BusySite::size, true);
+    site.meet();
+    site.play(site.bounds.retryWindow, BusySite::size, true);
+    CHECK(site.excess() <= 0);
 }
 
 TEST_CASE("callers that come to other daemons while everything fails do not raise the site's budget")
 {
     // Load pattern: replicas turn all away; half of the daemons lose power a second later and their callers come to the others.
-    constexpr std::size_t daemons = 90;
-    SiteBounds bounds;
-    bounds.retrySlack = 220;
-    const TimePoint start { 100s };
-    const auto failure = start + bounds.retryWindow;
-    const auto move = failure + 1s;
-    std::vector<SendBudget> budgets(daemons, SendBudget(bounds, start - 1min));
-    for (auto& budget : budgets)
-        budget.setDaemons(daemons);
-    SiteRecord record(bounds);
-    std::size_t number = 0;
-    for (auto now = start; now < move + bounds.retryWindow; now += 10ms)
-        for (std::size_t each = 0; each < 8; ++each, ++number) {
-            auto& budget = budgets[number % (now < move ? daemons : daemons / 2)];
-            budget.onRequest(now);
-            record.onRequest(now);
-            while (now >= failure && takeAtOnce(budget, now))
-                record.onSent(now);
-        }
-    CHECK(record.excess() <= 0);
+    BusySite site;
+    site.play(site.bounds.retryWindow, BusySite::size, false);
+    site.play(1s, BusySite::size, true);
+    site.play(site.bounds.retryWindow, BusySite::size / 2, true);
+    CHECK(site.excess() <= 0);
 }
 
 TEST_CASE("parts of a site that cannot hear each other share one slack")
