Attempts are logged with the framing and the size of their answer

ORDER: the logs could not tell a stream that ended with its connection from one whose length or chunks were whole, nor how much of it had come. request_attempt now has what marked the end of the body, its bytes, its complete events and the number of tokens that were asked for. No decision changes.

--- a/include/goldcrestwood/event_ends.h
+++ b/include/goldcrestwood/event_ends.h
@@ -4,6 +4,7 @@
 /// Finds the event boundaries in a byte stream.
 
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 namespace goldcrestwood {
@@ -20,6 +21,10 @@
     std::size_t consume(std::string_view piece)
     {
         constexpr std::string_view boundary = "\n\n";
+        for (auto at = piece.find(boundary); at != std::string_view::npos; at = piece.find(boundary, at + boundary.size()))
+            ++this->eventCount;
+        if (this->endsInNewline && piece.starts_with('\n'))
+            ++this->eventCount;
         const auto found = piece.rfind(boundary);
         auto completeBytes = found == std::string_view::npos ? 0 : found + boundary.size();
         if (completeBytes == 0 && this->endsInNewline && piece.starts_with('\n'))
@@ -32,11 +37,15 @@
     /// @return Whether the bytes so far end inside an event.
     bool isInsideEvent() const { return this->pendingBytes > 0; }
 
+    /// @return Number of complete events so far.
+    std::uint64_t count() const { return this->eventCount; }
+
     /// @return Whether the unfinished event at the end of the stream exceeds the size limit.
     bool isOverlong() const { return this->pendingBytes > maxEventBytes; }
 
 private:
     std::size_t pendingBytes = 0; ///< Bytes since the last event boundary.
+    std::uint64_t eventCount = 0;
     bool endsInNewline = false;
 };
 
--- a/src/edge/attempt.h
+++ b/src/edge/attempt.h
@@ -27,6 +27,9 @@
     std::unique_ptr<http::response_parser<http::buffer_body>> parser;
     platform::AnswerInfo answer;
     unsigned status = 0;
+    const char* framing = ""; ///< What marks the end of the answer's body: "length", "chunks" or "connection".
+    std::uint64_t bodyBytes = 0; ///< Bytes of the body received.
+    std::uint64_t events = 0; ///< Complete events received.
     std::optional<http::response<http::string_body>> bufferedAnswer; ///< Complete answer that has not been relayed yet.
     // State of the stream to the caller; kept when another upstream resumes it.
     std::unique_ptr<http::response<http::buffer_body>> head;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -250,7 +250,8 @@
         attempt.choice = *choice;
         attempt.result = AttemptResult::Cancelled;
         attempt.isSent = attempt.provesNotRun = attempt.isRelayed = attempt.hadFirstByte = false;
-        attempt.failure = "";
+        attempt.failure = attempt.framing = "";
+        attempt.bodyBytes = attempt.events = 0;
         attempt.detail.clear();
         attempt.firstByte = attempt.longestGap = Duration(0);
         co_await this->attempt(exchange, attempt);
@@ -269,7 +270,9 @@
         const bool isGood = attempt.result == AttemptResult::Answered && attempt.isRelayed && late[0] == '\0';
         edge::log(isGood ? LogClass::Routine : LogClass::Decision, "request_attempt",
             { { "request", exchange.info.id }, { "upstream", attempt.choice.upstream.value }, { "result", toString(attempt.result) },
-                { "status", static_cast<std::int64_t>(attempt.status) }, { "failure", attempt.failure }, { "late", late }, { "detail", attempt.detail }, { "send", static_cast<std::int64_t>(exchange.sends) },
+                { "status", static_cast<std::int64_t>(attempt.status) }, { "failure", attempt.failure }, { "late", late }, { "detail", attempt.detail },
+                { "framing", attempt.framing }, { "body_bytes", static_cast<std::int64_t>(attempt.bodyBytes) }, { "events", static_cast<std::int64_t>(attempt.events) },
+                { "output", static_cast<std::int64_t>(exchange.info.maxOutputTokens) }, { "send", static_cast<std::int64_t>(exchange.sends) },
                 { "expected_ms", toMs(attempt.choice.expectedWait) }, { "missing", static_cast<std::int64_t>(attempt.choice.missingTokens) },
                 { "moved", static_cast<std::int64_t>(attempt.choice.transferredTokens) }, { "prompt", static_cast<std::int64_t>(exchange.info.promptTokens) },
                 { "own", static_cast<std::int64_t>(exchange.info.parts.empty() ? 0 : exchange.info.parts.back().tokens) }, { "saves", !attempt.choice.saveTo.empty() },
@@ -416,6 +419,8 @@
     link.stream.expires_never();
     if (hasHead) {
         attempt.hadFirstByte = true;
+        attempt.framing = attempt.parser->chunked() ? "chunks" : attempt.parser->need_eof() ? "connection" : "length";
+        attempt.bodyBytes = 0; // Without those of stale answers.
         attempt.answerBegan = monotonicNow();
         attempt.firstByte = attempt.answerBegan - sent;
         this->state.board.onFirstByte(attempt.choice, exchange.placement, attempt.firstByte, monotonicNow());
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -119,7 +119,9 @@
     co_await http::async_read_some(link.stream, link.buffer, *attempt.parser, into(error));
     if (error == http::error::need_buffer)
         error = {};
-    co_return piece.size() - target.size;
+    const auto received = piece.size() - target.size;
+    attempt.bodyBytes += received;
+    co_return received;
 }
 
 Task<> Pipeline::relayBuffered(ClientExchange& exchange, Attempt& attempt)
@@ -247,6 +249,7 @@
         lastPiece = now;
         if (received > 0) {
             const auto completeBytes = boundaries.consume({ piece.data(), received });
+            attempt.events = boundaries.count();
             if (boundaries.isOverlong()) {
                 attempt.result = AttemptResult::Unreachable;
                 attempt.failure = "event too long";
