An answer that ends with its connection is complete only if its replica lives

Cause: the end of the connection was taken for the end of an answer that has neither a length nor chunks. The connections of a crashed process end in order too. Class: an end that says nothing is read as a success. What was left on, each shown by a test that failed there: an end between two events (12 of 30 pieces passed on as the whole), an end after the head (an empty 200), the same on a route that is not resumable, a buffered answer (an empty 200 for a read), and a stream whose chunks are whole but that ends inside an event: callers drop an event without its empty line, so they had lost it too.

Ruled out: a second send or the daemon's own end (no further send, 3 ms); the number of tokens asked for as evidence (a whole answer has 36 of at most 119 events).

Change: such an answer counts as complete only if its upstream accepts a new connection, which is kept for the next request; a stream needs an event, and must not end inside one, whatever its framing. Otherwise it is broken: resumed, repeated if it may be, else closed without an end (502 for an answer that was buffered). Event boundaries follow the standard: LF, CRLF or CR.

--- a/include/goldcrestwood/event_ends.h
+++ b/include/goldcrestwood/event_ends.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
+#include <utility>
 
 namespace goldcrestwood {
 
@@ -16,21 +17,31 @@
     /// Normal events have a few hundred bytes; longer data is not an event stream.
     static constexpr std::size_t maxEventBytes = 1U << 20U;
 
-    /// @param piece The next bytes of the stream.
+    /// @param piece The next bytes of the stream. Lines end with LF, CRLF or CR; an empty line ends an event.
     /// @return Length of @p piece up to the end of its last complete event; 0 if no event ends in it.
     std::size_t consume(std::string_view piece)
     {
-        constexpr std::string_view boundary = "\n\n";
-        for (auto at = piece.find(boundary); at != std::string_view::npos; at = piece.find(boundary, at + boundary.size()))
-            ++this->eventCount;
-        if (this->endsInNewline && piece.starts_with('\n'))
-            ++this->eventCount;
-        const auto found = piece.rfind(boundary);
-        auto completeBytes = found == std::string_view::npos ? 0 : found + boundary.size();
-        if (completeBytes == 0 && this->endsInNewline && piece.starts_with('\n'))
-            completeBytes = 1;
+        std::size_t completeBytes = 0;
+        for (std::size_t at = 0; at < piece.size(); ++at) {
+            const char byte = piece[at];
+            if (std::exchange(this->endsInCr, byte == '\r') && byte == '\n') {
+                // Second byte of a CRLF; it belongs to the event that the CR has ended.
+                if (completeBytes == at && (at > 0 || this->pendingBytes == 0))
+                    completeBytes = at + 1;
+                continue;
+            }
+            if (byte != '\n' && byte != '\r') {
+                this->isLineEmpty = false;
+                this->hasContent = true;
+                continue;
+            }
+            if (this->isLineEmpty) {
+                completeBytes = at + 1;
+                this->eventCount += std::exchange(this->hasContent, false) ? 1 : 0;
+            }
+            this->isLineEmpty = true;
+        }
         this->pendingBytes = completeBytes > 0 ? piece.size() - completeBytes : this->pendingBytes + piece.size();
-        this->endsInNewline = completeBytes < piece.size() && piece.ends_with('\n');
         return completeBytes;
     }
 
@@ -46,7 +57,9 @@
 private:
     std::size_t pendingBytes = 0; ///< Bytes since the last event boundary.
     std::uint64_t eventCount = 0;
-    bool endsInNewline = false;
+    bool isLineEmpty = true; ///< Whether the current line has no bytes so far.
+    bool hasContent = false; ///< Whether a line since the last event boundary has any.
+    bool endsInCr = false;
 };
 
 } // namespace goldcrestwood
--- a/src/edge/crash_watch.cc
+++ b/src/edge/crash_watch.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-    /// Connecting to a live replica takes one or two milliseconds.
-    constexpr Duration connectTimeout = std::chrono::milliseconds(200);
     constexpr Duration sweepInterval = std::chrono::milliseconds(100);
 
 } // namespace
@@ -39,7 +37,7 @@
     // Kept connections of a crashed process are closed as well.
     auto connection = this->pool.create(address);
     ErrorCode error;
-    const bool isOpen = co_await connect(*connection, connectTimeout, error);
+    const bool isOpen = co_await connect(*connection, upstreamConnectTimeout, error);
     auto check = std::move(this->checks.extract(upstream).mapped());
     if (isOpen)
         this->pool.returnIdle(std::move(connection), monotonicNow());
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -13,8 +13,6 @@
 
     using edge::LogClass;
 
-    /// Connecting to a replica takes one or two milliseconds; TCP retries a dropped SYN only after seconds.
-    constexpr Duration connectTimeout = std::chrono::milliseconds(200);
     /// Retry-After when there is no better estimate.
     constexpr Duration defaultRetryAfter = std::chrono::milliseconds(300);
     /// Longest wait of a caller that sends no time limit.
@@ -372,7 +370,7 @@
         co_return idle;
     auto connection = this->pool.create(address);
     exchange.activeConnection = connection.get();
-    const bool isOpen = co_await connect(*connection, connectTimeout);
+    const bool isOpen = co_await connect(*connection, upstreamConnectTimeout);
     exchange.activeConnection = nullptr;
     if (!isOpen)
         connection = nullptr;
@@ -419,7 +417,8 @@
     link.stream.expires_never();
     if (hasHead) {
         attempt.hadFirstByte = true;
-        attempt.framing = attempt.parser->chunked() ? "chunks" : attempt.parser->need_eof() ? "connection" : "length";
+        attempt.framing = attempt.parser->chunked() ? "chunks" : attempt.parser->need_eof() ? "connection"
+                                                                                            : "length";
         attempt.bodyBytes = 0; // Without those of stale answers.
         attempt.answerBegan = monotonicNow();
         attempt.firstByte = attempt.answerBegan - sent;
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -42,6 +42,10 @@
     /// Applies the drain and back-off notices in the head of an answer.
     void applyNotice(const ClientExchange& exchange, const Attempt& attempt);
     static Task<std::size_t> readPiece(Attempt& attempt, std::string& piece, ErrorCode& error);
+    /// The connections of a crashed process end in order too, so an answer that ends with its connection is complete only if its
+    /// upstream still accepts a new one.
+    /// @return Whether the answer that has been read is complete.
+    Task<bool> confirmEnd(ClientExchange& exchange, const Attempt& attempt);
     Task<> relayBuffered(ClientExchange& exchange, Attempt& attempt);
     /// @param completeBytes Length of the prefix of @p piece that ends at an event boundary.
     Task<bool> relayPiece(ClientExchange& exchange, Attempt& attempt, std::string_view piece, std::size_t completeBytes);
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -23,6 +23,7 @@
     constexpr std::uint64_t unlimitedBody = std::uint64_t { 1 } << 50U;
     constexpr std::size_t pieceBytes = 16384;
     constexpr unsigned misdirected = 421;
+    constexpr const char* unconfirmedEnd = "the upstream was gone after an answer that ended with its connection";
 
     /// @return The id of the last event in @p events that has one.
     std::string lastEventId(std::string_view events)
@@ -124,6 +125,19 @@
     co_return received;
 }
 
+Task<bool> Pipeline::confirmEnd(ClientExchange& exchange, const Attempt& attempt)
+{
+    if (!attempt.parser->need_eof())
+        co_return true;
+    auto probe = this->pool.create(attempt.choice.address);
+    exchange.activeConnection = probe.get();
+    const bool isAlive = co_await connect(*probe, upstreamConnectTimeout);
+    exchange.activeConnection = nullptr;
+    if (isAlive)
+        this->pool.returnIdle(std::move(probe), monotonicNow());
+    co_return isAlive;
+}
+
 Task<> Pipeline::relayBuffered(ClientExchange& exchange, Attempt& attempt)
 {
     std::string body;
@@ -140,6 +154,12 @@
         }
     }
     attempt.provesNotRun = attempt.answer.provesNotRun;
+    const bool isComplete = attempt.provesNotRun || co_await this->confirmEnd(exchange, attempt);
+    if (!isComplete) {
+        attempt.result = AttemptResult::Unreachable;
+        attempt.failure = unconfirmedEnd;
+        co_return;
+    }
     if (attempt.answer.weightVersion && !exchange.placement.model.empty())
         this->state.board.setWeights(attempt.choice.upstream, exchange.placement.model, *attempt.answer.weightVersion);
     if (attempt.provesNotRun) {
@@ -266,16 +286,16 @@
             co_return;
         }
     }
-    // Chunks or a length show that the answer is complete, the end of the connection does not.
-    if (boundaries.isInsideEvent() && attempt.parser->need_eof()) {
+    if (boundaries.isInsideEvent() || (boundaries.count() == 0 && attempt.parser->need_eof())) {
         attempt.result = AttemptResult::Unreachable;
-        attempt.failure = "stream ended inside an event";
+        attempt.failure = boundaries.isInsideEvent() ? "stream ended inside an event" : "stream ended before its first event";
         co_return;
     }
-    if (!attempt.partialEvent.empty()) {
-        const bool isWritten = co_await this->writeStreamPiece(exchange, attempt, attempt.partialEvent.data(), attempt.partialEvent.size(), true);
-        if (!isWritten)
-            co_return;
+    const bool isComplete = co_await this->confirmEnd(exchange, attempt);
+    if (!isComplete) {
+        attempt.result = AttemptResult::Unreachable;
+        attempt.failure = unconfirmedEnd;
+        co_return;
     }
     const bool isEnded = co_await this->writeStreamPiece(exchange, attempt, nullptr, 0, false);
     if (!isEnded)
--- a/src/edge/upstream_pool.h
+++ b/src/edge/upstream_pool.h
@@ -14,6 +14,9 @@
 
 namespace goldcrestwood {
 
+/// Connecting to a live upstream takes one or two milliseconds; TCP retries a dropped SYN only after seconds.
+inline constexpr Duration upstreamConnectTimeout = std::chrono::milliseconds(200);
+
 /// An HTTP connection that serves one request at a time.
 struct UpstreamConnection {
     /// Bound on bytes read but not yet parsed: heads and chunk lines are far shorter, and bodies are consumed as they arrive.
--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -196,6 +196,13 @@
             server.server_close()
 
 
+EVENT_STREAM = ("Content-Type", "text/event-stream")
+
+
+def event(number):
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
 class ReplicaHandler(Handler):
     refused = False  # Whether a request on this connection was refused.
 
@@ -254,6 +261,14 @@
             return None
         if replica.endless:
             return self.flood(replica, headers)
+        if replica.kind != "streaming" and replica.framing == "connection":
+            self.begin_unframed(headers)
+            if replica.crashes_after:
+                self.wfile.write(body[:replica.crashes_after.pop(0)])
+                replica.exit()
+            else:
+                self.wfile.write(replica.id.encode() + b":" + body)
+            return None
         if replica.kind != "streaming":
             return self.answer(200, replica.id.encode() + b":" + body, headers)
         return self.stream(replica, headers)
@@ -274,24 +289,47 @@
                 self.wfile.write(b"X-Noise: 0123456789\r\n" * 500)
                 replica.flooded += 500 * 21
 
-    def end_inside_event(self, replica, headers):
-        """Sends a stream with neither a length nor chunks that ends inside an event."""
+    def begin_unframed(self, headers):
+        """Sends the head of an answer with neither a length nor chunks, which ends with its connection."""
         self.close_connection = True
         self.send_response(200)
-        for name, value in (*headers, ("Content-Type", "text/event-stream"), ("Connection", "close")):
+        for name, value in (*headers, ("Connection", "close")):
             self.send_header(name, value)
         self.end_headers()
+
+    def end_inside_event(self, replica, headers):
+        """Sends a stream that ends inside an event, with or without chunks."""
         whole = replica.ends_inside.pop(0) - 1
-        events = b"".join(f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, whole + 1))
-        self.wfile.write(events + f"id: {whole + 1}\ndata: pie".encode())
+        body = b"".join(event(number) for number in range(1, whole + 1)) + f"id: {whole + 1}\ndata: pie".encode()
+        if replica.framing == "chunks":
+            self.begin_chunks(headers)
+            self.wfile.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body))
+        else:
+            self.begin_unframed((*headers, EVENT_STREAM))
+            self.wfile.write(body)
+
+    def crash_between_events(self, replica, headers):
+        """Sends some whole events of a stream with neither a length nor chunks; then the replica's process ends."""
+        self.begin_unframed((*headers, EVENT_STREAM))
+        self.wfile.write(b"".join(event(number) for number in range(1, replica.crashes_after.pop(0) + 1)))
+        replica.exit()
+
+    def begin_chunks(self, headers):
+        self.send_response(200)
+        for name, value in (*headers, EVENT_STREAM, ("Transfer-Encoding", "chunked")):
+            self.send_header(name, value)
+        self.end_headers()
 
     def stream(self, replica, headers):
         if replica.ends_inside:
             return self.end_inside_event(replica, headers)
-        self.send_response(200)
-        for name, value in (*headers, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")):
-            self.send_header(name, value)
-        self.end_headers()
+        if replica.crashes_after:
+            return self.crash_between_events(replica, headers)
+        if replica.framing == "connection":
+            self.begin_unframed((*headers, EVENT_STREAM))
+            self.wfile.write(b"".join(event(number) for number in range(int(self.headers.get("Last-Event-Id", 0)) + 1, replica.pieces + 1)))
+            return None
+        self.begin_chunks(headers)
         first = int(self.headers.get("Last-Event-Id", 0)) + 1
         for number in range(first, replica.pieces + 1):
             if replica.cut_after and number > replica.cut_after:
@@ -299,8 +337,8 @@
                 self.close_connection = True
                 self.connection.shutdown(socket.SHUT_RDWR)
                 return None
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
-            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            piece = event(number)
+            self.wfile.write(b"%x\r\n%s\r\n" % (len(piece), piece))
             self.wfile.flush()
             time.sleep(replica.gap)
         replica.whole_streams.append(self.headers.get("X-Goldcrestwood-Request-Id", ""))
@@ -334,6 +372,8 @@
         self.leaving = False  # Whether its answers announce that it leaves.
         self.rest = None  # Backoff in seconds that its refusals ask for.
         self.ends_inside = []  # Numbers of the events inside which its next streams end; may be shared by replicas.
+        self.framing = None  # What ends its answers: "chunks" or "connection"; by default chunks for streams, a length for others.
+        self.crashes_after = []  # Numbers of events, or bytes, after which its next unframed answers end with its process; may be shared.
         self.whole_streams = []  # Ids of the requests whose streams it completed.
         self.script = []  # What it does with the next requests: "unavailable" or "drop"; may be shared by replicas.
         self.endless = None  # Part of the answer that never ends: "head" or "body".
@@ -362,6 +402,12 @@
             self.crashes.append(time.monotonic())
         threading.Thread(target=self.restart, daemon=True).start()
 
+    def exit(self):
+        """Ends the replica's process: it listens no longer once its connections end, in order. Starts it again after some time."""
+        self.server.shutdown()
+        self.server.server_close()
+        threading.Thread(target=self.restart, daemon=True).start()
+
     def restart(self):
         self.server.abort()
         time.sleep(self.down_seconds)
--- a/test/event_ends_test.cc
+++ b/test/event_ends_test.cc
@@ -49,3 +49,26 @@
         ends.consume("data: 0123456789012345\n\n");
     CHECK_FALSE(ends.isOverlong());
 }
+
+TEST_CASE("events end at an empty line, whatever ends the lines and however the bytes are split")
+{
+    for (const std::string lineEnd : { "\n", "\r\n", "\r" }) {
+        std::string whole;
+        for (int number = 0; number < 20; ++number)
+            whole += "id: " + std::to_string(number) + lineEnd + "data: x" + lineEnd + lineEnd;
+        for (const bool isCut : { false, true }) {
+            const auto text = isCut ? whole + "id: 20" + lineEnd + "data: x" + lineEnd : whole;
+            for (std::size_t size = 1; size <= 40; ++size) {
+                EventBoundaries ends;
+                std::size_t lastEnd = 0;
+                for (std::size_t begin = 0; begin < text.size(); begin += size)
+                    if (const auto completeBytes = ends.consume(std::string_view(text).substr(begin, size)); completeBytes > 0)
+                        lastEnd = begin + completeBytes;
+                INFO("line end of " << lineEnd.size() << ", pieces of " << size);
+                CHECK(lastEnd == whole.size());
+                CHECK(ends.count() == 20);
+                CHECK(ends.isInsideEvent() == isCut);
+            }
+        }
+    }
+}
--- a/test/process/edge_test.py
+++ b/test/process/edge_test.py
@@ -79,6 +79,58 @@
             site.request(edge.daemons[0], "/whole/a", b"p", **site.PROMPT)
         self.assertEqual(site.request(edge.daemons[0], "/whole/a", b"p", **site.PROMPT)[3].count(b"id:"), 5)
 
+    def test_an_unframed_stream_of_a_crashed_replica_is_resumed(self):
+        # Without a length or chunks, a crash between two events looks like the end of the answer.
+        for events in (12, 0):
+            with self.subTest(events=events), site.EdgeSite(daemons=1) as edge:
+                crashes_after = [events]
+                for replica in edge.models:
+                    replica.pieces, replica.crashes_after = 30, crashes_after
+                identifier, status, _, body = site.request(edge.daemons[0], "/stream/a", b"p", **site.PROMPT)
+                self.assertEqual((status, body), (200, b"".join(site.event(number) for number in range(1, 31))))
+                served = [replica.id for replica in edge.models for request, _, _ in replica.requests if request == identifier]
+                self.assertEqual((len(served), crashes_after), (2, []))
+
+    def test_an_unframed_stream_of_a_crashed_replica_is_not_completed(self):
+        edge = self.start(daemons=1)
+        crashes_after = [3]
+        for replica in edge.models:
+            replica.crashes_after = crashes_after
+        with self.assertRaises(http.client.IncompleteRead) as broken:
+            site.request(edge.daemons[0], "/whole/a", b"p", **site.PROMPT)
+        self.assertEqual(broken.exception.partial, b"".join(site.event(number) for number in range(1, 4)))
+
+    def test_a_stream_that_ends_inside_an_event_is_resumed_also_if_it_is_framed(self):
+        edge = self.start(daemons=1)
+        ends_inside = [12]
+        for replica in edge.models:
+            replica.pieces, replica.ends_inside, replica.framing = 30, ends_inside, "chunks"
+        _, status, _, body = site.request(edge.daemons[0], "/stream/a", b"p", **site.PROMPT)
+        self.assertEqual((status, body), (200, b"".join(site.event(number) for number in range(1, 31))))
+
+    def test_a_whole_unframed_answer_is_passed_on(self):
+        edge = self.start(daemons=1)
+        for replica in edge.models + edge.plain:
+            replica.framing = "connection"
+        for path in ("/stream/a", "/whole/a"):
+            identifier, status, _, body = site.request(edge.daemons[0], path, b"p", **site.PROMPT)
+            self.assertEqual((status, body), (200, b"".join(site.event(number) for number in range(1, 6))))
+            self.assertEqual(sum(request == identifier for replica in edge.models for request, _, _ in replica.requests), 1)
+        _, status, headers, body = site.request(edge.daemons[0], "/once/a", b"order")
+        self.assertEqual((status, body.partition(b":")[2], int(headers["Content-Length"])), (200, b"order", len(body)))
+
+    def test_an_unframed_answer_of_a_crashed_replica_is_not_framed_as_complete(self):
+        edge = self.start(daemons=1)
+        crashes_after = [3]
+        for replica in edge.plain:
+            replica.framing, replica.crashes_after = "connection", crashes_after
+        _, status, _, body = site.request(edge.daemons[0], "/safe/a", b"a read", key=None)
+        self.assertEqual((status, body.partition(b":")[2]), (200, b"a read"))
+        crashes_after.append(3)
+        identifier, status, _, _ = site.request(edge.daemons[0], "/once/a", b"order")
+        self.assertEqual(status, 502, "it may have run, so it is not retried")
+        self.assertEqual(sum(request == identifier for replica in edge.plain for request, _, _ in replica.requests), 1)
+
     def test_an_error_after_a_broken_stream_does_not_reach_its_caller(self):
         edge = self.start(daemons=1)
         ends_inside, script = [4], []
