Positions in the store order offsets over its returns from older copies

Cause: offsets were used as if they only rose. The restored topic gave out offset 3 again; the feeds held a record of offset 3 and read from 4. The same comparison decided lag, the lease, fencing numbers and roll-outs. Class: a position compared outside the log that assigned it.

Change: a position is the era (Store-Era) and the offset in one number, made where answers are read, so that all comparisons hold over returns. What is held is reverted by neither a missing nor an older entry of the copy; records of different eras are compared by their own revisions first; after 2.4 s the topic is listed again and that listing counts. Nobody orders weights on a record that the store has lost, nor claims before the term of such a holder has ended. The status of a roll-out is written again.

Ruled out: the operator's write being lost (it is acknowledged, and a reader of the log finds it).

Failed before, on: the two new tests of process_edge_test (20 s without the added route; without version 4). New models with random returns in keyed_feed_test and duty_lease_test.

--- a/include/goldcrestwood/duty_lease.h
+++ b/include/goldcrestwood/duty_lease.h
@@ -32,18 +32,23 @@
     /// @param address Address of this machine; no other machine uses it while the records are retained.
     DutyLease(InstanceId instance, std::string address, std::uint64_t incarnation, DutyLeaseSettings settings = {});
 
-    /// Handles a record read from the topic: @p record at @p offset is the last one.
-    void onRecord(const DutyRecord& record, std::uint64_t offset, TimePoint now);
+    /// Handles a record read from the topic: @p record at @p position is the last one.
+    void onRecord(const DutyRecord& record, std::uint64_t position, TimePoint now);
 
     /// Marks the topic as read up to @p end.
     void onReadTo(std::uint64_t end);
 
+    /// Handles an answer of a store that has returned from an older copy of its data. Its last record may be that of an earlier
+    /// holder, while a later one whose record is lost still gives orders until its term ends.
+    /// @param era Number of the store's returns.
+    void onRestored(std::uint64_t era, TimePoint now);
+
     /// @param isHolderHealthy Whether the last holder is heard from and reads the store.
     /// @return Whether this daemon may try to become the holder now.
     bool mayClaim(bool isHolderHealthy, TimePoint now) const;
 
-    /// Handles the acknowledgement of this daemon's append at @p offset, sent at @p sent.
-    void onAppended(const DutyRecord& record, std::uint64_t offset, TimePoint sent);
+    /// Handles the acknowledgement of this daemon's append at @p position, sent at @p sent.
+    void onAppended(const DutyRecord& record, std::uint64_t position, TimePoint sent);
 
     /// Handles an append that was refused or has an unknown outcome: the topic must be read before the next append.
     void onAppendFailed();
@@ -54,11 +59,15 @@
     bool isRenewalDue(TimePoint now) const;
     /// @return Whether this process wrote the last record.
     bool isLastHolder() const;
+    /// @return Whether a holder whose record the store has lost may still give orders.
+    bool isTermPending(TimePoint now) const { return this->claimableFrom && now < *this->claimableFrom; }
 
     std::uint64_t fence() const { return this->ownFence; }
-    /// @return The end offset that the next append is conditional on.
+    /// @return The topic's end that the next append is conditional on.
     std::uint64_t end() const { return this->nextOffset; }
     bool mustRead() const { return !this->upToDate; }
+    /// @return Whether the topic has been read to an end of it.
+    bool hasReadTopic() const { return this->hasRead; }
     const std::optional<DutyRecord>& last() const { return this->lastRecord; }
     /// @return Whether an earlier process of this machine wrote the last record. That process has ended, so no wait is needed.
     bool isOwnPredecessor() const;
@@ -73,6 +82,8 @@
     std::uint64_t nextOffset = 0;
     bool upToDate = false;
     std::uint64_t ownFence = 0; ///< 0 if this daemon is not the holder.
+    bool hasRead = false;
+    std::optional<TimePoint> claimableFrom; ///< End of the terms of holders whose records the store has lost.
     TimePoint orderUntil;
     TimePoint lastSentAt;
 };
--- a/include/goldcrestwood/keyed_feed.h
+++ b/include/goldcrestwood/keyed_feed.h
@@ -1,12 +1,15 @@
 #pragma once
 
 /// @file
-/// Keeps the newest record per key of a log topic, merged from the store and from peers; a key never reverts to an older record.
+/// Keeps the newest record per key of a log topic, merged from the store and from peers; a key never reverts to an older record,
+/// also if the store returns from an older copy of its data.
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace goldcrestwood {
@@ -15,20 +18,29 @@
 struct KeyedRecord {
     std::string key;
     std::optional<std::string> value;
-    std::uint64_t offset = 0;
+    std::uint64_t offset = 0; ///< Position in the topic (see log_position.h).
 
     auto operator<=>(const KeyedRecord&) const = default;
 };
 
-/// Merges records by offset, so that stale reads and slow peers have no effect.
+/// Merges records by position, so that stale reads and slow peers have no effect.
 class KeyedFeed {
 public:
     /// Whether two values of a key are equivalent. Load pattern: thousands of upstreams renew their entries each second, and
     /// only a few of these renewals need to reach peers.
     using IsEquivalent = bool (*)(const std::string&, const std::string&);
+    /// A number that the writer of a key raises with each change; of two values the one with the higher number is newer.
+    using Revision = std::optional<std::pair<std::uint64_t, std::uint64_t>>;
+    /// @return The revision of a key's value, or nothing if the writer does not count its changes.
+    using RevisionOf = Revision (*)(const std::string& key, const std::string& value);
 
-    explicit KeyedFeed(IsEquivalent comparison = [](const std::string&, const std::string&) { return false; })
+    /// Treats each record as a change.
+    static bool isNeverEquivalent(const std::string& /*left*/, const std::string& /*right*/) { return false; }
+    static Revision noRevision(const std::string& /*key*/, const std::string& /*value*/) { return std::nullopt; }
+
+    explicit KeyedFeed(IsEquivalent comparison = &isNeverEquivalent, RevisionOf revision = &noRevision)
         : isEquivalent(comparison)
+        , revisionOf(revision)
     {
     }
 
@@ -38,29 +50,45 @@
     std::vector<KeyedRecord> apply(const std::vector<KeyedRecord>& records, std::uint64_t readUpTo);
 
     /// Applies a listing of all keys. A key missing from it is removed, unless it was written after the listing.
-    /// @param listedUpTo End offset of the topic when the listing began.
+    /// @param listedUpTo End of the topic when the listing began.
     /// @return The records that were newer than those held, including removals.
     std::vector<KeyedRecord> applyListing(const std::vector<KeyedRecord>& records, std::uint64_t listedUpTo);
 
-    /// @return The offset to read from next.
+    /// Applies a listing of a store that has just returned from an older copy of its data. What the writers wrote since the copy
+    /// is missing until they have written it again, so a key that is held keeps its value unless the listed one has a higher revision.
+    /// @return The records that were newer than those held.
+    std::vector<KeyedRecord> applyRestoredListing(const std::vector<KeyedRecord>& records, std::uint64_t listedUpTo);
+
+    /// @return The position to read from next.
     std::uint64_t end() const { return this->nextOffset; }
 
+    /// @return Whether a key's record was written before @p position.
+    bool hasRecordBefore(std::uint64_t position) const;
+
     /// @return Whether a listing or a peer's records have been applied.
     bool isKnown() const { return this->known; }
 
-    /// @return The changes from @p offset on, including removals and a sample of the unchanged renewals, ordered by offset.
+    /// @return The changes from @p offset on, including removals and a sample of the unchanged renewals, ordered by position.
     std::vector<KeyedRecord> since(std::uint64_t offset) const;
 
 private:
-    std::optional<KeyedRecord> merge(const KeyedRecord& record);
+    /// @param forwardFrom Lowest position at which a change is passed on: peers have read further than a listed record's position.
+    std::optional<KeyedRecord> merge(const KeyedRecord& record, std::uint64_t forwardFrom);
+    std::vector<KeyedRecord> mergeAll(const std::vector<KeyedRecord>& records, std::uint64_t forwardFrom);
+    /// @return Whether @p record is newer than @p held. Positions do not tell the older of two values that were written before and
+    /// after the store's return from a copy: what was lost is written again in its old order.
+    bool isNewer(const KeyedRecord& record, const KeyedRecord& held) const;
+    /// @return The order of the revisions of two values of a key, or nothing if one is not known.
+    std::optional<std::strong_ordering> compareRevisions(const KeyedRecord& left, const KeyedRecord& right) const;
 
     struct Entry {
         KeyedRecord record;
-        std::uint64_t lastForwarded = 0; ///< Offset of the last record to pass on to peers.
+        std::uint64_t lastForwarded = 0; ///< Position of the last record to pass on to peers.
         std::uint32_t confirmations = 0; ///< Equivalent records since the last change.
     };
 
     IsEquivalent isEquivalent;
+    RevisionOf revisionOf;
     std::map<std::string, Entry> newest;
     std::uint64_t nextOffset = 0;
     bool known = false;
--- a/include/goldcrestwood/rollout.h
+++ b/include/goldcrestwood/rollout.h
@@ -80,12 +80,14 @@
 /// requests, on a single route or only late in the roll-out, while the whole site may be slow or upstreams of both versions fail.
 class Rollout {
 public:
-    /// @param offset Offset of the order in the operator's topic; a later order replaces an earlier one.
+    /// @param offset Position of the order in the operator's topic; a later order replaces an earlier one.
     /// @param orderedAt When the order was given, if this daemon saw it.
     Rollout(RolloutOrder order, std::uint64_t offset, std::optional<TimePoint> orderedAt, SiteBounds siteBounds, RolloutSettings rolloutSettings = {});
 
     const RolloutOrder& order() const { return this->ordered; }
     std::uint64_t offset() const { return this->orderOffset; }
+    /// Changes the order's position: the same order was written again after the store had lost it.
+    void moveTo(std::uint64_t offset) { this->orderOffset = offset; }
     bool isReverted() const { return this->reverted; }
     bool isApproved() const { return this->approved; }
     /// @return Whether this daemon knows when the order was given.
--- a/src/duty_lease.cc
+++ b/src/duty_lease.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "goldcrestwood/log_position.h"
+
 namespace goldcrestwood {
 
 DutyLease::DutyLease(InstanceId instance, std::string machineAddress, std::uint64_t processIncarnation, DutyLeaseSettings leaseSettings)
@@ -12,13 +14,13 @@
 {
 }
 
-void DutyLease::onRecord(const DutyRecord& record, std::uint64_t offset, TimePoint now)
+void DutyLease::onRecord(const DutyRecord& record, std::uint64_t position, TimePoint now)
 {
-    if (offset < this->nextOffset)
+    if (position < this->nextOffset)
         return;
     this->lastRecord = record;
     this->lastSeen = now;
-    this->nextOffset = offset + 1;
+    this->nextOffset = position + 1;
     if (!this->isLastHolder())
         this->ownFence = 0;
 }
@@ -26,7 +28,19 @@
 void DutyLease::onReadTo(std::uint64_t end)
 {
     this->nextOffset = std::max(this->nextOffset, end);
-    this->upToDate = true;
+    this->upToDate = this->hasRead = true;
+}
+
+void DutyLease::onRestored(std::uint64_t era, TimePoint now)
+{
+    this->nextOffset = logPosition(era, 0);
+    this->upToDate = false;
+    this->ownFence = 0;
+    this->lastRecord.reset();
+    // Records that the store acknowledged before its return were sent before now. A process that has just started learns of any
+    // return in this way; fences then keep it apart from a holder whose record is lost.
+    if (this->hasRead || !this->settings.upstreamsCheckFences)
+        this->claimableFrom = now + this->settings.term + this->settings.margin + (this->settings.upstreamsCheckFences ? Duration(0) : this->settings.handoverGap);
 }
 
 bool DutyLease::isLastHolder() const
@@ -42,7 +56,7 @@
 
 bool DutyLease::mayClaim(bool isHolderHealthy, TimePoint now) const
 {
-    if (!this->upToDate)
+    if (!this->upToDate || this->isTermPending(now))
         return false;
     if (!this->lastRecord || this->isLastHolder() || this->isOwnPredecessor())
         return true;
@@ -53,13 +67,13 @@
     return now >= termEnd + this->settings.handoverGap;
 }
 
-void DutyLease::onAppended(const DutyRecord& record, std::uint64_t offset, TimePoint sent)
+void DutyLease::onAppended(const DutyRecord& record, std::uint64_t position, TimePoint sent)
 {
     this->lastRecord = record;
     this->lastSeen = sent;
-    this->nextOffset = offset + 1;
+    this->nextOffset = position + 1;
     if (this->ownFence == 0)
-        this->ownFence = offset + 1;
+        this->ownFence = position + 1;
     this->orderUntil = sent + this->settings.term;
     this->lastSentAt = sent;
 }
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -2,6 +2,7 @@
 
 #include "daemon/clock.h"
 #include "edge/log.h"
+#include "goldcrestwood/log_position.h"
 #include "platform/decode.h"
 #include "platform/names.h"
 
@@ -11,8 +12,6 @@
 
     using edge::LogClass;
 
-    /// Live upstreams register again within about two seconds of the store's return.
-    constexpr Duration reregistrationGrace = std::chrono::milliseconds(2400);
     /// Removed upstreams get their last request this long before the drain time ends.
     constexpr Duration drainMargin = std::chrono::milliseconds(250);
 
@@ -32,7 +31,7 @@
         if (state.routes && configuration->version <= state.routes->configuration().version)
             return;
         edge::log(LogClass::Decision, "configuration_in_force",
-            { { "version", static_cast<std::int64_t>(configuration->version) }, { "source", source }, { "offset", static_cast<std::int64_t>(record.offset) },
+            { { "version", static_cast<std::int64_t>(configuration->version) }, { "source", source }, { "era", static_cast<std::int64_t>(logEra(record.offset)) }, { "offset", static_cast<std::int64_t>(logOffset(record.offset)) },
                 { "routes", static_cast<std::int64_t>(configuration->routes.size()) } });
         state.routes = std::make_shared<const RouteTable>(std::move(*configuration));
         state.board.setServices(*state.routes);
@@ -88,11 +87,18 @@
             reportFindings(source, order.error());
             return;
         }
-        if (const auto* known = state.rolloutOf(order->service); known != nullptr && known->offset() >= record.offset)
-            return;
+        if (auto* known = state.rolloutOf(order->service); known != nullptr) {
+            if (known->offset() >= record.offset)
+                return;
+            // The store had lost the order and the operator has written it again.
+            if (logEra(known->offset()) != logEra(record.offset) && known->order() == *order) {
+                known->moveTo(record.offset);
+                return;
+            }
+        }
         edge::log(LogClass::Decision, "rollout_ordered",
             { { "service", order->service.value }, { "target", order->target }, { "duration_ms", toMs(order->duration) }, { "source", source },
-                { "offset", static_cast<std::int64_t>(record.offset) }, { "witnessed", state.isOperatorTopicKnown } });
+                { "era", static_cast<std::int64_t>(logEra(record.offset)) }, { "offset", static_cast<std::int64_t>(logOffset(record.offset)) }, { "witnessed", state.isOperatorTopicKnown } });
         // A process that has just started does not know when the order was given.
         const auto since = state.isOperatorTopicKnown ? std::optional(monotonicNow()) : std::nullopt;
         state.rollouts.insert_or_assign(order->service, Rollout(*order, record.offset, since, state.settings.bounds));
--- a/src/edge/beliefs.h
+++ b/src/edge/beliefs.h
@@ -10,6 +10,9 @@
 
 namespace goldcrestwood {
 
+/// Live upstreams register again within about two seconds of the store's return, and writers write again what it has lost.
+inline constexpr Duration reregistrationGrace = std::chrono::milliseconds(2400);
+
 /// @param source Origin of the records, for the log: the store or a peer.
 void applyOperatorRecords(EdgeState& state, const std::vector<KeyedRecord>& records, const char* source);
 void applyRegistryRecords(EdgeState& state, const std::vector<KeyedRecord>& records, const char* source);
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -5,6 +5,7 @@
 #include "daemon/clock.h"
 #include "edge/beliefs.h"
 #include "edge/log.h"
+#include "goldcrestwood/log_position.h"
 #include "platform/store_calls.h"
 
 namespace goldcrestwood {
@@ -108,6 +109,24 @@
     this->queues.dispatchAll();
 }
 
+bool DutyRunner::continuesTopic(const HttpAnswer& answer)
+{
+    const auto known = logEra(this->lease.end());
+    const auto era = platform::decodeEra(answer, known);
+    if (!era) {
+        edge::log(LogClass::Decision, "answer_rejected", { { "topic", dutyTopic }, { "finding", toString(era.error().front()) } });
+        return false;
+    }
+    if (*era <= known)
+        return *era == known;
+    edge::log(LogClass::Lifecycle, "store_restored",
+        { { "topic", dutyTopic }, { "era", static_cast<std::int64_t>(*era) }, { "read_to", static_cast<std::int64_t>(logOffset(this->lease.end())) }, { "fence", static_cast<std::int64_t>(this->lease.fence()) } });
+    if (this->lease.hasReadTopic())
+        this->copiedUpTo.reset();
+    this->lease.onRestored(*era, suspensionAwareNow());
+    return false;
+}
+
 Task<bool> DutyRunner::readTopic(Duration hold)
 {
     const auto from = this->lease.end();
@@ -115,45 +134,57 @@
     const auto answer = co_await this->store.call(call, hold + answerTimeout);
     if (!answer || (answer->status != 200 && answer->status != 404 && answer->status != 410))
         co_return false;
+    if (!this->continuesTopic(*answer))
+        co_return false;
+    const auto era = logEra(from);
     if (answer->status == 404) {
-        this->lease.onReadTo(0);
+        this->lease.onReadTo(logPosition(era, 0));
         co_return true;
     }
     if (answer->status == 410) {
         // The removed records are too old to matter; continue at the end.
-        this->lease.onReadTo(platform::decodeAppend(*answer).endOffset.value_or(from));
+        const auto gone = platform::decodeAppend(*answer);
+        const auto next = gone.endOffset ? gone.endOffset : gone.oldestOffset;
+        this->lease.onReadTo(next ? logPosition(era, *next) : from);
         co_return true;
     }
     const auto slice = platform::decodeSlice(answer->body);
     if (!slice)
         co_return false;
-    auto offset = from;
+    // Orders in the store's copy are older than those that its loss has removed.
+    if (!this->copiedUpTo)
+        this->copiedUpTo = logPosition(era, slice->endOffset);
+    auto position = from;
     for (const auto& raw : slice->records) {
         if (const auto record = decode<DutyRecord>(raw)) {
-            this->lease.onRecord(*record, offset, suspensionAwareNow());
-            this->applyRecord(*record);
+            this->lease.onRecord(*record, position, suspensionAwareNow());
+            if (position >= *this->copiedUpTo)
+                this->applyRecord(*record);
         }
-        ++offset;
+        ++position;
     }
-    this->lease.onReadTo(slice->records.empty() ? slice->endOffset : offset);
+    this->lease.onReadTo(slice->records.empty() ? logPosition(era, slice->endOffset) : position);
     co_return true;
 }
 
 Task<bool> DutyRunner::append(const DutyRecord& record)
 {
     const auto sent = suspensionAwareNow();
+    const auto era = logEra(this->lease.end());
     // A separate variable, because g++ 12 cannot compile an initializer list in the awaiting expression.
     const std::vector<std::string> records(1, encode(record));
     const auto call = platform::appendCall(dutyTopic, records, this->lease.end());
     const auto answer = co_await this->store.call(call, answerTimeout);
     const auto outcome = answer ? platform::decodeAppend(*answer) : platform::AppendAnswer {};
-    if (!outcome.isAcknowledged) {
+    // An offset of the lost log may match the end of the restored one by chance.
+    const bool isContinued = answer && this->continuesTopic(*answer);
+    if (!outcome.isAcknowledged || !isContinued) {
         edge::log(LogClass::Decision, "duty_append_failed",
             { { "status", static_cast<std::int64_t>(answer ? answer->status : 0) }, { "end", static_cast<std::int64_t>(this->lease.end()) } });
         this->lease.onAppendFailed();
         co_return false;
     }
-    this->lease.onAppended(record, outcome.firstOffset, sent);
+    this->lease.onAppended(record, logPosition(era, outcome.firstOffset), sent);
     this->applyRecord(record);
     co_return true;
 }
@@ -192,7 +223,8 @@
             this->claimableSince.reset();
         else if (!this->claimableSince)
             this->claimableSince = monotonicNow();
-        if (this->lease.isLastHolder() || (mayClaim && this->isClaimDue()))
+        const bool isHolder = this->lease.isLastHolder() && !this->lease.isTermPending(suspensionAwareNow());
+        if (isHolder || (mayClaim && this->isClaimDue()))
             co_await this->runPlan(*target);
         else
             co_await this->followTopic(mayClaim ? rankDelay : followHold);
--- a/src/edge/duty_runner.h
+++ b/src/edge/duty_runner.h
@@ -35,6 +35,9 @@
     /// Queries an upstream's progress and sends its order if that is due.
     Task<> queryUpstream(HttpCaller& caller, UpstreamId upstream);
     void applyRecord(const DutyRecord& record);
+    /// Checks whether the store has returned from an older copy of its data; if so, the topic must be read again.
+    /// @return Whether the answer continues what was read before.
+    bool continuesTopic(const HttpAnswer& answer);
     bool isHolderHealthy() const;
     bool isClaimDue() const;
     DutyRecord makeRecord() const;
@@ -45,6 +48,8 @@
     const PeerLink& peers;
     HttpCaller store;
     DutyLease lease;
+    /// End of the records that the store had when it returned from an older copy; nothing until they have been read.
+    std::optional<std::uint64_t> copiedUpTo = 0;
     std::optional<WeightPlan> plan;
     std::set<UpstreamId> updatingUpstreams; ///< Upstreams with a running update coroutine.
     std::optional<TimePoint> claimableSince; ///< Since when this daemon may claim the duty.
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -25,6 +25,7 @@
 #include "goldcrestwood/upstream_board.h"
 #include "goldcrestwood/weight_targets.h"
 #include "platform/decode.h"
+#include "platform/revisions.h"
 
 namespace goldcrestwood {
 
@@ -90,8 +91,8 @@
     std::shared_ptr<const RouteTable> routes; ///< Null until a configuration is known.
     PartDirectory parts;
     UpstreamBoard board;
-    KeyedFeed operatorFeed;
-    KeyedFeed registryFeed { &platform::isEquivalentEntry };
+    KeyedFeed operatorFeed { &KeyedFeed::isNeverEquivalent, &platform::operatorRevision };
+    KeyedFeed registryFeed { &platform::isEquivalentEntry, &platform::entryRevision };
     std::map<std::string, WeightTargets> weightTargets; ///< By model.
     std::map<ServiceName, Rollout> rollouts; ///< Newest order of each service.
     bool isOperatorTopicKnown = false; ///< Whether the operator topic was known before the current batch of records.
--- a/src/edge/fact_reader.cc
+++ b/src/edge/fact_reader.cc
@@ -1,9 +1,12 @@
 #include "edge/fact_reader.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "daemon/clock.h"
+#include "edge/beliefs.h"
 #include "edge/log.h"
+#include "goldcrestwood/log_position.h"
 #include "platform/store_calls.h"
 
 namespace goldcrestwood {
@@ -43,6 +46,9 @@
             continue;
         }
         this->hadRecords = false;
+        const bool isSettled = this->settlesAt && monotonicNow() >= *this->settlesAt;
+        // A peer may have seen the store's return first; its records do not tell which keys the store has lost.
+        this->needsListing = this->needsListing || isSettled || logEra(this->feed.end()) > this->listedEra;
         const bool answered = this->needsListing ? co_await this->list() : co_await this->readNext();
         this->updateContact(answered);
         if (answered) {
@@ -78,7 +84,34 @@
     this->contact.isReachable = answered;
     this->contact.since = monotonicNow();
     edge::log(edge::LogClass::Lifecycle, answered ? "store_regained" : "store_lost",
-        { { "topic", this->topic }, { "read_to", static_cast<std::int64_t>(this->feed.end()) } });
+        { { "topic", this->topic }, { "read_to", static_cast<std::int64_t>(logOffset(this->feed.end())) }, { "era", static_cast<std::int64_t>(logEra(this->feed.end())) } });
+}
+
+std::optional<std::uint64_t> TopicReader::eraOf(const HttpAnswer& answer) const
+{
+    const auto known = logEra(this->feed.end());
+    const auto era = platform::decodeEra(answer, known);
+    if (!era) {
+        edge::log(edge::LogClass::Decision, "answer_rejected", { { "topic", this->topic }, { "finding", toString(era.error().front()) } });
+        return std::nullopt;
+    }
+    return *era < known ? std::nullopt : std::optional(*era);
+}
+
+std::vector<KeyedRecord> TopicReader::applyListing(const std::vector<KeyedRecord>& records, std::uint64_t listedUpTo)
+{
+    const auto now = monotonicNow();
+    const auto era = logEra(listedUpTo);
+    if (era > std::exchange(this->listedEra, era) && this->feed.hasRecordBefore(logPosition(era, 0))) {
+        this->settlesAt = now + reregistrationGrace;
+        edge::log(edge::LogClass::Lifecycle, "store_restored",
+            { { "topic", this->topic }, { "era", static_cast<std::int64_t>(era) }, { "end", static_cast<std::int64_t>(logOffset(listedUpTo)) },
+                { "read_to", static_cast<std::int64_t>(logOffset(this->feed.end())) } });
+    }
+    if (this->settlesAt && now < *this->settlesAt)
+        return this->feed.applyRestoredListing(records, listedUpTo);
+    this->settlesAt.reset();
+    return this->feed.applyListing(records, listedUpTo);
 }
 
 Task<bool> TopicReader::list()
@@ -86,12 +119,17 @@
     const auto asked = monotonicNow();
     std::vector<KeyedRecord> records;
     std::optional<std::uint64_t> listedUpTo;
+    std::optional<std::uint64_t> pageEra;
     std::string after;
     while (true) {
         const auto call = platform::listingCall(this->topic, after);
         const auto answer = co_await this->caller.call(call, answerTimeout);
         if (!answer || answer->status != 200)
             co_return false;
+        const auto era = this->eraOf(*answer);
+        if (!era || (pageEra && *era != *pageEra))
+            co_return false;
+        pageEra = era;
         auto page = platform::decodeListing(answer->body);
         if (!page) {
             edge::log(edge::LogClass::Decision, "listing_rejected", { { "topic", this->topic }, { "finding", toString(page.error().front()) } });
@@ -99,14 +137,17 @@
         }
         // Records written while the pages are read have offsets after the first page's end.
         if (!listedUpTo)
-            listedUpTo = page->endOffset;
-        records.insert(records.end(), page->records.begin(), page->records.end());
+            listedUpTo = logPosition(*era, page->endOffset);
+        for (auto& record : page->records) {
+            record.offset = logPosition(*era, record.offset);
+            records.push_back(record);
+        }
         if (!page->hasMore || page->records.empty())
             break;
         after = page->records.back().key;
     }
     this->updateContact(true);
-    this->applyRecords(this->state, this->feed.applyListing(records, *listedUpTo), "store");
+    this->applyRecords(this->state, this->applyListing(records, *listedUpTo), "store");
     this->contact.confirmed = asked;
     this->needsListing = false;
     co_return true;
@@ -116,13 +157,18 @@
 {
     const auto from = this->feed.end();
     // A long poll sent during an outage would time out only long after the store's return.
-    const auto hold = this->contact.isReachable ? readHold : Duration(0);
+    auto hold = this->contact.isReachable ? readHold : Duration(0);
+    if (this->settlesAt)
+        hold = std::clamp(*this->settlesAt - monotonicNow(), Duration(0), hold);
     const auto call = platform::readCall(this->topic, from, hold);
     const auto asked = monotonicNow();
     const auto answer = co_await this->caller.call(call, hold + answerTimeout);
     if (!answer)
         co_return false;
-    if (answer->status == 410) {
+    const auto era = this->eraOf(*answer);
+    if (!era)
+        co_return false;
+    if (answer->status == 410 || *era != logEra(from)) {
         this->needsListing = true;
         co_return true;
     }
@@ -145,7 +191,7 @@
     this->hadRecords = !slice->records.empty();
     this->applyRecords(this->state, this->feed.apply(records, offset), "store");
     // An answer may be held up on the way. Without records the store has waited for the whole hold time.
-    if (offset >= slice->endOffset)
+    if (logOffset(offset) >= slice->endOffset)
         this->contact.confirmed = slice->records.empty() ? std::min(asked + hold, monotonicNow()) : asked;
     co_return true;
 }
--- a/src/edge/fact_reader.h
+++ b/src/edge/fact_reader.h
@@ -4,7 +4,9 @@
 /// Reads a topic of the store by long polling and applies new records.
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "edge/edge_state.h"
 #include "edge/http_call.h"
@@ -31,6 +33,11 @@
     Task<bool> list();
     Task<bool> readNext();
     void updateContact(bool answered);
+    /// @return How often the store had returned from an older copy when it gave @p answer; nothing if that is before the last known
+    /// return.
+    std::optional<std::uint64_t> eraOf(const HttpAnswer& answer) const;
+    /// @return The records newer than those held, and removals.
+    std::vector<KeyedRecord> applyListing(const std::vector<KeyedRecord>& records, std::uint64_t listedUpTo);
 
     EdgeState& state;
     asio::any_io_executor executor;
@@ -41,6 +48,9 @@
     BatchPause batchPause;
     HttpCaller caller;
     bool needsListing = true;
+    std::uint64_t listedEra = 0; ///< Highest era of the store's listings.
+    /// When the writers have written again what the store has lost; set while that is awaited.
+    std::optional<TimePoint> settlesAt;
     bool hadRecords = false;
     int failures = 0;
 };
--- a/src/edge/feed_exchange.cc
+++ b/src/edge/feed_exchange.cc
@@ -184,7 +184,7 @@
         link.address = address;
         link.stream = std::make_unique<beast::tcp_stream>(this->executor);
     }
-    const auto request = framed(encode(FeedQuery { this->state.operatorFeed.end(), this->state.registryFeed.end(), wantsCache, this->cacheSource, this->cacheFrom, this->daemonsSource, this->daemonsFrom }));
+    const auto request = framed(encode(FeedQuery { this->hasPeerRecords ? this->state.operatorFeed.end() : 0, this->state.registryFeed.end(), wantsCache, this->cacheSource, this->cacheFrom, this->daemonsSource, this->daemonsFrom }));
     const auto payload = co_await this->exchange(link, request);
     if (!payload) {
         link.stream = nullptr;
@@ -196,6 +196,7 @@
         link.stream = nullptr;
         co_return false;
     }
+    this->hasPeerRecords = true;
     this->applyAnswer(*answer);
     co_return this->isAuthoritative(*answer);
 }
--- a/src/edge/feed_exchange.h
+++ b/src/edge/feed_exchange.h
@@ -60,6 +60,8 @@
     TopicReader& operatorReader;
     TopicReader& registryReader;
     tcp::acceptor acceptor;
+    /// Whether a peer has answered. The first query asks for all of the operator's records: the store may have lost some of them.
+    bool hasPeerRecords = false;
     FeedLag operatorLag;
     FeedLag registryLag;
     std::uint64_t cacheSource = 0; ///< Incarnation of the reader to which cacheFrom refers.
--- a/src/edge/rollout_runner.cc
+++ b/src/edge/rollout_runner.cc
@@ -2,6 +2,7 @@
 
 #include "daemon/clock.h"
 #include "edge/log.h"
+#include "goldcrestwood/log_position.h"
 #include "platform/names.h"
 #include "platform/store_calls.h"
 
@@ -128,8 +129,13 @@
         for (auto& [service, rollout] : this->state.rollouts) {
             const auto [position, isNew] = this->reports.try_emplace(service);
             auto& report = position->second;
+            const auto era = logEra(this->state.operatorFeed.end());
             if (isNew || report.order != rollout.offset())
-                report = { rollout.offset(), monotonicNow(), false, false };
+                report = { rollout.offset(), monotonicNow(), false, false, era };
+            if (report.storeEra != era) {
+                report.storeEra = era;
+                report.isActiveReported = report.isFinalReported = false;
+            }
             this->evaluate(rollout);
             this->expireUntimed(rollout, report);
             services.push_back(service);
--- a/src/edge/rollout_runner.h
+++ b/src/edge/rollout_runner.h
@@ -25,6 +25,7 @@
         TimePoint firstSeen; ///< When this daemon first evaluated the order.
         bool isActiveReported = false;
         bool isFinalReported = false;
+        std::uint64_t storeEra = 0; ///< Returns of the store from an older copy, which may have lost the status, before the report.
     };
 
     void evaluate(Rollout& rollout);
--- a/src/keyed_feed.cc
+++ b/src/keyed_feed.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "goldcrestwood/log_position.h"
+
 namespace goldcrestwood {
 
 namespace {
@@ -12,28 +14,54 @@
 
 } // namespace
 
-std::optional<KeyedRecord> KeyedFeed::merge(const KeyedRecord& record)
+std::optional<std::strong_ordering> KeyedFeed::compareRevisions(const KeyedRecord& left, const KeyedRecord& right) const
+{
+    if (!left.value || !right.value)
+        return std::nullopt;
+    const auto leftRevision = this->revisionOf(left.key, *left.value);
+    const auto rightRevision = this->revisionOf(right.key, *right.value);
+    if (!leftRevision || !rightRevision)
+        return std::nullopt;
+    return *leftRevision <=> *rightRevision;
+}
+
+bool KeyedFeed::isNewer(const KeyedRecord& record, const KeyedRecord& held) const
 {
-    const auto [position, isNew] = this->newest.try_emplace(record.key, Entry { record, record.offset, 0 });
+    if (logEra(record.offset) != logEra(held.offset))
+        if (const auto order = this->compareRevisions(record, held); order && *order != std::strong_ordering::equal)
+            return *order == std::strong_ordering::greater;
+    return record.offset > held.offset;
+}
+
+std::optional<KeyedRecord> KeyedFeed::merge(const KeyedRecord& record, std::uint64_t forwardFrom)
+{
+    const auto forwarded = std::max(record.offset, forwardFrom);
+    const auto [position, isNew] = this->newest.try_emplace(record.key, Entry { record, forwarded, 0 });
     if (isNew)
         return record.value ? std::optional(record) : std::nullopt;
     auto& held = position->second;
-    if (record.offset <= held.record.offset)
+    if (!this->isNewer(record, held.record))
         return std::nullopt;
     const bool isSame = record.value && held.record.value && this->isEquivalent(*record.value, *held.record.value);
     held.record = record;
     held.confirmations = isSame ? held.confirmations + 1 : 0;
     if (!isSame || held.confirmations % forwardingInterval == 0)
-        held.lastForwarded = record.offset;
+        held.lastForwarded = std::max(held.lastForwarded, forwarded);
     return record;
 }
 
-std::vector<KeyedRecord> KeyedFeed::apply(const std::vector<KeyedRecord>& records, std::uint64_t readUpTo)
+std::vector<KeyedRecord> KeyedFeed::mergeAll(const std::vector<KeyedRecord>& records, std::uint64_t forwardFrom)
 {
     std::vector<KeyedRecord> news;
     for (const auto& record : records)
-        if (auto changed = this->merge(record))
+        if (auto changed = this->merge(record, forwardFrom))
             news.push_back(std::move(*changed));
+    return news;
+}
+
+std::vector<KeyedRecord> KeyedFeed::apply(const std::vector<KeyedRecord>& records, std::uint64_t readUpTo)
+{
+    auto news = this->mergeAll(records, 0);
     this->nextOffset = std::max(this->nextOffset, readUpTo);
     this->known = true;
     return news;
@@ -53,14 +81,31 @@
     for (auto& removal : removals) {
         auto& held = this->newest[removal.key];
         removal.offset = std::max(removal.offset, held.record.offset);
-        held = { removal, removal.offset, 0 };
+        held = { removal, std::max(removal.offset, this->nextOffset), 0 };
         news.push_back(removal);
     }
-    auto changed = this->apply(records, listedUpTo);
+    auto changed = this->mergeAll(records, this->nextOffset);
+    this->apply({}, listedUpTo);
     news.insert(news.end(), changed.begin(), changed.end());
     return news;
 }
 
+std::vector<KeyedRecord> KeyedFeed::applyRestoredListing(const std::vector<KeyedRecord>& records, std::uint64_t listedUpTo)
+{
+    std::vector<KeyedRecord> comparable;
+    for (const auto& record : records)
+        if (const auto held = this->newest.find(record.key); held == this->newest.end() || this->compareRevisions(record, held->second.record))
+            comparable.push_back(record);
+    auto news = this->mergeAll(comparable, this->nextOffset);
+    this->apply({}, listedUpTo);
+    return news;
+}
+
+bool KeyedFeed::hasRecordBefore(std::uint64_t position) const
+{
+    return std::any_of(this->newest.begin(), this->newest.end(), [&](const auto& entry) { return entry.second.record.value && entry.second.record.offset < position; });
+}
+
 std::vector<KeyedRecord> KeyedFeed::since(std::uint64_t offset) const
 {
     std::vector<KeyedRecord> result;
--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -80,6 +80,9 @@
 
 
 class StoreHandler(Handler):
+    def answer(self, status, body=b"", headers=()):
+        super().answer(status, body, (*headers, ("Store-Era", str(self.server.owner.era))))
+
     def do_GET(self):
         store = self.server.owner
         path, _, query = self.path.partition("?")
@@ -127,6 +130,7 @@
         self.oldest_offsets = {}  # Offset of the oldest retained record, by topic.
         self.changed = threading.Condition()
         self.reads = []  # Topic and hold time in seconds of each read received, answered or not.
+        self.era = 1  # Rises each time that the store returns from an older copy.
         self.mode = "up"  # busy: answers 503; slow: answers late; lost: executes appends without an answer.
         self.refused = set()  # Addresses at which calls get 503.
         self.servers = []
@@ -163,6 +167,18 @@
             self.changed.notify_all()
             return 200, {"offset": offset, "end": len(topic_records)}
 
+    def copy(self):
+        """Returns a copy of the records, to return from later."""
+        with self.changed:
+            return {topic: list(topic_records) for topic, topic_records in self.topics.items()}
+
+    def return_from(self, copy):
+        """Replaces all records by an older copy; what was appended since is lost."""
+        with self.changed:
+            self.topics = {topic: list(topic_records) for topic, topic_records in copy.items()}
+            self.era += 1
+            self.changed.notify_all()
+
     def truncate(self):
         """Drops all records so far; newest() still returns the newest of each key."""
         with self.changed:
@@ -183,7 +199,7 @@
             self.changed.wait_for(lambda: len(self.topics.get(topic, [])) > start, wait)
             topic_records = self.topics.get(topic, [])
             oldest = self.oldest_offsets.get(topic, 0)
-            if start < oldest:
+            if start < oldest or start > len(topic_records):
                 return 410, json.dumps({"first": oldest, "end": len(topic_records)}).encode()
             body = struct.pack(">QQ", len(topic_records), oldest)
             for record in topic_records[start:]:
--- a/test/duty_lease_test.cc
+++ b/test/duty_lease_test.cc
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "goldcrestwood/duty_lease.h"
+#include "goldcrestwood/log_position.h"
 
 using namespace goldcrestwood;
 using namespace std::chrono_literals;
@@ -165,3 +166,88 @@
         }
     }
 }
+
+TEST_CASE("a holder whose record the store has lost gives no orders, and nobody claims before its term has ended")
+{
+    auto lease = leaseOf("a");
+    lease.onReadTo(logPosition(1, 0));
+    lease.onAppended(recordOf("a"), logPosition(1, 7), start);
+    const auto fence = lease.fence();
+    CHECK(lease.mayOrder(start + 1s));
+    lease.onRestored(2, start + 1s);
+    CHECK_FALSE(lease.mayOrder(start + 1s));
+    CHECK(lease.mustRead());
+    lease.onReadTo(logPosition(2, 3));
+    CHECK_FALSE(lease.mayClaim(false, start + 2s));
+    CHECK(lease.mayClaim(false, start + 2500ms));
+    lease.onAppended(recordOf("a"), logPosition(2, 3), start + 2500ms);
+    CHECK(lease.fence() > fence);
+}
+
+TEST_CASE("a process that finds an earlier return of the store at its start claims without a wait")
+{
+    auto lease = leaseOf("a");
+    lease.onRestored(4, start);
+    lease.onReadTo(logPosition(4, 9));
+    CHECK(lease.mayClaim(false, start));
+}
+
+TEST_CASE("one holder at a time orders, with rising fences, while the store returns from older copies")
+{
+    for (unsigned seed = 0; seed < 300; ++seed) {
+        std::mt19937 random(seed);
+        std::vector<DutyRecord> log;
+        std::uint64_t era = 1;
+        std::vector<DutyLease> leases { leaseOf("a", false), leaseOf("b", false), leaseOf("c", false) };
+        const char* names[] = { "a", "b", "c" };
+        std::vector<TimePoint> pausedUntil(3, start);
+        std::size_t lastHolder = 3;
+        TimePoint lastOrder = start - 100s;
+        std::uint64_t lastFence = 0;
+        std::size_t orders = 0;
+        for (auto now = start; now < start + 60s; now += 50ms) {
+            if (random() % 200 == 0) {
+                log.resize(random() % (log.size() + 1));
+                ++era;
+            }
+            for (std::size_t who = 0; who < leases.size(); ++who) {
+                auto& lease = leases[who];
+                if (now < pausedUntil[who])
+                    continue;
+                if (random() % 60 == 0) {
+                    pausedUntil[who] = now + std::chrono::milliseconds(random() % 3000);
+                    continue;
+                }
+                if (logEra(lease.end()) != era && random() % 2 == 0)
+                    lease.onRestored(era, now);
+                else if (logEra(lease.end()) == era && (lease.mustRead() || random() % 3 == 0)) {
+                    for (auto offset = logOffset(lease.end()); offset < log.size(); ++offset)
+                        lease.onRecord(log[offset], logPosition(era, offset), now);
+                    lease.onReadTo(logPosition(era, log.size()));
+                }
+                if (lease.mayClaim(random() % 2 == 0, now) && (!lease.mayOrder(now) || lease.isRenewalDue(now))) {
+                    const bool isAppended = logOffset(lease.end()) == log.size();
+                    if (isAppended)
+                        log.push_back(recordOf(names[who]));
+                    // The end may match by chance although the store has returned from an older copy.
+                    if (isAppended && logEra(lease.end()) == era && random() % 10 != 0)
+                        lease.onAppended(log.back(), logPosition(era, log.size() - 1), now);
+                    else
+                        lease.onAppendFailed();
+                }
+                if (!lease.mayOrder(now))
+                    continue;
+                ++orders;
+                INFO("seed " << seed << " at " << (now - start).count());
+                if (who != lastHolder) {
+                    REQUIRE(now - lastOrder >= 3s);
+                    REQUIRE(lease.fence() > lastFence);
+                }
+                lastHolder = who;
+                lastOrder = now;
+                lastFence = lease.fence();
+            }
+        }
+        CHECK(orders > 0);
+    }
+}
--- a/test/keyed_feed_test.cc
+++ b/test/keyed_feed_test.cc
@@ -3,6 +3,7 @@
 #include <random>
 
 #include "goldcrestwood/keyed_feed.h"
+#include "goldcrestwood/log_position.h"
 
 using namespace goldcrestwood;
 
@@ -96,3 +97,109 @@
     CHECK(passedOn > 0);
     CHECK(passedOn <= 20);
 }
+
+namespace {
+
+/// Values such as "3 text" begin with their revision; other values have none.
+KeyedFeed::Revision revisionOf(const std::string& /*key*/, const std::string& value)
+{
+    if (value.empty() || value.front() < '0' || value.front() > '9')
+        return std::nullopt;
+    return std::make_pair(std::stoull(value), std::uint64_t { 0 });
+}
+
+} // namespace
+
+TEST_CASE("a store that returns from an older copy neither reverts a key nor hides later records")
+{
+    KeyedFeed feed(&KeyedFeed::isNeverEquivalent, &revisionOf);
+    feed.applyListing({ record("config", "10", logPosition(1, 2)) }, logPosition(1, 3));
+    feed.apply({ record("config", "13", logPosition(1, 3)) }, logPosition(1, 4));
+    CHECK(feed.applyRestoredListing({ record("config", "10", logPosition(2, 2)) }, logPosition(2, 3)).empty());
+    CHECK(feed.since(0).front().value == "13");
+    CHECK(feed.end() == logPosition(2, 3));
+    // The operator writes again what was lost, then something new; both have offsets that were given out before.
+    CHECK(feed.apply({ record("config", "11", logPosition(2, 3)) }, logPosition(2, 4)).empty());
+    feed.apply({ record("config", "13", logPosition(2, 4)) }, logPosition(2, 5));
+    CHECK(feed.apply({ record("config", "16", logPosition(2, 5)) }, logPosition(2, 6)).size() == 1);
+    // A late answer of the lost log.
+    CHECK(feed.apply({ record("config", "13", logPosition(1, 9)) }, logPosition(1, 10)).empty());
+    CHECK(feed.since(0).front().value == "16");
+    CHECK(feed.end() == logPosition(2, 6));
+}
+
+TEST_CASE("a new change that a restored listing shows is applied at once")
+{
+    KeyedFeed feed(&KeyedFeed::isNeverEquivalent, &revisionOf);
+    feed.applyListing({ record("config", "13", logPosition(1, 9)) }, logPosition(1, 10));
+    CHECK(feed.applyRestoredListing({ record("config", "16", logPosition(2, 4)) }, logPosition(2, 5)).size() == 1);
+}
+
+TEST_CASE("keys that a restored listing lacks or reverts stay until the lost records have been written again")
+{
+    KeyedFeed feed(&KeyedFeed::isNeverEquivalent, &revisionOf);
+    feed.applyListing({ record("out/a", "x", logPosition(1, 2)), record("out/b", "x", logPosition(1, 5)) }, logPosition(1, 6));
+    feed.apply({ { "out/a", std::nullopt, logPosition(1, 6) } }, logPosition(1, 7));
+    CHECK(feed.hasRecordBefore(logPosition(2, 0)));
+    CHECK(feed.applyRestoredListing({ record("out/a", "x", logPosition(2, 2)) }, logPosition(2, 4)).empty());
+    // b was put again, a was not removed again: that is what holds once the writers have had their time.
+    feed.apply({ record("out/b", "x", logPosition(2, 4)) }, logPosition(2, 5));
+    const auto news = feed.applyListing({ record("out/a", "x", logPosition(2, 2)), record("out/b", "x", logPosition(2, 4)) }, logPosition(2, 5));
+    CHECK(news == std::vector { record("out/a", "x", logPosition(2, 2)) });
+    CHECK_FALSE(feed.hasRecordBefore(logPosition(2, 0)));
+    // A peer that has read to the end of the topic gets the correction too.
+    CHECK(feed.since(logPosition(2, 5)).size() == 1);
+    CHECK(feed.applyListing({ record("out/b", "x", logPosition(2, 4)) }, logPosition(2, 5)).size() == 1);
+}
+
+TEST_CASE("daemons that learn of the store's returns in any order agree on the newest records")
+{
+    // One key with revisions. The store may return from any older copy; the operator writes again what was lost. Daemons read
+    // the store or each other at random.
+    for (unsigned seed = 0; seed < 500; ++seed) {
+        std::mt19937 random(seed);
+        std::uint64_t era = 1;
+        std::vector<std::string> log { "1" };
+        unsigned version = 1;
+        std::vector<KeyedFeed> feeds(3, KeyedFeed(&KeyedFeed::isNeverEquivalent, &revisionOf));
+        std::vector<unsigned> inForce(feeds.size(), 0);
+        const auto note = [&](std::size_t who, const std::vector<KeyedRecord>& news) {
+            for (const auto& one : news) {
+                INFO("seed " << seed << " daemon " << who);
+                CHECK(std::stoul(*one.value) >= inForce[who]);
+                inForce[who] = static_cast<unsigned>(std::stoul(*one.value));
+            }
+        };
+        const auto list = [&](std::size_t who) {
+            const std::vector listed { record("config", log.back().c_str(), logPosition(era, log.size() - 1)) };
+            const auto end = logPosition(era, log.size());
+            note(who, feeds[who].isKnown() && logEra(feeds[who].end()) < era ? feeds[who].applyRestoredListing(listed, end) : feeds[who].applyListing(listed, end));
+        };
+        for (int step = 0; step < 60; ++step) {
+            const auto who = random() % feeds.size();
+            const auto action = random() % 10;
+            if (action == 0) {
+                const auto lost = log;
+                log.resize(1 + random() % log.size());
+                ++era;
+                if (random() % 2 == 0)
+                    list(who);
+                log.insert(log.end(), lost.begin() + static_cast<std::ptrdiff_t>(log.size()), lost.end());
+            } else if (action < 4)
+                log.push_back(std::to_string(++version));
+            else if (action < 7 && (!feeds[who].isKnown() || logEra(feeds[who].end()) < era))
+                list(who);
+            else if (action < 7) {
+                std::vector<KeyedRecord> tail;
+                for (auto offset = logOffset(feeds[who].end()); offset < log.size(); ++offset)
+                    tail.push_back(record("config", log[offset].c_str(), logPosition(era, offset)));
+                note(who, feeds[who].apply(tail, logPosition(era, log.size())));
+            } else if (const auto& peer = feeds[random() % feeds.size()]; peer.isKnown())
+                note(who, feeds[who].apply(peer.since(feeds[who].end()), peer.end()));
+        }
+        for (std::size_t who = 0; who < feeds.size(); ++who) {
+            list(who);
+            CHECK(feeds[who].since(0).back().value == std::to_string(version));
+        }
+    }
+}
--- a/test/process/edge_test.py
+++ b/test/process/edge_test.py
@@ -291,6 +291,59 @@
         self.assertEqual(site.request(edge.daemons[0], "/once/a", b"", key="key-two")[1], 401)
         self.assertEqual(site.request(edge.daemons[0], "/once/a", b"")[1], 200)
 
+    def return_from(self, edge, copy):
+        """Takes the store away for a moment; it comes back from an older copy."""
+        edge.store.mode = "busy"
+        time.sleep(0.3)
+        edge.store.return_from(copy)
+        edge.store.mode = "up"
+
+    def test_changes_after_the_store_returns_from_an_older_copy_are_in_force(self):
+        edge = self.start(daemons=3)
+        versions = {version: {**copy.deepcopy(site.CONFIGURATION), "version": version} for version in (2, 3, 4)}
+        versions[3]["tenants"][0]["api_keys"] = ["key-one"]
+        versions[4]["routes"] = versions[3]["routes"] + [{**site.CONFIGURATION["routes"][3], "name": "added", "path_prefix": "/added/"}]
+        versions[4]["tenants"] = versions[3]["tenants"]
+
+        def statuses(path, key=None):
+            return {site.request(daemon, path, b"", key=key)[1] for daemon in edge.daemons}
+
+        edge.store.put("keyed.op", "config", versions[2])
+        old = edge.store.copy()
+        for version in (2, 3):  # Moves the offsets of the lost records past those given out again.
+            edge.store.put("keyed.op", "config", versions[version])
+        site.wait_until(lambda: statuses("/once/a", "key-two") == {401}, "version 3")
+        self.return_from(edge, old)
+        # What was in force stays in force until the operator has written it again.
+        deadline = time.monotonic() + 1.5
+        while time.monotonic() < deadline:
+            self.assertEqual(statuses("/once/a", "key-two"), {401})
+        edge.store.put("keyed.op", "config", versions[3])
+        self.assertEqual(statuses("/once/a", "key-two"), {401})
+        edge.store.put("keyed.op", "config", versions[4])
+        site.wait_until(lambda: statuses("/added/a") == {200}, "a route that was added after the return")
+        # A process that starts now reads the new log.
+        edge.daemons[0].stop()
+        edge.daemons[0].start()
+        site.wait_until(edge.daemons[0].is_ready, "ready")
+        self.assertEqual((statuses("/added/a"), statuses("/once/a", "key-two")), ({200}, {401}))
+
+    def test_weights_named_after_the_store_returns_from_an_older_copy_are_ordered(self):
+        edge = self.start(daemons=3, models=4)
+        edge.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
+        old = edge.store.copy()
+        site.wait_until(lambda: all(replica.version == 2 for replica in edge.models), "version 2")
+        edge.store.put("keyed.op", "version/m", {"model": "m", "version": 3})
+        site.wait_until(lambda: all(replica.version == 3 for replica in edge.models), "version 3")
+        self.return_from(edge, old)
+        edge.store.put("keyed.op", "version/m", {"model": "m", "version": 3})
+        edge.store.put("keyed.op", "version/m", {"model": "m", "version": 4})
+        site.wait_until(lambda: all(replica.version == 4 for replica in edge.models), "version 4")
+        for replica in edge.models:
+            self.assertEqual([order["version"] for _, order in replica.orders], [2, 3, 4])
+        orders = sorted((when, order["fence"]) for replica in edge.models for when, order in replica.orders)
+        self.assertEqual([fence for _, fence in orders], sorted(fence for _, fence in orders))
+
     def test_reads_are_not_held_while_the_store_does_not_answer(self):
         edge = self.start(daemons=1)
 
