A planned stop leaves no request without an answer

Shown here with real processes: a request whose body came after SIGTERM on an open connection ran at a replica, and its connection was closed without a response; so was that of one sent before.

Cause: the end of the process was no deadline for requests. Class: a limit that only the process knows.

test_a_planned_stop_leaves_no_request_without_an_answer failed before (RemoteDisconnected).

--- a/src/edge/client_session.cc
+++ b/src/edge/client_session.cc
@@ -119,6 +119,14 @@
     }
 }
 
+void ClientSessions::endActive()
+{
+    for (auto* exchange : this->exchanges) {
+        exchange->timedOut = true;
+        exchange->interrupt();
+    }
+}
+
 Task<> ClientSessions::answerBadRequest(beast::tcp_stream& stream, ErrorCode error)
 {
     http::response<http::string_body> response;
@@ -152,7 +160,7 @@
         exchange.clientKeepAlive = parser.keep_alive();
         exchange.request = parser.release();
         exchange.info = platform::decodeRequest(exchange.request.base());
-        ++this->activeRequests;
+        this->exchanges.insert(&exchange);
         {
             CloseWatch watch(stream.socket(), [&exchange] {
                 exchange.clientDisconnected = true;
@@ -160,7 +168,7 @@
             });
             co_await this->pipeline.serve(exchange);
         }
-        --this->activeRequests;
+        this->exchanges.erase(&exchange);
         // A stream that began before the stop announced keep-alive, but another request would arrive too late.
         isOpen = exchange.clientKeepAlive && !exchange.clientDisconnected && !this->state.isStopping;
     }
--- a/src/edge/client_session.h
+++ b/src/edge/client_session.h
@@ -26,8 +26,11 @@
     /// Closes the connections without a request in progress.
     void closeIdle();
 
+    /// Gives the requests in progress their final answers.
+    void endActive();
+
     /// @return Number of requests in progress.
-    std::size_t active() const { return this->activeRequests; }
+    std::size_t active() const { return this->exchanges.size(); }
 
 private:
     using Parser = http::request_parser<http::string_body>;
@@ -39,7 +42,7 @@
     EdgeState& state;
     Pipeline& pipeline;
     std::set<beast::tcp_stream*> idle; ///< Connections that wait for a request.
-    std::size_t activeRequests = 0;
+    std::set<ClientExchange*> exchanges; ///< Requests in progress.
 };
 
 } // namespace goldcrestwood
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -29,6 +29,8 @@
     constexpr Duration idleCloseDelay = std::chrono::milliseconds(300);
     /// The process exits this long before SIGKILL.
     constexpr Duration stopMargin = std::chrono::milliseconds(400);
+    /// Time for the last answers to be written.
+    constexpr Duration lastAnswersTime = std::chrono::milliseconds(300);
 
     /// Pause between registry reads: upstreams write all the time, so records are read in batches.
     constexpr Duration registryPause = std::chrono::milliseconds(100);
@@ -280,6 +282,7 @@
     this->peers.announce();
     const auto begun = monotonicNow();
     const auto last = begun + this->state.settings.bounds.shutdownGrace - stopMargin;
+    this->state.stopTimes = EdgeState::StopTimes { last - lastAnswersTime, begun + minStopTime };
     asio::steady_timer timer(this->loop);
     ErrorCode ignored;
     while (monotonicNow() < last && (this->sessions.active() > 0 || monotonicNow() - begun < minStopTime)) {
@@ -287,6 +290,8 @@
         co_await timer.async_wait(into(ignored));
         if (monotonicNow() - begun >= idleCloseDelay)
             this->sessions.closeIdle();
+        if (monotonicNow() >= this->state.stopTimes->answersEnd)
+            this->sessions.endActive();
         // A later request could not be answered before the process exits.
         if (monotonicNow() - begun >= minStopTime)
             this->front.close(ignored);
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -99,6 +99,12 @@
     StoreOutage storeOutage;
     std::set<FailureDomain> evacuated;
     bool isStopping = false;
+    /// In a planned stop, when requests in progress get their final answers, and from when on one that may take longer is refused.
+    struct StopTimes {
+        TimePoint answersEnd;
+        TimePoint refusesLong;
+    };
+    std::optional<StopTimes> stopTimes;
     /// Daemons that read the store and the cache stores for all daemons, in rank order.
     std::vector<InstanceId> feedReaders;
     std::optional<TimePoint> readerSince; ///< Since when this daemon is a feed reader.
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -132,6 +132,15 @@
     return true;
 }
 
+bool Pipeline::outlastsStop(const ClientExchange& exchange) const
+{
+    const auto& stop = this->state.stopTimes;
+    if (!stop || exchange.deadline <= stop->answersEnd)
+        return false;
+    // Most answers take a fraction of the time allowed, so an early request is served unless a caller could not repeat it.
+    return exchange.route->kind == RequestKind::AtMostOnce || exchange.received >= stop->refusesLong;
+}
+
 void Pipeline::setWeightConstraints(ClientExchange& exchange) const
 {
     auto& placement = exchange.placement;
@@ -169,6 +178,11 @@
     }
     const auto waitLimit = std::min(exchange.info.timeLeft.value_or(maxWait), exchange.route->timeout);
     exchange.deadline = exchange.received + waitLimit;
+    if (this->outlastsStop(exchange)) {
+        // The directory already names other daemons.
+        co_await this->reject(exchange, 503, "the daemon is stopping", Duration(0));
+        co_return;
+    }
     const auto* service = drawService(*exchange.route, this->state.random);
     if (service == nullptr) {
         co_await this->reject(exchange, 503, "the route has no service", defaultRetryAfter);
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -23,6 +23,8 @@
 
     Task<> reject(ClientExchange& exchange, unsigned status, const char* reason, std::optional<Duration> retryAfter = std::nullopt);
     bool admit(ClientExchange& exchange, unsigned& status, const char*& reason);
+    /// @return Whether this daemon may stop before a request that it has just received has its answer.
+    bool outlastsStop(const ClientExchange& exchange) const;
     Task<> run(ClientExchange& exchange);
     /// Sets the required and the preferred weight version of a request that is about to be placed.
     void setWeightConstraints(ClientExchange& exchange) const;
--- a/test/process/edge_test.py
+++ b/test/process/edge_test.py
@@ -407,6 +407,35 @@
         self.assertEqual([answer.count(b"id:") for answer in answers], [20] * 4)
         self.assertEqual(daemon.process.wait(site.START_SECONDS), 0)
 
+    def test_a_planned_stop_leaves_no_request_without_an_answer(self):
+        # Routes allow more time than the grace of 4 s leaves.
+        configuration = copy.deepcopy(site.CONFIGURATION)
+        for route in configuration["routes"]:
+            route["timeout_ms"] = 20000
+        edge = self.start(daemons=2, configuration=configuration)
+        daemon = edge.daemons[0]
+        fields = {"Host": "site.example", "X-Goldcrestwood-Key": "key-one", "X-Goldcrestwood-Deadline-Ms": "20000"}
+        host, _, port = daemon.front.rpartition(":")
+        connections = {name: http.client.HTTPConnection(host, int(port), timeout=site.START_SECONDS) for name in ("early", "late")}
+        for replica in edge.plain:
+            replica.delay = 60
+        connections["early"].request("POST", "/once/a", b"order", {**fields, "X-Goldcrestwood-Request-Id": "early"})
+        site.wait_until(lambda: any(request == "early" for replica in edge.plain for _, request in replica.arrivals), "the early request runs")
+        # Its head is sent before the stop, so that the connection is not idle, and its body late in the grace.
+        connections["late"].putrequest("POST", "/once/a", skip_host=True)
+        for name, value in {**fields, "X-Goldcrestwood-Request-Id": "late", "Content-Length": "5"}.items():
+            connections["late"].putheader(name, value)
+        connections["late"].endheaders()
+        daemon.process.send_signal(signal.SIGTERM)
+        site.wait_until(lambda: not daemon.is_ready(), "not ready")
+        connections["late"].send(b"order")
+        late, early = (connections[name].getresponse() for name in ("late", "early"))
+        self.assertEqual(late.status, 503, "it is refused before it is sent to a replica")
+        self.assertEqual(late.getheader("Connection"), "close")
+        self.assertNotIn("late", [request for replica in edge.plain for _, request in replica.arrivals])
+        self.assertEqual(early.status, 504, "it may have run")
+        self.assertEqual(daemon.process.wait(site.START_SECONDS), 0)
+
     def test_a_caller_disconnect_ends_the_attempt(self):
         edge = self.start(daemons=1)
         for replica in edge.models:
