Answers that stop in their head are tested to be no answers

Does not happen here: four cuts, on an order (502) and on a stream (runs elsewhere). No source changes.

--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -259,8 +259,9 @@
         action = replica.script.pop(0) if replica.script else None
         if action == "unavailable":
             return self.answer(503, b"failed", headers)
-        if action == "drop":
+        if action is not None:
             self.close_connection = True
+            self.wfile.write(b"" if action == "drop" else action.encode())
             self.connection.shutdown(socket.SHUT_RDWR)
             return None
         parts = [entry.partition(":")[0] for entry in self.headers.get("X-Goldcrestwood-Prefix-Hash", "").split(",")]
@@ -391,7 +392,7 @@
         self.framing = None  # What ends its answers: "chunks" or "connection"; by default chunks for streams, a length for others.
         self.crashes_after = []  # Numbers of events, or bytes, after which its next unframed answers end with its process; may be shared.
         self.whole_streams = []  # Ids of the requests whose streams it completed.
-        self.script = []  # What it does with the next requests: "unavailable" or "drop"; may be shared by replicas.
+        self.script = []  # What it does with the next requests: "unavailable", "drop" or the part of a head that it sends before it closes; may be shared.
         self.endless = None  # Part of the answer that never ends: "head" or "body".
         self.flooded = 0
         self.delay, self.gap, self.pieces = 0.0, 0.0, 5
--- a/test/process/edge_test.py
+++ b/test/process/edge_test.py
@@ -436,6 +436,17 @@
         self.assertEqual(early.status, 504, "it may have run")
         self.assertEqual(daemon.process.wait(site.START_SECONDS), 0)
 
+    def test_an_answer_that_stops_in_its_head_is_no_answer(self):
+        edge = self.start(daemons=1)
+        for cut in ("HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r"):
+            script = [cut]
+            for replica in edge.plain + edge.models:
+                replica.script = script
+            self.assertEqual(site.request(edge.daemons[0], "/once/a", b"x")[1], 502, cut)
+            script.append(cut)
+            _, status, _, body = site.request(edge.daemons[0], "/stream/a", b"p", **site.PROMPT)
+            self.assertEqual((status, body.count(b"id:"), script), (200, 5, []), cut)
+
     def test_a_caller_disconnect_ends_the_attempt(self):
         edge = self.start(daemons=1)
         for replica in edge.models:
