peer_transport_test listens on a loopback address of its own

The port lies in the range of outgoing connections (32768 to 60999), and the process tests of the other run open hundreds. Shown: with an outgoing connection bound to that port the test fails in the same three places; since this change eight at once pass beside it. The checks are the same.

--- a/test/daemon/peer_transport_test.cc
+++ b/test/daemon/peer_transport_test.cc
@@ -7,6 +7,8 @@
 #include <mutex>
 #include <vector>
 
+#include <unistd.h>
+
 #include "daemon/peer_transport.h"
 
 using namespace goldcrestwood;
@@ -15,8 +17,11 @@
 
 constexpr Duration callTimeout = std::chrono::seconds(10);
 constexpr Duration shortTimeout = std::chrono::milliseconds(50);
-const std::string serverAddress = "127.0.0.1:47311";
-const std::string clientAddress = "127.0.0.1:47312";
+/// Outgoing connections of other processes on 127.0.0.1 may have any of these ports.
+const std::string host = "127." + std::to_string(64 + ::getpid() % 128) + ".47.1:";
+const std::string serverAddress = host + "47311";
+const std::string clientAddress = host + "47312";
+const std::string absentAddress = host + "47313";
 
 PeerTransport startIdle(const std::string& address)
 {
@@ -61,7 +66,7 @@
 TEST_CASE("a call to an absent peer fails at once or within the deadline")
 {
     auto client = startIdle(clientAddress);
-    const auto result = client.call("127.0.0.1:47313", { "Echo", "" }, callTimeout);
+    const auto result = client.call(absentAddress, { "Echo", "" }, callTimeout);
     REQUIRE_FALSE(result);
     CHECK((result.error() == PeerError::Closed || result.error() == PeerError::Unreachable));
 }
