Failed calls are logged with their reason and the bytes that had arrived

`store_lost` could not distinguish a store that is gone from a transfer that was ended while it made progress, and a failed query of a peer was not logged at all. HttpCaller and FeedExchange now say why a call failed and how much of its answer had arrived. No logic changes.

--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -272,7 +272,7 @@
     co_await timer.async_wait(into(ignored));
 }
 
-Task<std::optional<HttpAnswer>> DutyRunner::callUpstream(HttpCaller& caller, UpstreamId upstream, OutgoingCall call)
+Task<tl::expected<HttpAnswer, CallFailure>> DutyRunner::callUpstream(HttpCaller& caller, UpstreamId upstream, OutgoingCall call)
 {
     const auto* entry = this->state.board.find(upstream);
     const auto born = entry == nullptr ? 0 : entry->born;
--- a/src/edge/duty_runner.h
+++ b/src/edge/duty_runner.h
@@ -31,7 +31,7 @@
     Task<bool> readTopic(Duration hold);
     Task<> updateUpstream(UpstreamId upstream);
     /// Calls an upstream and applies the notices in its answer.
-    Task<std::optional<HttpAnswer>> callUpstream(HttpCaller& caller, UpstreamId upstream, OutgoingCall call);
+    Task<tl::expected<HttpAnswer, CallFailure>> callUpstream(HttpCaller& caller, UpstreamId upstream, OutgoingCall call);
     /// Queries an upstream's progress and sends its order if that is due.
     Task<> queryUpstream(HttpCaller& caller, UpstreamId upstream);
     void applyRecord(const DutyRecord& record);
--- a/src/edge/fact_reader.cc
+++ b/src/edge/fact_reader.cc
@@ -83,8 +83,20 @@
         return;
     this->contact.isReachable = answered;
     this->contact.since = monotonicNow();
-    edge::log(edge::LogClass::Lifecycle, answered ? "store_regained" : "store_lost",
-        { { "topic", this->topic }, { "read_to", static_cast<std::int64_t>(logOffset(this->feed.end())) }, { "era", static_cast<std::int64_t>(logEra(this->feed.end())) } });
+    const auto readTo = static_cast<std::int64_t>(logOffset(this->feed.end()));
+    const auto era = static_cast<std::int64_t>(logEra(this->feed.end()));
+    if (answered)
+        edge::log(edge::LogClass::Lifecycle, "store_regained", { { "topic", this->topic }, { "read_to", readTo }, { "era", era } });
+    else
+        edge::log(edge::LogClass::Lifecycle, "store_lost",
+            { { "topic", this->topic }, { "read_to", readTo }, { "era", era }, { "reason", this->lastFailure.reason },
+                { "received_bytes", static_cast<std::int64_t>(this->lastFailure.receivedBytes) }, { "after_ms", toMs(this->lastFailureAge) } });
+}
+
+void TopicReader::noteFailure(const tl::expected<HttpAnswer, CallFailure>& answer, TimePoint asked)
+{
+    this->lastFailure = answer ? CallFailure { "status " + std::to_string(answer->status), answer->body.size() } : answer.error();
+    this->lastFailureAge = monotonicNow() - asked;
 }
 
 std::optional<std::uint64_t> TopicReader::eraOf(const HttpAnswer& answer) const
@@ -123,7 +135,9 @@
     std::string after;
     while (true) {
         const auto call = platform::listingCall(this->topic, after);
+        const auto sent = monotonicNow();
         const auto answer = co_await this->caller.call(call, answerTimeout);
+        this->noteFailure(answer, sent);
         if (!answer || answer->status != 200)
             co_return false;
         const auto era = this->eraOf(*answer);
@@ -163,6 +177,7 @@
     const auto call = platform::readCall(this->topic, from, hold);
     const auto asked = monotonicNow();
     const auto answer = co_await this->caller.call(call, hold + answerTimeout);
+    this->noteFailure(answer, asked);
     if (!answer)
         co_return false;
     const auto era = this->eraOf(*answer);
--- a/src/edge/fact_reader.h
+++ b/src/edge/fact_reader.h
@@ -33,6 +33,8 @@
     Task<bool> list();
     Task<bool> readNext();
     void updateContact(bool answered);
+    /// Notes why a call failed, for the log.
+    void noteFailure(const tl::expected<HttpAnswer, CallFailure>& answer, TimePoint asked);
     /// @return How often the store had returned from an older copy when it gave @p answer; nothing if that is before the last known
     /// return.
     std::optional<std::uint64_t> eraOf(const HttpAnswer& answer) const;
@@ -53,6 +55,8 @@
     std::optional<TimePoint> settlesAt;
     bool hadRecords = false;
     int failures = 0;
+    CallFailure lastFailure;
+    Duration lastFailureAge = Duration(0); ///< From the call to its failure.
 };
 
 } // namespace goldcrestwood
--- a/src/edge/feed_exchange.cc
+++ b/src/edge/feed_exchange.cc
@@ -48,26 +48,26 @@
         return frame + payload;
     }
 
-    /// @return The payload of the next frame, or nothing.
-    Task<std::optional<std::string>> readFrame(beast::tcp_stream& stream)
+    /// @return The payload of the next frame.
+    Task<tl::expected<std::string, CallFailure>> readFrame(beast::tcp_stream& stream)
     {
         std::array<unsigned char, lengthBytes> head {};
         ErrorCode error;
         co_await asio::async_read(stream, asio::buffer(head), into(error));
         if (error)
-            co_return std::nullopt;
+            co_return tl::unexpected(CallFailure { "no frame: " + error.message(), 0 });
         std::size_t length = 0;
         for (const auto byte : head)
             length = length << 8U | byte;
         if (length > maxFrameBytes)
-            co_return std::nullopt;
+            co_return tl::unexpected(CallFailure { "a frame of " + std::to_string(length) + " bytes", 0 });
         std::string payload;
         while (payload.size() < length) {
             const auto begin = payload.size();
             payload.resize(std::min(length, begin + frameReadBytes));
-            co_await asio::async_read(stream, asio::buffer(payload.data() + begin, payload.size() - begin), into(error));
+            const auto received = co_await asio::async_read(stream, asio::buffer(payload.data() + begin, payload.size() - begin), into(error));
             if (error)
-                co_return std::nullopt;
+                co_return tl::unexpected(CallFailure { "no whole frame: " + error.message(), begin + received });
         }
         co_return payload;
     }
@@ -162,7 +162,7 @@
     }
 }
 
-Task<std::optional<std::string>> FeedExchange::exchange(QueryLink& link, const std::string& request)
+Task<tl::expected<std::string, CallFailure>> FeedExchange::exchange(QueryLink& link, const std::string& request)
 {
     ErrorCode error;
     link.stream->expires_after(queryTimeout);
@@ -170,11 +170,11 @@
         const auto endpoint = parseEndpoint(link.address);
         co_await link.stream->async_connect(*endpoint, into(error));
         if (error)
-            co_return std::nullopt;
+            co_return tl::unexpected(CallFailure { "no connection: " + error.message(), 0 });
     }
     co_await asio::async_write(*link.stream, asio::buffer(request), into(error));
     if (error)
-        co_return std::nullopt;
+        co_return tl::unexpected(CallFailure { "not sent: " + error.message(), 0 });
     co_return co_await readFrame(*link.stream);
 }
 
@@ -185,8 +185,12 @@
         link.stream = std::make_unique<beast::tcp_stream>(this->executor);
     }
     const auto request = framed(encode(FeedQuery { this->hasPeerRecords ? this->state.operatorFeed.end() : 0, this->state.registryFeed.end(), wantsCache, this->cacheSource, this->cacheFrom, this->daemonsSource, this->daemonsFrom }));
+    const auto asked = monotonicNow();
     const auto payload = co_await this->exchange(link, request);
     if (!payload) {
+        edge::log(edge::LogClass::Decision, "peer_query_failed",
+            { { "peer", address }, { "reason", payload.error().reason }, { "received_bytes", static_cast<std::int64_t>(payload.error().receivedBytes) },
+                { "after_ms", toMs(monotonicNow() - asked) } });
         link.stream = nullptr;
         co_return false;
     }
--- a/src/edge/feed_exchange.h
+++ b/src/edge/feed_exchange.h
@@ -4,11 +4,11 @@
 /// Exchanges what daemons have read from the store: records, cache contents, daemons and weight orders.
 
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "edge/edge_state.h"
 #include "edge/fact_reader.h"
+#include "edge/http_call.h"
 #include "edge/net.h"
 #include "edge/peer_link.h"
 #include "edge/service_queue.h"
@@ -41,7 +41,7 @@
 
     /// @return Whether the answer came from an authoritative feed reader.
     Task<bool> query(QueryLink& link, std::string address, bool wantsCache);
-    Task<std::optional<std::string>> exchange(QueryLink& link, const std::string& request);
+    Task<tl::expected<std::string, CallFailure>> exchange(QueryLink& link, const std::string& request);
     /// @return Whether an answer can replace reading the store.
     bool isAuthoritative(const FeedAnswer& answer) const;
     void applyAnswer(const FeedAnswer& answer);
--- a/src/edge/http_call.cc
+++ b/src/edge/http_call.cc
@@ -19,7 +19,7 @@
 {
 }
 
-Task<std::optional<HttpAnswer>> HttpCaller::call(const OutgoingCall& call, Duration timeout)
+Task<tl::expected<HttpAnswer, CallFailure>> HttpCaller::call(const OutgoingCall& call, Duration timeout)
 {
     auto answer = co_await this->attempt(call, timeout);
     if (!answer)
@@ -33,7 +33,7 @@
         this->connection->abort();
 }
 
-Task<std::optional<HttpAnswer>> HttpCaller::attempt(const OutgoingCall& call, Duration timeout)
+Task<tl::expected<HttpAnswer, CallFailure>> HttpCaller::attempt(const OutgoingCall& call, Duration timeout)
 {
     const auto end = monotonicNow() + timeout;
     // An answer that was sent again would be taken for the next call's.
@@ -41,8 +41,9 @@
         this->connection = nullptr;
     if (!this->connection) {
         this->connection = std::make_unique<UpstreamConnection>(this->executor, this->address);
-        if (!co_await connect(*this->connection, std::min(timeout, connectTimeout)))
-            co_return std::nullopt;
+        ErrorCode error;
+        if (!co_await connect(*this->connection, std::min(timeout, connectTimeout), error))
+            co_return tl::unexpected(CallFailure { "no connection: " + error.message(), 0 });
     }
     auto& link = *this->connection;
     http::request<http::string_body> request(call.method, call.target, 11);
@@ -59,13 +60,15 @@
     link.stream.expires_after(end - monotonicNow());
     co_await http::async_write(link.stream, request, into(error));
     if (error)
-        co_return std::nullopt;
+        co_return tl::unexpected(CallFailure { "not sent: " + error.message(), 0 });
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxAnswerBytes);
     link.stream.expires_after(end - monotonicNow());
-    co_await http::async_read(link.stream, link.buffer, parser, into(error));
+    std::uint64_t received = 0;
+    while (!error && !parser.is_done())
+        received += co_await http::async_read_some(link.stream, link.buffer, parser, into(error));
     if (error)
-        co_return std::nullopt;
+        co_return tl::unexpected(CallFailure { "no whole answer: " + error.message(), received });
     link.stream.expires_never();
     auto message = parser.release();
     const bool isKept = message.keep_alive() && link.buffer.size() == 0;
--- a/src/edge/http_call.h
+++ b/src/edge/http_call.h
@@ -3,8 +3,9 @@
 /// @file
 /// HTTP calls with a timeout on a persistent connection, for the store and for control calls to upstreams.
 
-#include <optional>
+#include <cstdint>
 #include <string>
+#include <tl/expected.hpp>
 
 #include "edge/net.h"
 #include "edge/upstream_pool.h"
@@ -27,20 +28,26 @@
     std::string body;
 };
 
+/// Why a call has no answer.
+struct CallFailure {
+    std::string reason;
+    std::uint64_t receivedBytes = 0; ///< Bytes of the answer that had arrived.
+};
+
 /// Makes calls to one address, one at a time. A call that fails closes the connection.
 class HttpCaller {
 public:
     HttpCaller(asio::any_io_executor executor, std::string address);
 
     /// @param timeout Limit for the whole call, including connecting.
-    /// @return The answer, or nothing on failure or timeout; the call may have been executed even then.
-    Task<std::optional<HttpAnswer>> call(const OutgoingCall& call, Duration timeout);
+    /// @return The answer; the call may have been executed even without one.
+    Task<tl::expected<HttpAnswer, CallFailure>> call(const OutgoingCall& call, Duration timeout);
 
     /// Aborts a call in progress.
     void abort();
 
 private:
-    Task<std::optional<HttpAnswer>> attempt(const OutgoingCall& call, Duration timeout);
+    Task<tl::expected<HttpAnswer, CallFailure>> attempt(const OutgoingCall& call, Duration timeout);
 
     asio::any_io_executor executor;
     std::string address;
