Transfers between daemons and from the store end when they stall

Cause: a record whose size the operator chooses had to arrive within a fixed time (900 ms from the store, 800 ms from a peer), and a daemon that was 250 ms behind its peers closed its read of the store even while the missing record was arriving. On a link of 10 Mbit/s that several transfers share, none ended; each began anew and filled the link for the next. The daemon then took the store for lost, and the readers changed.

Change: TransferDeadline ends a transfer that has not begun in time, pauses for 900 ms or stays below 32 KB/s on average; all calls to the store, to upstreams' control interfaces and between daemons use it. A daemon that is behind aborts only a read of which nothing arrives.

Ruled out: a store that is silent is found as before (transfer_deadline_test, edge_test).

--- a/src/edge/fact_reader.cc
+++ b/src/edge/fact_reader.cc
@@ -16,7 +16,7 @@
     /// How long the store holds a read: short enough to detect a dead connection before a change must be in force, long enough
     /// to keep calls rare.
     constexpr Duration readHold = std::chrono::seconds(4);
-    /// The store answers within milliseconds, or a few hundred when it is slow.
+    /// The store begins to answer within milliseconds, or a few hundred when it is slow.
     constexpr Duration answerTimeout = std::chrono::milliseconds(900);
     /// How often a daemon that gets records from a feed reader checks whether it must read the store itself.
     constexpr Duration fedCheckInterval = std::chrono::milliseconds(250);
@@ -73,7 +73,9 @@
 
 void TopicReader::refresh()
 {
-    this->caller.abort();
+    // The records that this daemon lacks may be arriving.
+    if (!this->caller.isReceiving(monotonicNow()))
+        this->caller.abort();
 }
 
 void TopicReader::updateContact(bool answered)
--- a/src/edge/fact_reader.h
+++ b/src/edge/fact_reader.h
@@ -25,7 +25,7 @@
     /// Reads until the process stops.
     Task<> run();
 
-    /// Aborts a long poll, so that the topic is read again at once on a new connection.
+    /// Aborts a read of which nothing arrives, so that the topic is read again at once on a new connection.
     void refresh();
 
 private:
--- a/src/edge/feed_exchange.cc
+++ b/src/edge/feed_exchange.cc
@@ -13,6 +13,7 @@
 
     /// A peer is queried if it has been ahead for this long; the store itself delivers changes within milliseconds.
     constexpr Duration maxLag = std::chrono::milliseconds(250);
+    /// Time until a peer begins to answer.
     constexpr Duration queryTimeout = std::chrono::milliseconds(800);
     /// Idle timeout of a query connection; a regular peer queries several times in this period.
     constexpr Duration queryIdleTimeout = std::chrono::seconds(5);
@@ -21,6 +22,8 @@
     constexpr std::size_t maxFrameBytes = 8U << 20U;
     /// Memory is allocated as bytes arrive, regardless of the announced length.
     constexpr std::size_t frameReadBytes = 64U << 10U;
+    /// A smaller piece shows progress earlier.
+    constexpr std::size_t frameWriteBytes = 16U << 10U;
 
     std::vector<FeedRecord> toMessage(const std::vector<KeyedRecord>& records)
     {
@@ -48,11 +51,14 @@
         return frame + payload;
     }
 
+    /// @param timeout Time until the frame begins.
     /// @return The payload of the next frame.
-    Task<tl::expected<std::string, CallFailure>> readFrame(beast::tcp_stream& stream)
+    Task<tl::expected<std::string, CallFailure>> readFrame(beast::tcp_stream& stream, Duration timeout)
     {
+        TransferDeadline deadline(monotonicNow(), timeout);
         std::array<unsigned char, lengthBytes> head {};
         ErrorCode error;
+        stream.expires_at(deadline.end());
         co_await asio::async_read(stream, asio::buffer(head), into(error));
         if (error)
             co_return tl::unexpected(CallFailure { "no frame: " + error.message(), 0 });
@@ -62,16 +68,34 @@
         if (length > maxFrameBytes)
             co_return tl::unexpected(CallFailure { "a frame of " + std::to_string(length) + " bytes", 0 });
         std::string payload;
+        deadline.onBytes(head.size(), monotonicNow());
         while (payload.size() < length) {
             const auto begin = payload.size();
             payload.resize(std::min(length, begin + frameReadBytes));
-            const auto received = co_await asio::async_read(stream, asio::buffer(payload.data() + begin, payload.size() - begin), into(error));
+            stream.expires_at(deadline.end());
+            const auto received = co_await stream.async_read_some(asio::buffer(payload.data() + begin, payload.size() - begin), into(error));
             if (error)
-                co_return tl::unexpected(CallFailure { "no whole frame: " + error.message(), begin + received });
+                co_return tl::unexpected(CallFailure { "no whole frame: " + error.message(), begin });
+            deadline.onBytes(received, monotonicNow());
+            payload.resize(begin + received);
         }
         co_return payload;
     }
 
+    /// @return Whether the whole frame was sent.
+    Task<bool> writeFrame(beast::tcp_stream& stream, const std::string& frame)
+    {
+        TransferDeadline deadline(monotonicNow(), queryTimeout);
+        ErrorCode error;
+        for (std::size_t sent = 0; sent < frame.size() && !error;) {
+            stream.expires_at(deadline.end());
+            const auto written = co_await stream.async_write_some(asio::buffer(frame.data() + sent, std::min(frame.size() - sent, frameWriteBytes)), into(error));
+            deadline.onBytes(written, monotonicNow());
+            sent += written;
+        }
+        co_return !error;
+    }
+
 } // namespace
 
 FeedExchange::FeedExchange(EdgeState& edgeState, const asio::any_io_executor& loop, ServiceQueues& serviceQueues, PeerLink& peerLink, TopicReader& operators, TopicReader& registry)
@@ -175,7 +199,7 @@
     co_await asio::async_write(*link.stream, asio::buffer(request), into(error));
     if (error)
         co_return tl::unexpected(CallFailure { "not sent: " + error.message(), 0 });
-    co_return co_await readFrame(*link.stream);
+    co_return co_await readFrame(*link.stream, queryTimeout);
 }
 
 Task<bool> FeedExchange::query(QueryLink& link, std::string address, bool wantsCache)
@@ -286,18 +310,14 @@
 {
     beast::tcp_stream stream(std::move(socket));
     while (true) {
-        stream.expires_after(queryIdleTimeout);
-        const auto payload = co_await readFrame(stream);
+        const auto payload = co_await readFrame(stream, queryIdleTimeout);
         if (!payload)
             co_return;
         const auto query = decode<FeedQuery>(*payload);
         if (!query)
             co_return;
         const auto bytes = framed(encode(this->answerTo(*query)));
-        stream.expires_after(queryTimeout);
-        ErrorCode error;
-        co_await asio::async_write(stream, asio::buffer(bytes), into(error));
-        if (error)
+        if (!co_await writeFrame(stream, bytes))
             co_return;
     }
 }
--- a/src/edge/http_call.cc
+++ b/src/edge/http_call.cc
@@ -8,20 +8,20 @@
 
     /// Connecting takes longer only if the machine is unreachable.
     constexpr Duration connectTimeout = std::chrono::milliseconds(600);
-    /// Fits a full page of records.
-    constexpr std::uint64_t maxAnswerBytes = 16U << 20U;
 
 } // namespace
 
-HttpCaller::HttpCaller(asio::any_io_executor loop, std::string target)
+HttpCaller::HttpCaller(asio::any_io_executor loop, std::string target, std::uint64_t maxAnswerBytes)
     : executor(std::move(loop))
     , address(std::move(target))
+    , bodyLimit(maxAnswerBytes)
 {
 }
 
 Task<tl::expected<HttpAnswer, CallFailure>> HttpCaller::call(const OutgoingCall& call, Duration timeout)
 {
     auto answer = co_await this->attempt(call, timeout);
+    this->transfer.reset();
     if (!answer)
         this->connection = nullptr;
     co_return answer;
@@ -35,7 +35,7 @@
 
 Task<tl::expected<HttpAnswer, CallFailure>> HttpCaller::attempt(const OutgoingCall& call, Duration timeout)
 {
-    const auto end = monotonicNow() + timeout;
+    const auto begin = monotonicNow();
     // An answer that was sent again would be taken for the next call's.
     if (this->connection && !this->connection->isOpenAndQuiet())
         this->connection = nullptr;
@@ -57,18 +57,20 @@
         request.content_length(request.body().size());
 
     ErrorCode error;
-    link.stream.expires_after(end - monotonicNow());
+    link.stream.expires_at(begin + timeout);
     co_await http::async_write(link.stream, request, into(error));
     if (error)
         co_return tl::unexpected(CallFailure { "not sent: " + error.message(), 0 });
     http::response_parser<http::string_body> parser;
-    parser.body_limit(maxAnswerBytes);
-    link.stream.expires_after(end - monotonicNow());
-    std::uint64_t received = 0;
-    while (!error && !parser.is_done())
-        received += co_await http::async_read_some(link.stream, link.buffer, parser, into(error));
+    parser.body_limit(this->bodyLimit);
+    auto& progress = this->transfer.emplace(begin, timeout);
+    while (!error && !parser.is_done()) {
+        link.stream.expires_at(progress.end());
+        const auto received = co_await http::async_read_some(link.stream, link.buffer, parser, into(error));
+        progress.onBytes(received, monotonicNow());
+    }
     if (error)
-        co_return tl::unexpected(CallFailure { "no whole answer: " + error.message(), received });
+        co_return tl::unexpected(CallFailure { "no whole answer: " + error.message(), progress.bytes() });
     link.stream.expires_never();
     auto message = parser.release();
     const bool isKept = message.keep_alive() && link.buffer.size() == 0;
--- a/src/edge/http_call.h
+++ b/src/edge/http_call.h
@@ -4,11 +4,13 @@
 /// HTTP calls with a timeout on a persistent connection, for the store and for control calls to upstreams.
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 
 #include "edge/net.h"
 #include "edge/upstream_pool.h"
+#include "goldcrestwood/transfer_deadline.h"
 
 namespace goldcrestwood {
 
@@ -37,21 +39,30 @@
 /// Makes calls to one address, one at a time. A call that fails closes the connection.
 class HttpCaller {
 public:
-    HttpCaller(asio::any_io_executor executor, std::string address);
+    /// Fits a full page of records.
+    static constexpr std::uint64_t defaultMaxAnswerBytes = 16U << 20U;
 
-    /// @param timeout Limit for the whole call, including connecting.
+    HttpCaller(asio::any_io_executor executor, std::string address, std::uint64_t maxAnswerBytes = defaultMaxAnswerBytes);
+
+    /// @param timeout Time until the answer begins, including connecting. The rest may take longer while its bytes arrive
+    /// (TransferDeadline).
     /// @return The answer; the call may have been executed even without one.
     Task<tl::expected<HttpAnswer, CallFailure>> call(const OutgoingCall& call, Duration timeout);
 
     /// Aborts a call in progress.
     void abort();
 
+    /// @return Whether an answer is arriving.
+    bool isReceiving(TimePoint now) const { return this->transfer && this->transfer->isProgressing(now); }
+
 private:
     Task<tl::expected<HttpAnswer, CallFailure>> attempt(const OutgoingCall& call, Duration timeout);
 
     asio::any_io_executor executor;
     std::string address;
+    std::uint64_t bodyLimit;
     ConnectionPtr connection;
+    std::optional<TransferDeadline> transfer; ///< Of the answer that is awaited.
 };
 
 } // namespace goldcrestwood
--- a/support/soak_proxy.py
+++ b/support/soak_proxy.py
@@ -1,4 +1,4 @@
-"""A loopback TCP proxy that can delay, reset or stall connections, or silence them in one or both directions."""
+"""A loopback TCP proxy that can delay, reset, slow down or stall connections, or silence them in one or both directions."""
 
 import socket
 import struct
@@ -6,6 +6,7 @@
 import time
 
 CHUNK_BYTES = 65536
+SLOW_CHUNK_BYTES = 8192  # Sent at once over a link with a rate.
 
 
 class Proxy:
@@ -19,6 +20,8 @@
         self.target = (host, int(port))
         self.mode = "pass"
         self.delay_seconds = 0.15
+        self.bytes_per_second = None  # Rate of the link, shared by all connections in one direction; None is unlimited.
+        self.link_lock = threading.Lock()
         self.connections = set()
         self.stalled = set()
         self.lock = threading.Lock()
@@ -76,12 +79,21 @@
                     while source.recv(CHUNK_BYTES):
                         pass
                     break
-                sink.sendall(data)
+                self.send(sink, data)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
             for connection in (source, sink):
                 reset(connection)
 
+    def send(self, sink, data):
+        """Sends bytes at the rate of the link; connections take turns."""
+        while data and self.bytes_per_second:
+            piece, data = data[:SLOW_CHUNK_BYTES], data[SLOW_CHUNK_BYTES:]
+            with self.link_lock:
+                time.sleep(len(piece) / self.bytes_per_second)
+            sink.sendall(piece)
+        sink.sendall(data)
+
     def stop(self):
         self.listener.close()
         self.set_mode("reset")
