Large answers between daemons are compressed

Change: an answer of 16 KB or more travels in the zlib format if the query says that it may, so that daemons of earlier releases still get plain answers.

Evidence: the test slow_link_test 'a large configuration takes a fraction of its size between daemons' asks a daemon as a peer: the answer to a query without the new field exceeds the configuration's size, one with it is under a fifth.

--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -391,10 +391,22 @@
     std::uint64_t daemonsSource = 0;
     /// Number of the first change of daemons requested.
     std::uint64_t daemonsFrom = 0;
+    /// Whether the answer may be compressed.
+    bool acceptsCompressed = false;
 
     bool operator==(const FeedQuery&) const = default;
 };
 
+/// An encoded FeedAnswer in the zlib format.
+struct CompressedAnswer {
+    /// Bytes of the encoded answer.
+    std::uint64_t size = 0;
+    /// The compressed bytes.
+    std::string content;
+
+    bool operator==(const CompressedAnswer&) const = default;
+};
+
 /// Answers a FeedQuery.
 struct FeedAnswer {
     /// Records of the operator's topic.
@@ -419,6 +431,8 @@
     std::uint64_t readingMs = 0;
     /// Crashes of engines that the sender saw or heard of.
     std::optional<CrashNotice> crashes;
+    /// The whole answer; the other fields are then empty.
+    std::optional<CompressedAnswer> compressed;
 
     bool operator==(const FeedAnswer&) const = default;
 };
@@ -549,6 +563,11 @@
 tl::expected<FeedQuery, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const FeedQuery& message);
 template <>
+std::string encode(const CompressedAnswer& message);
+template <>
+tl::expected<CompressedAnswer, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const CompressedAnswer& message);
+template <>
 std::string encode(const FeedAnswer& message);
 template <>
 tl::expected<FeedAnswer, DecodeError> decode(std::string_view bytes);
--- a/src/edge/feed_exchange.cc
+++ b/src/edge/feed_exchange.cc
@@ -6,6 +6,7 @@
 #include "daemon/clock.h"
 #include "edge/beliefs.h"
 #include "edge/log.h"
+#include "goldcrestwood/compression.h"
 
 namespace goldcrestwood {
 
@@ -20,6 +21,8 @@
     constexpr std::size_t lengthBytes = 4;
     /// Fits a full answer at the largest site: 4,500 upstreams, 340 daemons and the parts of the cache stores.
     constexpr std::size_t maxFrameBytes = 8U << 20U;
+    /// Answers with a configuration or all upstreams are larger; changes are smaller, and compressing those saves little.
+    constexpr std::size_t minCompressedBytes = 16U << 10U;
     /// Memory is allocated as bytes arrive, regardless of the announced length.
     constexpr std::size_t frameReadBytes = 64U << 10U;
     /// A smaller piece shows progress earlier.
@@ -43,6 +46,26 @@
         return result;
     }
 
+    std::string encodeAnswer(const FeedAnswer& answer, bool mayCompress)
+    {
+        auto plain = encode(answer);
+        if (!mayCompress || plain.size() < minCompressedBytes)
+            return plain;
+        FeedAnswer envelope;
+        envelope.compressed = CompressedAnswer { plain.size(), compress(plain) };
+        return encode(envelope);
+    }
+
+    tl::expected<FeedAnswer, DecodeError> decodeAnswer(const std::string& payload)
+    {
+        auto answer = decode<FeedAnswer>(payload);
+        if (!answer || !answer->compressed)
+            return answer;
+        if (answer->compressed->size > maxFrameBytes)
+            return tl::unexpected(DecodeError { "a compressed answer of " + std::to_string(answer->compressed->size) + " bytes" });
+        return decompress(answer->compressed->content, answer->compressed->size).and_then([](const std::string& plain) { return decode<FeedAnswer>(plain); });
+    }
+
     std::string framed(const std::string& payload)
     {
         std::string frame;
@@ -208,7 +231,7 @@
         link.address = address;
         link.stream = std::make_unique<beast::tcp_stream>(this->executor);
     }
-    const auto request = framed(encode(FeedQuery { this->hasPeerRecords ? this->state.operatorFeed.end() : 0, this->state.registryFeed.end(), wantsCache, this->cacheSource, this->cacheFrom, this->daemonsSource, this->daemonsFrom }));
+    const auto request = framed(encode(FeedQuery { this->hasPeerRecords ? this->state.operatorFeed.end() : 0, this->state.registryFeed.end(), wantsCache, this->cacheSource, this->cacheFrom, this->daemonsSource, this->daemonsFrom, true }));
     const auto asked = monotonicNow();
     const auto payload = co_await this->exchange(link, request);
     if (!payload) {
@@ -218,7 +241,7 @@
         link.stream = nullptr;
         co_return false;
     }
-    const auto answer = decode<FeedAnswer>(*payload);
+    const auto answer = decodeAnswer(*payload);
     if (!answer) {
         edge::log(edge::LogClass::Decision, "peer_answer_rejected", { { "peer", address }, { "reason", answer.error().message } });
         link.stream = nullptr;
@@ -316,7 +339,7 @@
         const auto query = decode<FeedQuery>(*payload);
         if (!query)
             co_return;
-        const auto bytes = framed(encode(this->answerTo(*query)));
+        const auto bytes = framed(encodeAnswer(this->answerTo(*query), query->acceptsCompressed));
         if (!co_await writeFrame(stream, bytes))
             co_return;
     }
--- a/test/process/slow_link_test.py
+++ b/test/process/slow_link_test.py
@@ -2,6 +2,8 @@
 
 import copy
 import json
+import socket
+import struct
 import time
 import unittest
 
@@ -12,6 +14,9 @@
 # The transfer takes longer than a held read of the store and its answer may together.
 TRANSFER_SECONDS = 6
 TIMEOUT_SECONDS = 40
+# Queries between daemons for all records of the operator: msgpack arrays of the fields.
+QUERY_FOR_ALL = b"\x97\x00\x00\xc2\x00\x00\x00\x00"
+QUERY_FOR_ALL_COMPRESSED = b"\x98\x00\x00\xc2\x00\x00\x00\x00\xc3"
 
 
 def grown_configuration(version):
@@ -54,6 +59,22 @@
         self.wait_until_served(self.site.daemons[0])
         self.assertEqual(self.events(self.site.daemons[0], "store_lost"), [])
 
+    def answer_bytes(self, daemon, query):
+        """Returns the size of a daemon's answer to a peer's query."""
+        host, _, _ = daemon.front.rpartition(":")
+        with socket.create_connection((host, 7000), timeout=10) as connection:
+            connection.sendall(struct.pack(">I", len(query)) + query)
+            return struct.unpack(">I", connection.recv(4, socket.MSG_WAITALL))[0]
+
+    def test_a_large_configuration_takes_a_fraction_of_its_size_between_daemons(self):
+        configuration = self.start(daemons=1, slow=0)
+        self.site.store.put("keyed.op", "config", configuration)
+        self.wait_until_served(self.site.daemons[0])
+        size = len(json.dumps(configuration))
+        # Daemons of earlier releases do not send the last field.
+        self.assertGreater(self.answer_bytes(self.site.daemons[0], QUERY_FOR_ALL), size)
+        self.assertLess(self.answer_bytes(self.site.daemons[0], QUERY_FOR_ALL_COMPRESSED), size / 5)
+
     def test_a_read_that_makes_progress_is_not_aborted_because_a_peer_is_ahead(self):
         configuration = self.start(daemons=2, slow=1)
         # A daemon that does not know the site yet asks its peers for records anyway.
