Late event loops and the age of a caller's departure are logged

Timeline and hypotheses of work that went on for callers that had left (GONE), before any change of logic.

No logic changes.

--- a/src/edge/client_session.cc
+++ b/src/edge/client_session.cc
@@ -163,14 +163,14 @@
         this->exchanges.insert(&exchange);
         {
             CloseWatch watch(stream.socket(), [&exchange] {
-                exchange.clientDisconnected = true;
+                exchange.clientLeftAt = monotonicNow();
                 exchange.interrupt();
             });
             co_await this->pipeline.serve(exchange);
         }
         this->exchanges.erase(&exchange);
         // A stream that began before the stop announced keep-alive, but another request would arrive too late.
-        isOpen = exchange.clientKeepAlive && !exchange.clientDisconnected && !this->state.isStopping;
+        isOpen = exchange.clientKeepAlive && !exchange.hasClientLeft() && !this->state.isStopping;
     }
     ErrorCode ignored;
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -8,6 +8,7 @@
 #include "daemon/clock.h"
 #include "edge/beliefs.h"
 #include "edge/log.h"
+#include "edge/loop_watch.h"
 #include "goldcrestwood/log_position.h"
 #include "platform/decode.h"
 #include "platform/names.h"
@@ -137,6 +138,7 @@
     spawn(this->crashes.run());
     spawn(this->watchSignals());
     spawn(this->sweep());
+    spawn(watchLoop(this->state, this->loop.get_executor()));
     edge::log(edge::LogClass::Lifecycle, "started",
         { { "front", this->state.settings.frontAddress }, { "domain", this->state.settings.domain.value }, { "store", this->state.settings.storeAddress } });
 }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -33,7 +33,9 @@
     }
 
     /// @return Whether the caller disconnected or the deadline passed.
-    bool isOver() const { return this->clientDisconnected || this->timedOut; }
+    bool isOver() const { return this->hasClientLeft() || this->timedOut; }
+
+    bool hasClientLeft() const { return this->clientLeftAt.has_value(); }
 
     beast::tcp_stream& client;
     http::request<http::string_body> request;
@@ -50,7 +52,7 @@
     std::uint32_t sends = 0;
     bool hasReservedSend = false; ///< A further send is reserved in the service's budget.
     bool mayHaveRun = false;
-    bool clientDisconnected = false;
+    std::optional<TimePoint> clientLeftAt; ///< When this daemon saw that the caller had disconnected.
     bool timedOut = false;
     bool headSent = false; ///< The answer's head was sent to the caller.
     bool clientKeepAlive = true; ///< The caller's connection can serve another request.
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -216,7 +216,7 @@
         error = {};
     if (error) {
         exchange.clientKeepAlive = false;
-        exchange.clientDisconnected = true;
+        exchange.clientLeftAt = monotonicNow();
     }
     co_return !error;
 }
