Requests of callers that have left are not sent to replicas

Cause: the close of a caller's connection was looked for only while the request was served, by an event that the loop handles after the request's first send. A daemon that is late reads request and close together, and sends the request on anyway. With bytes waiting behind a request, its close was not seen at all until the answer was written.

Twelve callers send requests to a paused daemon and leave; two of the requests reach a replica. A caller that leaves with bytes behind its request is not noticed within 3 s, while its stream goes on.

Not fixed by it: what makes a daemon late.

--- a/src/edge/client_session.cc
+++ b/src/edge/client_session.cc
@@ -1,8 +1,7 @@
 #include "edge/client_session.h"
 
-#include <sys/socket.h>
-
 #include "daemon/clock.h"
+#include "edge/caller_socket.h"
 #include "edge/log.h"
 
 namespace goldcrestwood {
@@ -14,48 +13,6 @@
     /// Idle timeout of callers' connections on a stopping daemon.
     constexpr Duration stoppingIdleTimeout = std::chrono::milliseconds(1500);
 
-    /// Calls back when the caller closes the connection while its request is served.
-    class CloseWatch {
-    public:
-        CloseWatch(tcp::socket& watched, std::function<void()> action)
-            : socket(watched)
-            , onClose(std::move(action))
-        {
-            this->wait();
-        }
-
-        CloseWatch(const CloseWatch&) = delete;
-        CloseWatch& operator=(const CloseWatch&) = delete;
-
-        ~CloseWatch()
-        {
-            *this->isOver = true;
-            ErrorCode ignored;
-            this->socket.cancel(ignored);
-        }
-
-    private:
-        void wait()
-        {
-            this->socket.async_wait(tcp::socket::wait_read, [this, over = this->isOver](ErrorCode error) {
-                if (*over || error)
-                    return;
-                char byte = 0;
-                const auto received = ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-                // A pipelined request has arrived; a close can no longer be detected this way.
-                if (received > 0)
-                    return;
-                if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-                    return this->wait();
-                this->onClose();
-            });
-        }
-
-        tcp::socket& socket;
-        std::function<void()> onClose;
-        std::shared_ptr<bool> isOver = std::make_shared<bool>(false);
-    };
-
     unsigned statusOf(ErrorCode error)
     {
         if (error == http::error::header_limit)
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -5,6 +5,7 @@
 
 #include "daemon/clock.h"
 #include "edge/attempt.h"
+#include "edge/caller_socket.h"
 #include "edge/log.h"
 
 namespace goldcrestwood {
@@ -394,8 +395,15 @@
 Task<> Pipeline::attempt(ClientExchange& exchange, Attempt& attempt)
 {
     attempt.connection = co_await this->openConnection(exchange, attempt.choice.address);
-    if (exchange.isOver())
+    // The event loop may read a request and only later learn that its caller has closed the connection.
+    if (!exchange.hasClientLeft() && isClosedByPeer(exchange.client.socket()))
+        exchange.clientLeftAt = monotonicNow();
+    if (exchange.isOver()) {
+        attempt.failure = "ended before it was sent";
+        if (attempt.connection)
+            this->keepConnection(attempt);
         co_return;
+    }
     if (!attempt.connection) {
         attempt.result = AttemptResult::Unreachable;
         attempt.failure = "no connection";
