--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -399,7 +399,6 @@
     if (!exchange.hasClientLeft() && isClosedByPeer(exchange.client.socket()))
         exchange.clientLeftAt = monotonicNow();
     if (exchange.isOver()) {
-        attempt.failure = "ended before it was sent";
         if (attempt.connection)
             this->keepConnection(attempt);
         co_return;
--- a/test/feed_readers_test.cc
+++ b/test/feed_readers_test.cc
@@ -74,6 +74,7 @@
     constexpr int sites = 50;
     for (int site = 0; site < sites; ++site) {
         std::vector<DaemonCapacity> daemons;
+        daemons.reserve(79);
         for (int number = 0; number < 79; ++number)
             daemons.push_back({ InstanceId(std::to_string(site) + "-" + std::to_string(number)), number % 10 == 0 ? 0.5 : 0.125, FailureDomain("z" + std::to_string(number % 4)) });
         for (const auto& reader : capacitiesOf(feedReaders(daemons), daemons))
@@ -86,6 +87,7 @@
 TEST_CASE("a failure domain with all large daemons does not hold all readers")
 {
     std::vector<DaemonCapacity> daemons;
+    daemons.reserve(40);
     for (int number = 0; number < 40; ++number)
         daemons.push_back({ InstanceId("d" + std::to_string(number)), number < 10 ? 1.0 : 0.1, FailureDomain(number < 10 ? "large" : "small") });
     const auto readers = capacitiesOf(feedReaders(daemons), daemons);
