The endless answer of edge_test comes from whichever replica gets the request

Cause, a fault of the test: it made the replica endless that had answered the first request, and expected one of the next three to go there. Placement counts a plain replica that has not answered yet as 20 ms, so that it turns to that one when the first answer took longer, as on a busy machine.

Now the replica that gets the next request becomes the endless one. The checks stay and none is conditional: exactly one replica is met and floods, callers get whole answers, bytes and memory stay within the same bounds. A second test plays replicas that take 50 ms.

--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -276,6 +276,8 @@
             self.close_connection = True
             self.connection.shutdown(socket.SHUT_RDWR)
             return None
+        if replica.endless_from_now:
+            replica.endless = replica.endless_from_now.pop(0)
         if replica.endless:
             return self.flood(replica, headers)
         if replica.kind != "streaming" and replica.framing == "connection":
@@ -393,7 +395,8 @@
         self.crashes_after = []  # Numbers of events, or bytes, after which its next unframed answers end with its process; may be shared.
         self.whole_streams = []  # Ids of the requests whose streams it completed.
         self.script = []  # What it does with the next requests: "unavailable", "drop" or the part of a head that it sends before it closes; may be shared.
-        self.endless = None  # Part of the answer that never ends: "head" or "body".
+        self.endless = None  # Part of its answers that never ends: "head" or "body".
+        self.endless_from_now = []  # What its answers' `endless` becomes with the next request; may be shared.
         self.flooded = 0
         self.delay, self.gap, self.pieces = 0.0, 0.0, 5
         self.server = Server("127.0.0.1", self, ReplicaHandler)
--- a/test/process/edge_test.py
+++ b/test/process/edge_test.py
@@ -251,20 +251,28 @@
         self.assertIn(identifier, headers["X-Goldcrestwood-Response-Seal"])
         self.assertEqual(sum(request == identifier for replica in edge.plain for request, _, _ in replica.requests), 2)
 
-    def flood(self, where, kind):
+    def flood(self, where, kind, delay=0.0):
+        """Checks that callers get whole answers while the replica that takes the next request never ends its own.
+
+        delay is the time that each replica takes before it answers, in seconds.
+        """
         with site.EdgeSite(daemons=1) as edge:
             daemon, group = edge.daemons[0], edge.models if kind == "stream" else edge.plain
             arguments = {"body": b"p", **site.PROMPT} if kind == "stream" else {"method": "GET"}
+            endless_from_now = []
+            for replica in group:
+                replica.delay, replica.endless_from_now = delay, endless_from_now
             self.assertEqual(site.request(daemon, f"/{kind}/a", **arguments)[1], 200)
-            preferred = max(group, key=lambda replica: len(replica.requests))
-            preferred.endless = where
+            endless_from_now.append(where)
             # The daemon meets the endless answer once, then avoids the replica; the caller sees no error.
             for _ in range(3):
                 _, status, _, body = site.request(daemon, f"/{kind}/a", **arguments)
                 self.assertEqual(status, 200)
                 self.assertNotIn(b"X-Noise", body)
-            self.assertGreater(preferred.flooded, 0)
-            self.assertLess(preferred.flooded, 32 << 20)
+            flooding = [replica for replica in group if replica.endless]
+            self.assertEqual([replica.endless for replica in flooding], [where])
+            self.assertGreater(flooding[0].flooded, 0)
+            self.assertLess(flooding[0].flooded, 32 << 20)
             with open(f"/proc/{daemon.process.pid}/status", encoding="ascii") as status_file:
                 peak = int(next(line for line in status_file if line.startswith("VmHWM")).split()[1])
             self.assertLess(peak, 64 << 10)  # KB
@@ -275,6 +283,12 @@
                 with self.subTest(where=where, kind=kind):
                     self.flood(where, kind)
 
+    def test_an_endless_answer_is_abandoned_where_replicas_answer_slowly(self):
+        # Placement then turns to a replica that has not answered yet.
+        for kind in ("safe", "stream"):
+            with self.subTest(kind=kind):
+                self.flood("body", kind, delay=0.05)
+
     def test_a_change_applies_on_all_daemons_and_survives_an_outage(self):
         edge = self.start(daemons=3)
         changed = copy.deepcopy(site.CONFIGURATION)
