--- a/src/edge/caller_socket.cc
+++ b/src/edge/caller_socket.cc
@@ -1,5 +1,6 @@
 #include "edge/caller_socket.h"
 
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -24,6 +25,15 @@
     return ::poll(&state, 1, 0) > 0;
 }
 
+Duration ageOfNewestBytes(tcp::socket& socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return Duration(0);
+    return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 CloseWatch::CloseWatch(tcp::socket& socket, std::function<void()> onClose)
     : watched(socket)
     , action(std::move(onClose))
--- a/src/edge/caller_socket.h
+++ b/src/edge/caller_socket.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Detects that a caller has closed its connection.
+/// What the system knows of a caller's connection: that it was closed, and since when bytes wait to be read.
 
 #include <functional>
 #include <memory>
@@ -14,6 +14,9 @@
 /// @return Whether the peer has closed or reset the connection, also if bytes that were not read yet come before the close.
 bool isClosedByPeer(tcp::socket& socket);
 
+/// @return How long ago the newest bytes of the peer arrived, whether or not they were read yet; zero if the system does not tell.
+Duration ageOfNewestBytes(tcp::socket& socket);
+
 /// Calls back when the caller closes the connection while its request is served.
 class CloseWatch {
 public:
--- a/src/edge/client_session.cc
+++ b/src/edge/client_session.cc
@@ -114,6 +114,8 @@
         stream.expires_never();
         ClientExchange exchange(stream);
         exchange.received = monotonicNow();
+        exchange.unread = ageOfNewestBytes(stream.socket());
+        this->state.metrics.observe("goldcrest_request_unread_seconds", "", exchange.unread);
         exchange.clientKeepAlive = parser.keep_alive();
         exchange.request = parser.release();
         exchange.info = platform::decodeRequest(exchange.request.base());
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -41,6 +41,7 @@
     http::request<http::string_body> request;
     platform::RequestInfo info;
     TimePoint received;
+    Duration unread {}; ///< How long the request's last bytes waited to be read.
     TimePoint deadline; ///< The earlier of the caller's and the route's limit.
     std::shared_ptr<const RouteTable> table;
     const TrafficRoute* route = nullptr;
