The time left for a request counts from its arrival, not from when it was read

What callers and replicas saw: a daemon that is late (its processor, a pause) reads requests that have waited in the socket, counts the caller's time from then, and hands all of it to the replica. A replica stops at the time that it is handed, so it works on for a caller that has left, if the close is late as well; and a request whose time has passed already is still sent.

Shown with real processes, both checks fail on: a daemon stands still for 1 s; replicas get 3999 ms of 4000 (at most 3020 are left), and requests that allow 300 ms run and are answered 200.

Change: a request counts as received when its newest bytes arrived, which the system tells for each connection; the pipeline looks at the deadline right before it sends, as at the caller's socket. Budgets and crash evidence take the time of reading, as they need times in order.

--- a/src/edge/client_session.cc
+++ b/src/edge/client_session.cc
@@ -113,8 +113,8 @@
             break;
         stream.expires_never();
         ClientExchange exchange(stream);
-        exchange.received = monotonicNow();
         exchange.unread = ageOfNewestBytes(stream.socket());
+        exchange.received = monotonicNow() - exchange.unread;
         this->state.metrics.observe("goldcrest_request_unread_seconds", "", exchange.unread);
         exchange.clientKeepAlive = parser.keep_alive();
         exchange.request = parser.release();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -15,7 +15,7 @@
 
 namespace goldcrestwood {
 
-/// State of one request from its last byte read to the last byte of its answer.
+/// State of one request from its last byte received to the last byte of its answer.
 struct ClientExchange {
     explicit ClientExchange(beast::tcp_stream& stream)
         : client(stream)
@@ -40,7 +40,7 @@
     beast::tcp_stream& client;
     http::request<http::string_body> request;
     platform::RequestInfo info;
-    TimePoint received;
+    TimePoint received; ///< When the request's last bytes arrived; the caller's time counts from then, however late they were read.
     Duration unread {}; ///< How long the request's last bytes waited to be read.
     TimePoint deadline; ///< The earlier of the caller's and the route's limit.
     std::shared_ptr<const RouteTable> table;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -203,9 +203,11 @@
     else
         placement.sharingGroup = "all";
     ++this->state.requestCount;
-    this->state.sendBudgets.of(*service).onRequest(exchange.received);
+    // Both take times in order.
+    const auto read = monotonicNow();
+    this->state.sendBudgets.of(*service).onRequest(read);
     if (!exchange.info.parts.empty())
-        this->state.crashSuspects.onRequest(*service, CrashSuspects::sharedParts(exchange.info.parts), exchange.received);
+        this->state.crashSuspects.onRequest(*service, CrashSuspects::sharedParts(exchange.info.parts), read);
 
     exchange.deadlineTimer.expires_at(exchange.deadline);
     // A timer that has already fired cannot be cancelled; its handler may run after the request has ended.
@@ -395,9 +397,11 @@
 Task<> Pipeline::attempt(ClientExchange& exchange, Attempt& attempt)
 {
     attempt.connection = co_await this->openConnection(exchange, attempt.choice.address);
-    // The event loop may read a request and only later learn that its caller has closed the connection.
+    // A late event loop reads requests before it learns that their callers have left or that their time has passed.
     if (!exchange.hasClientLeft() && isClosedByPeer(exchange.client.socket()))
         exchange.clientLeftAt = monotonicNow();
+    if (monotonicNow() >= exchange.deadline)
+        exchange.timedOut = true;
     if (exchange.isOver()) {
         if (attempt.connection)
             this->keepConnection(attempt);
