The reader of a topic names the outcome of a call, not a failure

noteFailure and lastFailure are set for every call, answered ones included, so that `store_lost` can say "status 503" too. Names only; nothing else changes.

--- a/src/edge/fact_reader.cc
+++ b/src/edge/fact_reader.cc
@@ -91,14 +91,14 @@
         edge::log(edge::LogClass::Lifecycle, "store_regained", { { "topic", this->topic }, { "read_to", readTo }, { "era", era } });
     else
         edge::log(edge::LogClass::Lifecycle, "store_lost",
-            { { "topic", this->topic }, { "read_to", readTo }, { "era", era }, { "reason", this->lastFailure.reason },
-                { "received_bytes", static_cast<std::int64_t>(this->lastFailure.receivedBytes) }, { "after_ms", toMs(this->lastFailureAge) } });
+            { { "topic", this->topic }, { "read_to", readTo }, { "era", era }, { "reason", this->lastOutcome.reason },
+                { "received_bytes", static_cast<std::int64_t>(this->lastOutcome.receivedBytes) }, { "after_ms", toMs(this->lastCallTime) } });
 }
 
-void TopicReader::noteFailure(const tl::expected<HttpAnswer, CallFailure>& answer, TimePoint asked)
+void TopicReader::noteOutcome(const tl::expected<HttpAnswer, CallFailure>& answer, TimePoint asked)
 {
-    this->lastFailure = answer ? CallFailure { "status " + std::to_string(answer->status), answer->body.size() } : answer.error();
-    this->lastFailureAge = monotonicNow() - asked;
+    this->lastOutcome = answer ? CallFailure { "status " + std::to_string(answer->status), answer->body.size() } : answer.error();
+    this->lastCallTime = monotonicNow() - asked;
 }
 
 std::optional<std::uint64_t> TopicReader::eraOf(const HttpAnswer& answer) const
@@ -139,7 +139,7 @@
         const auto call = platform::listingCall(this->topic, after);
         const auto sent = monotonicNow();
         const auto answer = co_await this->caller.call(call, answerTimeout);
-        this->noteFailure(answer, sent);
+        this->noteOutcome(answer, sent);
         if (!answer || answer->status != 200)
             co_return false;
         const auto era = this->eraOf(*answer);
@@ -179,7 +179,7 @@
     const auto call = platform::readCall(this->topic, from, hold);
     const auto asked = monotonicNow();
     const auto answer = co_await this->caller.call(call, hold + answerTimeout);
-    this->noteFailure(answer, asked);
+    this->noteOutcome(answer, asked);
     if (!answer)
         co_return false;
     const auto era = this->eraOf(*answer);
--- a/src/edge/fact_reader.h
+++ b/src/edge/fact_reader.h
@@ -34,7 +34,7 @@
     Task<bool> readNext();
     void updateContact(bool answered);
     /// Notes why a call failed, for the log.
-    void noteFailure(const tl::expected<HttpAnswer, CallFailure>& answer, TimePoint asked);
+    void noteOutcome(const tl::expected<HttpAnswer, CallFailure>& answer, TimePoint asked);
     /// @return How often the store had returned from an older copy when it gave @p answer; nothing if that is before the last known
     /// return.
     std::optional<std::uint64_t> eraOf(const HttpAnswer& answer) const;
@@ -55,8 +55,8 @@
     std::optional<TimePoint> settlesAt;
     bool hadRecords = false;
     int failures = 0;
-    CallFailure lastFailure;
-    Duration lastFailureAge = Duration(0); ///< From the call to its failure.
+    CallFailure lastOutcome;
+    Duration lastCallTime = Duration(0); ///< From the last call to its outcome.
 };
 
 } // namespace goldcrestwood
