--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -203,11 +203,11 @@
     else
         placement.sharingGroup = "all";
     ++this->state.requestCount;
-    // Both take times in order.
-    const auto read = monotonicNow();
-    this->state.sendBudgets.of(*service).onRequest(read);
+    // Budgets and crash evidence expect times in order, and a request that was read later may have arrived earlier.
+    const auto now = monotonicNow();
+    this->state.sendBudgets.of(*service).onRequest(now);
     if (!exchange.info.parts.empty())
-        this->state.crashSuspects.onRequest(*service, CrashSuspects::sharedParts(exchange.info.parts), read);
+        this->state.crashSuspects.onRequest(*service, CrashSuspects::sharedParts(exchange.info.parts), now);
 
     exchange.deadlineTimer.expires_at(exchange.deadline);
     // A timer that has already fired cannot be cancelled; its handler may run after the request has ended.
