--- a/src/edge/fact_reader.h
+++ b/src/edge/fact_reader.h
@@ -33,7 +33,7 @@
     Task<bool> list();
     Task<bool> readNext();
     void updateContact(bool answered);
-    /// Notes why a call failed, for the log.
+    /// Notes how a call ended, for the log.
     void noteOutcome(const tl::expected<HttpAnswer, CallFailure>& answer, TimePoint asked);
     /// @return How often the store had returned from an older copy when it gave @p answer; nothing if that is before the last known
     /// return.
@@ -55,7 +55,7 @@
     std::optional<TimePoint> settlesAt;
     bool hadRecords = false;
     int failures = 0;
-    CallFailure lastOutcome;
+    CallFailure lastOutcome; ///< Of an answered call its status.
     Duration lastCallTime = Duration(0); ///< From the last call to its outcome.
 };
 
