--- a/test/process/departed_caller_test.py
+++ b/test/process/departed_caller_test.py
@@ -16,9 +16,9 @@
 TICK_MS = 20
 
 
-def head(path, identifier, length=0, allowed_ms=4000):
+def head(path, identifier, allowed_ms=4000):
     fields = {"Host": "site.example", "X-Goldcrestwood-Request-Id": identifier, "X-Goldcrestwood-Deadline-Ms": str(allowed_ms),
-              "X-Goldcrestwood-Key": "key-one", "Content-Length": str(length)}
+              "X-Goldcrestwood-Key": "key-one", "Content-Length": "0"}
     return (f"POST {path} HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items()) + "\r\n").encode()
 
 
@@ -31,7 +31,7 @@
     def setUp(self):
         self.site = self.enterContext(edge_site.EdgeSite(daemons=1))
         self.daemon = self.site.daemons[0]
-        # The daemon has a connection to every replica afterwards.
+        # The daemon keeps connections to replicas of both services.
         for path in ("/whole/", "/once/"):
             self.assertEqual(edge_site.request(self.daemon, path, b"")[1], 200)
 
@@ -41,6 +41,9 @@
     def offered(self):
         return [request for replica in self.replicas() for _, request in replica.offers]
 
+    def log(self, event):
+        return [line for line in self.daemon.log_lines() if line["event"] == event]
+
     @contextlib.contextmanager
     def paused(self):
         self.daemon.process.send_signal(signal.SIGSTOP)
@@ -49,49 +52,48 @@
         finally:
             self.daemon.process.send_signal(signal.SIGCONT)
 
-    def send_and_stay(self, path, identifiers, allowed_ms):
-        """Sends requests while the daemon stands still; returns the statuses of their answers, 0 for none."""
-        connections = [connect(self.daemon) for _ in identifiers]
+    def send_while_paused(self, paths, allowed_ms=4000, leave=False):
+        """Sends requests while the daemon stands still, and leaves or reads the answers; returns the ids and statuses."""
+        connections = {f"a{number:015x}": connect(self.daemon) for number in range(CALLERS)}
         with self.paused():
-            for connection, identifier in zip(connections, identifiers):
-                connection.sendall(head(path, identifier, allowed_ms=allowed_ms))
+            for number, (identifier, connection) in enumerate(connections.items()):
+                connection.sendall(head(paths[number % len(paths)], identifier, allowed_ms=allowed_ms))
+                if leave:
+                    connection.close()
             time.sleep(PAUSE_SECONDS)
-        statuses = []
-        for connection in connections:
+        statuses = set()
+        for connection in connections.values() if not leave else ():
             with connection:
-                answer = connection.recv(4096)
-                statuses.append(int(answer.split()[1]) if answer else 0)
-        return statuses
+                statuses.add(int(connection.recv(4096).split()[1]))
+        return set(connections), statuses
 
-    def check_not_sent(self, connections, paths):
-        """Sends requests while the daemon stands still, leaves, and checks that no replica gets one."""
-        identifiers = [f"a{number:015x}" for number in range(len(connections))]
-        with self.paused():
-            for number, connection in enumerate(connections):
-                connection.sendall(head(paths[number % len(paths)], identifiers[number]))
-                connection.close()
-            time.sleep(0.3)
+    def test_requests_of_callers_that_left_before_they_were_read_are_not_sent_on(self):
+        identifiers, _ = self.send_while_paused(["/whole/", "/once/"], leave=True)
         edge_site.wait_until(self.daemon.is_ready, "the daemon runs again")
         time.sleep(SETTLE_SECONDS)
-        self.assertEqual([identifier for identifier in self.offered() if identifier in identifiers], [])
-
-    def test_requests_of_callers_that_left_before_they_were_read_are_not_sent_on(self):
-        self.check_not_sent([connect(self.daemon) for _ in range(CALLERS)], ["/whole/", "/once/"])
+        self.assertEqual(identifiers.intersection(self.offered()), set())
 
     def test_replicas_do_not_get_the_time_that_a_request_lay_unread(self):
-        allowed_ms = 10000
-        identifiers = [f"c{number:015x}" for number in range(CALLERS)]
-        self.assertEqual(set(self.send_and_stay("/whole/", identifiers, allowed_ms)), {200})
+        allowed_ms, paused_ms = 10000, 1000 * PAUSE_SECONDS - TICK_MS
+        identifiers, statuses = self.send_while_paused(["/whole/"], allowed_ms)
+        self.assertEqual(statuses, {200})
         passed_on = [int(fields["X-Goldcrestwood-Deadline-Ms"]) for replica in self.replicas()
                      for request, fields, _ in replica.requests if request in identifiers]
         self.assertEqual(len(passed_on), CALLERS)
-        self.assertLessEqual(max(passed_on), allowed_ms - 1000 * PAUSE_SECONDS + TICK_MS)
+        self.assertLessEqual(max(passed_on), allowed_ms - paused_ms)
+
+        def unread():
+            return [line["unread_ms"] for line in self.log("request_attempt") if line["request"] in identifiers]
+
+        edge_site.wait_until(lambda: len(unread()) == CALLERS, "the attempts are logged")
+        self.assertGreaterEqual(min(unread()), paused_ms)
+        self.assertGreater(max(line["delay_ms"] for line in self.log("loop_late")), paused_ms / 2)
 
     def test_requests_whose_time_passed_before_they_were_read_are_not_sent_on(self):
-        identifiers = [f"d{number:015x}" for number in range(CALLERS)]
+        identifiers, statuses = self.send_while_paused(["/once/"], allowed_ms=300)
         # The refusals promise that the requests did not run.
-        self.assertEqual(set(self.send_and_stay("/once/", identifiers, 300)), {503})
-        self.assertEqual([identifier for identifier in self.offered() if identifier in identifiers], [])
+        self.assertEqual(statuses, {503})
+        self.assertEqual(identifiers.intersection(self.offered()), set())
 
     def test_bytes_behind_a_request_do_not_hide_that_its_caller_left(self):
         for replica in self.site.models:
@@ -103,10 +105,7 @@
         time.sleep(0.3)
         connection.shutdown(socket.SHUT_WR)
 
-        def left():
-            return [line for line in self.daemon.log_lines() if line["event"] == "request_attempt" and line["client_gone"]]
-
-        edge_site.wait_until(left, "the attempt ends", SETTLE_SECONDS)
+        edge_site.wait_until(lambda: any(line["client_gone"] for line in self.log("request_attempt")), "the attempt ends", SETTLE_SECONDS)
         connection.close()
         self.assertNotIn("b000000000000002", self.offered())
 
