--- a/test/process/slow_link_test.py
+++ b/test/process/slow_link_test.py
@@ -29,7 +29,7 @@
 
 
 class SlowLinkTest(unittest.TestCase):
-    def start(self, daemons, slow):
+    def start(self, daemons, slow, transfer_seconds=TRANSFER_SECONDS):
         """Starts a site in which the first daemons get records from the store over slow links."""
         proxies = []
 
@@ -43,7 +43,7 @@
         configuration = grown_configuration(edge_site.CONFIGURATION["version"] + 1)
         for daemon in self.site.daemons[:slow]:
             proxy = next(proxy for proxy in proxies if proxy.address == daemon.store_address)
-            proxy.bytes_per_second = len(json.dumps(configuration)) / TRANSFER_SECONDS
+            proxy.bytes_per_second = len(json.dumps(configuration)) / transfer_seconds
         return configuration
 
     def wait_until_served(self, daemon):
@@ -59,6 +59,14 @@
         self.wait_until_served(self.site.daemons[0])
         self.assertEqual(self.events(self.site.daemons[0], "store_lost"), [])
 
+    def test_a_transfer_that_trickles_is_given_up_and_logged_with_its_bytes(self):
+        configuration = self.start(daemons=1, slow=1, transfer_seconds=10 * TRANSFER_SECONDS)
+        self.site.store.put("keyed.op", "config", configuration)
+        lost = edge_site.wait_until(lambda: self.events(self.site.daemons[0], "store_lost"), "the read ends", TIMEOUT_SECONDS)[0]
+        self.assertIn("no whole answer", lost["reason"])
+        self.assertGreater(lost["received_bytes"], 0)
+        self.assertGreater(lost["after_ms"], 0)
+
     def answer_bytes(self, daemon, query):
         """Returns the size of a daemon's answer to a peer's query."""
         host, _, _ = daemon.front.rpartition(":")
