--- a/review/common.py
+++ b/review/common.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import signal
 import sys
 import threading
 import time
@@ -36,6 +37,8 @@
 
 def run(case, folder):
     """Runs a case and ends with its result: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    # A case that is ended from outside still ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(folder)
     record.add(f"disruption: {'on' if HAS_TROUBLE else 'off'}")
     if not (ROOT / "target" / "goldcrestd").exists():
