Nothing is saved to a cache store that has just become known to a daemon

Cause: a store that has restarted is filled again only 2.5 s later, so that no daemon still takes its old contents for complete. A daemon counted a store as restarted only if it had known another epoch of it; one that had just started, or whose configuration had just named the store (again), knew none and let parts be saved at once. Daemons that had been there before still named the store as a source of the same parts.

Change: the wait counts from when the present epoch was first seen, whether or not another one was known. It costs a start of all daemons 2.5 s without saves.

Two tests saved to a store in the moment in which it became known, which is what is wrong; they do so 3 s (10 s) later now, with the same checks.

--- a/include/goldcrestwood/part_directory.h
+++ b/include/goldcrestwood/part_directory.h
@@ -31,7 +31,8 @@
 struct PartDirectorySettings {
     /// How long a store's contents stay valid without news of it: after a restart it may hold the same part half-written.
     Duration contentsLifetime = std::chrono::milliseconds(1800);
-    /// How long nothing is saved to a restarted store, so that no daemon still takes the old contents for complete.
+    /// How long nothing is saved to a store whose epoch is new to this daemon, so that no daemon still takes the contents before
+    /// a restart for complete. A daemon that has just started cannot tell whether the store has restarted.
     Duration restartSaveDelay = std::chrono::milliseconds(2500);
     /// Share of a store's capacity that its known and incoming parts together may fill.
     double maxFillShare = 0.97;
@@ -95,7 +96,7 @@
         std::uint64_t epoch = 0;
         TimePoint heard;
         TimePoint followedSince; ///< Since when the contents are known without a break.
-        std::optional<TimePoint> restarted;
+        std::optional<TimePoint> epochSince; ///< When the present epoch was first seen.
         std::uint64_t tokens = 0;
         std::unordered_map<std::string, std::uint32_t> parts; ///< Tokens by scope and part id.
     };
--- a/src/part_directory.cc
+++ b/src/part_directory.cc
@@ -85,8 +85,8 @@
     if (found == this->stores.end())
         return;
     auto& store = found->second;
-    if (store.epoch != 0 && store.epoch != epoch)
-        store.restarted = now;
+    if (!store.epochSince || store.epoch != epoch)
+        store.epochSince = now;
     if (!store.isKnown || store.epoch != epoch)
         store.followedSince = now;
     store.isKnown = true;
@@ -156,9 +156,9 @@
     std::optional<std::string> best;
     double bestScore = 0;
     for (const auto& [address, store] : this->stores) {
-        const bool isRecentlyRestarted = store.restarted && now - *store.restarted < this->settings.restartSaveDelay;
+        const bool mayHaveJustRestarted = !store.epochSince || now - *store.epochSince < this->settings.restartSaveDelay;
         const auto room = static_cast<double>(store.description.cacheTokens) * this->settings.maxFillShare;
-        if (!this->isUsable(store, now) || isRecentlyRestarted || static_cast<double>(store.tokens + part.tokens) > room)
+        if (!this->isUsable(store, now) || mayHaveJustRestarted || static_cast<double>(store.tokens + part.tokens) > room)
             continue;
         const auto size = static_cast<double>(std::max<std::uint64_t>(store.description.cacheTokens, 1));
         if (const auto score = weightedScore(stableHash(key), address, size); score > bestScore) {
--- a/test/part_directory_test.cc
+++ b/test/part_directory_test.cc
@@ -8,6 +8,8 @@
 namespace {
 
 const TimePoint start { 100s };
+/// From when on a store that became known at `start` may be filled.
+const TimePoint settled = start + 3s;
 const FailureDomain north("north");
 const FailureDomain south("south");
 
@@ -54,18 +56,43 @@
     CHECK(directory.storeFor("m/w1/all", part, start + 5600ms) == "s1");
 }
 
+// MIXED: requests took parts that were being written, because a daemon that had just started saved to a store that had just restarted.
+TEST_CASE("a store that has just become known is not filled, as it may have restarted a moment ago")
+{
+    PartDirectory directory;
+    directory.setStores({ { "s1", north, 1000 } });
+    directory.onListing("s1", 7, {}, start);
+    const PromptPart part { "aa", 100 };
+    CHECK_FALSE(directory.storeFor("m/w1/all", part, start));
+    directory.onEvents("s1", 7, {}, start + 2400ms);
+    CHECK_FALSE(directory.storeFor("m/w1/all", part, start + 2400ms));
+    directory.onEvents("s1", 7, {}, start + 2600ms);
+    CHECK(directory.storeFor("m/w1/all", part, start + 2600ms) == "s1");
+    // A configuration may leave the store out for a while.
+    directory.setStores({});
+    directory.setStores({ { "s1", north, 1000 } });
+    directory.onListing("s1", 9, {}, start + 10s);
+    CHECK_FALSE(directory.storeFor("m/w1/all", part, start + 10s));
+    // A listing after lost events or a short silence does not start the wait again.
+    directory.onUnreachable("s1");
+    directory.onListing("s1", 9, {}, start + 12600ms);
+    CHECK(directory.storeFor("m/w1/all", part, start + 12600ms) == "s1");
+}
+
 TEST_CASE("parts are spread over the stores by capacity, and a full store takes no more")
 {
     auto directory = twoStores();
+    directory.onEvents("s1", 7, {}, settled);
+    directory.onEvents("s2", 8, {}, settled);
     int first = 0;
     constexpr int parts = 1000;
     for (int number = 0; number < parts; ++number)
-        first += directory.storeFor("m/w1/all", { std::to_string(number), 10 }, start) == "s1" ? 1 : 0;
+        first += directory.storeFor("m/w1/all", { std::to_string(number), 10 }, settled) == "s1" ? 1 : 0;
     CHECK(first > parts / 5);
     CHECK(first < parts * 3 / 10);
-    directory.onEvents("s2", 8, { { "m/w1/all", "big", 2950 } }, start);
-    CHECK(directory.storeFor("m/w1/all", { "x", 100 }, start) == "s1");
-    CHECK_FALSE(directory.storeFor("m/w1/all", { "x", 1100 }, start));
+    directory.onEvents("s2", 8, { { "m/w1/all", "big", 2950 } }, settled);
+    CHECK(directory.storeFor("m/w1/all", { "x", 100 }, settled) == "s1");
+    CHECK_FALSE(directory.storeFor("m/w1/all", { "x", 1100 }, settled));
 }
 
 TEST_CASE("blocks of replaced weights are obsolete, and a freed part is removed")
@@ -111,10 +138,11 @@
     for (auto now = start; now <= start + 2s; now += 200ms)
         directory.onWeights({ { "m", { 2 } } }, now);
     directory.onWeights({ { "m", { 1, 2 } } }, start + 2200ms);
-    CHECK_FALSE(directory.find("m/w1/all", part, north, start));
-    CHECK_FALSE(directory.storeFor("m/w1/all", { "bb", 100 }, start));
-    CHECK(directory.find("m/w2/all", part, north, start));
-    CHECK(directory.storeFor("m/w2/all", { "bb", 100 }, start));
+    directory.onEvents("s1", 7, {}, settled);
+    CHECK_FALSE(directory.find("m/w1/all", part, north, settled));
+    CHECK_FALSE(directory.storeFor("m/w1/all", { "bb", 100 }, settled));
+    CHECK(directory.find("m/w2/all", part, north, settled));
+    CHECK(directory.storeFor("m/w2/all", { "bb", 100 }, settled));
 }
 
 TEST_CASE("a daemon that reads no store events learns from one that does")
--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -233,7 +233,8 @@
 {
     Site site;
     site.parts.setStores({ { "s1", FailureDomain("north"), 1000000 } });
-    site.parts.onListing("s1", 1, { { "m/w1/all", "common", 100 } }, start);
+    site.parts.onListing("s1", 1, { { "m/w1/all", "common", 100 } }, start - 10s);
+    site.parts.onEvents("s1", 1, {}, start);
     site.board.setUpstream(entryOf(1, model), start);
     const auto choice = site.choose(prompt(2000, "subject"));
     REQUIRE(choice);
