A cache store's contents expire as soon at a daemon that learned of them from another

A feed reader counts the contents as usable for 1.8 s after it last heard of the store and hands them on until then; a follower counted another 1.8 s from the news, 3.6 s in all.

Change: news of the stores' contents carry their age (agesMs of CacheNews), and a follower subtracts it from the time of its query. Daemons of an older version send none; then the time of the query counts, as before. An event call is held for 0.8 s instead of 1 s at a store, so that hold, pause and query interval together stay below the lifetime and contents do not lapse in calm.

Test: "a store's contents expire as soon at a daemon that learned of them from another" in part_directory_test; with the age ignored two of its checks fail. The test "a daemon that reads no store events learns from one that does" relied on the second lifetime: its reader now hears of the store before it answers, the checks are the same.

--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -331,6 +331,8 @@
     std::vector<std::uint64_t> epochs;
     /// Parts, by age of the change, oldest first.
     std::vector<CachePartRecord> parts;
+    /// Milliseconds since the sender last heard of each store.
+    std::vector<std::uint64_t> agesMs;
 
     bool operator==(const CacheNews&) const = default;
 };
--- a/include/goldcrestwood/part_directory.h
+++ b/include/goldcrestwood/part_directory.h
@@ -60,8 +60,10 @@
     /// @param from Sequence number of the first change to return; 0 for the full contents.
     /// @return The changes since @p from, or the full contents if these changes are no longer retained.
     CacheNews changesSince(std::uint64_t from, TimePoint now) const;
+    /// @param asked When the news were requested. Contents expire as they do at the daemon that sent the news: a lifetime that began
+    /// anew with each daemon that passes them on would outlast the time after which a restarted store is filled again.
     /// @return Whether the changes continue the known contents; if not, the full contents are needed.
-    bool applyChanges(const CacheNews& news, TimePoint now);
+    bool applyChanges(const CacheNews& news, TimePoint asked);
 
     /// Location of a part.
     struct Source {
--- a/src/edge/cache_watch.cc
+++ b/src/edge/cache_watch.cc
@@ -15,8 +15,10 @@
     /// Number of daemons that free the blocks of old weights: one and a spare in case it fails.
     constexpr std::size_t collectorCount = 2;
     constexpr Duration pollInterval = std::chrono::milliseconds(200);
-    /// Longest time that a store holds a call for events.
-    constexpr Duration eventsHold = std::chrono::milliseconds(1000);
+    /// Longest time that a store holds a call for events. Together with the pause after it and the longest interval between a
+    /// daemon's queries to a feed reader it is shorter than the lifetime of a store's contents, so that these do not lapse in calm.
+    constexpr Duration storeEventsHold = std::chrono::milliseconds(800);
+    constexpr Duration engineEventsHold = std::chrono::milliseconds(1000);
     constexpr Duration answerTimeout = std::chrono::milliseconds(500);
     /// Pause between two calls, so that events arrive in batches.
     constexpr Duration batchPause = std::chrono::milliseconds(200);
@@ -103,8 +105,8 @@
 
 Task<bool> CacheWatch::readEvents(HttpCaller& caller, std::string address, std::uint64_t& next, bool& needsListing)
 {
-    const auto call = platform::cacheEventsCall(next, eventsHold);
-    const auto answer = co_await caller.call(call, eventsHold + answerTimeout);
+    const auto call = platform::cacheEventsCall(next, storeEventsHold);
+    const auto answer = co_await caller.call(call, storeEventsHold + answerTimeout);
     if (!answer || (answer->status != 200 && answer->status != 429))
         co_return false;
     if (answer->status == 429)
@@ -141,8 +143,8 @@
 {
     const auto* entry = this->state.board.find(upstream);
     const auto born = entry == nullptr ? 0 : entry->born;
-    const auto call = platform::cacheEventsCall(next, eventsHold);
-    const auto answer = co_await caller.call(call, eventsHold + answerTimeout);
+    const auto call = platform::cacheEventsCall(next, engineEventsHold);
+    const auto answer = co_await caller.call(call, engineEventsHold + answerTimeout);
     if (answer)
         applyUpstreamNotice(this->state, upstream, born, platform::decodeNotice(answer->status, answer->fields), call.target);
     if (!answer || answer->status != 200)
--- a/src/edge/feed_exchange.cc
+++ b/src/edge/feed_exchange.cc
@@ -248,7 +248,7 @@
         co_return false;
     }
     this->hasPeerRecords = true;
-    this->applyAnswer(*answer);
+    this->applyAnswer(*answer, asked);
     co_return this->isAuthoritative(*answer);
 }
 
@@ -271,7 +271,7 @@
         applyDutyRecord(this->state, answer.duty->record, now - std::chrono::milliseconds(answer.duty->ageMs));
 }
 
-void FeedExchange::applyAnswer(const FeedAnswer& answer)
+void FeedExchange::applyAnswer(const FeedAnswer& answer, TimePoint asked)
 {
     this->applyReaderState(answer, monotonicNow());
     const auto operatorRecords = this->state.operatorFeed.apply(fromMessage(answer.operatorRecords), answer.operatorEnd);
@@ -281,7 +281,7 @@
     applyOperatorRecords(this->state, operatorRecords, "peer");
     applyRegistryRecords(this->state, this->state.registryFeed.apply(fromMessage(answer.registryRecords), answer.registryEnd), "peer");
     if (answer.cache) {
-        const bool follows = this->state.parts.applyChanges(*answer.cache, monotonicNow());
+        const bool follows = this->state.parts.applyChanges(*answer.cache, asked);
         this->cacheSource = answer.cache->source;
         this->cacheFrom = follows ? answer.cache->end : 0;
     }
--- a/src/edge/feed_exchange.h
+++ b/src/edge/feed_exchange.h
@@ -44,7 +44,8 @@
     Task<tl::expected<std::string, CallFailure>> exchange(QueryLink& link, const std::string& request);
     /// @return Whether an answer can replace reading the store.
     bool isAuthoritative(const FeedAnswer& answer) const;
-    void applyAnswer(const FeedAnswer& answer);
+    /// @param asked When the answer was requested.
+    void applyAnswer(const FeedAnswer& answer, TimePoint asked);
     void applyReaderState(const FeedAnswer& answer, TimePoint now);
     /// A daemon that has read further in a topic than this one.
     struct AheadPeer {
--- a/src/part_directory.cc
+++ b/src/part_directory.cc
@@ -19,6 +19,9 @@
     /// Retained changes; a daemon that needs older ones gets the full contents.
     constexpr std::size_t maxRetainedChanges = 4000;
 
+    /// Contents of this age have expired everywhere; a larger age would overflow the time from which it is subtracted.
+    constexpr std::uint64_t maxReportedAgeMs = 60'000;
+
 } // namespace
 
 void PartDirectory::setStores(const std::vector<CacheStore>& configured)
@@ -89,9 +92,9 @@
         store.epochSince = now;
     if (!store.isKnown || store.epoch != epoch)
         store.followedSince = now;
+    store.heard = store.epoch == epoch ? std::max(store.heard, now) : now;
     store.isKnown = true;
     store.epoch = epoch;
-    store.heard = now;
     store.parts.clear();
     store.tokens = 0;
     for (const auto& part : parts)
@@ -109,7 +112,7 @@
         store.isKnown = false;
         return false;
     }
-    store.heard = now;
+    store.heard = std::max(store.heard, now);
     for (const auto& part : news) {
         applyChange(store, part);
         this->recordChange(address, part);
@@ -208,6 +211,7 @@
     for (const auto& [address, store] : this->stores) {
         const bool isCurrent = this->isUsable(store, now);
         news.epochs.push_back(isCurrent ? store.epoch : 0);
+        news.agesMs.push_back(isCurrent ? static_cast<std::uint64_t>((now - store.heard) / std::chrono::milliseconds(1)) : 0);
         if (isCurrent && news.isWhole)
             for (const auto& [key, tokens] : store.parts) {
                 const auto separatorAt = key.find(separator);
@@ -220,7 +224,7 @@
     return news;
 }
 
-bool PartDirectory::applyChanges(const CacheNews& news, TimePoint now)
+bool PartDirectory::applyChanges(const CacheNews& news, TimePoint asked)
 {
     if (news.layout != this->layoutHash() || news.epochs.size() != this->stores.size())
         return false;
@@ -232,13 +236,16 @@
     std::size_t storeIndex = 0;
     for (const auto& address : this->addresses()) {
         const auto epoch = news.epochs[storeIndex];
+        // Daemons of an older version send no ages.
+        const auto age = storeIndex < news.agesMs.size() ? std::min(news.agesMs[storeIndex], maxReportedAgeMs) : 0;
+        const auto heard = asked - std::chrono::milliseconds(age);
         const auto& parts = byStore[storeIndex++];
         if (epoch == 0)
             this->onUnreachable(address);
         else if (news.isWhole)
-            this->onListing(address, epoch, parts, now);
+            this->onListing(address, epoch, parts, heard);
         else
-            isContinuous = this->onEvents(address, epoch, parts, now) && isContinuous;
+            isContinuous = this->onEvents(address, epoch, parts, heard) && isContinuous;
     }
     return isContinuous;
 }
--- a/test/part_directory_test.cc
+++ b/test/part_directory_test.cc
@@ -169,12 +169,44 @@
     CHECK_FALSE(other.find("m/w1/all", first, north, start));
     CHECK(other.find("m/w1/all", second, north, start)->address == "s2");
     // News without changes still show that the stores are alive.
+    reader.onEvents("s2", 8, {}, start + 1s);
     news = reader.changesSince(news.end, start + 1s);
     CHECK(news.parts.empty());
     REQUIRE(other.applyChanges(news, start + 1s));
     CHECK(other.find("m/w1/all", second, north, start + 2500ms));
 }
 
+// MIXED: a follower that held old contents for up to two lifetimes could fetch from a restarted store that others filled again.
+TEST_CASE("a store's contents expire as soon at a daemon that learned of them from another")
+{
+    auto reader = twoStores();
+    const std::vector<StoredPart> parts { { "m/w1/all", "aa", 100 } };
+    const PromptPart part { "aa", 100 };
+    reader.onEvents("s1", 7, parts, start);
+    const auto whole = reader.changesSince(0, start + 1500ms);
+    const auto changes = reader.changesSince(whole.end, start + 1700ms);
+    for (const bool isUpdated : { false, true }) {
+        PartDirectory follower;
+        follower.setStores({ { "s1", north, 1000 }, { "s2", south, 3000 } });
+        REQUIRE(follower.applyChanges(whole, start + 1500ms));
+        if (isUpdated)
+            REQUIRE(follower.applyChanges(changes, start + 1700ms));
+        CHECK(follower.find("m/w1/all", part, north, start + 1800ms));
+        CHECK_FALSE(follower.find("m/w1/all", part, north, start + 1801ms));
+    }
+    // An older view, from another reader, shortens nothing.
+    PartDirectory follower;
+    follower.setStores({ { "s1", north, 1000 }, { "s2", south, 3000 } });
+    follower.onListing("s1", 7, parts, start + 1s);
+    REQUIRE(follower.applyChanges(whole, start + 1500ms));
+    CHECK(follower.find("m/w1/all", part, north, start + 2700ms));
+    // Daemons of an older version tell no ages.
+    auto ageless = whole;
+    ageless.agesMs.clear();
+    REQUIRE(follower.applyChanges(ageless, start + 2s));
+    CHECK(follower.find("m/w1/all", part, north, start + 3800ms));
+}
+
 TEST_CASE("a store restart, another layout or a gap requires the full contents")
 {
     auto reader = twoStores();
