A registry entry that the store writes late does not make a replica ready again

Cause: within one era of the store, records of a key were merged by position alone, so that the one written last counted, whatever its writer had counted. The revisions (start and write counter of a replica, version of a configuration or of weights) were compared only across returns of the store from a copy. After a removal nothing was left to compare: a late entry brought a replica back that had left, until the entry expired.

Ruled out: peers; they pass on what the same merge accepts.

Change: revisions go before positions, in one era too, and the last one is kept after a removal. Entries that name no usable replica have no revision, so that their numbers outdate nothing. A writer that counts up from a lower revision is believed after twelve records in a row: a clock that has gone back, or an odd record with a huge count, blocks no replica for good. Renewals that say the same are merged by position, unread, as thousands come each second.

Related paths: older configurations and weights of the operator were ignored where they are applied, but kept and passed on; no more.

The revisions in store_calls_test are those of whole entries now, which is stricter.

--- a/include/goldcrestwood/keyed_feed.h
+++ b/include/goldcrestwood/keyed_feed.h
@@ -2,7 +2,7 @@
 
 /// @file
 /// Keeps the newest record per key of a log topic, merged from the store and from peers; a key never reverts to an older record,
-/// also if the store returns from an older copy of its data.
+/// also if the store carries out a write late or returns from an older copy of its data.
 
 #include <compare>
 #include <cstdint>
@@ -23,7 +23,7 @@
     auto operator<=>(const KeyedRecord&) const = default;
 };
 
-/// Merges records by position, so that stale reads and slow peers have no effect.
+/// Merges records so that stale reads and slow peers have no effect: by the revision that a key's writer counts, else by position.
 class KeyedFeed {
 public:
     /// Whether two values of a key are equivalent. Load pattern: thousands of upstreams renew their entries each second, and
@@ -76,18 +76,36 @@
     /// @param forwardFrom Lowest position at which a change is passed on: peers have read further than a listed record's position.
     std::optional<KeyedRecord> merge(const KeyedRecord& record, std::uint64_t forwardFrom);
     std::vector<KeyedRecord> mergeAll(const std::vector<KeyedRecord>& records, std::uint64_t forwardFrom);
-    /// @return Whether @p record is newer than @p held. Positions do not tell the older of two values that were written before and
-    /// after the store's return from a copy: what was lost is written again in its old order.
-    bool isNewer(const KeyedRecord& record, const KeyedRecord& held) const;
-    /// @return The order of the revisions of two values of a key, or nothing if one is not known.
-    std::optional<std::strong_ordering> compareRevisions(const KeyedRecord& left, const KeyedRecord& right) const;
+    /// @return The revision of a record's value, or nothing if it has none.
+    Revision revisionIn(const KeyedRecord& record) const;
+
+    /// Consecutive records of a key whose revisions are lower than one before.
+    struct OlderWrites {
+        std::uint64_t offset = 0; ///< Position of the last one.
+        std::pair<std::uint64_t, std::uint64_t> revision;
+        std::uint32_t writes = 0;
+    };
 
     struct Entry {
         KeyedRecord record;
         std::uint64_t lastForwarded = 0; ///< Position of the last record to pass on to peers.
         std::uint32_t confirmations = 0; ///< Equivalent records since the last change.
+        Revision replaced; ///< Of the last value that had one, if the record has none.
+        OlderWrites older;
     };
 
+    /// @return The revision of the last value in @p entry that had one, also after the key's removal.
+    Revision lastRevision(const Entry& entry) const;
+
+    /// Positions do not tell the older of two values: the store may carry out a write seconds late, also after the key's removal, and
+    /// after a return from a copy what was lost is written again in its old order.
+    /// @return Whether @p record is newer than the one held in @p entry.
+    bool isNewer(Entry& entry, const KeyedRecord& record) const;
+    void replace(Entry& entry, const KeyedRecord& record) const;
+    /// Keeps a writer whose clock has gone back, or an odd record with a huge revision, from blocking a key for good.
+    /// @return Whether @p record, with a lower revision, is one of many that the key's writer has counted up from there.
+    static bool isRecount(Entry& entry, const KeyedRecord& record, const std::pair<std::uint64_t, std::uint64_t>& revision);
+
     IsEquivalent isEquivalent;
     RevisionOf revisionOf;
     std::map<std::string, Entry> newest;
--- a/src/keyed_feed.cc
+++ b/src/keyed_feed.cc
@@ -11,39 +11,70 @@
 
     /// One of this many renewals of a key is passed on, which repairs a peer's state that is wrong for another reason.
     constexpr std::uint32_t forwardingInterval = 16;
+    /// After this many consecutive lower revisions a writer has begun to count anew. Far more than the writes of an upstream that the
+    /// store carries out seconds late.
+    constexpr std::uint32_t minRecountedWrites = 12;
 
 } // namespace
 
-std::optional<std::strong_ordering> KeyedFeed::compareRevisions(const KeyedRecord& left, const KeyedRecord& right) const
+KeyedFeed::Revision KeyedFeed::revisionIn(const KeyedRecord& record) const
 {
-    if (!left.value || !right.value)
-        return std::nullopt;
-    const auto leftRevision = this->revisionOf(left.key, *left.value);
-    const auto rightRevision = this->revisionOf(right.key, *right.value);
-    if (!leftRevision || !rightRevision)
-        return std::nullopt;
-    return *leftRevision <=> *rightRevision;
+    return record.value ? this->revisionOf(record.key, *record.value) : std::nullopt;
 }
 
-bool KeyedFeed::isNewer(const KeyedRecord& record, const KeyedRecord& held) const
+KeyedFeed::Revision KeyedFeed::lastRevision(const Entry& entry) const
 {
-    if (logEra(record.offset) != logEra(held.offset))
-        if (const auto order = this->compareRevisions(record, held); order && *order != std::strong_ordering::equal)
-            return *order == std::strong_ordering::greater;
-    return record.offset > held.offset;
+    const auto held = this->revisionIn(entry.record);
+    return held ? held : entry.replaced;
+}
+
+bool KeyedFeed::isRecount(Entry& entry, const KeyedRecord& record, const std::pair<std::uint64_t, std::uint64_t>& revision)
+{
+    auto& older = entry.older;
+    if (record.offset <= std::max(entry.record.offset, older.offset))
+        return false;
+    const bool goesOn = older.writes > 0 && older.revision.first == revision.first && older.revision.second < revision.second;
+    older = { record.offset, revision, goesOn ? older.writes + 1 : 1 };
+    return older.writes >= minRecountedWrites;
+}
+
+bool KeyedFeed::isNewer(Entry& entry, const KeyedRecord& record) const
+{
+    const auto revision = this->revisionIn(record);
+    const auto last = revision ? this->lastRevision(entry) : std::nullopt;
+    if (!last || *revision == *last)
+        return record.offset > entry.record.offset;
+    return *revision > *last || isRecount(entry, record, *revision);
+}
+
+void KeyedFeed::replace(Entry& entry, const KeyedRecord& record) const
+{
+    // Only a removal or an unreadable value leaves a later record with nothing to be compared to.
+    if (!this->revisionIn(record))
+        entry.replaced = this->lastRevision(entry);
+    entry.record = record;
+    entry.older = {};
 }
 
 std::optional<KeyedRecord> KeyedFeed::merge(const KeyedRecord& record, std::uint64_t forwardFrom)
 {
     const auto forwarded = std::max(record.offset, forwardFrom);
-    const auto [position, isNew] = this->newest.try_emplace(record.key, Entry { record, forwarded, 0 });
+    const auto [position, isNew] = this->newest.try_emplace(record.key, Entry { record, forwarded, 0, {}, {} });
     if (isNew)
         return record.value ? std::optional(record) : std::nullopt;
     auto& held = position->second;
-    if (!this->isNewer(record, held.record))
-        return std::nullopt;
     const bool isSame = record.value && held.record.value && this->isEquivalent(*record.value, *held.record.value);
-    held.record = record;
+    // Most records are renewals, whose revisions are not worth reading: their order does not matter.
+    if (isSame && logEra(record.offset) == logEra(held.record.offset)) {
+        if (record.offset <= held.record.offset)
+            return std::nullopt;
+        held.record = record;
+        held.older = {};
+    } else {
+        if (!this->isNewer(held, record))
+            return std::nullopt;
+        this->replace(held, record);
+    }
     held.confirmations = isSame ? held.confirmations + 1 : 0;
     if (!isSame || held.confirmations % forwardingInterval == 0)
         held.lastForwarded = std::max(held.lastForwarded, forwarded);
@@ -81,7 +112,9 @@
     for (auto& removal : removals) {
         auto& held = this->newest[removal.key];
         removal.offset = std::max(removal.offset, held.record.offset);
-        held = { removal, std::max(removal.offset, this->nextOffset), 0 };
+        this->replace(held, removal);
+        held.lastForwarded = std::max(removal.offset, this->nextOffset);
+        held.confirmations = 0;
         news.push_back(removal);
     }
     auto changed = this->mergeAll(records, this->nextOffset);
@@ -94,7 +127,7 @@
 {
     std::vector<KeyedRecord> comparable;
     for (const auto& record : records)
-        if (const auto held = this->newest.find(record.key); held == this->newest.end() || this->compareRevisions(record, held->second.record))
+        if (const auto held = this->newest.find(record.key); held == this->newest.end() || (this->revisionIn(record) && this->revisionIn(held->second.record)))
             comparable.push_back(record);
     auto news = this->mergeAll(comparable, this->nextOffset);
     this->apply({}, listedUpTo);
--- a/test/keyed_feed_test.cc
+++ b/test/keyed_feed_test.cc
@@ -110,6 +110,70 @@
 
 } // namespace
 
+// DRAIN: a replica's entry that the store wrote late, after the one that said it drains, made it ready again.
+TEST_CASE("a record that is written late does not revert a newer one")
+{
+    KeyedFeed feed(&KeyedFeed::isNeverEquivalent, &revisionOf);
+    feed.apply({ record("a", "8 ready", 10), record("a", "9 draining", 11) }, 12);
+    CHECK(feed.apply({ record("a", "7 ready", 12) }, 13).empty());
+    CHECK(feed.applyListing({ record("a", "7 ready", 12) }, 13).empty());
+    CHECK(feed.since(0) == std::vector { record("a", "9 draining", 11) });
+    CHECK(feed.end() == 13);
+    CHECK(feed.apply({ record("a", "10 draining", 13) }, 14).size() == 1);
+    // A daemon that has only seen the late record gets the newer one from a peer.
+    KeyedFeed fresh(&KeyedFeed::isNeverEquivalent, &revisionOf);
+    fresh.applyListing({ record("a", "7 ready", 12) }, 13);
+    CHECK(fresh.apply({ record("a", "9 draining", 11) }, 13) == std::vector { record("a", "9 draining", 11) });
+}
+
+// DRAIN: a late entry brought back a replica whose entry had been removed.
+TEST_CASE("a record that is written late does not bring back a removed key")
+{
+    const KeyedRecord removal { "a", std::nullopt, 11 };
+    for (const bool isListed : { false, true }) {
+        KeyedFeed feed(&KeyedFeed::isNeverEquivalent, &revisionOf);
+        feed.apply({ record("a", "8 ready", 10) }, 11);
+        CHECK((isListed ? feed.applyListing({}, 12) : feed.apply({ removal }, 12)) == std::vector { removal });
+        CHECK(feed.apply({ record("a", "7 ready", 12) }, 13).empty());
+        CHECK(feed.apply({ removal }, 13).empty());
+        // An upstream that was cut off for a while registers again.
+        CHECK(feed.apply({ record("a", "9 ready", 13) }, 14).size() == 1);
+    }
+}
+
+TEST_CASE("a record without a readable revision blocks no later one, and lets no older one in")
+{
+    KeyedFeed feed(&KeyedFeed::isNeverEquivalent, &revisionOf);
+    feed.apply({ record("a", "8 ready", 10) }, 11);
+    CHECK(feed.apply({ record("a", "?", 11) }, 12).size() == 1);
+    CHECK(feed.apply({ record("a", "7 ready", 12) }, 13).empty());
+    CHECK(feed.apply({ record("a", "9 ready", 13) }, 14).size() == 1);
+}
+
+TEST_CASE("a writer that counts up from a lower revision is believed after a while")
+{
+    const auto pairOf = [](const std::string& /*key*/, const std::string& value) -> KeyedFeed::Revision {
+        const auto point = value.find('.');
+        return std::make_pair(std::stoull(value), std::stoull(value.substr(point + 1)));
+    };
+    KeyedFeed feed(&KeyedFeed::isNeverEquivalent, pairOf);
+    feed.apply({ record("a", "900.5", 10) }, 11);
+    std::size_t believed = 0;
+    for (std::uint64_t write = 1; write <= 20; ++write) {
+        const auto news = feed.apply({ record("a", ("100." + std::to_string(write)).c_str(), 20 + write) }, 21 + write);
+        believed += news.size();
+        CHECK(news.empty() == (write < 12));
+        // The same record from a peer, and another writer's single late record, count for nothing.
+        CHECK(feed.apply({ record("a", ("100." + std::to_string(write)).c_str(), 20 + write) }, 21 + write).empty());
+    }
+    CHECK(believed == 9);
+    // Late writes between those of a live writer never add up.
+    for (std::uint64_t write = 1; write <= 30; ++write) {
+        CHECK(feed.apply({ record("a", ("950." + std::to_string(write)).c_str(), 100 + 2 * write) }, 0).size() == 1);
+        CHECK(feed.apply({ record("a", ("100." + std::to_string(20 + write)).c_str(), 101 + 2 * write) }, 0).empty());
+    }
+}
+
 TEST_CASE("a store that returns from an older copy neither reverts a key nor hides later records")
 {
     KeyedFeed feed(&KeyedFeed::isNeverEquivalent, &revisionOf);
--- a/test/platform/store_calls_test.cc
+++ b/test/platform/store_calls_test.cc
@@ -51,7 +51,13 @@
     CHECK(platform::operatorRevision("version/m", R"({"model":"m","version":2})") == KeyedFeed::Revision({ 2, 0 }));
     CHECK_FALSE(platform::operatorRevision("evacuate/a", R"({"version":13})").has_value());
     CHECK_FALSE(platform::operatorRevision("config", "{").has_value());
-    CHECK(platform::entryRevision("i-1", R"({"born":5,"seq":9})") == KeyedFeed::Revision({ 5, 9 }));
-    CHECK(platform::entryRevision("i-1", R"({"seq":9})") < platform::entryRevision("i-1", R"({"born":5,"seq":1})"));
+    const auto entry = [](const std::string& counts) {
+        return R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":1,"state":"ready")" + counts + "}";
+    };
+    CHECK(platform::entryRevision("i-1", entry(R"(,"born":5,"seq":9)")) == KeyedFeed::Revision({ 5, 9 }));
+    CHECK(platform::entryRevision("i-1", entry(R"(,"seq":9)")) < platform::entryRevision("i-1", entry(R"(,"born":5,"seq":1)")));
+    CHECK_FALSE(platform::entryRevision("i-1", entry("")).has_value());
     CHECK_FALSE(platform::entryRevision("i-1", R"([1])").has_value());
+    // An entry that names no upstream must not outdate the sound ones after it.
+    CHECK_FALSE(platform::entryRevision("i-1", R"({"service":"s","born":5,"seq":900})").has_value());
 }
