An answer under an unknown transfer coding is not passed on as a whole body

Change: an answer to a request or to a call of the daemon's own whose body cannot be delimited or decoded counts as a broken connection: 502 for an order, another replica for what may be repeated.

Test: process_framing_test, 200 on for each of three codings, 502 now.

--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -6,6 +6,7 @@
 #include "daemon/clock.h"
 #include "edge/attempt.h"
 #include "edge/beliefs.h"
+#include "edge/framing.h"
 #include "goldcrestwood/event_ends.h"
 
 namespace goldcrestwood {
@@ -67,6 +68,11 @@
             ++interim;
             continue;
         }
+        if (const auto& head = attempt.parser->get(); framingFault(head, head.version(), attempt.parser->chunked()) != FramingFault::None) {
+            attempt.result = AttemptResult::Unreachable;
+            attempt.failure = "an answer whose body cannot be delimited or decoded";
+            co_return false;
+        }
         attempt.answer = platform::decodeAnswer(attempt.parser->get().base());
         const bool isAnonymous = attempt.answer.requestId.empty() && !attempt.answer.isSealed;
         if (isAnonymous && link.requests > 1) {
--- a/test/process/framing_test.py
+++ b/test/process/framing_test.py
@@ -65,6 +65,20 @@
         answer = self.exchange(edge.daemons[0], first + head("b" * 16, "Content-Length: 0", "Connection: close"))
         self.assertEqual(answer.count(b"HTTP/1.1 200 "), 2, answer)
 
+    def test_an_answer_under_an_unknown_transfer_coding_is_not_passed_on(self):
+        # MIXED: its coded bytes reached the caller as a whole body.
+        edge = self.enterContext(site.EdgeSite(daemons=1, models=1))
+        for coding in ("gzip", "chunked, identity", "identity"):
+            with self.subTest(coding=coding):
+                script = []
+                for replica in edge.plain:
+                    replica.script = script
+                request = "%016x" % next(site.request_numbers)
+                script.append(f"HTTP/1.1 200 OK\r\nTransfer-Encoding: {coding}\r\nX-Goldcrestwood-Response-Seal: s.{request}\r\n"
+                              f"X-Goldcrestwood-Request-Id: {request}\r\n\r\nbytes")
+                data = head(request, "Content-Length: 0", "Connection: close")
+                self.assertIn(b" 502 ", self.exchange(edge.daemons[0], data).split(b"\r\n")[0])
+
 
 if __name__ == "__main__":
     unittest.main()
