--- a/test/process/bad_input_test.py
+++ b/test/process/bad_input_test.py
@@ -76,6 +76,16 @@
             connection.sendall(self.head(f"Content-Length: {1 << 40}\r\n\r\n").encode() + b"x" * 1000)
             self.assertIn(b" 413 ", self.read_to_end(connection).split(b"\r\n")[0])
 
+    def test_a_request_inside_a_body_of_unknown_length_is_not_read(self):
+        inner = b"GET /v1/nothing HTTP/1.1\r\nHost: x\r\n\r\n"
+        for fields in ("Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: chunked, identity\r\n",
+                       "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 0\r\nContent-Length: 45\r\n"):
+            with self.subTest(fields), self.open() as connection:
+                connection.sendall(self.head(fields + "\r\n").encode() + inner)
+                answer = self.read_to_end(connection)
+                self.assertIn(b" 400 ", answer.split(b"\r\n")[0])
+                self.assertEqual(answer.count(b"HTTP/1.1 "), 1, answer)
+
     def test_header_too_long(self):
         with self.open() as connection:
             try:
