The memory of all answers that are being received is bounded together

Report of another operator: a replica sent bytes without end; the machine that had called it kept them, ran out of memory, and the requests of other callers on it ended.

Change: one account a process (TransferMemory), a quarter of memory_mb, from which each answer takes before it grows: to requests, unfinished events of streams, calls for cache events, reports, orders, and the store's. When it is spent the largest unfinished answer is given up, as if its connection had broken. One that never ends becomes the largest before long; ordinary answers, far smaller, never pay. A whole answer is kept until its caller has it.

Weighed: a smaller bound on each answer refuses sound ones of that size and still has no sum; waiting for memory lets those that never end hold it.

--- a/include/goldcrestwood/edge_settings.h
+++ b/include/goldcrestwood/edge_settings.h
@@ -46,6 +46,7 @@
     std::string storeAddress; ///< The platform's metadata store.
     bool isFirstStart = false; ///< First start of the whole site: no process of it has run before.
     double processorShare = 1; ///< Processor share in cores.
+    std::uint64_t memoryBytes = 0; ///< Memory above which the platform kills the process; 0 if unknown.
     double linkMegabits = 0; ///< Bandwidth of the machine's link in megabits per second; 0 if unknown.
     SiteBounds bounds;
 
--- a/src/edge/attempt.h
+++ b/src/edge/attempt.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "edge/pipeline.h"
+#include "goldcrestwood/transfer_memory.h"
 
 namespace goldcrestwood {
 
@@ -31,6 +32,7 @@
     std::uint64_t bodyBytes = 0; ///< Bytes of the body received.
     std::uint64_t events = 0; ///< Complete events received.
     std::optional<http::response<http::string_body>> bufferedAnswer; ///< Complete answer that has not been relayed yet.
+    std::optional<TransferMemory::Share> memory; ///< Of the buffered answer, or of an unfinished event.
     // State of the stream to the caller; kept when another upstream resumes it.
     std::unique_ptr<http::response<http::buffer_body>> head;
     std::unique_ptr<http::response_serializer<http::buffer_body>> serializer;
--- a/src/edge/cache_watch.cc
+++ b/src/edge/cache_watch.cc
@@ -60,7 +60,7 @@
 
 Task<> CacheWatch::follow(std::string address)
 {
-    HttpCaller caller(this->executor, address);
+    HttpCaller caller(this->executor, this->state.transferMemory, address);
     asio::steady_timer timer(this->executor);
     bool needsListing = true;
     std::uint64_t next = 0;
@@ -123,7 +123,7 @@
 
 Task<> CacheWatch::followEngine(UpstreamId upstream, std::string address)
 {
-    HttpCaller caller(this->executor, address);
+    HttpCaller caller(this->executor, this->state.transferMemory, address);
     asio::steady_timer timer(this->executor);
     std::uint64_t next = 0;
     std::uint64_t epoch = 0;
@@ -204,7 +204,7 @@
     std::string scopeList;
     for (const auto& scope : scopes)
         scopeList += (scopeList.empty() ? "" : " ") + scope;
-    HttpCaller caller(this->executor, address);
+    HttpCaller caller(this->executor, this->state.transferMemory, address);
     std::optional<std::uint64_t> until;
     if (const auto clock = this->clocks.find(address); clock != this->clocks.end())
         until = clock->second.milliseconds + static_cast<std::uint64_t>((monotonicNow() - clock->second.readAt + freeCallLifetime) / std::chrono::milliseconds(1));
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -50,7 +50,7 @@
     , executor(loop)
     , queues(serviceQueues)
     , peers(peerLink)
-    , store(loop, edgeState.settings.storeAddress)
+    , store(loop, edgeState.transferMemory, edgeState.settings.storeAddress)
     , lease(edgeState.settings.instance, edgeState.settings.peerAddress, edgeState.incarnation,
           DutyLeaseSettings { .handoverGap = edgeState.settings.bounds.leaseTime, .upstreamsCheckFences = edgeState.settings.bounds.fencesChecked })
 {
@@ -314,7 +314,7 @@
         this->updatingUpstreams.erase(upstream);
         co_return;
     }
-    HttpCaller caller(this->executor, entry->address, maxUpstreamAnswerBytes);
+    HttpCaller caller(this->executor, this->state.transferMemory, entry->address, maxUpstreamAnswerBytes);
     asio::steady_timer timer(this->executor);
     const auto isRunning = [&] {
         if (!this->plan)
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -208,6 +208,8 @@
     } else if (path == metricsPath) {
         response.set(http::field::content_type, "text/plain; version=0.0.4");
         this->state.metrics.set("goldcrest_log_lines_dropped", "", static_cast<double>(edge::droppedLines()));
+        this->state.metrics.set("goldcrest_transfer_memory_bytes", "", static_cast<double>(this->state.transferMemory.used()));
+        this->state.metrics.set("goldcrest_answers_given_up", "", static_cast<double>(this->state.transferMemory.evictions()));
         response.body() = this->state.metrics.prometheusText();
     } else if (path == statePath) {
         response.set(http::field::content_type, "application/json");
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -22,6 +22,7 @@
 #include "goldcrestwood/send_budget.h"
 #include "goldcrestwood/store_outage.h"
 #include "goldcrestwood/traffic.h"
+#include "goldcrestwood/transfer_memory.h"
 #include "goldcrestwood/upstream_board.h"
 #include "goldcrestwood/weight_targets.h"
 #include "platform/decode.h"
@@ -43,8 +44,13 @@
     /// Time that a new feed reader needs to hear all daemons: two heartbeats at a large site.
     static constexpr Duration readerWarmUp = std::chrono::milliseconds(2200);
 
+    /// Share of the process's memory for answers that are being received. A growing buffer holds up to twice its contents.
+    static constexpr std::uint64_t transferMemoryDivisor = 4;
+    static constexpr std::uint64_t defaultTransferMemory = 16U << 20U; ///< Bytes, if the process's memory is unknown.
+
     explicit EdgeState(EdgeSettings initial, std::uint64_t seed)
         : settings(std::move(initial))
+        , transferMemory(settings.memoryBytes == 0 ? defaultTransferMemory : settings.memoryBytes / transferMemoryDivisor)
         , board(settings.instance, settings.bounds, parts)
         , random(seed)
         , sendBudgets(settings.bounds, settings.isFirstStart ? std::nullopt : std::optional(started))
@@ -86,6 +92,7 @@
     bool isReady() const { return this->routes != nullptr && this->registryFeed.isKnown() && !this->isStopping; }
 
     EdgeSettings settings;
+    TransferMemory transferMemory;
     std::uint64_t incarnation = 0; ///< Start of the process, Unix microseconds.
     TimePoint started = monotonicNow();
     std::shared_ptr<const RouteTable> routes; ///< Null until a configuration is known.
--- a/src/edge/fact_reader.cc
+++ b/src/edge/fact_reader.cc
@@ -33,7 +33,7 @@
     , contact(topicContact)
     , applyRecords(onRecords)
     , batchPause(pauseAfterRecords)
-    , caller(loop, edgeState.settings.storeAddress)
+    , caller(loop, edgeState.transferMemory, edgeState.settings.storeAddress)
 {
 }
 
--- a/src/edge/http_call.cc
+++ b/src/edge/http_call.cc
@@ -12,8 +12,9 @@
 
 } // namespace
 
-HttpCaller::HttpCaller(asio::any_io_executor loop, std::string target, std::uint64_t maxAnswerBytes)
+HttpCaller::HttpCaller(asio::any_io_executor loop, TransferMemory& transferMemory, std::string target, std::uint64_t maxAnswerBytes)
     : executor(std::move(loop))
+    , memory(transferMemory)
     , address(std::move(target))
     , bodyLimit(maxAnswerBytes)
 {
@@ -65,10 +66,13 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(this->bodyLimit);
     auto& progress = this->transfer.emplace(begin, timeout);
+    TransferMemory::Share share(this->memory, [&link] { link.abort(); });
     while (!error && !parser.is_done()) {
         link.stream.expires_at(progress.end());
         const auto received = co_await http::async_read_some(link.stream, link.buffer, parser, into(error));
         progress.onBytes(received, monotonicNow());
+        if (!share.resize(parser.get().body().size()))
+            co_return tl::unexpected(CallFailure { "too many answers at once for this process's memory", progress.bytes() });
     }
     if (error)
         co_return tl::unexpected(CallFailure { "no whole answer: " + error.message(), progress.bytes() });
--- a/src/edge/http_call.h
+++ b/src/edge/http_call.h
@@ -11,6 +11,7 @@
 #include "edge/net.h"
 #include "edge/upstream_pool.h"
 #include "goldcrestwood/transfer_deadline.h"
+#include "goldcrestwood/transfer_memory.h"
 
 namespace goldcrestwood {
 
@@ -42,7 +43,8 @@
     /// Fits a full page of records.
     static constexpr std::uint64_t defaultMaxAnswerBytes = 16U << 20U;
 
-    HttpCaller(asio::any_io_executor executor, std::string address, std::uint64_t maxAnswerBytes = defaultMaxAnswerBytes);
+    /// @param memory Bounds the answers of all callers together.
+    HttpCaller(asio::any_io_executor executor, TransferMemory& memory, std::string address, std::uint64_t maxAnswerBytes = defaultMaxAnswerBytes);
 
     /// @param timeout Time until the answer begins, including connecting. The rest may take longer while its bytes arrive
     /// (TransferDeadline).
@@ -59,6 +61,7 @@
     Task<tl::expected<HttpAnswer, CallFailure>> attempt(const OutgoingCall& call, Duration timeout);
 
     asio::any_io_executor executor;
+    TransferMemory& memory;
     std::string address;
     std::uint64_t bodyLimit;
     ConnectionPtr connection;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -429,6 +429,7 @@
     attempt.isSent = true;
     // A promise in an earlier answer, for example that the request did not run, no longer holds.
     attempt.bufferedAnswer.reset();
+    attempt.memory.emplace(this->state.transferMemory, [&link] { link.abort(); });
     ++exchange.sends;
     ++link.requests;
     if (std::exchange(exchange.hasReservedSend, false))
@@ -454,6 +455,9 @@
             co_await this->relayBuffered(exchange, attempt);
     }
     exchange.activeConnection = nullptr;
+    // Only a whole answer outlives its connection.
+    if (!attempt.bufferedAnswer)
+        attempt.memory.reset();
     if (attempt.connection && attempt.parser && attempt.parser->is_done() && attempt.parser->keep_alive() && !attempt.parser->need_eof())
         this->keepConnection(attempt);
     attempt.connection = nullptr;
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -24,6 +24,7 @@
     constexpr std::uint64_t unlimitedBody = std::uint64_t { 1 } << 50U;
     constexpr std::size_t pieceBytes = 16384;
     constexpr unsigned misdirected = 421;
+    constexpr const char* outOfMemory = "too many answers at once for this process's memory";
     constexpr const char* unconfirmedEnd = "the upstream was gone after an answer that ended with its connection";
 
     /// @return The id of the last event in @p events that has one.
@@ -151,14 +152,16 @@
     while (!attempt.parser->is_done()) {
         ErrorCode error;
         const auto received = co_await readPiece(attempt, piece, error);
-        body.append(piece.data(), received);
-        if (error || body.size() > maxBufferedAnswerBytes) {
+        const bool hasMemory = attempt.memory->resize(body.size() + received);
+        if (error || !hasMemory || body.size() + received > maxBufferedAnswerBytes) {
             attempt.result = AttemptResult::Unreachable;
-            attempt.failure = "answer truncated or too long";
+            attempt.failure = hasMemory ? "answer truncated or too long" : outOfMemory;
             attempt.detail = error.message();
             co_return;
         }
+        body.append(piece.data(), received);
     }
+    attempt.memory->complete();
     attempt.provesNotRun = attempt.answer.provesNotRun;
     const bool isComplete = attempt.provesNotRun || co_await this->confirmEnd(exchange, attempt);
     if (!isComplete) {
@@ -276,9 +279,10 @@
         if (received > 0) {
             const auto completeBytes = boundaries.consume({ piece.data(), received });
             attempt.events = boundaries.count();
-            if (boundaries.isOverlong()) {
+            const bool hasMemory = attempt.memory->resize(completeBytes > 0 ? received - completeBytes : attempt.partialEvent.size() + received);
+            if (boundaries.isOverlong() || !hasMemory) {
                 attempt.result = AttemptResult::Unreachable;
-                attempt.failure = "event too long";
+                attempt.failure = hasMemory ? "event too long" : outOfMemory;
                 co_return;
             }
             const bool isWritten = co_await this->relayPiece(exchange, attempt, { piece.data(), received }, completeBytes);
--- a/src/edge/rollout_runner.cc
+++ b/src/edge/rollout_runner.cc
@@ -34,7 +34,7 @@
 RolloutRunner::RolloutRunner(EdgeState& edgeState, const asio::any_io_executor& loop)
     : state(edgeState)
     , executor(loop)
-    , store(loop, edgeState.settings.storeAddress)
+    , store(loop, edgeState.transferMemory, edgeState.settings.storeAddress)
 {
 }
 
--- /dev/null
+++ b/test/process/endless_answers_test.py
@@ -0,0 +1,86 @@
+"""Several replicas send answers that never end, to requests and to the daemon's own calls, while callers read."""
+
+import collections
+import contextlib
+import threading
+import time
+import unittest
+
+import edge_site as site
+
+MEMORY_MB = 110  # memory_mb in the settings: the platform kills a process that exceeds it.
+ENDLESS_SECONDS = 6
+CALLERS = 12
+PLAIN, ENDLESS_PLAIN = 9, 5
+MODELS, ENDLESS_MODELS = 9, 5
+NOISE = b"X-Noise: 0123456789\r\n" * 4096
+
+
+class EndlessHandler(site.ReplicaHandler):
+    """Answers the daemon's calls without end too."""
+
+    def do_GET(self):
+        replica = self.server.owner
+        if replica.endless and (self.path == "/report" or self.path.startswith("/kv-")):
+            replica.endless_calls += 1
+            return self.flood(replica, [])
+        return super().do_GET()
+
+    def flood(self, replica, headers):
+        self.close_connection = True
+        with contextlib.suppress(OSError):
+            if replica.endless == "head":
+                self.wfile.write(b"HTTP/1.1 200 OK\r\n")
+            else:
+                self.begin_unframed(headers)
+            while replica.endless:
+                self.wfile.write(NOISE)
+
+
+def peak_mb(process):
+    with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
+        return int(next(line for line in status if line.startswith("VmHWM")).split()[1]) / 1024
+
+
+class EndlessAnswersTest(unittest.TestCase):
+    def setUp(self):
+        self.addCleanup(setattr, site, "ReplicaHandler", site.ReplicaHandler)
+        site.ReplicaHandler = EndlessHandler
+
+    def read(self, daemon, path, end, outcomes):
+        while time.monotonic() < end:
+            arguments = {"body": b"p", **site.PROMPT} if path.startswith("/stream") else {"method": "GET"}
+            try:
+                outcomes[path, site.request(daemon, path, **arguments)[1]] += 1
+            except OSError as error:
+                outcomes[path, type(error).__name__] += 1
+
+    def test_answers_without_end_do_not_exceed_the_memory(self):
+        # Fault: each answer was bounded, their sum was not; the process ended with the requests of all callers.
+        for where in ("body", "head"):
+            with self.subTest(where=where), site.EdgeSite(daemons=1, models=MODELS, plain=PLAIN) as edge:
+                daemon, outcomes = edge.daemons[0], collections.Counter()
+                endless = edge.plain[:ENDLESS_PLAIN] + edge.models[:ENDLESS_MODELS]
+                for replica in endless:
+                    replica.endless_calls = 0
+                    replica.endless = where
+                end = time.monotonic() + ENDLESS_SECONDS
+                paths = ("/safe/a", "/safe/a", "/stream/a")
+                threads = [threading.Thread(target=self.read, args=(daemon, paths[number % len(paths)], end, outcomes)) for number in range(CALLERS)]
+                for thread in threads:
+                    thread.start()
+                for thread in threads:
+                    thread.join()
+                for replica in endless:
+                    replica.endless = None
+                self.assertIsNone(daemon.process.poll())
+                self.assertLess(peak_mb(daemon.process), MEMORY_MB, outcomes)
+                self.assertGreater(sum(replica.endless_calls for replica in edge.models[:ENDLESS_MODELS]), 0)
+                # Callers of sound replicas are served meanwhile, and all are afterwards.
+                self.assertGreater(outcomes["/safe/a", 200], 0, outcomes)
+                self.assertGreater(outcomes["/stream/a", 200], 0, outcomes)
+                site.wait_until(lambda: site.request(daemon, "/safe/a", method="GET")[1] == 200, "reads are answered")
+
+
+if __name__ == "__main__":
+    unittest.main()
