Names and comments of late entries, contents and shares, as a reader meets them

A process that ends by an error does not destroy its coroutines either: they refer to the server, which no longer exists. memory_mb of the settings is tested.

--- a/include/goldcrestwood/keyed_feed.h
+++ b/include/goldcrestwood/keyed_feed.h
@@ -99,12 +99,13 @@
 
     /// Positions do not tell the older of two values: the store may carry out a write seconds late, also after the key's removal, and
     /// after a return from a copy what was lost is written again in its old order.
-    /// @return Whether @p record is newer than the one held in @p entry.
-    bool isNewer(Entry& entry, const KeyedRecord& record) const;
+    /// @return Whether @p record is newer than the one held in @p entry, which counts the older ones.
+    bool supersedes(Entry& entry, const KeyedRecord& record) const;
+    /// Holds @p record, and remembers the last revision if it has none.
     void replace(Entry& entry, const KeyedRecord& record) const;
     /// Keeps a writer whose clock has gone back, or an odd record with a huge revision, from blocking a key for good.
     /// @return Whether @p record, with a lower revision, is one of many that the key's writer has counted up from there.
-    static bool isRecount(Entry& entry, const KeyedRecord& record, const std::pair<std::uint64_t, std::uint64_t>& revision);
+    static bool countsAnew(Entry& entry, const KeyedRecord& record, const std::pair<std::uint64_t, std::uint64_t>& revision);
 
     IsEquivalent isEquivalent;
     RevisionOf revisionOf;
--- a/include/goldcrestwood/part_directory.h
+++ b/include/goldcrestwood/part_directory.h
@@ -51,9 +51,11 @@
     std::vector<std::string> addresses() const;
 
     /// Replaces the contents of a store, at startup or after a gap in its events.
-    void onListing(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& parts, TimePoint now);
+    /// @param heard When the store had these contents.
+    void onListing(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& parts, TimePoint heard);
+    /// @param heard When the store had reported these events.
     /// @return Whether the events continue the known contents; if not, a listing is needed.
-    bool onEvents(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& news, TimePoint now);
+    bool onEvents(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& news, TimePoint heard);
     /// The store does not answer; its contents become unknown.
     void onUnreachable(const std::string& address);
 
--- a/include/goldcrestwood/transfer_memory.h
+++ b/include/goldcrestwood/transfer_memory.h
@@ -32,9 +32,9 @@
         Share(const Share&) = delete;
         Share& operator=(const Share&) = delete;
 
-        /// @param bytes What the answer is about to hold.
+        /// @param next Bytes that the answer is about to hold.
         /// @return Whether it may; if not, the answer must be given up.
-        bool resize(std::uint64_t bytes);
+        bool resize(std::uint64_t next);
 
         /// The answer is whole and is no longer given up.
         void complete() { this->isComplete = true; }
--- a/src/edge/edge_main.cc
+++ b/src/edge/edge_main.cc
@@ -53,9 +53,9 @@
         loop.run();
     } catch (const boost::system::system_error& error) {
         std::cerr << "goldcrestd: cannot start: " << error.what() << '\n';
-        return exitStart;
+        std::_Exit(exitStart);
     }
-    // Remaining connections end with the process.
+    // Remaining connections end with the process; their coroutines refer to the server, which no longer exists.
     std::_Exit(0);
 }
 
--- a/src/keyed_feed.cc
+++ b/src/keyed_feed.cc
@@ -28,23 +28,23 @@
     return held ? held : entry.replaced;
 }
 
-bool KeyedFeed::isRecount(Entry& entry, const KeyedRecord& record, const std::pair<std::uint64_t, std::uint64_t>& revision)
+bool KeyedFeed::countsAnew(Entry& entry, const KeyedRecord& record, const std::pair<std::uint64_t, std::uint64_t>& revision)
 {
     auto& older = entry.older;
     if (record.offset <= std::max(entry.record.offset, older.offset))
         return false;
-    const bool goesOn = older.writes > 0 && older.revision.first == revision.first && older.revision.second < revision.second;
-    older = { record.offset, revision, goesOn ? older.writes + 1 : 1 };
+    const bool continues = older.writes > 0 && older.revision.first == revision.first && older.revision.second < revision.second;
+    older = { record.offset, revision, continues ? older.writes + 1 : 1 };
     return older.writes >= minRecountedWrites;
 }
 
-bool KeyedFeed::isNewer(Entry& entry, const KeyedRecord& record) const
+bool KeyedFeed::supersedes(Entry& entry, const KeyedRecord& record) const
 {
     const auto revision = this->revisionIn(record);
     const auto last = revision ? this->lastRevision(entry) : std::nullopt;
     if (!last || *revision == *last)
         return record.offset > entry.record.offset;
-    return *revision > *last || isRecount(entry, record, *revision);
+    return *revision > *last || countsAnew(entry, record, *revision);
 }
 
 void KeyedFeed::replace(Entry& entry, const KeyedRecord& record) const
@@ -71,7 +71,7 @@
         held.record = record;
         held.older = {};
     } else {
-        if (!this->isNewer(held, record))
+        if (!this->supersedes(held, record))
             return std::nullopt;
         this->replace(held, record);
     }
--- a/src/part_directory.cc
+++ b/src/part_directory.cc
@@ -82,17 +82,17 @@
         store.parts.erase(keyOf(part.scope, part.id));
 }
 
-void PartDirectory::onListing(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& parts, TimePoint now)
+void PartDirectory::onListing(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& parts, TimePoint heard)
 {
     const auto found = this->stores.find(address);
     if (found == this->stores.end())
         return;
     auto& store = found->second;
     if (!store.epochSince || store.epoch != epoch)
-        store.epochSince = now;
+        store.epochSince = heard;
     if (!store.isKnown || store.epoch != epoch)
-        store.followedSince = now;
-    store.heard = store.epoch == epoch ? std::max(store.heard, now) : now;
+        store.followedSince = heard;
+    store.heard = store.epoch == epoch ? std::max(store.heard, heard) : heard;
     store.isKnown = true;
     store.epoch = epoch;
     store.parts.clear();
@@ -102,7 +102,7 @@
     this->discardChanges();
 }
 
-bool PartDirectory::onEvents(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& news, TimePoint now)
+bool PartDirectory::onEvents(const std::string& address, std::uint64_t epoch, const std::vector<StoredPart>& news, TimePoint heard)
 {
     const auto found = this->stores.find(address);
     if (found == this->stores.end())
@@ -112,7 +112,7 @@
         store.isKnown = false;
         return false;
     }
-    store.heard = std::max(store.heard, now);
+    store.heard = std::max(store.heard, heard);
     for (const auto& part : news) {
         applyChange(store, part);
         this->recordChange(address, part);
--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -176,6 +176,7 @@
     CHECK(good->seeds == std::vector<std::string> { "1.2.3.5:1" });
     CHECK(good->bounds.shutdownGrace == std::chrono::seconds(8));
     CHECK_FALSE(good->bounds.fencesChecked);
+    CHECK(good->memoryBytes == 110'000'000);
     const auto bad = platform::decodeSettings("node=1\nzone='z'\nregion='r'\nip='i'\n[limits]\nmemory_mb='x'\n[listen]\n[bounds]\n", "node.toml");
     REQUIRE_FALSE(bad);
     CHECK(bad.error().size() >= 6);
