--- a/include/goldcrestwood/transfer_memory.h
+++ b/include/goldcrestwood/transfer_memory.h
@@ -14,6 +14,9 @@
 /// unfinished answer is given up: one that never ends becomes the largest before long, and ordinary answers are far smaller.
 class TransferMemory {
 public:
+    /// Why an answer was given up, for logs.
+    static constexpr const char* exhausted = "too many answers at once for this process's memory";
+
     /// @param limit Bytes that all answers together may hold.
     explicit TransferMemory(std::uint64_t limit)
         : limitBytes(limit)
--- a/src/edge/http_call.cc
+++ b/src/edge/http_call.cc
@@ -72,7 +72,7 @@
         const auto received = co_await http::async_read_some(link.stream, link.buffer, parser, into(error));
         progress.onBytes(received, monotonicNow());
         if (!share.resize(parser.get().body().size()))
-            co_return tl::unexpected(CallFailure { "too many answers at once for this process's memory", progress.bytes() });
+            co_return tl::unexpected(CallFailure { TransferMemory::exhausted, progress.bytes() });
     }
     if (error)
         co_return tl::unexpected(CallFailure { "no whole answer: " + error.message(), progress.bytes() });
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -24,7 +24,6 @@
     constexpr std::uint64_t unlimitedBody = std::uint64_t { 1 } << 50U;
     constexpr std::size_t pieceBytes = 16384;
     constexpr unsigned misdirected = 421;
-    constexpr const char* outOfMemory = "too many answers at once for this process's memory";
     constexpr const char* unconfirmedEnd = "the upstream was gone after an answer that ended with its connection";
 
     /// @return The id of the last event in @p events that has one.
@@ -156,7 +155,7 @@
         const bool hasMemory = attempt.memory->resize(body.size() + received);
         if (error || !hasMemory || body.size() + received > maxBufferedAnswerBytes) {
             attempt.result = AttemptResult::Unreachable;
-            attempt.failure = hasMemory ? "answer truncated or too long" : outOfMemory;
+            attempt.failure = hasMemory ? "answer truncated or too long" : TransferMemory::exhausted;
             attempt.detail = error.message();
             co_return;
         }
@@ -283,7 +282,7 @@
             const bool hasMemory = attempt.memory->resize(completeBytes > 0 ? received - completeBytes : attempt.partialEvent.size() + received);
             if (boundaries.isOverlong() || !hasMemory) {
                 attempt.result = AttemptResult::Unreachable;
-                attempt.failure = hasMemory ? "event too long" : outOfMemory;
+                attempt.failure = hasMemory ? "event too long" : TransferMemory::exhausted;
                 co_return;
             }
             const bool isWritten = co_await this->relayPiece(exchange, attempt, { piece.data(), received }, completeBytes);
--- a/test/keyed_feed_test.cc
+++ b/test/keyed_feed_test.cc
@@ -163,7 +163,7 @@
         const auto news = feed.apply({ record("a", ("100." + std::to_string(write)).c_str(), 20 + write) }, 21 + write);
         believed += news.size();
         CHECK(news.empty() == (write < 12));
-        // The same record from a peer, and another writer's single late record, count for nothing.
+        // The same record again, from a peer, counts for nothing.
         CHECK(feed.apply({ record("a", ("100." + std::to_string(write)).c_str(), 20 + write) }, 21 + write).empty());
     }
     CHECK(believed == 9);
