The test of endless answers shares the stand-in's flood and the reading of peak memory

Cause: process_endless_answers_test brought its own handler and flood beside those of the stand-in, and read a process's peak memory as edge_test does.

--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -223,8 +223,12 @@
     refused = False  # Whether a request on this connection was refused.
 
     def do_GET(self):
+        replica = self.server.owner
+        if replica.endless and replica.floods_calls and (self.path == "/report" or self.path.startswith("/kv-")):
+            replica.flooded_calls += 1
+            return self.flood(replica, [])
         if self.path == "/report":
-            return self.answer(200, json.dumps(self.server.owner.report()).encode())
+            return self.answer(200, json.dumps(replica.report()).encode())
         if self.path.startswith("/kv-"):
             return self.answer(404)
         return self.serve()
@@ -397,7 +401,8 @@
         self.script = []  # What it does with the next requests: "unavailable", "drop" or the part of a head that it sends before it closes; may be shared.
         self.endless = None  # Part of its answers that never ends: "head" or "body".
         self.endless_from_now = []  # What its answers' `endless` becomes with the next request; may be shared.
-        self.flooded = 0
+        self.floods_calls = False  # Whether its answers to the daemons' own calls never end either.
+        self.flooded = self.flooded_calls = 0
         self.delay, self.gap, self.pieces = 0.0, 0.0, 5
         self.server = Server("127.0.0.1", self, ReplicaHandler)
         self.address = link(self.server.address) if link else self.server.address
@@ -585,6 +590,11 @@
             self.process = subprocess.Popen([BUILD / "goldcrestd", "edge"], stdout=log, stderr=log, env=environment)
         return self
 
+    def peak_mb(self):
+        """Returns the most memory that the process has had, in MB of 2^20 bytes."""
+        with open(f"/proc/{self.process.pid}/status", encoding="ascii") as status:
+            return int(next(line for line in status if line.startswith("VmHWM")).split()[1]) / 1024
+
     def log_lines(self):
         lines = []
         for line in self.log_path.read_text().splitlines():
--- a/test/process/edge_test.py
+++ b/test/process/edge_test.py
@@ -273,9 +273,7 @@
             self.assertEqual([replica.endless for replica in flooding], [where])
             self.assertGreater(flooding[0].flooded, 0)
             self.assertLess(flooding[0].flooded, 32 << 20)
-            with open(f"/proc/{daemon.process.pid}/status", encoding="ascii") as status_file:
-                peak = int(next(line for line in status_file if line.startswith("VmHWM")).split()[1])
-            self.assertLess(peak, 64 << 10)  # KB
+            self.assertLess(daemon.peak_mb(), 64)
 
     def test_an_endless_answer_is_abandoned(self):
         for where in ("head", "body"):
--- a/test/process/endless_answers_test.py
+++ b/test/process/endless_answers_test.py
@@ -1,7 +1,6 @@
 """Several replicas send answers that never end, to requests and to the daemon's own calls, while callers read."""
 
 import collections
-import contextlib
 import threading
 import time
 import unittest
@@ -13,40 +12,9 @@
 CALLERS = 12
 PLAIN, ENDLESS_PLAIN = 9, 5
 MODELS, ENDLESS_MODELS = 9, 5
-NOISE = b"X-Noise: 0123456789\r\n" * 4096
-
-
-class EndlessHandler(site.ReplicaHandler):
-    """Answers the daemon's calls without end too."""
-
-    def do_GET(self):
-        replica = self.server.owner
-        if replica.endless and (self.path == "/report" or self.path.startswith("/kv-")):
-            replica.endless_calls += 1
-            return self.flood(replica, [])
-        return super().do_GET()
-
-    def flood(self, replica, headers):
-        self.close_connection = True
-        with contextlib.suppress(OSError):
-            if replica.endless == "head":
-                self.wfile.write(b"HTTP/1.1 200 OK\r\n")
-            else:
-                self.begin_unframed(headers)
-            while replica.endless:
-                self.wfile.write(NOISE)
-
-
-def peak_mb(process):
-    with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
-        return int(next(line for line in status if line.startswith("VmHWM")).split()[1]) / 1024
 
 
 class EndlessAnswersTest(unittest.TestCase):
-    def setUp(self):
-        self.addCleanup(setattr, site, "ReplicaHandler", site.ReplicaHandler)
-        site.ReplicaHandler = EndlessHandler
-
     def read(self, daemon, path, end, outcomes):
         while time.monotonic() < end:
             arguments = {"body": b"p", **site.PROMPT} if path.startswith("/stream") else {"method": "GET"}
@@ -62,8 +30,7 @@
                 daemon, outcomes = edge.daemons[0], collections.Counter()
                 endless = edge.plain[:ENDLESS_PLAIN] + edge.models[:ENDLESS_MODELS]
                 for replica in endless:
-                    replica.endless_calls = 0
-                    replica.endless = where
+                    replica.endless, replica.floods_calls = where, True
                 end = time.monotonic() + ENDLESS_SECONDS
                 paths = ("/safe/a", "/safe/a", "/stream/a")
                 threads = [threading.Thread(target=self.read, args=(daemon, paths[number % len(paths)], end, outcomes)) for number in range(CALLERS)]
@@ -74,8 +41,8 @@
                 for replica in endless:
                     replica.endless = None
                 self.assertIsNone(daemon.process.poll())
-                self.assertLess(peak_mb(daemon.process), MEMORY_MB, outcomes)
-                self.assertGreater(sum(replica.endless_calls for replica in edge.models[:ENDLESS_MODELS]), 0)
+                self.assertLess(daemon.peak_mb(), MEMORY_MB, outcomes)
+                self.assertGreater(sum(replica.flooded_calls for replica in edge.models[:ENDLESS_MODELS]), 0)
                 # Callers of sound replicas are served meanwhile, and all are afterwards.
                 self.assertGreater(outcomes["/safe/a", 200], 0, outcomes)
                 self.assertGreater(outcomes["/stream/a", 200], 0, outcomes)
