What an upstream's answer decodes to is bounded

Cause: the bytes were bounded (16 MiB), what they decode to was not. Each row that is no part is a finding with its place, some hundred bytes for two; a level of nesting takes some hundred bytes for one (87 MB for 1 MiB).

Change: 1 MiB for an answer to a call for events, as for reports and orders, and 2 MiB for a cache store's (twice the parts of the largest); 100 findings on a document at most; 16 levels in what upstreams send. Stores hold 3.5 M tokens at most on the sites, so a listing has some 0.4 MB.

--- a/src/edge/cache_watch.cc
+++ b/src/edge/cache_watch.cc
@@ -60,7 +60,7 @@
 
 Task<> CacheWatch::follow(std::string address)
 {
-    HttpCaller caller(this->executor, this->state.transferMemory, address);
+    HttpCaller caller(this->executor, this->state.transferMemory, address, HttpCaller::maxCacheStoreAnswerBytes);
     asio::steady_timer timer(this->executor);
     bool needsListing = true;
     std::uint64_t next = 0;
@@ -123,7 +123,7 @@
 
 Task<> CacheWatch::followEngine(UpstreamId upstream, std::string address)
 {
-    HttpCaller caller(this->executor, this->state.transferMemory, address);
+    HttpCaller caller(this->executor, this->state.transferMemory, address, HttpCaller::maxUpstreamAnswerBytes);
     asio::steady_timer timer(this->executor);
     std::uint64_t next = 0;
     std::uint64_t epoch = 0;
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -18,8 +18,6 @@
     constexpr const char* dutyTopic = "goldcrestwood.duty";
     constexpr Duration idleInterval = std::chrono::milliseconds(50);
     constexpr Duration workInterval = std::chrono::milliseconds(60);
-    /// Fits a report on all requests of an upstream; a faulty upstream may send without end.
-    constexpr std::uint64_t maxUpstreamAnswerBytes = 1U << 20U;
     constexpr Duration answerTimeout = std::chrono::milliseconds(900);
     /// How long the store holds a read of another holder's progress.
     constexpr Duration followHold = std::chrono::milliseconds(500);
@@ -314,7 +312,7 @@
         this->updatingUpstreams.erase(upstream);
         co_return;
     }
-    HttpCaller caller(this->executor, this->state.transferMemory, entry->address, maxUpstreamAnswerBytes);
+    HttpCaller caller(this->executor, this->state.transferMemory, entry->address, HttpCaller::maxUpstreamAnswerBytes);
     asio::steady_timer timer(this->executor);
     const auto isRunning = [&] {
         if (!this->plan)
--- a/src/edge/http_call.h
+++ b/src/edge/http_call.h
@@ -40,8 +40,13 @@
 /// Makes calls to one address, one at a time. A call that fails closes the connection.
 class HttpCaller {
 public:
-    /// Fits a full page of records.
+    /// Fits a full page of records of the platform's store.
     static constexpr std::uint64_t defaultMaxAnswerBytes = 16U << 20U;
+    /// Fits a report on all requests of an upstream, and the newest events of its cache. What a faulty upstream sends may decode to
+    /// many times its size.
+    static constexpr std::uint64_t maxUpstreamAnswerBytes = 1U << 20U;
+    /// Fits a listing of twice as many parts as the largest cache store holds.
+    static constexpr std::uint64_t maxCacheStoreAnswerBytes = 2U << 20U;
 
     /// @param memory Bounds the answers of all callers together.
     HttpCaller(asio::any_io_executor executor, TransferMemory& memory, std::string address, std::uint64_t maxAnswerBytes = defaultMaxAnswerBytes);
--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -227,6 +227,9 @@
         if replica.endless and replica.floods_calls and (self.path == "/report" or self.path.startswith("/kv-")):
             replica.flooded_calls += 1
             return self.flood(replica, [])
+        if replica.call_body and self.path.startswith("/kv-events"):
+            replica.flooded_calls += 1
+            return self.answer(200, replica.call_body)
         if self.path == "/report":
             return self.answer(200, json.dumps(replica.report()).encode())
         if self.path.startswith("/kv-"):
@@ -402,6 +405,7 @@
         self.endless = None  # Part of its answers that never ends: "head" or "body".
         self.endless_from_now = []  # What its answers' `endless` becomes with the next request; may be shared.
         self.floods_calls = False  # Whether its answers to the daemons' own calls never end either.
+        self.call_body = None  # Its answer to the daemons' calls for cache events.
         self.flooded = self.flooded_calls = 0
         self.delay, self.gap, self.pieces = 0.0, 0.0, 5
         self.server = Server("127.0.0.1", self, ReplicaHandler)
--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -104,6 +104,25 @@
     CHECK_FALSE(platform::decodeKeyed("\x09k", 3));
 }
 
+// Fault: an answer of a few megabytes that made no sense decoded to many times the memory of the process.
+TEST_CASE("an upstream's answer that makes no sense is refused after a bounded number of findings")
+{
+    const auto events = [](const std::string& rows) { return R"({"boot_epoch":7,"next_token":3,"events":[)" + rows + "]}"; };
+    REQUIRE(platform::decodeCacheEvents(events(R"([1,"+","m/w1/all","aa",60,"m"])")));
+    std::string zeros = "0";
+    for (int row = 0; row < 5000; ++row)
+        zeros += ",0";
+    const auto spoiled = platform::decodeCacheEvents(events(zeros));
+    REQUIRE_FALSE(spoiled);
+    CHECK(spoiled.error().size() == 100);
+    const auto nested = std::string(50, '[') + std::string(50, ']');
+    const auto deep = platform::decodeCacheEvents(events(nested));
+    REQUIRE_FALSE(deep);
+    CHECK(toString(deep.error().front()).find("nested too deeply") != std::string::npos);
+    CHECK_FALSE(platform::decodeReport(R"({"models":)" + nested + "}"));
+    CHECK_FALSE(platform::decodeCacheListing(R"({"boot_epoch":7,"next_token":3,"held":)" + nested + "}"));
+}
+
 TEST_CASE("base64 values of a listing are decoded with any padding")
 {
     const auto page = platform::decodeListing(
--- a/test/process/endless_answers_test.py
+++ b/test/process/endless_answers_test.py
@@ -10,6 +10,7 @@
 MEMORY_MB = 110  # memory_mb in the settings: the platform kills a process that exceeds it.
 ENDLESS_SECONDS = 6
 CALLERS = 12
+SPOILED_SECONDS = 4
 PLAIN, ENDLESS_PLAIN = 9, 5
 MODELS, ENDLESS_MODELS = 9, 5
 
@@ -23,6 +24,19 @@
             except OSError as error:
                 outcomes[path, type(error).__name__] += 1
 
+    def test_a_large_answer_that_makes_no_sense_does_not_exceed_the_memory(self):
+        # Fault: what a few megabytes decode to, and the findings on them, took many times as much.
+        for name, body in (("rows", b'{"boot_epoch":7,"next_token":0,"events":[' + b"0," * (6 << 20) + b"0]}"),
+                           ("a few rows", b'{"boot_epoch":7,"next_token":0,"events":[' + b"0," * (500 << 10) + b"0]}"),
+                           ("nesting", b"[" * (1000 << 10) + b"]" * (20 << 10))):
+            with self.subTest(name), site.EdgeSite(daemons=1, models=3) as edge:
+                for replica in edge.models:
+                    replica.call_body = body
+                time.sleep(SPOILED_SECONDS)
+                self.assertIsNone(edge.daemons[0].process.poll())
+                self.assertLess(edge.daemons[0].peak_mb(), MEMORY_MB)
+                self.assertGreater(sum(replica.flooded_calls for replica in edge.models), 0)
+
     def test_answers_without_end_do_not_exceed_the_memory(self):
         # Fault: each answer was bounded, their sum was not; the process ended with the requests of all callers.
         for where in ("body", "head"):
