--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -58,7 +58,7 @@
             return;
         edge::log(LogClass::Decision, "weights_named",
             { { "model", weights->model }, { "version", static_cast<std::int64_t>(weights->version) }, { "source", source },
-                { "witnessed", state.isOperatorTopicKnown } });
+                { "witnessed", state.isOperatorTopicKnown }, { "age_ms", toMs(now - since) }, { "unconfirmed_ms", toMs(now - std::max(state.operatorContact.confirmed, state.started)) } });
     }
 
     void applyEvacuation(EdgeState& state, const KeyedRecord& record, const char* source)
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -342,7 +342,11 @@
     for (const auto* report : this->daemons.live(now))
         count(report->heartbeat);
     count(this->describeSelf());
+    const bool wasActive = this->state.storeOutage.isActive();
     this->state.storeOutage.onView(reading, heard, now);
+    if (this->state.storeOutage.isActive() != wasActive)
+        edge::log(edge::LogClass::Lifecycle, wasActive ? "outage_ended" : "outage_began",
+            { { "answered_readers", static_cast<std::int64_t>(reading) }, { "readers", static_cast<std::int64_t>(heard) } });
 }
 
 void PeerLink::chooseReaders(TimePoint now)
