A daemon keeps to the bound of a version that was replaced before it started

Callers got answers of weights that had been replaced more than the bound ago.

Cause: the store keeps the newest record of a key and peers told the age of the newest version only, so a daemon that started after version 3 was named never learned that version 2 was: version 1 passed until version 3's bound. The same held for a daemon that stood still meanwhile: it counted version 2 from when it read its record, and peers corrected version 3 only. Class of fault: a bound that belongs to each of several versions is kept for the newest one alone.

Change: heartbeats list up to eight target versions of a model with their ages and what each replaced. A daemon takes up what it has not read. Where no peer tells what a version replaced, the one just below it counts as named as early as the daemon must assume, so that it is required by the contact time.

--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -67,14 +67,16 @@
     bool operator==(const SourceExperience&) const = default;
 };
 
-/// How long ago the operator set the target weights, according to a daemon that knows the time.
+/// How long ago the operator set target weights, according to a daemon that knows the time.
 struct NamedWeightsAge {
     /// The model.
     std::string model;
-    /// The newest target version.
+    /// The target version.
     std::uint64_t version = 0;
     /// Milliseconds since it was set.
     std::uint64_t ageMs = 0;
+    /// The target version before it, 0 if it is the first one; absent if unknown.
+    std::optional<std::uint64_t> replaces;
 
     bool operator==(const NamedWeightsAge&) const = default;
 };
@@ -149,7 +151,7 @@
     std::uint64_t registryEnd = 0;
     /// Whether the receiver should reply with its own heartbeat.
     bool wantsReply = false;
-    /// Target weights whose setting time the sender observed or learned from a daemon that did.
+    /// The newest target weights of each model whose setting time the sender observed or learned from a daemon that did.
     std::vector<NamedWeightsAge> weights;
     /// Peer addresses that the sender has heard from recently.
     std::vector<std::string> peers;
--- a/include/goldcrestwood/weight_targets.h
+++ b/include/goldcrestwood/weight_targets.h
@@ -3,7 +3,7 @@
 /// @file
 /// Weight versions that the operator named as targets, and from when on no request may start on older ones.
 
-#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -19,67 +19,86 @@
     /// Whether `since` is known from this daemon or a peer that saw the version being named. A daemon that starts later only
     /// finds the result.
     bool isTimeKnown = true;
+    /// The target before it, 0 if it is the first one; nothing if unknown: others may have been named in between.
+    std::optional<std::uint64_t> replaces;
 
-    bool operator==(const WeightTarget&) const = default;
+    auto operator<=>(const WeightTarget&) const = default;
 };
 
-/// The target versions of one model's weights, in the order in which they were named.
+/// The target versions of one model's weights.
+///
+/// Each version has a bound of its own. The store keeps the newest record only, so a daemon may not have seen the others: it learns
+/// them from its peers, and until then treats the version just below a target as one that was named earlier.
 class WeightTargets {
 public:
-    /// @param since When the version was named; if unknown, a time far enough in the past.
-    /// @param isTimeKnown Whether @p since is known.
-    /// @return Whether @p version is newer than all earlier targets; other versions are ignored.
-    bool name(std::uint64_t version, TimePoint since, bool isTimeKnown)
-    {
-        if (version <= this->newest())
-            return false;
-        this->targets.push_back({ version, since, isTimeKnown });
-        return true;
-    }
+    /// Adds a target that this daemon has read, or merges what it tells of a known one: the earliest known time counts.
+    /// @param unseenSince When an unknown target before it was named at the earliest; used if it is the newest one.
+    /// @return Whether the version was unknown.
+    bool add(const WeightTarget& target, TimePoint unseenSince);
 
-    /// Merges the time at which a peer saw @p version being named.
-    void onNamingTime(std::uint64_t version, TimePoint since)
-    {
-        for (auto& target : this->targets) {
-            if (target.version != version)
-                continue;
-            target.since = target.isTimeKnown ? std::min(target.since, since) : since;
-            target.isTimeKnown = true;
-        }
-    }
+    /// @return The newest target that is older than @p version; 0 if there is none.
+    std::uint64_t newestBelow(std::uint64_t version) const;
+
+    std::uint64_t newest() const { return this->targets.empty() ? 0 : this->targets.back().target.version; }
 
-    std::uint64_t newest() const { return this->targets.empty() ? 0 : this->targets.back().version; }
+    /// @return The newest @p most targets whose time is known, the newest first.
+    std::vector<WeightTarget> withKnownTime(std::size_t most) const;
 
-    /// @return The newest target, if there is one and its time is known.
-    std::optional<WeightTarget> newestWithKnownTime() const
+    /// @param dueAt Maps the time at which a version was named to the time from which on it is required.
+    /// @return The newest version that is required; 0 if there is none.
+    template <typename DueTime>
+    std::uint64_t newestDue(TimePoint now, const DueTime& dueAt) const
     {
-        if (this->targets.empty() || !this->targets.back().isTimeKnown)
-            return std::nullopt;
-        return this->targets.back();
+        std::uint64_t version = 0;
+        this->forEach([&](std::uint64_t named, TimePoint since) {
+            if (now >= dueAt(since))
+                version = named;
+        });
+        return version;
     }
 
-    /// @param since Age is counted from here at the earliest, for example from the end of a store outage.
     /// @return The newest version that was named at least @p age ago; 0 if there is none.
-    std::uint64_t newestNamedFor(Duration age, TimePoint now, TimePoint since = {}) const
+    std::uint64_t newestNamedFor(Duration age, TimePoint now) const
     {
-        std::uint64_t version = 0;
-        for (const auto& target : this->targets)
-            if (now - std::max(target.since, since) >= age)
-                version = target.version;
-        return version;
+        return this->newestDue(now, [&](TimePoint since) { return since + age; });
     }
 
-    /// @return When the next newer target than @p version reaches @p age, if there is one.
-    std::optional<TimePoint> supersededAt(std::uint64_t version, Duration age, TimePoint since = {}) const
+    /// @param dueAt As for newestDue().
+    /// @return When the first newer version than @p version becomes required, if there is one.
+    template <typename DueTime>
+    std::optional<TimePoint> supersededAt(std::uint64_t version, const DueTime& dueAt) const
     {
-        for (const auto& target : this->targets)
-            if (target.version > version)
-                return std::max(target.since, since) + age;
-        return std::nullopt;
+        std::optional<TimePoint> result;
+        this->forEach([&](std::uint64_t named, TimePoint since) {
+            if (named > version && (!result || dueAt(since) < *result))
+                result = dueAt(since);
+        });
+        return result;
     }
 
 private:
-    std::vector<WeightTarget> targets;
+    struct Entry {
+        WeightTarget target;
+        TimePoint unseenSince;
+
+        /// @return The version that may have been the target before this one.
+        std::uint64_t predecessor() const { return this->target.replaces.value_or(this->target.version - 1); }
+    };
+
+    /// Calls @p visit with the version and the time of each target and of each that may have been missed, in order of version.
+    template <typename Visitor>
+    void forEach(const Visitor& visit) const
+    {
+        std::uint64_t previous = 0;
+        for (const auto& entry : this->targets) {
+            if (const auto missed = entry.predecessor(); missed > previous)
+                visit(missed, entry.unseenSince);
+            visit(entry.target.version, entry.target.since);
+            previous = entry.target.version;
+        }
+    }
+
+    std::vector<Entry> targets; ///< By version.
 };
 
 } // namespace goldcrestwood
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -15,23 +15,36 @@
     /// Removed upstreams get their last request this long before the drain time ends.
     constexpr Duration drainMargin = std::chrono::milliseconds(250);
 
+    const char* nameOf(RecordSource source)
+    {
+        switch (source) {
+        case RecordSource::Log:
+            return "store";
+        case RecordSource::Listing:
+            return "listing";
+        case RecordSource::Peer:
+            return "peer";
+        }
+        return "unknown";
+    }
+
     void reportFindings(const char* source, const Findings& findings)
     {
         for (const auto& finding : findings)
             edge::log(LogClass::Decision, "record_rejected", { { "source", source }, { "finding", toString(finding) } });
     }
 
-    void applyConfiguration(EdgeState& state, const KeyedRecord& record, const char* source)
+    void applyConfiguration(EdgeState& state, const KeyedRecord& record, RecordSource source)
     {
         auto configuration = platform::decodeConfiguration(*record.value);
         if (!configuration) {
-            reportFindings(source, configuration.error());
+            reportFindings(nameOf(source), configuration.error());
             return;
         }
         if (state.routes && configuration->version <= state.routes->configuration().version)
             return;
         edge::log(LogClass::Decision, "configuration_in_force",
-            { { "version", static_cast<std::int64_t>(configuration->version) }, { "source", source }, { "era", static_cast<std::int64_t>(logEra(record.offset)) }, { "offset", static_cast<std::int64_t>(logOffset(record.offset)) },
+            { { "version", static_cast<std::int64_t>(configuration->version) }, { "source", nameOf(source) }, { "era", static_cast<std::int64_t>(logEra(record.offset)) }, { "offset", static_cast<std::int64_t>(logOffset(record.offset)) },
                 { "routes", static_cast<std::int64_t>(configuration->routes.size()) } });
         state.routes = std::make_shared<const RouteTable>(std::move(*configuration));
         state.board.setServices(*state.routes);
@@ -42,26 +55,41 @@
         state.parts.setStores(stores);
     }
 
-    void applyWeights(EdgeState& state, const KeyedRecord& record, const char* source)
+    /// A process that has just started does not know when a version was named. The version must become mandatory by the time that
+    /// the process counts as connected, which is after the contact time.
+    TimePoint cautiousNamingTime(const EdgeState& state, TimePoint now)
+    {
+        const auto& bounds = state.settings.bounds;
+        return now - std::max(bounds.weightSwitchTime - bounds.contactTime, Duration(0));
+    }
+
+    /// @return When a version was named at the earliest whose record this daemon has not seen.
+    TimePoint unseenNamingTime(const EdgeState& state, TimePoint now)
+    {
+        const auto cautious = cautiousNamingTime(state, now);
+        return state.isOperatorTopicKnown ? std::max(state.operatorContact.confirmed, cautious) : cautious;
+    }
+
+    void applyWeights(EdgeState& state, const KeyedRecord& record, RecordSource source)
     {
         const auto weights = platform::decodeNamedWeights(*record.value);
         if (!weights) {
-            reportFindings(source, weights.error());
+            reportFindings(nameOf(source), weights.error());
             return;
         }
         const auto now = monotonicNow();
-        const auto& bounds = state.settings.bounds;
-        // A process that has just started does not know when a version was named. The version must become mandatory by the
-        // time that the process counts as connected, which is after the contact time.
-        const auto since = state.isOperatorTopicKnown ? now : now - std::max(bounds.weightSwitchTime - bounds.contactTime, Duration(0));
-        if (!state.weightTargets[weights->model].name(weights->version, since, state.isOperatorTopicKnown))
-            return;
+        auto& targets = state.weightTargets[weights->model];
+        const bool isTimeKnown = state.isOperatorTopicKnown;
+        const auto since = isTimeKnown ? now : cautiousNamingTime(state, now);
+        const bool isNextInLog = isTimeKnown && source == RecordSource::Log;
+        const auto replaces = isNextInLog ? std::optional(targets.newestBelow(weights->version)) : std::nullopt;
+        targets.add({ weights->version, since, isTimeKnown, replaces }, unseenNamingTime(state, now));
         edge::log(LogClass::Decision, "weights_named",
-            { { "model", weights->model }, { "version", static_cast<std::int64_t>(weights->version) }, { "source", source },
-                { "witnessed", state.isOperatorTopicKnown }, { "age_ms", toMs(now - since) }, { "unconfirmed_ms", toMs(now - std::max(state.operatorContact.confirmed, state.started)) } });
+            { { "model", weights->model }, { "version", static_cast<std::int64_t>(weights->version) }, { "source", nameOf(source) },
+                { "witnessed", isTimeKnown }, { "age_ms", toMs(now - since) }, { "unconfirmed_ms", toMs(now - std::max(state.operatorContact.confirmed, state.started)) } });
     }
 
-    void applyEvacuation(EdgeState& state, const KeyedRecord& record, const char* source)
+    void applyEvacuation(EdgeState& state, const KeyedRecord& record, RecordSource source)
     {
         const FailureDomain domain(record.key.substr(std::string_view(platform::evacuationPrefix).size()));
         if (record.value)
@@ -69,22 +97,22 @@
         else
             state.evacuated.erase(domain);
         state.board.setEvacuated(state.evacuated);
-        edge::log(LogClass::Decision, "evacuation", { { "domain", domain.value }, { "out", record.value.has_value() }, { "source", source } });
+        edge::log(LogClass::Decision, "evacuation", { { "domain", domain.value }, { "out", record.value.has_value() }, { "source", nameOf(source) } });
     }
 
-    void applyRolloutOrder(EdgeState& state, const KeyedRecord& record, const char* source)
+    void applyRolloutOrder(EdgeState& state, const KeyedRecord& record, RecordSource source)
     {
         const ServiceName service(record.key.substr(std::string_view(platform::rolloutPrefix).size()));
         if (!record.value) {
             // The order was withdrawn.
-            edge::log(LogClass::Decision, "rollout_withdrawn", { { "service", service.value }, { "source", source } });
+            edge::log(LogClass::Decision, "rollout_withdrawn", { { "service", service.value }, { "source", nameOf(source) } });
             if (auto* rollout = state.rolloutOf(service))
                 rollout->revert();
             return;
         }
         auto order = platform::decodeRolloutOrder(*record.value);
         if (!order) {
-            reportFindings(source, order.error());
+            reportFindings(nameOf(source), order.error());
             return;
         }
         if (auto* known = state.rolloutOf(order->service); known != nullptr) {
@@ -97,14 +125,14 @@
             }
         }
         edge::log(LogClass::Decision, "rollout_ordered",
-            { { "service", order->service.value }, { "target", order->target }, { "duration_ms", toMs(order->duration) }, { "source", source },
+            { { "service", order->service.value }, { "target", order->target }, { "duration_ms", toMs(order->duration) }, { "source", nameOf(source) },
                 { "era", static_cast<std::int64_t>(logEra(record.offset)) }, { "offset", static_cast<std::int64_t>(logOffset(record.offset)) }, { "witnessed", state.isOperatorTopicKnown } });
         // A process that has just started does not know when the order was given.
         const auto since = state.isOperatorTopicKnown ? std::optional(monotonicNow()) : std::nullopt;
         state.rollouts.insert_or_assign(order->service, Rollout(*order, record.offset, since, state.settings.bounds));
     }
 
-    void applyRemoval(EdgeState& state, const UpstreamId& id, const char* source)
+    void applyRemoval(EdgeState& state, const UpstreamId& id, RecordSource source)
     {
         const auto now = monotonicNow();
         // Entries expire while the registry is unavailable; live upstreams register again soon after its return.
@@ -112,7 +140,7 @@
         const auto drainEnd = now + state.settings.bounds.drainTime - drainMargin;
         const auto returnDeadline = std::min(drainEnd, (state.registryContact.isReachable ? state.registryContact.since : now) + reregistrationGrace);
         const bool mayReturn = now < returnDeadline;
-        edge::log(LogClass::Decision, "upstream_gone", { { "upstream", id.value }, { "source", source }, { "after_outage", mayReturn } });
+        edge::log(LogClass::Decision, "upstream_gone", { { "upstream", id.value }, { "source", nameOf(source) }, { "after_outage", mayReturn } });
         if (mayReturn)
             state.expiredUpstreams.emplace(id, returnDeadline);
         else
@@ -131,6 +159,14 @@
     });
 }
 
+void applyWeightsAge(EdgeState& state, const InstanceId& peer, const NamedWeightsAge& report, TimePoint now)
+{
+    const WeightTarget target { report.version, now - std::chrono::milliseconds(report.ageMs), true, report.replaces };
+    if (state.weightTargets[report.model].add(target, unseenNamingTime(state, now)))
+        edge::log(LogClass::Decision, "weights_heard_of",
+            { { "model", report.model }, { "version", static_cast<std::int64_t>(report.version) }, { "peer", peer.value }, { "age_ms", static_cast<std::int64_t>(report.ageMs) } });
+}
+
 void applyUpstreamNotice(EdgeState& state, const UpstreamId& upstream, std::int64_t born, const platform::DecodedNotice& decoded, const std::string& source)
 {
     reportFindings(upstream.value.c_str(), decoded.findings);
@@ -159,7 +195,7 @@
     state.duty = { record, readAt };
 }
 
-void applyOperatorRecords(EdgeState& state, const std::vector<KeyedRecord>& records, const char* source)
+void applyOperatorRecords(EdgeState& state, const std::vector<KeyedRecord>& records, RecordSource source)
 {
     for (const auto& record : records) {
         if (record.key.starts_with(platform::evacuationPrefix))
@@ -176,7 +212,7 @@
     state.isOperatorTopicKnown = state.isOperatorTopicKnown || state.operatorFeed.isKnown();
 }
 
-void applyRegistryRecords(EdgeState& state, const std::vector<KeyedRecord>& records, const char* source)
+void applyRegistryRecords(EdgeState& state, const std::vector<KeyedRecord>& records, RecordSource source)
 {
     for (const auto& record : records) {
         const UpstreamId id(record.key);
@@ -188,12 +224,12 @@
         const auto entry = platform::decodeUpstream(record.key, *record.value);
         if (!entry) {
             // An upstream with an unreadable entry cannot be used.
-            reportFindings(source, entry.error());
+            reportFindings(nameOf(source), entry.error());
             state.board.removeUpstream(id);
             continue;
         }
         if (entry->isDraining)
-            edge::log(LogClass::Decision, "upstream_draining", { { "upstream", record.key }, { "source", source } });
+            edge::log(LogClass::Decision, "upstream_draining", { { "upstream", record.key }, { "source", nameOf(source) } });
         state.board.setUpstream(*entry, monotonicNow());
     }
 }
--- a/src/edge/beliefs.h
+++ b/src/edge/beliefs.h
@@ -3,6 +3,7 @@
 /// @file
 /// Applies operator, registry and duty records and upstream notices to the daemon's state.
 
+#include <cstdint>
 #include <vector>
 
 #include "edge/edge_state.h"
@@ -13,9 +14,18 @@
 /// Live upstreams register again within about two seconds of the store's return, and writers write again what it has lost.
 inline constexpr Duration reregistrationGrace = std::chrono::milliseconds(2400);
 
-/// @param source Origin of the records, for the log: the store or a peer.
-void applyOperatorRecords(EdgeState& state, const std::vector<KeyedRecord>& records, const char* source);
-void applyRegistryRecords(EdgeState& state, const std::vector<KeyedRecord>& records, const char* source);
+/// Where records come from.
+enum class RecordSource : std::uint8_t {
+    Log, ///< The store's log: every record since the last one.
+    Listing, ///< The store's listing: the newest record of each key.
+    Peer, ///< Another daemon, which keeps the newest record of each key.
+};
+
+void applyOperatorRecords(EdgeState& state, const std::vector<KeyedRecord>& records, RecordSource source);
+void applyRegistryRecords(EdgeState& state, const std::vector<KeyedRecord>& records, RecordSource source);
+
+/// Applies a peer's report of when target weights were set.
+void applyWeightsAge(EdgeState& state, const InstanceId& peer, const NamedWeightsAge& report, TimePoint now);
 
 /// Removes the upstreams whose entries expired during an outage and that have not registered again in time.
 void removeExpiredUpstreams(EdgeState& state, TimePoint now);
--- a/src/edge/fact_reader.cc
+++ b/src/edge/fact_reader.cc
@@ -163,7 +163,7 @@
         after = page->records.back().key;
     }
     this->updateContact(true);
-    this->applyRecords(this->state, this->applyListing(records, *listedUpTo), "store");
+    this->applyRecords(this->state, this->applyListing(records, *listedUpTo), RecordSource::Listing);
     this->contact.confirmed = asked;
     this->needsListing = false;
     co_return true;
@@ -206,7 +206,7 @@
         ++offset;
     }
     this->hadRecords = !slice->records.empty();
-    this->applyRecords(this->state, this->feed.apply(records, offset), "store");
+    this->applyRecords(this->state, this->feed.apply(records, offset), RecordSource::Log);
     // An answer may be held up on the way. Without records the store has waited for the whole hold time.
     if (logOffset(offset) >= slice->endOffset)
         this->contact.confirmed = slice->records.empty() ? std::min(asked + hold, monotonicNow()) : asked;
--- a/src/edge/fact_reader.h
+++ b/src/edge/fact_reader.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "edge/edge_state.h"
+#include "edge/beliefs.h"
 #include "edge/http_call.h"
 
 namespace goldcrestwood {
@@ -16,7 +16,7 @@
 /// Follows one keyed topic for the life of the process.
 class TopicReader {
 public:
-    using ApplyRecords = void (*)(EdgeState&, const std::vector<KeyedRecord>&, const char*);
+    using ApplyRecords = void (*)(EdgeState&, const std::vector<KeyedRecord>&, RecordSource);
     /// @return Pause between new records and the next read, so that records are read in batches.
     using BatchPause = Duration (*)(const EdgeState&);
 
--- a/src/edge/feed_exchange.cc
+++ b/src/edge/feed_exchange.cc
@@ -278,8 +278,8 @@
     if (!operatorRecords.empty())
         edge::log(edge::LogClass::Decision, "records_from_peer",
             { { "operator_records", static_cast<std::int64_t>(operatorRecords.size()) }, { "end", static_cast<std::int64_t>(answer.operatorEnd) } });
-    applyOperatorRecords(this->state, operatorRecords, "peer");
-    applyRegistryRecords(this->state, this->state.registryFeed.apply(fromMessage(answer.registryRecords), answer.registryEnd), "peer");
+    applyOperatorRecords(this->state, operatorRecords, RecordSource::Peer);
+    applyRegistryRecords(this->state, this->state.registryFeed.apply(fromMessage(answer.registryRecords), answer.registryEnd), RecordSource::Peer);
     if (answer.cache) {
         const bool follows = this->state.parts.applyChanges(*answer.cache, asked);
         this->cacheSource = answer.cache->source;
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "daemon/clock.h"
+#include "edge/beliefs.h"
 #include "edge/log.h"
 
 namespace goldcrestwood {
@@ -21,6 +22,8 @@
     constexpr std::size_t maxDatagramBytes = 8192;
     /// Maximum number of peer addresses in one heartbeat.
     constexpr std::size_t maxSentAddresses = 12;
+    /// Maximum number of target weights of one model in one heartbeat.
+    constexpr std::size_t maxSentTargets = 8;
     /// Weight of the last interval in the request rate.
     constexpr double rateWeight = 0.5;
     constexpr Duration rateInterval = std::chrono::seconds(1);
@@ -87,8 +90,8 @@
     message.wantsReply = wantsReply;
     const auto now = monotonicNow();
     for (const auto& [model, targets] : this->state.weightTargets)
-        if (const auto naming = targets.newestWithKnownTime())
-            message.weights.push_back({ model, naming->version, static_cast<std::uint64_t>((now - naming->since) / std::chrono::milliseconds(1)) });
+        for (const auto& target : targets.withKnownTime(maxSentTargets))
+            message.weights.push_back({ model, target.version, static_cast<std::uint64_t>((now - target.since) / std::chrono::milliseconds(1)), target.replaces });
     for (const auto& [service, rollout] : this->state.rollouts)
         message.rollouts.push_back(rollout.notice(now));
     auto live = this->daemons.live(now);
@@ -272,9 +275,8 @@
     this->learnAddress(message.peerAddress, now);
     for (const auto& address : message.peers)
         this->learnAddress(address, now);
-    for (const auto& naming : message.weights)
-        if (const auto targets = this->state.weightTargets.find(naming.model); targets != this->state.weightTargets.end())
-            targets->second.onNamingTime(naming.version, now - std::chrono::milliseconds(naming.ageMs));
+    for (const auto& report : message.weights)
+        applyWeightsAge(this->state, message.instance, report, now);
     for (const auto& notice : message.rollouts)
         if (auto* rollout = this->state.rolloutOf(notice.service))
             rollout->onNotice(message.instance, message.incarnation, notice, now);
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -158,7 +158,12 @@
     // Without the store no weight updates can be ordered; an answer on old weights is better than none.
     if (this->state.storeOutage.isActive())
         return 0;
-    return targets.newestNamedFor(this->state.settings.bounds.weightSwitchTime - margin, now, this->state.storeOutage.endedAt());
+    return targets.newestDue(now, [&](TimePoint named) { return this->weightsRequiredAt(named) - margin; });
+}
+
+TimePoint Pipeline::weightsRequiredAt(TimePoint named) const
+{
+    return std::max(named, this->state.storeOutage.endedAt()) + this->state.settings.bounds.weightSwitchTime;
 }
 
 std::optional<TimePoint> Pipeline::weightsDeadline(const ClientExchange& exchange, const PlacementChoice& choice) const
@@ -166,7 +171,7 @@
     const auto target = this->state.weightTargets.find(exchange.placement.model);
     if (choice.weightVersion == 0 || target == this->state.weightTargets.end() || this->state.storeOutage.isActive())
         return std::nullopt;
-    return target->second.supersededAt(choice.weightVersion, this->state.settings.bounds.weightSwitchTime - withdrawalMargin, this->state.storeOutage.endedAt());
+    return target->second.supersededAt(choice.weightVersion, [&](TimePoint named) { return this->weightsRequiredAt(named) - withdrawalMargin; });
 }
 
 Task<> Pipeline::serve(ClientExchange& exchange)
--- a/test/platform/beliefs_test.cc
+++ b/test/platform/beliefs_test.cc
@@ -17,9 +17,9 @@
 {
     EdgeState state({}, 1);
     state.registryContact = { true, monotonicNow() - 10s };
-    applyRegistryRecords(state, { registered }, "store");
+    applyRegistryRecords(state, { registered }, RecordSource::Log);
     REQUIRE(state.board.find(upstream) != nullptr);
-    applyRegistryRecords(state, { removed }, "store");
+    applyRegistryRecords(state, { removed }, RecordSource::Log);
     CHECK(state.board.find(upstream) == nullptr);
 }
 
@@ -28,8 +28,8 @@
     EdgeState state({}, 1);
     const auto now = monotonicNow();
     state.registryContact = { true, now };
-    applyRegistryRecords(state, { registered }, "store");
-    applyRegistryRecords(state, { removed }, "store");
+    applyRegistryRecords(state, { registered }, RecordSource::Log);
+    applyRegistryRecords(state, { removed }, RecordSource::Log);
     removeExpiredUpstreams(state, now + 1s);
     CHECK(state.board.find(upstream) != nullptr);
     // Only this daemon may have had the outage, so the drain bound runs from the removal.
@@ -41,9 +41,9 @@
 {
     EdgeState state({}, 1);
     state.registryContact = { true, monotonicNow() };
-    applyRegistryRecords(state, { registered }, "store");
-    applyRegistryRecords(state, { removed }, "store");
-    applyRegistryRecords(state, { registered }, "store");
+    applyRegistryRecords(state, { registered }, RecordSource::Log);
+    applyRegistryRecords(state, { removed }, RecordSource::Log);
+    applyRegistryRecords(state, { registered }, RecordSource::Log);
     removeExpiredUpstreams(state, monotonicNow() + 10s);
     CHECK(state.board.find(upstream) != nullptr);
 }
@@ -54,16 +54,16 @@
     state.operatorFeed.apply({}, 1);
     const KeyedRecord weightRecord { "op/version/m", R"({"model":"m","version":3})", 1 };
     const auto start = monotonicNow();
-    applyOperatorRecords(state, { { "version/m", weightRecord.value, 1 } }, "store");
+    applyOperatorRecords(state, { { "version/m", weightRecord.value, 1 } }, RecordSource::Log);
     const auto& targets = state.weightTargets.at("m");
     const auto& bounds = state.settings.bounds;
     CHECK(targets.newest() == 3);
-    CHECK_FALSE(targets.newestWithKnownTime());
+    CHECK(targets.withKnownTime(1).empty());
     CHECK(targets.newestNamedFor(bounds.weightSwitchTime, start) == 0);
     CHECK(targets.newestNamedFor(bounds.weightSwitchTime, start + bounds.contactTime + 100ms) == 3);
     // The next version is read as it is set, so its time is known.
-    applyOperatorRecords(state, { { "version/m", R"({"model":"m","version":4})", 2 } }, "store");
-    CHECK(targets.newestWithKnownTime());
+    applyOperatorRecords(state, { { "version/m", R"({"model":"m","version":4})", 2 } }, RecordSource::Log);
+    CHECK(targets.withKnownTime(1).front().version == 4);
     CHECK(targets.newestNamedFor(bounds.weightSwitchTime, start + bounds.weightSwitchTime - 100ms) == 3);
     CHECK(targets.newestNamedFor(bounds.weightSwitchTime, monotonicNow() + bounds.weightSwitchTime) == 4);
 }
--- /dev/null
+++ b/test/process/superseded_weights_test.py
@@ -0,0 +1,62 @@
+"""No request begins on weights whose replacement was named longer ago than the bound, while replicas stay behind."""
+
+import time
+import unittest
+
+import edge_site as site
+
+SWITCH_SECONDS = 8
+CONTACT_SECONDS = 3
+BOUNDS = f"version_ms = {SWITCH_SECONDS * 1000}\ncontact_ms = {CONTACT_SECONDS * 1000}\n"
+# A load that never ends keeps replicas on their old weights.
+LOAD_SECONDS = 1000
+
+
+class SupersededWeightsTest(unittest.TestCase):
+    def start(self):
+        edge = self.enterContext(site.EdgeSite(daemons=3, models=9, bounds=BOUNDS))
+        for replica in edge.models:
+            replica.load_seconds = LOAD_SECONDS
+        return edge
+
+    def name(self, edge, version):
+        """Names new weights; returns the time."""
+        edge.store.put("keyed.op", "version/m", {"model": "m", "version": version})
+        return time.monotonic()
+
+    def sleep_until(self, end):
+        time.sleep(max(0, end - time.monotonic()))
+
+    def send_until(self, daemon, end):
+        """Sends requests to a daemon; returns their identifiers."""
+        identifiers = set()
+        while time.monotonic() < end:
+            identifiers.add(site.request(daemon, "/stream/a", X_Goldcrestwood_Deadline_Ms="300", **site.PROMPT)[0])
+        return identifiers
+
+    def arrivals(self, edge, identifiers):
+        """Returns when the requests reached replicas, all of which have the oldest weights."""
+        self.assertEqual({replica.version for replica in edge.models}, {1})
+        return sorted(when for replica in edge.models for when, request in replica.arrivals if request in identifiers)
+
+    def assert_bound_kept(self, edge, daemon, named):
+        """Checks that the daemon uses the old weights, but not after the bound."""
+        bound = named + SWITCH_SECONDS
+        arrivals = self.arrivals(edge, self.send_until(daemon, bound + 2))
+        self.assertTrue(arrivals)
+        self.assertLess(arrivals[-1], bound)
+
+    def test_a_restarted_daemon_keeps_to_the_bound_of_a_version_that_was_replaced_while_it_was_down(self):
+        edge = self.start()
+        named = self.name(edge, 2)
+        self.sleep_until(named + 2)
+        self.name(edge, 3)
+        daemon = edge.daemons[0]
+        daemon.stop()
+        daemon.start()
+        site.wait_until(daemon.is_ready, "ready")
+        self.assert_bound_kept(edge, daemon, named)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/test/weight_targets_test.cc
+++ b/test/weight_targets_test.cc
@@ -18,30 +18,79 @@
 TEST_CASE("the age of a target version counts from its own naming, even when a newer one follows")
 {
     WeightTargets targets;
-    CHECK(targets.name(2, start, true));
-    CHECK(targets.name(3, start + 9s, true));
-    CHECK_FALSE(targets.name(2, start + 9s, true));
+    CHECK(targets.add({ 2, start, true, 0 }, start));
+    CHECK(targets.add({ 3, start + 9s, true, 2 }, start));
+    CHECK_FALSE(targets.add({ 2, start + 9s, true, 0 }, start));
+    CHECK(targets.newest() == 3);
     CHECK(targets.newestNamedFor(8s, start + 10s) == 2);
     CHECK(targets.newestNamedFor(8s, start + 17s) == 3);
     // Time before the end of a store outage does not count.
-    CHECK(targets.newestNamedFor(8s, start + 17s, start + 12s) == 0);
-    CHECK(targets.supersededAt(1, 8s) == start + 8s);
-    CHECK(targets.supersededAt(2, 8s) == start + 17s);
-    CHECK_FALSE(targets.supersededAt(3, 8s));
+    const auto dueAt = [](TimePoint outageEnd) { return [outageEnd](TimePoint named) { return std::max(named, outageEnd) + 8s; }; };
+    CHECK(targets.newestDue(start + 17s, dueAt(start + 12s)) == 0);
+    CHECK(targets.supersededAt(1, dueAt({})) == start + 8s);
+    CHECK(targets.supersededAt(2, dueAt({})) == start + 17s);
+    CHECK_FALSE(targets.supersededAt(3, dueAt({})));
 }
 
 TEST_CASE("a restarted process learns the time of a target version from a peer that saw it named")
 {
     WeightTargets targets;
-    targets.name(2, start - 5s, false);
-    CHECK_FALSE(targets.newestWithKnownTime());
-    targets.onNamingTime(2, start - 1s);
-    CHECK(targets.newestWithKnownTime()->since == start - 1s);
-    // The earliest time wins; the time of a version that is not a target changes nothing.
-    targets.onNamingTime(2, start - 2s);
-    targets.onNamingTime(2, start);
-    targets.onNamingTime(1, start - 90s);
-    CHECK(targets.newestWithKnownTime()->since == start - 2s);
+    targets.add({ 2, start - 5s, false, {} }, start - 5s);
+    CHECK(targets.withKnownTime(8).empty());
+    targets.add({ 2, start - 1s, true, 0 }, start);
+    CHECK(targets.withKnownTime(8) == std::vector<WeightTarget> { { 2, start - 1s, true, 0 } });
+    // The earliest time wins.
+    targets.add({ 2, start - 2s, true, 0 }, start);
+    targets.add({ 2, start, true, 0 }, start);
+    CHECK(targets.withKnownTime(8) == std::vector<WeightTarget> { { 2, start - 2s, true, 0 } });
+}
+
+TEST_CASE("a restarted process keeps to the bound of a version that was replaced before it started")
+{
+    // Version 2 was named at 0 s, version 3 at 8 s; the process starts at 8.5 s and finds version 3 only. The bound is 10 s.
+    const auto started = start + 8500ms;
+    const auto cautious = started - 7s;
+    WeightTargets targets;
+    targets.add({ 3, cautious, false, {} }, cautious);
+
+    SECTION("if its peers tell the time of the newest version only, from its contact time on")
+    {
+        targets.add({ 3, start + 8s, true, {} }, started);
+        CHECK(targets.newestNamedFor(10s, started + 2900ms) == 0);
+        CHECK(targets.newestNamedFor(10s, started + 3s) == 2);
+        CHECK(targets.supersededAt(1, [](TimePoint named) { return named + 10s; }) == started + 3s);
+        CHECK(targets.newestNamedFor(10s, start + 18s) == 3);
+    }
+    SECTION("from the time that a peer tells")
+    {
+        targets.add({ 3, start + 8s, true, 2 }, started);
+        targets.add({ 2, start, true, 0 }, started);
+        CHECK(targets.newestNamedFor(10s, start + 9900ms) == 0);
+        CHECK(targets.newestNamedFor(10s, start + 10s) == 2);
+        CHECK(targets.newestNamedFor(10s, start + 18s) == 3);
+    }
+    SECTION("but not to that of a version that was never named")
+    {
+        targets.add({ 7, start + 8s, true, 3 }, started);
+        targets.add({ 3, start + 5s, true, 0 }, started);
+        CHECK(targets.newestNamedFor(10s, start + 14900ms) == 0);
+        CHECK(targets.newestNamedFor(10s, start + 15s) == 3);
+        CHECK(targets.newestNamedFor(10s, start + 18s) == 7);
+    }
+}
+
+TEST_CASE("a daemon reports the newest target versions only")
+{
+    WeightTargets targets;
+    for (std::uint64_t version = 2; version <= 9; ++version)
+        targets.add({ version, start + std::chrono::seconds(version), version != 8, version - 1 }, start);
+    const auto reported = targets.withKnownTime(3);
+    REQUIRE(reported.size() == 3);
+    CHECK(reported[0].version == 9);
+    CHECK(reported[1].version == 7);
+    CHECK(reported[2].version == 6);
+    CHECK(targets.newestBelow(9) == 8);
+    CHECK(targets.newestBelow(2) == 0);
 }
 
 TEST_CASE("the store counts as unavailable only if at least half of the daemons cannot read it")
@@ -89,15 +138,21 @@
             bool isUp = true;
         };
         std::vector<Daemon> site(daemons);
-        const auto named = start;
-        for (auto& daemon : site)
-            daemon.targets.name(2, named, true);
+        // Versions 2, 3 and so on.
+        constexpr Duration step = 50ms;
+        const std::vector<TimePoint> named { start, start + within(6s) / step * step, start + 6s + within(6s) / step * step };
+        std::uint64_t newest = 1;
         const auto restart = [&](Daemon& daemon, TimePoint now) {
             daemon = { {}, now, true };
-            daemon.targets.name(2, now - (bound - contact), false);
+            const auto cautious = now - (bound - contact);
+            if (newest > 1)
+                daemon.targets.add({ newest, cautious, false, {} }, cautious);
         };
         TimePoint nextFault = start + within(6s);
-        for (auto now = start; now < start + 20s; now += 50ms) {
+        for (auto now = start; now < start + 30s; now += step) {
+            for (; newest - 1 < named.size() && now >= named[newest - 1]; ++newest)
+                for (auto& daemon : site)
+                    daemon.targets.add({ newest + 1, now, true, daemon.targets.newest() }, now);
             if (now >= nextFault) {
                 // Every third fault restarts all daemons, like a power loss of the site; otherwise the survivors inform the others.
                 const bool isSiteWide = random() % 3 == 0;
@@ -107,13 +162,14 @@
                 nextFault = now + within(4s);
             }
             for (auto& sender : site)
-                if (const auto target = sender.targets.newestWithKnownTime())
-                    site[random() % daemons].targets.onNamingTime(2, target->since);
+                for (const auto& target : sender.targets.withKnownTime(8))
+                    site[random() % daemons].targets.add(target, now - (bound - contact));
             for (const auto& daemon : site) {
                 const bool hasContact = now - daemon.startedAt >= contact;
-                const bool acceptsOldWeights = daemon.targets.newestNamedFor(bound, now) < 2;
+                const auto required = daemon.targets.newestNamedFor(bound, now);
                 INFO("seed " << seed << " at " << toSeconds(now - start) << " s");
-                CHECK_FALSE((hasContact && acceptsOldWeights && now - named > bound));
+                for (std::uint64_t version = 2; version <= newest; ++version)
+                    CHECK_FALSE((hasContact && required < version && now - named[version - 2] > bound));
             }
         }
     }
