Times between outages of the store add up towards the bound of named weights

Callers got answers of weights that had been replaced long ago, from all daemons and all replicas that were behind at once.

Cause: each outage of the store started the whole bound anew.

Change: WeightBound works out from when on a version is required, from the last 16 outages. An outage's end is noticed late, so a time between two outages counts from 1.5 s before the contact time has passed.

Evidence: superseded_weights_test (the store resets its connections and answers 503 for 1 s) fails on, 1.9 s after the bound, when it stops sending; it passes now.

--- a/include/goldcrestwood/edge_settings.h
+++ b/include/goldcrestwood/edge_settings.h
@@ -19,7 +19,8 @@
     Duration shutdownGrace = std::chrono::seconds(8); ///< From SIGTERM to SIGKILL.
     Duration leaseTime = std::chrono::seconds(3); ///< Minimum time between the orders of two duty holders.
     bool fencesChecked = true; ///< Upstreams reject orders with a lower fencing token.
-    Duration weightSwitchTime = std::chrono::seconds(6); ///< Time after which no request may begin on older weights.
+    Duration weightSwitchTime = std::chrono::seconds(6); ///< Time without an outage of the store after which no request may begin on older weights.
+    Duration weightSwitchTotal = std::chrono::milliseconds(8400); ///< The same for the sum of such times.
     double retryRatio = 0.2; ///< Further sends as a share of requests, all daemons together.
     Duration retryWindow = std::chrono::seconds(10);
     double retrySlack = 50; ///< Further sends per window in addition to the share, all daemons together.
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -7,6 +7,7 @@
 #include "edge/attempt.h"
 #include "edge/caller_socket.h"
 #include "edge/log.h"
+#include "goldcrestwood/weight_bound.h"
 
 namespace goldcrestwood {
 
@@ -158,12 +159,7 @@
     // Without the store no weight updates can be ordered; an answer on old weights is better than none.
     if (this->state.storeOutage.isActive())
         return 0;
-    return targets.newestDue(now, [&](TimePoint named) { return this->weightsRequiredAt(named) - margin; });
-}
-
-TimePoint Pipeline::weightsRequiredAt(TimePoint named) const
-{
-    return std::max(named, this->state.storeOutage.endedAt()) + this->state.settings.bounds.weightSwitchTime;
+    return targets.newestDue(now, WeightBound(this->state.settings.bounds, this->state.storeOutage, margin));
 }
 
 std::optional<TimePoint> Pipeline::weightsDeadline(const ClientExchange& exchange, const PlacementChoice& choice) const
@@ -171,7 +167,7 @@
     const auto target = this->state.weightTargets.find(exchange.placement.model);
     if (choice.weightVersion == 0 || target == this->state.weightTargets.end() || this->state.storeOutage.isActive())
         return std::nullopt;
-    return target->second.supersededAt(choice.weightVersion, [&](TimePoint named) { return this->weightsRequiredAt(named) - withdrawalMargin; });
+    return target->second.supersededAt(choice.weightVersion, WeightBound(this->state.settings.bounds, this->state.storeOutage, withdrawalMargin));
 }
 
 Task<> Pipeline::serve(ClientExchange& exchange)
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -30,8 +30,6 @@
     void setWeightConstraints(ClientExchange& exchange) const;
     /// @param margin How long before its deadline a version is already required.
     std::uint64_t minWeightVersion(const WeightTargets& targets, Duration margin, TimePoint now) const;
-    /// @return From when on requests must begin on weights that were named at @p named, or on newer ones.
-    TimePoint weightsRequiredAt(TimePoint named) const;
     /// @return When a request that has not begun at @p choice must be withdrawn because newer weights become mandatory.
     std::optional<TimePoint> weightsDeadline(const ClientExchange& exchange, const PlacementChoice& choice) const;
     Task<> attempt(ClientExchange& exchange, Attempt& attempt);
--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -53,6 +53,10 @@
         """Stops listening and resets all connections, like the end of the process."""
         self.shutdown()
         self.server_close()
+        self.end_connections()
+
+    def end_connections(self):
+        """Resets all connections."""
         for connection in list(self.connections):
             with contextlib.suppress(OSError):
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -139,6 +143,12 @@
         """Returns whether calls at the address get 503."""
         return self.mode == "busy" or address in self.refused
 
+    def go_away(self):
+        """Ends the calls in progress and answers further ones with 503."""
+        self.mode = "busy"
+        for server in self.servers:
+            server.end_connections()
+
     def add_address(self):
         """Opens another address, so that one daemon can be refused alone."""
         self.servers.append(Server("127.0.0.1", self, StoreHandler))
--- a/test/process/superseded_weights_test.py
+++ b/test/process/superseded_weights_test.py
@@ -7,7 +7,8 @@
 
 SWITCH_SECONDS = 8
 CONTACT_SECONDS = 3
-BOUNDS = f"version_ms = {SWITCH_SECONDS * 1000}\ncontact_ms = {CONTACT_SECONDS * 1000}\n"
+TOTAL_SECONDS = 9
+BOUNDS = f"version_ms = {SWITCH_SECONDS * 1000}\nversion_all_ms = {TOTAL_SECONDS * 1000}\ncontact_ms = {CONTACT_SECONDS * 1000}\n"
 # A load that never ends keeps replicas on their old weights.
 LOAD_SECONDS = 1000
 
@@ -39,9 +40,8 @@
         self.assertEqual({replica.version for replica in edge.models}, {1})
         return sorted(when for replica in edge.models for when, request in replica.arrivals if request in identifiers)
 
-    def assert_bound_kept(self, edge, daemon, named):
+    def assert_bound_kept(self, edge, daemon, bound):
         """Checks that the daemon uses the old weights, but not after the bound."""
-        bound = named + SWITCH_SECONDS
         arrivals = self.arrivals(edge, self.send_until(daemon, bound + 2))
         self.assertTrue(arrivals)
         self.assertLess(arrivals[-1], bound)
@@ -55,7 +55,18 @@
         daemon.stop()
         daemon.start()
         site.wait_until(daemon.is_ready, "ready")
-        self.assert_bound_kept(edge, daemon, named)
+        self.assert_bound_kept(edge, daemon, named + SWITCH_SECONDS)
+
+    def test_times_between_outages_of_the_store_add_up_towards_the_bound(self):
+        edge = self.start()
+        named = self.name(edge, 2)
+        available = SWITCH_SECONDS - 1.5
+        self.sleep_until(named + available)
+        edge.store.go_away()
+        time.sleep(1)
+        edge.store.mode = "up"
+        back = time.monotonic()
+        self.assert_bound_kept(edge, edge.daemons[0], back + CONTACT_SECONDS + TOTAL_SECONDS - available)
 
 
 if __name__ == "__main__":
--- a/test/weight_targets_test.cc
+++ b/test/weight_targets_test.cc
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "goldcrestwood/store_outage.h"
+#include "goldcrestwood/weight_bound.h"
 #include "goldcrestwood/weight_targets.h"
 
 using namespace goldcrestwood;
@@ -124,6 +125,52 @@
     CHECK(real.isActive());
 }
 
+TEST_CASE("times between outages of the store add up towards the bound of a version")
+{
+    SiteBounds bounds;
+    bounds.contactTime = 3s;
+    bounds.weightSwitchTime = 10s;
+    bounds.weightSwitchTotal = 14s;
+    StoreOutage outage;
+    const WeightBound bound(bounds, outage, 0s);
+    outage.onView(6, 6, start);
+    CHECK(bound(start + 4s) == start + 14s);
+
+    // The store is away from 12 s to 13 s, and counts as available from 16 s on: 8 s, then 6 s more.
+    outage.onView(0, 6, start + 12s);
+    CHECK(outage.isActive());
+    outage.onView(6, 6, start + 13s);
+    CHECK(outage.periods() == std::vector<StoreOutage::Period> { { start + 12s, start + 13s } });
+    CHECK(bound(start + 4s) <= start + 22s);
+    CHECK(bound(start + 4s) >= start + 16s);
+    CHECK(WeightBound(bounds, outage, 700ms)(start + 4s) == bound(start + 4s) - 700ms);
+    // One unbroken time comes first for a version that was named shortly before the outage, or after it.
+    CHECK(bound(start + 11s) == start + 23s);
+    CHECK(bound(start + 15s) == start + 25s);
+
+    // From 16 s to 19 s are 3 s, which leaves 3 s after the next outage.
+    outage.onView(0, 6, start + 19s);
+    outage.onView(6, 6, start + 20s);
+    CHECK(bound(start + 4s) <= start + 26s);
+    CHECK(bound(start + 4s) > start + 20s);
+    // A further outage leaves nothing: the version is required once the store is back.
+    outage.onView(0, 6, start + 27s);
+    outage.onView(6, 6, start + 28s);
+    CHECK(bound(start + 4s) <= start + 28s + bounds.contactTime);
+}
+
+TEST_CASE("only the last outages of the store are kept")
+{
+    StoreOutage outage;
+    outage.onView(6, 6, start);
+    for (int number = 1; number <= 40; ++number) {
+        outage.onView(0, 6, start + number * 2s);
+        outage.onView(6, 6, start + number * 2s + 1s);
+    }
+    CHECK(outage.periods().size() == 16);
+    CHECK(outage.endedAt() == start + 81s);
+}
+
 TEST_CASE("across restarts no daemon uses old weights for longer than the bound")
 {
     constexpr Duration bound = 8s;
