A version that was named while a daemon stood still counts from then

Callers got answers of weights that had been replaced more than the bound ago.

Cause: a record that waits for a process that stands still was taken for one just written, and the process told its peers that it had seen the version being named. If no other daemon had, all of them counted from there.

Ruled out: late heartbeats. While one daemon that saw the naming is alive, its reports correct the time.

Change: the check of the event loop remembers the last pause. What is read before a read that was sent after the pause has ended counts from the pause, at most as far back as at a start, and its time is unknown until a peer tells it.

--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -55,8 +55,11 @@
         state.parts.setStores(stores);
     }
 
-    /// A process that has just started does not know when a version was named. The version must become mandatory by the time that
-    /// the process counts as connected, which is after the contact time.
+    /// Longest time that a record waits for a process that stands still: a read that was sent before is held and then answered.
+    constexpr Duration maxReadTime = std::chrono::seconds(5);
+
+    /// A process that has just started, or stood still, does not know when a version was named. The version must become mandatory
+    /// by the time that the process counts as connected, which is after the contact time.
     TimePoint cautiousNamingTime(const EdgeState& state, TimePoint now)
     {
         const auto& bounds = state.settings.bounds;
@@ -79,8 +82,10 @@
         }
         const auto now = monotonicNow();
         auto& targets = state.weightTargets[weights->model];
-        const bool isTimeKnown = state.isOperatorTopicKnown;
-        const auto since = isTimeKnown ? now : cautiousNamingTime(state, now);
+        const auto paused = state.pauses.lastBegan(now, std::max(state.operatorContact.confirmed, now - maxReadTime));
+        const bool isTimeKnown = state.isOperatorTopicKnown && !paused;
+        const auto cautious = cautiousNamingTime(state, now);
+        const auto since = isTimeKnown ? now : std::max(cautious, state.isOperatorTopicKnown ? *paused : cautious);
         const bool isNextInLog = isTimeKnown && source == RecordSource::Log;
         const auto replaces = isNextInLog ? std::optional(targets.newestBelow(weights->version)) : std::nullopt;
         targets.add({ weights->version, since, isTimeKnown, replaces }, unseenNamingTime(state, now));
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -17,6 +17,7 @@
 #include "goldcrestwood/keyed_feed.h"
 #include "goldcrestwood/load_keepers.h"
 #include "goldcrestwood/part_directory.h"
+#include "goldcrestwood/process_pauses.h"
 #include "goldcrestwood/random.h"
 #include "goldcrestwood/rollout.h"
 #include "goldcrestwood/send_budget.h"
@@ -104,6 +105,7 @@
     std::map<ServiceName, Rollout> rollouts; ///< Newest order of each service.
     bool isOperatorTopicKnown = false; ///< Whether the operator topic was known before the current batch of records.
     StoreOutage storeOutage;
+    ProcessPauses pauses;
     std::set<FailureDomain> evacuated;
     bool isStopping = false;
     /// In a planned stop, when requests in progress get their final answers, and from when on one that may take longer is refused.
--- a/src/edge/loop_watch.cc
+++ b/src/edge/loop_watch.cc
@@ -16,12 +16,15 @@
 Task<> watchLoop(EdgeState& state, asio::any_io_executor executor)
 {
     asio::steady_timer timer(executor);
+    state.pauses.onCheck(monotonicNow());
     while (true) {
         const auto due = monotonicNow() + checkInterval;
         timer.expires_at(due);
         ErrorCode ignored;
         co_await timer.async_wait(into(ignored));
-        const auto delay = std::max(monotonicNow() - due, Duration(0));
+        const auto now = monotonicNow();
+        state.pauses.onCheck(now);
+        const auto delay = std::max(now - due, Duration(0));
         state.metrics.observe("goldcrest_loop_delay_seconds", "", delay);
         if (delay >= minLoggedDelay)
             edge::log(edge::LogClass::Decision, "loop_late", { { "delay_ms", toMs(delay) } });
--- a/test/platform/beliefs_test.cc
+++ b/test/platform/beliefs_test.cc
@@ -67,3 +67,42 @@
     CHECK(targets.newestNamedFor(bounds.weightSwitchTime, start + bounds.weightSwitchTime - 100ms) == 3);
     CHECK(targets.newestNamedFor(bounds.weightSwitchTime, monotonicNow() + bounds.weightSwitchTime) == 4);
 }
+
+TEST_CASE("a weight version read after a pause of the process counts from the pause, unless a peer knows its time")
+{
+    EdgeState state({}, 1);
+    state.operatorFeed.apply({}, 1);
+    applyOperatorRecords(state, {}, RecordSource::Log);
+    REQUIRE(state.isOperatorTopicKnown);
+    const auto now = monotonicNow();
+    state.operatorContact.confirmed = now - 3s;
+    state.pauses.onCheck(now - 2s);
+    state.pauses.onCheck(now - 20ms);
+    const auto& bounds = state.settings.bounds;
+    applyOperatorRecords(state, { { "version/m", R"({"model":"m","version":2})", 2 } }, RecordSource::Log);
+    const auto& targets = state.weightTargets.at("m");
+    CHECK(targets.withKnownTime(1).empty());
+    CHECK(targets.newestNamedFor(bounds.weightSwitchTime, now - 2s + bounds.weightSwitchTime) == 2);
+    applyWeightsAge(state, InstanceId("edge-2"), { "m", 2, 500, 0 }, now);
+    CHECK(targets.newestNamedFor(bounds.weightSwitchTime, now - 600ms + bounds.weightSwitchTime) == 0);
+    CHECK(targets.newestNamedFor(bounds.weightSwitchTime, now - 500ms + bounds.weightSwitchTime) == 2);
+    // What was asked for after the pause has not waited.
+    state.operatorContact.confirmed = monotonicNow();
+    state.pauses.onCheck(monotonicNow());
+    applyOperatorRecords(state, { { "version/m", R"({"model":"m","version":3})", 3 } }, RecordSource::Log);
+    CHECK(targets.withKnownTime(1).front().version == 3);
+}
+
+TEST_CASE("a pause is seen before and after the check that follows it")
+{
+    const TimePoint start { 100s };
+    ProcessPauses pauses;
+    CHECK_FALSE(pauses.lastBegan(start, {}));
+    pauses.onCheck(start);
+    pauses.onCheck(start + 100ms);
+    CHECK_FALSE(pauses.lastBegan(start + 200ms, {}));
+    CHECK(pauses.lastBegan(start + 5s, {}) == start + 100ms);
+    pauses.onCheck(start + 5s);
+    CHECK(pauses.lastBegan(start + 5s, start) == start + 100ms);
+    CHECK_FALSE(pauses.lastBegan(start + 5s, start + 5s));
+}
--- a/test/process/superseded_weights_test.py
+++ b/test/process/superseded_weights_test.py
@@ -1,5 +1,6 @@
 """No request begins on weights whose replacement was named longer ago than the bound, while replicas stay behind."""
 
+import signal
 import time
 import unittest
 
@@ -57,6 +58,20 @@
         site.wait_until(daemon.is_ready, "ready")
         self.assert_bound_kept(edge, daemon, named + SWITCH_SECONDS)
 
+    def test_a_version_that_was_named_while_a_daemon_stood_still_counts_from_then(self):
+        edge = self.start()
+        # The other daemons restart, so that none of them knows the time either.
+        daemon, *others = edge.daemons
+        daemon.process.send_signal(signal.SIGSTOP)
+        for other in others:
+            other.stop()
+        named = self.name(edge, 2)
+        self.sleep_until(named + 4)
+        for other in others:
+            other.start()
+        daemon.process.send_signal(signal.SIGCONT)
+        self.assert_bound_kept(edge, daemon, named + SWITCH_SECONDS)
+
     def test_times_between_outages_of_the_store_add_up_towards_the_bound(self):
         edge = self.start()
         named = self.name(edge, 2)
