A request that waited for a place beyond the bound of its weights is not sent to old ones

Callers' requests reached replicas whose weights had been replaced more than the bound ago, and were withdrawn at once: some began, the rest used up the budget of further sends.

Cause: the oldest weights that a request may begin on were worked out before it waited for a place, for up to half of the caller's patience (1.6 s and more), and not again when it got one; the margin for repeatable requests is 0.7 s.

Change: the queue works them out each time that it tries to place a request.

--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -19,17 +19,10 @@
     constexpr Duration defaultRetryAfter = std::chrono::milliseconds(300);
     /// Longest wait of a caller that sends no time limit.
     constexpr Duration maxWait = std::chrono::seconds(60);
-    /// Usual longest wait at an upstream before a request begins; requests sent within this time before the deadline need the
-    /// new weights.
-    constexpr Duration weightSwitchMargin = std::chrono::milliseconds(1800);
-    /// A repeatable request can be withdrawn if it has not begun, so it may be sent closer to the deadline.
-    constexpr Duration repeatableSwitchMargin = std::chrono::milliseconds(700);
     /// A withdrawal must reach the upstream before the deadline: allows for a few round trips and a late timer.
     constexpr Duration withdrawalMargin = std::chrono::milliseconds(250);
     /// Approximate answer time apart from prefill; only used to compare the versions of a roll-out with each other.
     constexpr double unloadedAnswerMs = 20;
-    /// Age of a new version from which answers on old weights are worth less to callers.
-    constexpr Duration newWeightsPreferredAfter = std::chrono::milliseconds(1300);
     constexpr const char* quarantineReason = "a part of the prompt crashes upstreams";
 
     const char* toString(AttemptResult result)
@@ -143,25 +136,6 @@
     return exchange.route->kind == RequestKind::AtMostOnce || exchange.received >= stop->refusesLong;
 }
 
-void Pipeline::setWeightConstraints(ClientExchange& exchange) const
-{
-    auto& placement = exchange.placement;
-    const auto target = this->state.weightTargets.find(placement.model);
-    if (target == this->state.weightTargets.end())
-        return;
-    const auto now = monotonicNow();
-    placement.minWeightVersion = this->minWeightVersion(target->second, exchange.route->isRepeatable() ? repeatableSwitchMargin : weightSwitchMargin, now);
-    placement.preferredWeightVersion = target->second.newestNamedFor(newWeightsPreferredAfter, now);
-}
-
-std::uint64_t Pipeline::minWeightVersion(const WeightTargets& targets, Duration margin, TimePoint now) const
-{
-    // Without the store no weight updates can be ordered; an answer on old weights is better than none.
-    if (this->state.storeOutage.isActive())
-        return 0;
-    return targets.newestDue(now, WeightBound(this->state.settings.bounds, this->state.storeOutage, margin));
-}
-
 std::optional<TimePoint> Pipeline::weightsDeadline(const ClientExchange& exchange, const PlacementChoice& choice) const
 {
     const auto target = this->state.weightTargets.find(exchange.placement.model);
@@ -252,7 +226,6 @@
             break;
         }
         PlacementRefusal refusal = PlacementRefusal::NoUpstream;
-        this->setWeightConstraints(exchange);
         auto choice = co_await this->queues.place(exchange, refusal);
         if (!choice) {
             attempt.failure = refusal == PlacementRefusal::Full ? "all upstreams are full" : "no upstream can be used";
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -26,10 +26,6 @@
     /// @return Whether this daemon may stop before a request that it has just received has its answer.
     bool outlastsStop(const ClientExchange& exchange) const;
     Task<> run(ClientExchange& exchange);
-    /// Sets the required and the preferred weight version of a request that is about to be placed.
-    void setWeightConstraints(ClientExchange& exchange) const;
-    /// @param margin How long before its deadline a version is already required.
-    std::uint64_t minWeightVersion(const WeightTargets& targets, Duration margin, TimePoint now) const;
     /// @return When a request that has not begun at @p choice must be withdrawn because newer weights become mandatory.
     std::optional<TimePoint> weightsDeadline(const ClientExchange& exchange, const PlacementChoice& choice) const;
     Task<> attempt(ClientExchange& exchange, Attempt& attempt);
--- a/src/edge/service_queue.cc
+++ b/src/edge/service_queue.cc
@@ -5,6 +5,7 @@
 
 #include "daemon/clock.h"
 #include "goldcrestwood/hash.h"
+#include "goldcrestwood/weight_bound.h"
 
 namespace goldcrestwood {
 
@@ -13,6 +14,14 @@
     /// How long a request waits for a service without usable upstreams: its replicas may be in replacement.
     constexpr Duration noUpstreamWait = std::chrono::milliseconds(300);
 
+    /// Usual longest wait at an upstream before a request begins; requests sent within this time before the deadline need the
+    /// new weights.
+    constexpr Duration weightSwitchMargin = std::chrono::milliseconds(1800);
+    /// A repeatable request can be withdrawn if it has not begun, so it may be sent closer to the deadline.
+    constexpr Duration repeatableSwitchMargin = std::chrono::milliseconds(700);
+    /// Age of a new version from which answers on old weights are worth less to callers.
+    constexpr Duration newWeightsPreferredAfter = std::chrono::milliseconds(1300);
+
     /// @return A hash that identifies a request across retries with different ids; 0 if nothing distinguishes the request, as
     /// for a read of a shared resource.
     std::uint64_t callerKey(const ClientExchange& exchange)
@@ -44,9 +53,23 @@
 
 } // namespace
 
+void ServiceQueues::setWeightConstraints(ClientExchange& exchange, TimePoint now) const
+{
+    auto& placement = exchange.placement;
+    const auto target = this->state.weightTargets.find(placement.model);
+    if (target == this->state.weightTargets.end())
+        return;
+    const auto margin = exchange.route->isRepeatable() ? repeatableSwitchMargin : weightSwitchMargin;
+    // Without the store no weight updates can be ordered; an answer on old weights is better than none.
+    placement.minWeightVersion = this->state.storeOutage.isActive() ? 0 : target->second.newestDue(now, WeightBound(this->state.settings.bounds, this->state.storeOutage, margin));
+    placement.preferredWeightVersion = target->second.newestNamedFor(newWeightsPreferredAfter, now);
+}
+
 std::optional<PlacementChoice> ServiceQueues::tryAssign(ClientExchange& exchange, PlacementRefusal& refusal)
 {
     const auto now = monotonicNow();
+    // Weights that were allowed when the request began to wait may have been superseded since.
+    this->setWeightConstraints(exchange, now);
     exchange.placement.isLate = now >= onTimeUntil(exchange);
     const auto demand = this->demandVersion(exchange, now);
     exchange.placement.requiredVersion = demand.wanted;
@@ -81,6 +104,7 @@
 {
     auto& queue = this->queues[exchange.placement.service];
     const auto now = monotonicNow();
+    this->setWeightConstraints(exchange, now);
     auto waiter = this->makeWaiter(exchange, now);
     refusal = PlacementRefusal::Full;
     if (queue.admission.isNext(waiter, now))
--- a/src/edge/service_queue.h
+++ b/src/edge/service_queue.h
@@ -39,6 +39,8 @@
 
     /// @return Which software versions may take the request now, according to the service's roll-out.
     VersionDemand demandVersion(const ClientExchange& exchange, TimePoint now) const;
+    /// Sets the required and the preferred weight version of a request that is about to be placed.
+    void setWeightConstraints(ClientExchange& exchange, TimePoint now) const;
     std::optional<PlacementChoice> tryAssign(ClientExchange& exchange, PlacementRefusal& refusal);
     Waiter makeWaiter(const ClientExchange& exchange, TimePoint now);
     Task<std::optional<PlacementChoice>> wait(ClientExchange& exchange, Queue& queue, const Waiter& waiter, PlacementRefusal& refusal);
--- a/test/process/superseded_weights_test.py
+++ b/test/process/superseded_weights_test.py
@@ -1,5 +1,7 @@
 """No request begins on weights whose replacement was named longer ago than the bound, while replicas stay behind."""
 
+import concurrent.futures
+import copy
 import signal
 import time
 import unittest
@@ -15,8 +17,8 @@
 
 
 class SupersededWeightsTest(unittest.TestCase):
-    def start(self):
-        edge = self.enterContext(site.EdgeSite(daemons=3, models=9, bounds=BOUNDS))
+    def start(self, models=9, configuration=None):
+        edge = self.enterContext(site.EdgeSite(daemons=3, models=models, configuration=configuration, bounds=BOUNDS))
         for replica in edge.models:
             replica.load_seconds = LOAD_SECONDS
         return edge
@@ -83,6 +85,27 @@
         back = time.monotonic()
         self.assert_bound_kept(edge, edge.daemons[0], back + CONTACT_SECONDS + TOTAL_SECONDS - available)
 
+    def test_a_request_that_waited_for_a_place_beyond_the_bound_is_not_sent_to_old_weights(self):
+        configuration = copy.deepcopy(site.CONFIGURATION)
+        configuration["routes"][0]["goal_ms"] = 1500  # Callers wait for longer.
+        edge = self.start(models=4, configuration=configuration)
+        daemon = edge.daemons[0]
+        named = self.name(edge, 2)
+        bound = named + SWITCH_SECONDS
+        for replica in edge.models:
+            replica.gap = 0.7
+        self.sleep_until(bound - 3.2)
+        # These end 0.3 s after the bound. Two of the replicas are under order and get no requests.
+        with concurrent.futures.ThreadPoolExecutor(max_workers=40) as callers:
+            for _ in range(2 * site.CONFIGURATION["services"][0]["engine"]["max_inflight"]):
+                callers.submit(site.request, daemon, "/stream/a", **site.PROMPT)
+            self.sleep_until(bound - 1.2)
+            waiting = [callers.submit(site.request, daemon, "/stream/a", **site.PROMPT) for _ in range(8)]
+            identifiers = {answer.result()[0] for answer in waiting}
+        waited = [line["after_ms"] for line in daemon.log_lines() if line["event"] == "request_rejected" and line["request"] in identifiers]
+        self.assertGreater(max(waited), 1200)
+        self.assertEqual([when - bound for when in self.arrivals(edge, identifiers) if when >= bound], [])
+
 
 if __name__ == "__main__":
     unittest.main()
