An order of new weights that is carried out late holds up no other replica

Cause: an order counted as a load in progress from when it was sent until the replica reported the new version. Replicas that leave orders unanswered and carry them out 2 to 12 s later so took both places for loads, and all others waited for them.

Change: an order that shows no effect for the repeat interval (0.7 s) takes no place for a load; a load does as soon as a report shows it. A third of the replicas is updated at most at the same time, as before.

Evidence: weight_plan_test, 'an order that is carried out seconds late', fails before (no third order).

--- a/include/goldcrestwood/weight_plan.h
+++ b/include/goldcrestwood/weight_plan.h
@@ -62,8 +62,9 @@
     bool isOrderDue(const UpstreamId& upstream, std::uint32_t requests, TimePoint now) const;
     /// @return Whether a load order was sent to @p upstream and it has not reported the target version yet.
     bool isLoading(const UpstreamId& upstream) const;
-    /// @return Number of replicas for which isLoading() holds.
-    std::size_t loadCount() const;
+    /// @return Number of replicas that load, or have just been ordered to. An order without visible effect may be carried out
+    /// seconds later, and holds up no other replica meanwhile.
+    std::size_t loadCount(TimePoint now) const;
     void onOrderSent(const UpstreamId& upstream, TimePoint now);
     /// @param version Version that the replica reports.
     /// @param isBusy Whether the replica is loading weights.
@@ -78,7 +79,8 @@
 private:
     struct Progress {
         TimePoint started;
-        std::optional<TimePoint> orderSent;
+        std::optional<TimePoint> orderSent; ///< Last order.
+        TimePoint lastEffect; ///< Last report of a load in progress, or the first order.
         TimePoint lastReport;
     };
 
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -330,7 +330,7 @@
             lastQuery = now;
             co_await this->queryUpstream(caller, upstream);
         }
-        timer.expires_after(isLoading ? std::max(loadQueryInterval, extraIntervalPerLoad * static_cast<int>(this->plan ? this->plan->loadCount() : 0)) : workInterval);
+        timer.expires_after(isLoading ? std::max(loadQueryInterval, extraIntervalPerLoad * static_cast<int>(this->plan ? this->plan->loadCount(now) : 0)) : workInterval);
         ErrorCode ignored;
         co_await timer.async_wait(into(ignored));
     }
--- a/src/weight_plan.cc
+++ b/src/weight_plan.cc
@@ -22,7 +22,7 @@
     for (const auto& candidate : outdated) {
         if (this->running.size() >= maxRunning)
             break;
-        this->running[candidate.upstream] = { now, std::nullopt, now };
+        this->running[candidate.upstream] = { now, std::nullopt, {}, now };
         started.push_back(candidate.upstream);
     }
     return started;
@@ -37,7 +37,7 @@
     if (progress.orderSent)
         return now - *progress.orderSent >= this->settings.repeatInterval;
     const auto maxLoads = std::max(this->settings.minLoads, static_cast<std::size_t>(static_cast<double>(this->replicas) * this->settings.loadShare));
-    if (this->loadCount() >= maxLoads)
+    if (this->loadCount(now) >= maxLoads)
         return false;
     return requests <= this->settings.maxRemainingRequests || now - progress.started >= this->settings.drainTimeout;
 }
@@ -48,16 +48,20 @@
     return found != this->running.end() && found->second.orderSent.has_value();
 }
 
-std::size_t WeightPlan::loadCount() const
+std::size_t WeightPlan::loadCount(TimePoint now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(this->running.begin(), this->running.end(), [](const auto& entry) { return entry.second.orderSent.has_value(); }));
+    return static_cast<std::size_t>(std::count_if(this->running.begin(), this->running.end(),
+        [&](const auto& entry) { return entry.second.orderSent && now - entry.second.lastEffect < this->settings.repeatInterval; }));
 }
 
 void WeightPlan::onOrderSent(const UpstreamId& upstream, TimePoint now)
 {
-    if (const auto found = this->running.find(upstream); found != this->running.end())
-        found->second.orderSent = now;
+    const auto found = this->running.find(upstream);
+    if (found == this->running.end())
+        return;
+    if (!found->second.orderSent)
+        found->second.lastEffect = now;
+    found->second.orderSent = now;
 }
 
 void WeightPlan::onReport(const UpstreamId& upstream, std::uint64_t version, bool isBusy, TimePoint now)
@@ -70,7 +74,7 @@
         this->running.erase(found);
         this->finished.push_back({ upstream, this->target.model, version });
     } else if (isBusy) {
-        found->second.orderSent = now; // The load is in progress; postpone the repeated order.
+        found->second.orderSent = found->second.lastEffect = now; // The load is in progress; postpone the repeated order.
     }
 }
 
--- a/test/weight_plan_test.cc
+++ b/test/weight_plan_test.cc
@@ -76,6 +76,27 @@
     CHECK(plan.isOrderDue(replica, 0, start + 1300ms));
 }
 
+TEST_CASE("an order that is carried out seconds late holds up no other replica")
+{
+    WeightPlan plan({ "m", 2 });
+    plan.start(nineCandidates(), start);
+    for (const auto* replica : { "r8", "r7" })
+        plan.onOrderSent(UpstreamId(replica), start);
+    CHECK(plan.loadCount(start + 600ms) == 2);
+    CHECK_FALSE(plan.isOrderDue(UpstreamId("r6"), 0, start + 600ms));
+    plan.onReport(UpstreamId("r8"), 1, false, start + 600ms);
+    plan.onReport(UpstreamId("r7"), 1, true, start + 600ms);
+    // One replica loads, the other one shows nothing of its order.
+    CHECK(plan.loadCount(start + 800ms) == 1);
+    CHECK(plan.isOrderDue(UpstreamId("r6"), 0, start + 800ms));
+    // A repeated order takes no slot; the load does once it shows.
+    plan.onOrderSent(UpstreamId("r8"), start + 800ms);
+    CHECK(plan.loadCount(start + 800ms) == 1);
+    plan.onReport(UpstreamId("r8"), 1, true, start + 1200ms);
+    CHECK(plan.loadCount(start + 1200ms) == 2);
+    CHECK(plan.isLoading(UpstreamId("r8")));
+}
+
 TEST_CASE("a gone or silent replica is replaced in the plan")
 {
     WeightPlan plan({ "m", 2 });
