Only what is read shortly after a pause counts from the pause

A short delay of the event loop during a read that the store holds for 4 s made a version that was named much later count from the delay, as if its record had waited. The records of a pause are read within two calls after it.

--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -55,8 +55,8 @@
         state.parts.setStores(stores);
     }
 
-    /// Longest time that a record waits for a process that stands still: a read that was sent before is held and then answered.
-    constexpr Duration maxReadTime = std::chrono::seconds(5);
+    /// After a pause, what was written meanwhile is read within this time: two reads of the store and a retry.
+    constexpr Duration maxReadTime = std::chrono::milliseconds(1500);
 
     /// A process that has just started, or stood still, does not know when a version was named. The version must become mandatory
     /// by the time that the process counts as connected, which is after the contact time.
