--- a/support/bench/peer_bytes.cc
+++ b/support/bench/peer_bytes.cc
@@ -35,7 +35,7 @@
     message.frontAddress = message.peerAddress = "10.1.0.40:8005";
     message.operatorEnd = message.registryEnd = 100000;
     message.peers.assign(12, message.peerAddress);
-    message.weights.push_back({ "model", 2, 4000 });
+    message.weights.push_back({ "model", 2, 4000, 0 });
     return message;
 }
 
