A test that a version read long after a short pause counts from its reading

What it mended: a delay of the event loop during a read that the store holds for 4 s made a version that was named much later count from the delay, so that old weights were given up too early.

--- a/test/platform/beliefs_test.cc
+++ b/test/platform/beliefs_test.cc
@@ -93,6 +93,22 @@
     CHECK(targets.withKnownTime(1).front().version == 3);
 }
 
+TEST_CASE("a weight version read long after a short pause counts from its reading")
+{
+    EdgeState state({}, 1);
+    state.operatorFeed.apply({}, 1);
+    applyOperatorRecords(state, {}, RecordSource::Log);
+    const auto now = monotonicNow();
+    // The store has held a read since before the pause.
+    state.operatorContact.confirmed = now - 4s;
+    state.pauses.onCheck(now - 3500ms);
+    for (auto check = now - 3s; check < now; check += 100ms)
+        state.pauses.onCheck(check);
+    applyOperatorRecords(state, { { "version/m", R"({"model":"m","version":2})", 2 } }, RecordSource::Log);
+    REQUIRE(state.weightTargets.at("m").withKnownTime(1).size() == 1);
+    CHECK(state.weightTargets.at("m").withKnownTime(1).front().since >= now);
+}
+
 TEST_CASE("a pause is seen before and after the check that follows it")
 {
     const TimePoint start { 100s };
