--- a/test/process/superseded_weights_test.py
+++ b/test/process/superseded_weights_test.py
@@ -84,6 +84,17 @@
         edge.store.mode = "up"
         back = time.monotonic()
         self.assert_bound_kept(edge, edge.daemons[0], back + CONTACT_SECONDS + TOTAL_SECONDS - available)
+        lines = edge.daemons[0].log_lines()
+        outages = [line for line in lines if line["event"].startswith("outage_")]
+        self.assertEqual((outages[0]["event"], outages[0]["answered_readers"]), ("outage_began", 0))
+        self.assertEqual(outages[-1]["event"], "outage_ended")
+        attempts = [line for line in lines if line["event"] == "request_attempt"]
+        self.assertTrue(attempts)
+        self.assertEqual({(line["weights"], line["min_weights"]) for line in attempts}, {(1, 0)})
+        (named_line,) = [line for line in lines if line["event"] == "weights_named"]
+        self.assertEqual(named_line["version"], 2)
+        self.assertLess(named_line["age_ms"], SWITCH_SECONDS * 1000)
+        self.assertGreaterEqual(named_line["unconfirmed_ms"], 0)
 
     def test_a_request_that_waited_for_a_place_beyond_the_bound_is_not_sent_to_old_weights(self):
         configuration = copy.deepcopy(site.CONFIGURATION)
