The log tells which connection an attempt used

Callers: a request that ran twice could not be traced: request_attempt named neither the address nor the connection, nor what had been sent on it. No change of logic.

--- a/src/edge/attempt.h
+++ b/src/edge/attempt.h
@@ -25,6 +25,9 @@
     bool hadFirstByte = false;
     TimePoint answerBegan; ///< Time of the first byte, if there was one.
     ConnectionPtr connection;
+    std::uint64_t connectionSerial = 0;
+    std::uint64_t connectionRequests = 0; ///< Requests that were sent on the connection, with this one.
+    int staleAnswers = 0; ///< Answers to earlier requests that were skipped.
     std::unique_ptr<http::response_parser<http::buffer_body>> parser;
     platform::AnswerInfo answer;
     unsigned status = 0;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -241,6 +241,8 @@
         attempt.isSent = attempt.provesNotRun = attempt.isRelayed = attempt.hadFirstByte = false;
         attempt.failure = attempt.framing = "";
         attempt.bodyBytes = attempt.events = 0;
+        attempt.connectionSerial = attempt.connectionRequests = 0;
+        attempt.staleAnswers = 0;
         attempt.detail.clear();
         attempt.firstByte = attempt.longestGap = Duration(0);
         co_await this->attempt(exchange, attempt);
@@ -258,7 +260,8 @@
         const auto* late = latenessReason(exchange, attempt);
         const bool isGood = attempt.result == AttemptResult::Answered && attempt.isRelayed && late[0] == '\0';
         edge::log(isGood ? LogClass::Routine : LogClass::Decision, "request_attempt",
-            { { "request", exchange.info.id }, { "upstream", attempt.choice.upstream.value }, { "result", toString(attempt.result) },
+            { { "request", exchange.info.id }, { "upstream", attempt.choice.upstream.value }, { "address", attempt.choice.address },
+                { "connection", static_cast<std::int64_t>(attempt.connectionSerial) }, { "connection_requests", static_cast<std::int64_t>(attempt.connectionRequests) }, { "stale", static_cast<std::int64_t>(attempt.staleAnswers) }, { "result", toString(attempt.result) },
                 { "status", static_cast<std::int64_t>(attempt.status) }, { "failure", attempt.failure }, { "late", late }, { "detail", attempt.detail },
                 { "framing", attempt.framing }, { "body_bytes", static_cast<std::int64_t>(attempt.bodyBytes) }, { "events", static_cast<std::int64_t>(attempt.events) },
                 { "output", static_cast<std::int64_t>(exchange.info.maxOutputTokens) }, { "send", static_cast<std::int64_t>(exchange.sends) },
@@ -405,7 +408,8 @@
     attempt.bufferedAnswer.reset();
     attempt.memory.emplace(this->state.transferMemory, [&link] { link.abort(); });
     ++exchange.sends;
-    ++link.requests;
+    attempt.connectionSerial = link.serial;
+    attempt.connectionRequests = ++link.requests;
     if (std::exchange(exchange.hasReservedSend, false))
         this->state.sendBudgets.of(exchange.placement.service).onSent(sent);
     ErrorCode error;
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -50,8 +50,7 @@
 {
     auto& link = *attempt.connection;
     int interim = 0;
-    int stale = 0;
-    while (stale <= maxStaleAnswers && interim <= maxInterimAnswers) {
+    while (attempt.staleAnswers <= maxStaleAnswers && interim <= maxInterimAnswers) {
         attempt.parser = std::make_unique<http::response_parser<http::buffer_body>>();
         // Boost 1.74 rejects every body if the limit is none.
         attempt.parser->body_limit(unlimitedBody);
@@ -88,7 +87,7 @@
         if (attempt.answer.requestId == exchange.info.id || isAnonymous)
             co_return true;
         // A stale answer to an earlier request: skip it.
-        ++stale;
+        ++attempt.staleAnswers;
         std::string discarded(pieceBytes, '\0');
         std::uint64_t discardedBytes = 0;
         while (!attempt.parser->is_done()) {
--- a/src/edge/upstream_pool.cc
+++ b/src/edge/upstream_pool.cc
@@ -60,7 +60,9 @@
 
 ConnectionPtr UpstreamPool::create(const std::string& address)
 {
-    return std::make_unique<UpstreamConnection>(this->executor, address);
+    auto connection = std::make_unique<UpstreamConnection>(this->executor, address);
+    connection->serial = ++this->created;
+    return connection;
 }
 
 void UpstreamPool::returnIdle(ConnectionPtr connection, TimePoint now)
--- a/src/edge/upstream_pool.h
+++ b/src/edge/upstream_pool.h
@@ -3,6 +3,7 @@
 /// @file
 /// Pool of reusable connections to upstreams.
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -45,6 +46,7 @@
     Duration idleTimeout = std::chrono::seconds(4);
     TimePoint idleSince;
     std::uint64_t requests = 0; ///< Requests that were sent on it.
+    std::uint64_t serial = 0; ///< Unique in a pool; for the log.
 };
 
 using ConnectionPtr = std::unique_ptr<UpstreamConnection>;
@@ -76,6 +78,7 @@
 private:
     asio::any_io_executor executor;
     std::map<std::string, std::vector<ConnectionPtr>> idle;
+    std::uint64_t created = 0;
 };
 
 /// @return Whether the connection was established within @p timeout.
