--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -231,6 +231,7 @@
 
 class ReplicaHandler(Handler):
     refused = False  # Whether a request on this connection was refused.
+    owed = None  # The refusal whose copy precedes the next answer on this connection.
 
     def do_GET(self):
         replica = self.server.owner
@@ -259,7 +260,9 @@
         if replica.leaving:
             headers.append(("Server-Leaving", "1"))
         if self.headers.get("X-Goldcrestwood-Expect-Instance") not in (None, replica.id):
-            return self.answer(421, headers=headers)
+            replica.misdirected.append(request)
+            self.send_copy(request)
+            return self.refuse(421, request, [*headers, ("X-Goldcrestwood-Instance-Id", replica.id)])
         if replica.repeats_refusals and self.refused:
             self.answer(503, headers=[("X-Goldcrestwood-Not-Executed", "1")])
         replica.offers.append((time.monotonic(), request))
@@ -268,11 +271,13 @@
             replica.refuse -= 1
             if replica.rest:
                 headers.append(("Retry-After", str(replica.rest)))
-            return self.answer(503, headers=[*headers, ("X-Goldcrestwood-Not-Executed", "1")])
+            self.send_copy(request)
+            return self.refuse(503, request, headers)
         replica.requests.append((request, dict(self.headers.items()), body))
         replica.arrivals.append((time.monotonic(), request))
         headers.append(("X-Goldcrestwood-Response-Seal", f"{replica.id}.{request}"))
         time.sleep(replica.delay)
+        self.send_copy(request)
         action = replica.script.pop(0) if replica.script else None
         if action == "unavailable":
             return self.answer(503, b"failed", headers)
@@ -309,6 +314,20 @@
             return self.answer(200, replica.id.encode() + b":" + body, headers)
         return self.stream(replica, headers)
 
+    def refuse(self, status, request, headers):
+        headers = [*headers, ("X-Goldcrestwood-Not-Executed", "1")]
+        self.answer(status, headers=headers)
+        if self.server.owner.copies_refusals:
+            self.owed = (status, request, headers)
+
+    def send_copy(self, request):
+        """Sends the copy that precedes the answer to a request."""
+        if self.owed:
+            status, refused, headers = self.owed
+            self.owed = None
+            self.server.owner.copies.append((refused, request))
+            self.answer(status, headers=headers)
+
     def flood(self, replica, headers):
         """Sends meaningless bytes in the head or the body until the caller closes."""
         self.close_connection = True
@@ -399,6 +418,9 @@
         self.next_version = 1
         self.refuse = self.fail = self.drop = self.cut_after = 0
         self.repeats_refusals = False  # Whether it sends a refusal once more before the next answer on the connection.
+        self.copies_refusals = False  # Whether it sends the copy of a refusal, with its request's id, before the next answer on the connection.
+        self.copies = []  # Id of the refused request and of the one before whose answer the copy came.
+        self.misdirected = []  # Ids of the requests that were meant for another id at its address.
         self.born = 1
         self.deadly_part = None  # Part of prompts that ends the replica's process.
         self.down_seconds = 1.0
@@ -422,12 +444,12 @@
         self.address = link(self.server.address) if link else self.server.address
         self.register("ready")
 
-    def register(self, state, **fields):
+    def register(self, state, identifier=None, **fields):
         entry = {"service": self.service, "addr": self.address, "zone": self.domain, "version": self.software, "slots": self.slots,
                  "state": state, "cold_left_ms": 0, "seq": 1, "born": self.born, **fields}
         if self.kind == "streaming":
             entry["models"] = [{"name": "m", "version": self.version, "adapters": []}]
-        self.store.put("keyed.servers", self.id, entry)
+        self.store.put("keyed.servers", identifier or self.id, entry)
 
     def leave(self):
         self.store.put("keyed.servers", self.id, None)
@@ -455,6 +477,13 @@
         self.born += 1
         self.register("ready")
 
+    def begin_anew(self):
+        """Ends the replica's process and starts it under another id; then the store writes the entry of the earlier id once more."""
+        earlier, self.id = self.id, f"{self.id.partition('+')[0]}+{self.born}"
+        self.restart()
+        self.register("ready", identifier=earlier, born=self.born - 1, seq=2)
+        return earlier
+
     def report(self):
         if time.monotonic() >= self.loading_until and self.version != self.next_version:
             self.version = self.next_version
