A request goes over a connection once

Cause: an answer is matched to a send by the request's id, but a copy of an earlier refusal of the same request has that id too. A request that was refused with 421 went to the new id at the same address, over the connection that was used last, which still owed the copy. The copy says that the request did not run, so it was sent to another replica, or given up with 503.

ClientExchange now keeps the addresses to which the request was sent, and a further send to one of them gets a new connection. Each connection carries an id at most once, so that an answer with the id belongs to that one send, whatever the upstream sends. This relies on callers using a new id for each attempt. Other sends use idle connections as before, also after a refusal, so that replicas that are full get no more connections than before.

--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 
 #include "edge/net.h"
 #include "edge/upstream_pool.h"
@@ -49,6 +50,7 @@
     std::uint32_t rank = 0;
     PlacementRequest placement;
     std::set<UpstreamId> tried;
+    std::set<std::string> sentTo; ///< Addresses.
     std::uint32_t runs = 0; ///< Upstreams that may have run the request.
     std::uint32_t sends = 0;
     bool hasReservedSend = false; ///< A further send is reserved in the service's budget.
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -360,8 +360,10 @@
 
 Task<ConnectionPtr> Pipeline::openConnection(ClientExchange& exchange, const std::string& address)
 {
-    if (auto idle = this->pool.takeIdle(address, monotonicNow()))
-        co_return idle;
+    // On a connection that carried the request, a copy of its earlier answer cannot be told from the answer to this send.
+    if (!exchange.sentTo.contains(address))
+        if (auto idle = this->pool.takeIdle(address, monotonicNow()))
+            co_return idle;
     auto connection = this->pool.create(address);
     exchange.activeConnection = connection.get();
     const bool isOpen = co_await connect(*connection, upstreamConnectTimeout);
@@ -404,6 +406,7 @@
     const auto sent = monotonicNow();
     auto request = this->upstreamRequest(exchange, attempt.choice, attempt.lastEvent);
     attempt.isSent = true;
+    exchange.sentTo.insert(attempt.choice.address);
     // A promise in an earlier answer, for example that the request did not run, no longer holds.
     attempt.bufferedAnswer.reset();
     attempt.memory.emplace(this->state.transferMemory, [&link] { link.abort(); });
