--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -259,6 +259,10 @@
         headers = [("X-Goldcrestwood-Request-Id", request)]
         if replica.leaving:
             headers.append(("Server-Leaving", "1"))
+        limit = replica.limit
+        if limit is not None:
+            replica.limited.append((time.monotonic(), request))
+            headers.append(("Server-Limit", limit))
         if self.headers.get("X-Goldcrestwood-Expect-Instance") not in (None, replica.id):
             replica.misdirected.append(request)
             self.send_copy(request)
@@ -428,6 +432,8 @@
         self.crashes = []  # Time of each crash.
         self.crash_lock = threading.Lock()
         self.leaving = False  # Whether its answers announce that it leaves.
+        self.limit = None  # Text that its answers to callers' requests name as Server-Limit.
+        self.limited = []  # Time and id of each request whose answer names a limit.
         self.rest = None  # Backoff in seconds that its refusals ask for.
         self.ends_inside = []  # Numbers of the events inside which its next streams end; may be shared by replicas.
         self.framing = None  # What ends its answers: "chunks" or "connection"; by default chunks for streams, a length for others.
