The test of limits counts whole windows, as the users' record does

The counts of the incident's breaks (41 in 4 s at an engine that got 33 since it named its limit) include requests from before the naming. The test counted only those that began half a second after a daemon was told; now all in a window whose daemon has been told half a second before its end.

--- a/test/process/request_limit_test.py
+++ b/test/process/request_limit_test.py
@@ -109,17 +109,18 @@
         return heard
 
     def worst_window(self, replica):
-        """Returns the most requests of a window that count for the rule, and when that window ends."""
+        """Returns the most requests of a window that count for the rule, and when that window ends.
+
+        A window may reach back to before the limit was named. All requests in it count whose daemon has been told when it ends.
+        """
         if not replica.limited:
             return 0, self.named
         heard = self.first_heard(replica)
-        counted = sorted(at for at, request in self.offers(replica, replica.limited[0][0] + CONTACT_SECONDS, self.freed)
-                         if heard.get(self.sent[request].daemon, math.inf) + HEARD_SECONDS <= at)
-        worst, first = (0, self.named), 0
-        for last, at in enumerate(counted):
-            while at - counted[first] >= WINDOW_SECONDS:
-                first += 1
-            worst = max(worst, (last - first + 1, at))
+        offers = sorted(replica.offers)
+        worst = (0, self.named)
+        for at, _ in self.offers(replica, replica.limited[0][0] + CONTACT_SECONDS, self.freed):
+            count = sum(1 for sent, request in offers if at - WINDOW_SECONDS < sent <= at and heard.get(self.sent[request].daemon, math.inf) + HEARD_SECONDS <= at)
+            worst = max(worst, (count, at))
         return worst
 
     def assert_limits_kept(self):
