Daemons together keep to the request limits that upstreams name

Callers saw nothing of it; upstreams in need got several times the rate that they had named (41 requests in 4 s where 25 were allowed). Cause: nothing read the limit in their answers.

Each daemon now has turns at its share of the rate by capacity; turns accumulate hardly, so that the sum over n daemons stays within rate x time + n without a message in the path. Where n exceeds the slack only some daemons send, by rendezvous. Limits travel to the other daemons at once. Requests from before a limit count against it: the first turns wait until those have left the window, unless the limit has room for them. A limit is lifted or raised only by an answer to a request that was sent after the stricter one was read. Requests whose turn would come too late are refused at once.

--- a/include/goldcrestwood/admission.h
+++ b/include/goldcrestwood/admission.h
@@ -75,6 +75,8 @@
 
     /// @return Whether @p waiter precedes all waiters.
     bool isNext(const Waiter& waiter, TimePoint now) const;
+    /// @return Number of waiters that precede @p waiter.
+    std::size_t countAhead(const Waiter& waiter, TimePoint now) const;
     /// @return Whether @p waiter would most likely not be placed before it expires.
     bool isInfeasible(const Waiter& waiter, TimePoint now) const;
     void add(const Waiter& waiter, TimePoint now);
--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -241,6 +241,32 @@
     bool operator==(const PartQuarantine&) const = default;
 };
 
+/// The rate of requests that an upstream accepts from all daemons together, as one daemon last saw it.
+struct UpstreamLimit {
+    /// The upstream.
+    UpstreamId upstream;
+    /// Start of its incarnation.
+    std::int64_t born = 0;
+    /// Requests per second; absent if the limit was lifted.
+    std::optional<double> perSecond;
+    /// Milliseconds since the request was sent whose answer stated this.
+    std::uint64_t sentAgeMs = 0;
+    /// Milliseconds since that answer was read.
+    std::uint64_t readAgeMs = 0;
+    /// Requests of the sender to the upstream that still count against the limit.
+    std::uint32_t recent = 0;
+
+    bool operator==(const UpstreamLimit&) const = default;
+};
+
+/// Upstreams with a request limit, and those whose limit was lifted a moment ago.
+struct LimitNotice {
+    /// The upstreams, the latest changes first.
+    std::vector<UpstreamLimit> limits;
+
+    bool operator==(const LimitNotice&) const = default;
+};
+
 /// What a daemon knows of prompt parts that may crash engines.
 struct CrashNotice {
     /// Recent crashes, newest first.
@@ -263,6 +289,8 @@
     std::optional<LoadDigest> digest;
     /// Crashes of engines that the sender saw.
     std::optional<CrashNotice> crashes;
+    /// Request limits of upstreams that the sender saw.
+    std::optional<LimitNotice> limits;
 
     bool operator==(const PeerDatagram&) const = default;
 };
@@ -437,6 +465,8 @@
     std::optional<CrashNotice> crashes;
     /// The whole answer; the other fields are then empty.
     std::optional<CompressedAnswer> compressed;
+    /// Request limits of upstreams that the sender saw or heard of.
+    std::optional<LimitNotice> limits;
 
     bool operator==(const FeedAnswer&) const = default;
 };
@@ -512,6 +542,16 @@
 tl::expected<PartQuarantine, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const PartQuarantine& message);
 template <>
+std::string encode(const UpstreamLimit& message);
+template <>
+tl::expected<UpstreamLimit, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const UpstreamLimit& message);
+template <>
+std::string encode(const LimitNotice& message);
+template <>
+tl::expected<LimitNotice, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const LimitNotice& message);
+template <>
 std::string encode(const CrashNotice& message);
 template <>
 tl::expected<CrashNotice, DecodeError> decode(std::string_view bytes);
--- a/include/goldcrestwood/edge_settings.h
+++ b/include/goldcrestwood/edge_settings.h
@@ -28,6 +28,9 @@
     double exposureSlack = 50; ///< Requests in addition to that share.
     double coldRateFactor = 1.5; ///< Factor on the request rate that a cold upstream can handle.
     double coldRateSlack = 5; ///< Requests per second in addition to that.
+    Duration limitWindow = std::chrono::seconds(4); ///< Any span of this length counts for the request limit of an upstream.
+    double limitFactor = 1.5; ///< Factor on the requests that the limit allows in that span.
+    double limitSlack = 5; ///< Requests per span in addition to that.
     Duration maxDirectoryLifetime = std::chrono::seconds(5); ///< Maximum lifetime of a directory answer.
 
     bool operator==(const SiteBounds&) const = default;
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "goldcrestwood/edge_messages.h"
@@ -22,6 +23,7 @@
 #include "goldcrestwood/part_directory.h"
 #include "goldcrestwood/random.h"
 #include "goldcrestwood/registry_entry.h"
+#include "goldcrestwood/request_limit.h"
 #include "goldcrestwood/time.h"
 #include "goldcrestwood/traffic.h"
 #include "goldcrestwood/upstream_notice.h"
@@ -50,6 +52,10 @@
     std::size_t maxReportedLoads = 80;
     std::size_t maxReportedSources = 24;
     std::size_t maxReportedParts = 160;
+    /// Entries per notice of request limits.
+    std::size_t maxReportedLimits = 64;
+    /// How long a lifted limit is reported, as datagrams get lost.
+    Duration liftReportTime = std::chrono::seconds(5);
 };
 
 /// Requirements of a request on its upstream.
@@ -114,6 +120,7 @@
     OldWeights,
     Version, ///< A roll-out excludes its software version for the request.
     Cold, ///< It has just started, and this daemon's share of its request rate is used up.
+    Limited, ///< It accepts only a limited rate of requests, and this daemon's next turn has not come.
     Slots, ///< All of its slots are in use.
     Memory, ///< The prompt does not fit into its cache memory beside the requests in flight.
     Backlog, ///< Its prefill queue is too long.
@@ -183,9 +190,10 @@
 
     /// @return Why the service's upstreams can't take @p request.
     PlacementObstacles obstaclesOf(const PlacementRequest& request, const std::set<UpstreamId>& excluded, TimePoint now) const;
-    /// @return The earliest end of a backoff if all upstreams left are backing off or draining; any other upstream may have room
-    /// at any time.
-    std::optional<TimePoint> nextAvailableAt(const PlacementRequest& request, const std::set<UpstreamId>& excluded, TimePoint now) const;
+    /// @param ahead Waiting requests that get a place first.
+    /// @return The earliest end of a backoff, or the turn of the request, if all upstreams left are backing off, draining or limited;
+    /// any other upstream may have room at any time.
+    std::optional<TimePoint> nextAvailableAt(const PlacementRequest& request, const std::set<UpstreamId>& excluded, std::size_t ahead, TimePoint now) const;
 
     /// Takes a drain or backoff notice from an answer. It holds for that incarnation only, not for a later one with the
     /// same name or address.
@@ -194,6 +202,20 @@
     bool onNotice(const UpstreamId& id, std::int64_t born, const UpstreamNotice& notice, TimePoint now);
     /// @return Whether a request may still be sent to @p choice; a notice may have come since the choice.
     bool maySend(const PlacementChoice& choice, TimePoint now) const;
+    /// Takes what an answer said about the request limit of its upstream. It holds for that incarnation only.
+    /// @param born Start of the incarnation that answered.
+    /// @return Whether the limit changed.
+    bool onRequestLimit(const UpstreamId& id, std::int64_t born, const LimitSighting& sighting);
+    /// Takes the limits that a peer reported.
+    /// @return The upstreams whose limit changed.
+    std::vector<UpstreamId> onPeerLimits(const LimitNotice& notice, TimePoint now);
+    /// @param withPeers Whether to include limits that are known only from peers, for daemons that hear none of them.
+    /// @return What to report, or nothing.
+    std::optional<LimitNotice> limitNotice(bool withPeers, TimePoint now) const;
+    /// @return Whether a limit has changed since the last call.
+    bool takeLimitNews() { return std::exchange(this->hasLimitNews, false); }
+    /// @return Requests per second that an upstream accepts from all daemons together; nothing if it has no limit.
+    std::optional<double> requestLimit(const UpstreamId& id) const;
     /// @return Whether an upstream has announced that it is draining.
     bool isLeaving(const UpstreamId& id) const;
     /// @return Remaining time for which an upstream told this instance to back off.
@@ -286,6 +308,8 @@
         std::array<GapEstimate, engineClasses> gaps {}; ///< By engine class.
         UpstreamExperience unreportedOutcomes; ///< Outcomes since the last report to the peers.
         std::deque<TimePoint> coldSends; ///< Requests sent within the last second while it was cold.
+        RequestLimit limit;
+        TimePoint limitChanged;
         std::optional<TimePoint> leavingSince; ///< Time of its first drain notice.
         TimePoint backoffUntil; ///< End of the backoff that it asked this instance for.
     };
@@ -294,6 +318,7 @@
         std::int64_t born = 0;
         std::optional<TimePoint> leavingSince;
         TimePoint backoffUntil;
+        RequestLimit limit;
     };
 
     Load totalLoad(const Upstream& upstream, TimePoint now) const;
@@ -304,6 +329,17 @@
     bool isLastResort(const Upstream& upstream, TimePoint now) const;
     bool hasColdCapacity(const Upstream& upstream, TimePoint now) const;
     std::size_t coldShare(const Upstream& upstream, double bound) const;
+    /// @return A score by which all daemons agree on those that send to an upstream with too few requests for all of them.
+    static double senderScore(const UpstreamId& id, const DaemonCapacity& daemon);
+    /// @return This daemon's turns at an upstream; none if it has no limit.
+    TurnShare turnShare(const Upstream& upstream) const;
+    /// @return This daemon's share of the capacity of the @p senders daemons that send to an upstream; 0 if it is none of them.
+    double senderShare(const UpstreamId& id, std::size_t senders) const;
+    bool hasTurn(const Upstream& upstream, TimePoint now) const;
+    /// Holds up the turns of a new limit if the requests from before it exceed what it allows beyond its turns.
+    /// @param recent Requests of all daemons.
+    void holdTurns(Upstream& upstream, double recent);
+    void onLimitChange(Upstream& upstream, std::optional<double> before, TimePoint now);
     /// How one engine would obtain a prompt's blocks.
     struct Coverage {
         std::uint64_t transferred = 0;
@@ -333,7 +369,7 @@
     double gapCost(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const;
     double prefillCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing) const;
     /// @return Why the upstream has no capacity, or Obstacle::None.
-    Obstacle capacityObstacle(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const;
+    Obstacle capacityObstacle(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine, TimePoint now) const;
     void planCache(const Upstream& upstream, const PlacementRequest& request, Coverage coverage, PlacementChoice& choice, TimePoint now) const;
     /// A possible transfer of a prompt part.
     struct PartTransfer {
@@ -386,6 +422,7 @@
     std::vector<DaemonCapacity> daemons;
     bool isWholeSiteKnown = false;
     std::uint32_t inFlight = 0;
+    bool hasLimitNews = false;
     UpstreamId lastReportedUpstream; ///< The next report resumes after it.
     std::string lastReportedSource;
     double tokensPerMillisecond;
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -25,13 +25,17 @@
     return std::none_of(this->waiters.begin(), this->waiters.end(), [&](const auto& entry) { return this->precedes(entry.second, waiter, now); });
 }
 
+std::size_t AdmissionQueue::countAhead(const Waiter& waiter, TimePoint now) const
+{
+    return static_cast<std::size_t>(std::count_if(this->waiters.begin(), this->waiters.end(), [&](const auto& entry) { return this->precedes(entry.second, waiter, now); }));
+}
+
 bool AdmissionQueue::isInfeasible(const Waiter& waiter, TimePoint now) const
 {
     const auto known = this->rate(now);
     if (!known)
         return false;
-    const auto ahead = std::count_if(this->waiters.begin(), this->waiters.end(), [&](const auto& entry) { return this->precedes(entry.second, waiter, now); });
-    return now + fromSeconds(static_cast<double>(ahead + 1) / (*known * this->settings.rateMargin)) > waiter.expiresAt;
+    return now + fromSeconds(static_cast<double>(this->countAhead(waiter, now) + 1) / (*known * this->settings.rateMargin)) > waiter.expiresAt;
 }
 
 void AdmissionQueue::add(const Waiter& waiter, TimePoint now)
--- a/src/edge/attempt.h
+++ b/src/edge/attempt.h
@@ -20,6 +20,7 @@
     PlacementChoice choice;
     AttemptResult result = AttemptResult::Cancelled;
     bool isSent = false; ///< A byte of the request may have reached the upstream.
+    TimePoint sent;
     bool provesNotRun = false;
     bool isRelayed = false; ///< The whole answer was written to the caller.
     bool hadFirstByte = false;
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -34,6 +34,13 @@
             edge::log(LogClass::Decision, "record_rejected", { { "source", source }, { "finding", toString(finding) } });
     }
 
+    void logRequestLimit(const EdgeState& state, const UpstreamId& upstream, const std::string& source)
+    {
+        const auto limit = state.board.requestLimit(upstream);
+        edge::log(LogClass::Decision, "upstream_limit",
+            { { "upstream", upstream.value }, { "limited", limit.has_value() }, { "per_second", limit.value_or(0) }, { "source", source }, { "daemons", static_cast<std::int64_t>(state.board.daemonCount()) } });
+    }
+
     void applyConfiguration(EdgeState& state, const KeyedRecord& record, RecordSource source)
     {
         auto configuration = platform::decodeConfiguration(*record.value);
@@ -189,6 +196,25 @@
     }
 }
 
+void applyRequestLimit(EdgeState& state, const UpstreamId& upstream, std::int64_t born,
+    const tl::expected<std::optional<double>, Finding>& limit, TimePoint sent, const std::string& request)
+{
+    if (!limit) {
+        reportFindings(upstream.value.c_str(), { limit.error() });
+        return;
+    }
+    if (!state.board.onRequestLimit(upstream, born, { *limit, sent, monotonicNow() }))
+        return;
+    logRequestLimit(state, upstream, request);
+    state.metrics.count("goldcrest_upstream_limit_changes_total", "");
+}
+
+void applyPeerLimits(EdgeState& state, const LimitNotice& notice)
+{
+    for (const auto& upstream : state.board.onPeerLimits(notice, monotonicNow()))
+        logRequestLimit(state, upstream, "peer");
+}
+
 void applyDutyRecord(EdgeState& state, const DutyRecord& record, TimePoint readAt)
 {
     std::set<UpstreamId> ordered;
--- a/src/edge/beliefs.h
+++ b/src/edge/beliefs.h
@@ -35,6 +35,17 @@
 /// @param source What was answered, for the log: a request's id or the name of a call.
 void applyUpstreamNotice(EdgeState& state, const UpstreamId& upstream, std::int64_t born, const platform::DecodedNotice& decoded, const std::string& source);
 
+/// Applies what an answer says about the request limit of its upstream.
+/// @param born Start of the incarnation that answered.
+/// @param limit As decoded from the answer.
+/// @param sent When the answered request was sent.
+/// @param request Its id, for the log.
+void applyRequestLimit(EdgeState& state, const UpstreamId& upstream, std::int64_t born,
+    const tl::expected<std::optional<double>, Finding>& limit, TimePoint sent, const std::string& request);
+
+/// Applies a peer's report of request limits.
+void applyPeerLimits(EdgeState& state, const LimitNotice& notice);
+
 /// Applies the duty holder's record of the upstreams that are loading new weights and of those that have loaded them.
 /// @param readAt When this daemon, or the one that forwarded the record, read it from its topic.
 void applyDutyRecord(EdgeState& state, const DutyRecord& record, TimePoint readAt);
--- a/src/edge/feed_exchange.cc
+++ b/src/edge/feed_exchange.cc
@@ -293,6 +293,8 @@
     }
     if (answer.crashes)
         this->state.crashSuspects.onNotice(*answer.crashes, monotonicNow());
+    if (answer.limits)
+        applyPeerLimits(this->state, *answer.limits);
     this->queues.dispatchAll();
 }
 
@@ -326,6 +328,7 @@
     answer.isReading = this->state.readsStore();
     answer.readingMs = ageMs(this->state.registryContact.since);
     answer.crashes = this->state.crashSuspects.notice(true, now);
+    answer.limits = this->state.board.limitNotice(true, now);
     return answer;
 }
 
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -1,6 +1,7 @@
 #include "edge/peer_link.h"
 
 #include <algorithm>
+#include <set>
 
 #include "daemon/clock.h"
 #include "edge/beliefs.h"
@@ -154,6 +155,23 @@
             this->send(datagram, udp::endpoint(endpoint->address(), endpoint->port()));
 }
 
+void PeerLink::sendLimitNotice(bool isNew)
+{
+    // At a large site only the feed readers hear the other daemons, and they pass on new limits at once.
+    const bool isForwarding = isNew && !this->isMesh() && this->state.readerRank();
+    PeerDatagram datagram;
+    datagram.limits = this->state.board.limitNotice(isForwarding, monotonicNow());
+    if (!datagram.limits)
+        return;
+    auto targets = this->heartbeatTargets();
+    if (isForwarding)
+        for (const auto* report : this->daemons.live(monotonicNow()))
+            targets.push_back(report->heartbeat.peerAddress);
+    for (const auto& address : std::set<std::string>(targets.begin(), targets.end()))
+        if (const auto endpoint = parseEndpoint(address))
+            this->send(datagram, udp::endpoint(endpoint->address(), endpoint->port()));
+}
+
 std::map<std::string, PeerDatagram> PeerLink::makeDatagrams(bool withHeartbeat)
 {
     std::map<std::string, PeerDatagram> result;
@@ -226,6 +244,9 @@
         const bool hasCrashNews = this->state.crashSuspects.takeNews();
         if (isDue || hasCrashNews)
             this->sendCrashNotice();
+        const bool hasLimitNews = this->state.board.takeLimitNews();
+        if (isDue || hasLimitNews)
+            this->sendLimitNotice(hasLimitNews);
         const auto pause = std::min(this->isMesh() ? reportInterval : digestInterval, this->heartbeatInterval());
         timer.expires_after(std::chrono::duration_cast<Duration>(pause * (0.9 + 0.2 * uniform(this->state.random))));
         ErrorCode ignored;
@@ -261,6 +282,8 @@
         this->onDigest(*datagram.digest);
     if (datagram.crashes)
         this->state.crashSuspects.onNotice(*datagram.crashes, monotonicNow());
+    if (datagram.limits)
+        applyPeerLimits(this->state, *datagram.limits);
     this->queues.dispatchAll();
 }
 
@@ -281,7 +304,7 @@
         if (auto* rollout = this->state.rolloutOf(notice.service))
             rollout->onNotice(message.instance, message.incarnation, notice, now);
     if (message.wantsReply)
-        this->send(PeerDatagram { this->makeHeartbeat(false), std::nullopt, std::nullopt, std::nullopt }, sender);
+        this->send(PeerDatagram { this->makeHeartbeat(false), std::nullopt, std::nullopt, std::nullopt, std::nullopt }, sender);
 }
 
 void PeerLink::onReport(const LoadReport& report, const udp::endpoint& sender)
@@ -293,7 +316,7 @@
         return;
     const auto& self = this->state.settings.instance;
     const auto isAggregated = [&](const UpstreamId& id) { return this->state.aggregators.aggregates(self, id.value); };
-    this->send(PeerDatagram { std::nullopt, std::nullopt, LoadDigest { self, this->state.board.loadsFor(report.instance, isAggregated, now), this->state.board.slowSources(now) }, std::nullopt }, sender);
+    this->send(PeerDatagram { std::nullopt, std::nullopt, LoadDigest { self, this->state.board.loadsFor(report.instance, isAggregated, now), this->state.board.slowSources(now) }, std::nullopt, std::nullopt }, sender);
 }
 
 void PeerLink::onDigest(const LoadDigest& digest)
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -56,6 +56,8 @@
     void addReports(std::map<std::string, PeerDatagram>& datagrams);
     /// Sends own crash reports in datagrams of their own, as they may be long.
     void sendCrashNotice();
+    /// @param isNew Whether a limit has just changed.
+    void sendLimitNotice(bool isNew);
     void send(const PeerDatagram& datagram, const udp::endpoint& target);
     void onDatagram(const PeerDatagram& datagram, const udp::endpoint& sender);
     void onHeartbeat(const EdgeHeartbeat& message, const udp::endpoint& sender);
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -403,7 +403,7 @@
     }
     auto& link = *attempt.connection;
     exchange.activeConnection = &link;
-    const auto sent = monotonicNow();
+    attempt.sent = monotonicNow();
     auto request = this->upstreamRequest(exchange, attempt.choice, attempt.lastEvent);
     attempt.isSent = true;
     exchange.sentTo.insert(attempt.choice.address);
@@ -414,7 +414,7 @@
     attempt.connectionSerial = link.serial;
     attempt.connectionRequests = ++link.requests;
     if (std::exchange(exchange.hasReservedSend, false))
-        this->state.sendBudgets.of(exchange.placement.service).onSent(sent);
+        this->state.sendBudgets.of(exchange.placement.service).onSent(attempt.sent);
     ErrorCode error;
     co_await http::async_write(link.stream, request, into(error));
     // An upstream may answer before it has read a long request, so read even after a failed write.
@@ -428,7 +428,7 @@
                                                                                             : "length";
         attempt.bodyBytes = 0; // Without those of stale answers.
         attempt.answerBegan = monotonicNow();
-        attempt.firstByte = attempt.answerBegan - sent;
+        attempt.firstByte = attempt.answerBegan - attempt.sent;
         this->state.board.onFirstByte(attempt.choice, exchange.placement, attempt.firstByte, monotonicNow());
         if (exchange.route->kind == RequestKind::Stream && attempt.status < 300)
             co_await this->relayStream(exchange, attempt);
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -39,6 +39,10 @@
     Task<bool> readHead(ClientExchange& exchange, Attempt& attempt);
     /// Applies the drain and back-off notices in the head of an answer.
     void applyNotice(const ClientExchange& exchange, const Attempt& attempt);
+    /// Applies the request limit in the head of an answer to this attempt.
+    void applyLimit(const ClientExchange& exchange, const Attempt& attempt);
+    /// @return The incarnation that answered, by its id and start; nothing if it is not known.
+    std::optional<std::pair<UpstreamId, std::int64_t>> answeredBy(const Attempt& attempt) const;
     static Task<std::size_t> readPiece(Attempt& attempt, std::string& piece, ErrorCode& error);
     /// The connections of a crashed process end in order too, so an answer that ends with its connection is complete only if its
     /// upstream still accepts a new one.
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -84,8 +84,10 @@
         this->applyNotice(exchange, attempt);
         if (attempt.answer.idleTimeout)
             link.idleTimeout = *attempt.answer.idleTimeout;
-        if (attempt.answer.requestId == exchange.info.id || isAnonymous)
+        if (attempt.answer.requestId == exchange.info.id || isAnonymous) {
+            this->applyLimit(exchange, attempt);
             co_return true;
+        }
         // A stale answer to an earlier request: skip it.
         ++attempt.staleAnswers;
         std::string discarded(pieceBytes, '\0');
@@ -106,15 +108,29 @@
 
 void Pipeline::applyNotice(const ClientExchange& exchange, const Attempt& attempt)
 {
-    const auto decoded = platform::decodeNotice(attempt.status, attempt.parser->get().base());
-    const auto& sender = attempt.answer.instance;
-    if (sender.empty() || sender == attempt.choice.upstream.value) {
-        applyUpstreamNotice(this->state, attempt.choice.upstream, attempt.choice.born, decoded, exchange.info.id);
+    if (const auto sender = this->answeredBy(attempt))
+        applyUpstreamNotice(this->state, sender->first, sender->second, platform::decodeNotice(attempt.status, attempt.parser->get().base()), exchange.info.id);
+}
+
+void Pipeline::applyLimit(const ClientExchange& exchange, const Attempt& attempt)
+{
+    const auto limit = platform::decodeRequestLimit(attempt.parser->get().base());
+    // Only an answer to a request that ran shows that its upstream is well again.
+    if (limit && !*limit && attempt.answer.provesNotRun)
         return;
-    }
-    // Another upstream has taken over the address; the notice applies to that one.
+    if (const auto sender = this->answeredBy(attempt))
+        applyRequestLimit(this->state, sender->first, sender->second, limit, attempt.sent, exchange.info.id);
+}
+
+std::optional<std::pair<UpstreamId, std::int64_t>> Pipeline::answeredBy(const Attempt& attempt) const
+{
+    const auto& sender = attempt.answer.instance;
+    if (sender.empty() || sender == attempt.choice.upstream.value)
+        return std::pair(attempt.choice.upstream, attempt.choice.born);
+    // Another upstream has taken over the address.
     if (const auto* entry = this->state.board.find(UpstreamId(sender)))
-        applyUpstreamNotice(this->state, entry->id, entry->born, decoded, exchange.info.id);
+        return std::pair(entry->id, entry->born);
+    return std::nullopt;
 }
 
 Task<std::size_t> Pipeline::readPiece(Attempt& attempt, std::string& piece, ErrorCode& error)
--- a/src/edge/service_queue.cc
+++ b/src/edge/service_queue.cc
@@ -112,8 +112,8 @@
             co_return choice;
     if (refusal == PlacementRefusal::NoUpstream)
         waiter.expiresAt = std::min(waiter.expiresAt, std::max(waiter.onTimeUntil, exchange.received + noUpstreamWait));
-    // Every upstream that could serve the request has said when it accepts requests again.
-    const auto opensAt = this->state.board.nextAvailableAt(exchange.placement, exchange.tried, now);
+    // Every upstream that could serve the request has said when it accepts requests again, or how many.
+    const auto opensAt = this->state.board.nextAvailableAt(exchange.placement, exchange.tried, queue.admission.countAhead(waiter, now), now);
     if (opensAt && *opensAt >= waiter.expiresAt) {
         exchange.retryAfter = *opensAt - now;
         co_return std::nullopt;
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -90,13 +90,15 @@
     this->byAddress[entry.address] = entry.id;
     std::erase_if(this->retainedNotices, [&](const auto& kept) {
         const auto& [id, notice] = kept;
-        return now >= std::max(notice.backoffUntil, notice.leavingSince.value_or(TimePoint()) + noticeRetention);
+        const auto limitEnd = notice.limit.perSecond() ? notice.limit.sighting().read + noticeRetention : TimePoint();
+        return now >= std::max({ notice.backoffUntil, notice.leavingSince.value_or(TimePoint()) + noticeRetention, limitEnd });
     });
     const auto [position, isNew] = this->upstreams.try_emplace(entry.id);
     auto& upstream = position->second;
     if (const auto kept = this->retainedNotices.extract(entry.id); isNew && kept && kept.mapped().born == entry.born) {
         upstream.leavingSince = kept.mapped().leavingSince;
         upstream.backoffUntil = kept.mapped().backoffUntil;
+        upstream.limit = kept.mapped().limit;
     }
     const bool restarted = !isNew && (upstream.entry.born != entry.born || upstream.entry.address != entry.address);
     if (!isNew && upstream.entry.service != entry.service)
@@ -122,8 +124,8 @@
     if (found == this->upstreams.end())
         return;
     const auto& upstream = found->second;
-    if (upstream.leavingSince || upstream.backoffUntil > TimePoint())
-        this->retainedNotices[id] = { upstream.entry.born, upstream.leavingSince, upstream.backoffUntil };
+    if (upstream.leavingSince || upstream.backoffUntil > TimePoint() || upstream.limit.perSecond())
+        this->retainedNotices[id] = { upstream.entry.born, upstream.leavingSince, upstream.backoffUntil, upstream.limit };
     this->byService[upstream.entry.service].erase(id);
     if (const auto address = this->byAddress.find(upstream.entry.address); address != this->byAddress.end() && address->second == id)
         this->byAddress.erase(address);
@@ -170,18 +172,20 @@
     if (all <= senders)
         return siteBound / (all + unknownDaemons);
     // Each cold upstream gets its own subset of daemons, weighted by capacity: large daemons receive most callers.
-    const auto key = stableHash(upstream.entry.id.value);
-    const auto scoreOf = [&](const DaemonCapacity& daemon) {
-        return weightedScore(key, daemon.instance.value, std::max(daemon.capacity, minCapacity));
-    };
     const auto own = std::find_if(this->daemons.begin(), this->daemons.end(), [&](const auto& daemon) { return daemon.instance == this->self; });
     if (own == this->daemons.end())
         return 0;
-    const auto ownScore = scoreOf(*own);
-    const auto ahead = std::count_if(this->daemons.begin(), this->daemons.end(), [&](const auto& daemon) { return scoreOf(daemon) > ownScore; });
+    const auto& id = upstream.entry.id;
+    const auto ownScore = senderScore(id, *own);
+    const auto ahead = std::count_if(this->daemons.begin(), this->daemons.end(), [&](const auto& daemon) { return senderScore(id, daemon) > ownScore; });
     return static_cast<std::size_t>(ahead) < senders ? siteBound / (senders + unknownDaemons) : 0;
 }
 
+double UpstreamBoard::senderScore(const UpstreamId& id, const DaemonCapacity& daemon)
+{
+    return weightedScore(stableHash(id.value), daemon.instance.value, std::max(daemon.capacity, minCapacity));
+}
+
 bool UpstreamBoard::hasColdCapacity(const Upstream& upstream, TimePoint now) const
 {
     const auto* service = this->serviceOf(upstream.entry.service);
@@ -293,7 +297,7 @@
     for (const auto* candidate : candidates) {
         const auto& upstream = *candidate;
         const auto load = this->totalLoad(upstream, now);
-        if (this->capacityObstacle(upstream, load, request, engine) != Obstacle::None) {
+        if (this->capacityObstacle(upstream, load, request, engine, now) != Obstacle::None) {
             refusal = PlacementRefusal::Full;
             continue;
         }
@@ -354,6 +358,7 @@
         ++part.requests;
     });
     upstream.own.backlog[classOf(request)] += choice.missingTokens;
+    upstream.limit.onSent(this->turnShare(upstream), now);
     if (now < upstream.coldUntil) {
         while (!upstream.coldSends.empty() && now - upstream.coldSends.front() > std::chrono::milliseconds(1100))
             upstream.coldSends.pop_front();
--- /dev/null
+++ b/src/upstream_board_limits.cc
@@ -0,0 +1,159 @@
+/// @file
+/// UpstreamBoard: request limits that upstreams name, and this daemon's turns within them.
+
+#include <algorithm>
+#include <cmath>
+
+#include "goldcrestwood/upstream_board.h"
+
+namespace goldcrestwood {
+
+namespace {
+
+    /// Requests per second that all daemons together send to an upstream with a lower limit. Only an answer tells that a limit was
+    /// lifted.
+    constexpr double minRequestRate = 0.25;
+    /// Turns of daemons that are not known here yet.
+    constexpr double unknownTurns = 1;
+    /// Turns of this time accumulate at a daemon, as its waiting requests are placed only a few times a second.
+    constexpr Duration burstTime = std::chrono::milliseconds(250);
+
+    /// By then all daemons have heard of a limit.
+    constexpr Duration noticeTime = std::chrono::milliseconds(250);
+    /// A limit that falls to this share of the one before leaves the requests from before within its slack.
+    constexpr double smallDrop = 0.8;
+    /// Added to a small count of events for the upper bound of its expectation at a confidence of 95%.
+    constexpr double countMargin = 3;
+
+    std::uint64_t ageMs(TimePoint at, TimePoint now)
+    {
+        return static_cast<std::uint64_t>(std::max(now - at, Duration(0)) / std::chrono::milliseconds(1));
+    }
+
+} // namespace
+
+double UpstreamBoard::senderShare(const UpstreamId& id, std::size_t senders) const
+{
+    if (this->daemons.empty())
+        return 1;
+    std::vector<std::pair<double, const DaemonCapacity*>> ranking;
+    ranking.reserve(this->daemons.size());
+    for (const auto& daemon : this->daemons)
+        ranking.emplace_back(senderScore(id, daemon), &daemon);
+    if (ranking.size() > senders) {
+        const auto end = ranking.begin() + static_cast<std::ptrdiff_t>(senders);
+        std::nth_element(ranking.begin(), end, ranking.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
+        ranking.erase(end, ranking.end());
+    }
+    double own = 0;
+    double all = 0;
+    for (const auto& [score, daemon] : ranking) {
+        const auto capacity = std::max(daemon->capacity, minCapacity);
+        all += capacity;
+        own += daemon->instance == this->self ? capacity : 0;
+    }
+    return own / all;
+}
+
+TurnShare UpstreamBoard::turnShare(const Upstream& upstream) const
+{
+    const auto limit = upstream.limit.perSecond();
+    if (!limit || !this->isWholeSiteKnown)
+        return { 0, 1, this->bounds.limitWindow };
+    const auto rate = std::max(*limit, minRequestRate);
+    const auto window = toSeconds(this->bounds.limitWindow);
+    const auto allowed = this->bounds.limitFactor * *limit * window + this->bounds.limitSlack;
+    // Each sender can be a whole turn ahead of its rate, so that their number is bounded too.
+    const auto senders = std::max(1.0, std::floor(allowed - rate * (window + toSeconds(burstTime)) - unknownTurns));
+    const auto count = static_cast<std::size_t>(std::min(senders, static_cast<double>(this->daemons.size() + 1)));
+    const auto ownRate = rate * this->senderShare(upstream.entry.id, count);
+    return { ownRate, std::max(1.0, ownRate * toSeconds(burstTime)), this->bounds.limitWindow };
+}
+
+bool UpstreamBoard::hasTurn(const Upstream& upstream, TimePoint now) const
+{
+    return !upstream.limit.perSecond() || upstream.limit.hasTurn(this->turnShare(upstream), now);
+}
+
+void UpstreamBoard::onLimitChange(Upstream& upstream, std::optional<double> before, TimePoint now)
+{
+    this->hasLimitNews = true;
+    upstream.limitChanged = now;
+    const auto limit = upstream.limit.perSecond();
+    if (!limit || (before && *limit >= *before * smallDrop))
+        return;
+    // Spreads the first turns of all daemons over time.
+    upstream.limit.begin(uniform(this->random), now, now);
+    // Most daemons send at about the same rate for their capacity.
+    const auto own = static_cast<double>(upstream.limit.countRecent(this->turnShare(upstream), now));
+    this->holdTurns(upstream, (own + countMargin) / this->senderShare(upstream.entry.id, this->daemons.size()));
+}
+
+void UpstreamBoard::holdTurns(Upstream& upstream, double recent)
+{
+    const auto room = (this->bounds.limitFactor - 1) * upstream.limit.perSecond().value_or(0) * toSeconds(this->bounds.limitWindow) + this->bounds.limitSlack;
+    if (recent > room)
+        upstream.limit.hold(upstream.limitChanged + this->bounds.limitWindow + noticeTime);
+}
+
+bool UpstreamBoard::onRequestLimit(const UpstreamId& id, std::int64_t born, const LimitSighting& sighting)
+{
+    const auto found = this->upstreams.find(id);
+    if (found == this->upstreams.end() || found->second.entry.born != born)
+        return false;
+    auto& upstream = found->second;
+    const auto before = upstream.limit.perSecond();
+    if (!upstream.limit.onAnswer(sighting))
+        return false;
+    this->onLimitChange(upstream, before, sighting.read);
+    return true;
+}
+
+std::vector<UpstreamId> UpstreamBoard::onPeerLimits(const LimitNotice& notice, TimePoint now)
+{
+    std::vector<UpstreamId> changed;
+    for (const auto& report : notice.limits) {
+        const auto found = this->upstreams.find(report.upstream);
+        if (found == this->upstreams.end() || found->second.entry.born != report.born)
+            continue;
+        auto& upstream = found->second;
+        const auto before = upstream.limit.perSecond();
+        if (upstream.limit.onReport({ report.perSecond, now - std::chrono::milliseconds(report.sentAgeMs), now - std::chrono::milliseconds(report.readAgeMs) })) {
+            this->onLimitChange(upstream, before, now);
+            changed.push_back(report.upstream);
+        }
+        // Requests from before the limit, where the daemons' loads differ.
+        if (upstream.limit.perSecond() && now - upstream.limitChanged < this->bounds.limitWindow)
+            this->holdTurns(upstream, static_cast<double>(report.recent) + countMargin);
+    }
+    return changed;
+}
+
+std::optional<LimitNotice> UpstreamBoard::limitNotice(bool withPeers, TimePoint now) const
+{
+    std::vector<std::pair<TimePoint, UpstreamLimit>> reports;
+    for (const auto& [id, upstream] : this->upstreams) {
+        const auto& limit = upstream.limit;
+        const bool isLifted = !limit.perSecond() && upstream.limitChanged > TimePoint() && now - upstream.limitChanged < this->settings.liftReportTime;
+        if (!(limit.perSecond() || isLifted) || !(withPeers || limit.isOwn()))
+            continue;
+        const auto recent = static_cast<std::uint32_t>(limit.countRecent(this->turnShare(upstream), now));
+        reports.emplace_back(upstream.limitChanged, UpstreamLimit { id, upstream.entry.born, limit.perSecond(), ageMs(limit.sighting().sent, now), ageMs(limit.sighting().read, now), recent });
+    }
+    if (reports.empty())
+        return std::nullopt;
+    std::sort(reports.begin(), reports.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
+    LimitNotice notice;
+    for (auto& [changed, report] : reports)
+        if (notice.limits.size() < this->settings.maxReportedLimits)
+            notice.limits.push_back(std::move(report));
+    return notice;
+}
+
+std::optional<double> UpstreamBoard::requestLimit(const UpstreamId& id) const
+{
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? std::nullopt : found->second.limit.perSecond();
+}
+
+} // namespace goldcrestwood
--- a/src/upstream_board_obstacles.cc
+++ b/src/upstream_board_obstacles.cc
@@ -35,6 +35,8 @@
         return "version";
     case Obstacle::Cold:
         return "cold";
+    case Obstacle::Limited:
+        return "limited";
     case Obstacle::Slots:
         return "slots";
     case Obstacle::Memory:
@@ -129,8 +131,10 @@
     return this->hasColdCapacity(upstream, now) ? Obstacle::None : Obstacle::Cold;
 }
 
-Obstacle UpstreamBoard::capacityObstacle(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine) const
+Obstacle UpstreamBoard::capacityObstacle(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine, TimePoint now) const
 {
+    if (!this->hasTurn(upstream, now))
+        return Obstacle::Limited;
     // Reserve room for a request that arrives later and can still be on time; assume that it is as large.
     const auto reserved = request.isLate ? request.promptTokens + request.outputTokens : 0;
     if (engine == nullptr)
@@ -162,15 +166,19 @@
         const auto& upstream = this->upstreams.at(id);
         auto obstacle = excluded.contains(id) ? Obstacle::AlreadyTried : this->eligibilityObstacle(upstream, request, now);
         if (obstacle == Obstacle::None)
-            obstacle = this->capacityObstacle(upstream, this->totalLoad(upstream, now), request, engine);
+            obstacle = this->capacityObstacle(upstream, this->totalLoad(upstream, now), request, engine, now);
         ++result.upstreams[obstacle];
     }
     return result;
 }
 
-std::optional<TimePoint> UpstreamBoard::nextAvailableAt(const PlacementRequest& request, const std::set<UpstreamId>& excluded, TimePoint now) const
+std::optional<TimePoint> UpstreamBoard::nextAvailableAt(
+    const PlacementRequest& request, const std::set<UpstreamId>& excluded, std::size_t ahead, TimePoint now) const
 {
     std::optional<TimePoint> result;
+    std::optional<TimePoint> firstTurn;
+    double turns = 0;
+    double turnsPerSecond = 0;
     const auto ids = this->byService.find(request.service);
     if (ids == this->byService.end())
         return result;
@@ -181,10 +189,19 @@
         const auto obstacle = this->eligibilityObstacle(upstream, request, now);
         if (obstacle == Obstacle::BackingOff)
             result = std::min(result.value_or(upstream.backoffUntil), upstream.backoffUntil);
-        else if (obstacle != Obstacle::Leaving)
+        else if (obstacle == Obstacle::None && !this->hasTurn(upstream, now)) {
+            const auto share = this->turnShare(upstream);
+            const auto heldUntil = upstream.limit.heldUntil(share, now);
+            firstTurn = std::min(firstTurn.value_or(heldUntil), heldUntil);
+            turns += upstream.limit.turns(share, now);
+            turnsPerSecond += share.perSecond;
+        } else if (obstacle != Obstacle::Leaving)
             return std::nullopt;
     }
-    return result;
+    if (turnsPerSecond <= 0)
+        return result;
+    const auto turn = std::max(*firstTurn, now + fromSeconds((static_cast<double>(ahead + 1) - turns) / turnsPerSecond));
+    return std::min(result.value_or(turn), turn);
 }
 
 } // namespace goldcrestwood
--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -229,3 +229,18 @@
     CHECK(platform::decodeRolloutStatus(*record->value) == status);
     CHECK_FALSE(platform::decodeRolloutStatus(R"({"state":"odd","target":"v2"})"));
 }
+
+TEST_CASE("a request limit that cannot be read is a finding, not a limit")
+{
+    const auto limitOf = [](const char* value) {
+        http::fields fields;
+        fields.set("Server-Limit", value);
+        return platform::decodeRequestLimit(fields);
+    };
+    REQUIRE_FALSE(platform::decodeRequestLimit(http::fields()).value());
+    REQUIRE(limitOf("2.7").value() == 2.7);
+    REQUIRE(limitOf("0").value() == 0.0);
+    REQUIRE(limitOf("1e300").value() == 1e6);
+    for (const auto* value : { "", "abc", "-1", "nan", "inf", "2.7 requests", "2,7" })
+        REQUIRE(limitOf(value).error().location.file == "Server-Limit");
+}
--- a/test/upstream_notice_test.cc
+++ b/test/upstream_notice_test.cc
@@ -65,7 +65,7 @@
     {
         PlacementRequest request;
         request.service = plain;
-        return this->board.nextAvailableAt(request, {}, now);
+        return this->board.nextAvailableAt(request, {}, 0, now);
     }
 
     PartDirectory parts;
