--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -50,7 +50,7 @@
     std::uint32_t rank = 0;
     PlacementRequest placement;
     std::set<UpstreamId> tried;
-    std::set<std::string> sentTo; ///< Addresses.
+    std::set<std::string> sentTo; ///< Addresses to which it was sent; each further send there uses a new connection.
     std::uint32_t runs = 0; ///< Upstreams that may have run the request.
     std::uint32_t sends = 0;
     bool hasReservedSend = false; ///< A further send is reserved in the service's budget.
