A limit that varies a little does not hold up turns again and again

A daemon that heard of each small change from a peer took the peer's requests for ones from before the limit and held up its own turns for 4 s each time. The hold now counts from when the limit was first named, or fell by a fifth.

Found by reading.

--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -310,6 +310,7 @@
         std::deque<TimePoint> coldSends; ///< Requests sent within the last second while it was cold.
         RequestLimit limit;
         TimePoint limitChanged;
+        TimePoint limitBegan; ///< When it was first named, or fell by more than a little.
         std::optional<TimePoint> leavingSince; ///< Time of its first drain notice.
         TimePoint backoffUntil; ///< End of the backoff that it asked this instance for.
     };
--- a/src/upstream_board_limits.cc
+++ b/src/upstream_board_limits.cc
@@ -82,6 +82,7 @@
     const auto limit = upstream.limit.perSecond();
     if (!limit || (before && *limit >= *before * smallDrop))
         return;
+    upstream.limitBegan = now;
     // Spreads the first turns of all daemons over time.
     upstream.limit.begin(uniform(this->random), now, now);
     // Most daemons send at about the same rate for their capacity.
@@ -93,7 +94,7 @@
 {
     const auto room = (this->bounds.limitFactor - 1) * upstream.limit.perSecond().value_or(0) * toSeconds(this->bounds.limitWindow) + this->bounds.limitSlack;
     if (recent > room)
-        upstream.limit.hold(upstream.limitChanged + this->bounds.limitWindow + noticeTime);
+        upstream.limit.hold(upstream.limitBegan + this->bounds.limitWindow + noticeTime);
 }
 
 bool UpstreamBoard::onRequestLimit(const UpstreamId& id, std::int64_t born, const LimitSighting& sighting)
@@ -123,7 +124,7 @@
             changed.push_back(report.upstream);
         }
         // Requests from before the limit, where the daemons' loads differ.
-        if (upstream.limit.perSecond() && now - upstream.limitChanged < this->bounds.limitWindow)
+        if (upstream.limit.perSecond() && now - upstream.limitBegan < this->bounds.limitWindow)
             this->holdTurns(upstream, static_cast<double>(report.recent) + countMargin);
     }
     return changed;
--- a/test/upstream_limit_test.cc
+++ b/test/upstream_limit_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 
 #include "board_site.h"
@@ -57,6 +58,7 @@
                 site->board.begin(*choice, plainRequest(), now);
                 site->board.finish(*choice, plainRequest(), true, AttemptResult::Answered, now);
                 this->sent.push_back(now);
+                ++this->sentBy[number];
             }
     }
 
@@ -75,6 +77,7 @@
     RegistryEntry entry = entryOf(1, plain);
     std::vector<std::unique_ptr<Site>> sites;
     std::vector<TimePoint> sent; ///< In order.
+    std::map<std::size_t, std::size_t> sentBy; ///< Number of requests by daemon.
 };
 
 } // namespace
@@ -130,6 +133,21 @@
     REQUIRE(site.board.obstaclesOf(plainRequest(), {}, start + 60s).text() == "limited:1");
 }
 
+TEST_CASE("a limit that varies a little with each answer is used as any other")
+{
+    const SiteBounds bounds;
+    LimitedSite site(2);
+    site.name(6.5, start);
+    for (int second = 0; second < 20; ++second) {
+        site.play(start + second * 1s, start + (second + 1) * 1s);
+        site.name(second % 2 == 0 ? 6.4 : 6.5, start + (second + 1) * 1s);
+    }
+    REQUIRE(static_cast<double>(site.most(bounds.limitWindow, start)) <= allowedBy(6.4));
+    REQUIRE(static_cast<double>(site.count(start + 5s)) >= 0.8 * 6.4 * 15);
+    // The second daemon hears of each change in a report; it has a fifth of the site's capacity.
+    REQUIRE(static_cast<double>(site.sentBy[1]) >= 0.8 * 6.4 * 15 / 5);
+}
+
 TEST_CASE("a lifted limit leaves nothing behind at any daemon")
 {
     LimitedSite site(7);
