--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -84,6 +84,8 @@
 
 
 class StoreHandler(Handler):
+    owes_refusal = False  # Whether the copy of a refusal precedes the next answer on this connection.
+
     def answer(self, status, body=b"", headers=()):
         super().answer(status, body, (*headers, ("Store-Era", str(self.server.owner.era))))
 
@@ -93,6 +95,13 @@
         fields = dict(urllib.parse.parse_qsl(query))
         if path == "/log-read":
             store.reads.append((fields["topic"], int(fields.get("wait_ms", 0)) / 1000))
+        if self.owes_refusal:
+            self.owes_refusal = False
+            self.answer(503)
+        if path == "/log-read" and store.refuses_once == fields["topic"]:
+            store.refuses_once = None
+            self.owes_refusal = True
+            return self.answer(503)
         if not self.apply_faults(store):
             return None
         if path == "/log-newest":
@@ -135,6 +144,7 @@
         self.changed = threading.Condition()
         self.reads = []  # Topic and hold time in seconds of each read received, answered or not.
         self.era = 1  # Rises each time that the store returns from an older copy.
+        self.refuses_once = None  # Topic whose next read is refused; a copy of that refusal precedes the next answer on the connection.
         self.mode = "up"  # busy: answers 503; slow: answers late; lost: executes appends without an answer.
         self.refused = set()  # Addresses at which calls get 503.
         self.servers = []
