A request limit that does not bind holds up no turns

The requests from before a limit were held to have room only within what the window allows beyond the limit's own turns. But a window has either kind of requests in part only, so that they may fill all but the bursts. Found by reading: an upstream at 20 requests a second that names 30 would have got none for 4 s.

--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -332,6 +332,8 @@
     std::size_t coldShare(const Upstream& upstream, double bound) const;
     /// @return A score by which all daemons agree on those that send to an upstream with too few requests for all of them.
     static double senderScore(const UpstreamId& id, const DaemonCapacity& daemon);
+    /// @return The most requests of all daemons within the window of a limit.
+    double windowBound(double limit) const;
     /// @return This daemon's turns at an upstream; none if it has no limit.
     TurnShare turnShare(const Upstream& upstream) const;
     /// @return This daemon's share of the capacity of the @p senders daemons that send to an upstream; 0 if it is none of them.
--- a/src/upstream_board_limits.cc
+++ b/src/upstream_board_limits.cc
@@ -55,6 +55,11 @@
     return own / all;
 }
 
+double UpstreamBoard::windowBound(double limit) const
+{
+    return this->bounds.limitFactor * limit * toSeconds(this->bounds.limitWindow) + this->bounds.limitSlack;
+}
+
 TurnShare UpstreamBoard::turnShare(const Upstream& upstream) const
 {
     const auto limit = upstream.limit.perSecond();
@@ -62,9 +67,8 @@
         return { 0, 1, this->bounds.limitWindow };
     const auto rate = std::max(*limit, minRequestRate);
     const auto window = toSeconds(this->bounds.limitWindow);
-    const auto allowed = this->bounds.limitFactor * *limit * window + this->bounds.limitSlack;
     // Each sender can be a whole turn ahead of its rate, so that their number is bounded too.
-    const auto senders = std::max(1.0, std::floor(allowed - rate * (window + toSeconds(burstTime)) - unknownTurns));
+    const auto senders = std::max(1.0, std::floor(this->windowBound(*limit) - rate * (window + toSeconds(burstTime)) - unknownTurns));
     const auto count = static_cast<std::size_t>(std::min(senders, static_cast<double>(this->daemons.size() + 1)));
     const auto ownRate = rate * this->senderShare(upstream.entry.id, count);
     return { ownRate, std::max(1.0, ownRate * toSeconds(burstTime)), this->bounds.limitWindow };
@@ -92,8 +96,10 @@
 
 void UpstreamBoard::holdTurns(Upstream& upstream, double recent)
 {
-    const auto room = (this->bounds.limitFactor - 1) * upstream.limit.perSecond().value_or(0) * toSeconds(this->bounds.limitWindow) + this->bounds.limitSlack;
-    if (recent > room)
+    // A window that holds requests from before the limit and turns has at most as many as one of either kind, and the bursts.
+    const auto limit = upstream.limit.perSecond().value_or(0);
+    const auto bursts = static_cast<double>(this->daemons.size()) + limit * toSeconds(burstTime);
+    if (recent > this->windowBound(limit) - bursts)
         upstream.limit.hold(upstream.limitBegan + this->bounds.limitWindow + noticeTime);
 }
 
--- a/test/upstream_limit_test.cc
+++ b/test/upstream_limit_test.cc
@@ -133,6 +133,19 @@
     REQUIRE(site.board.obstaclesOf(plainRequest(), {}, start + 60s).text() == "limited:1");
 }
 
+TEST_CASE("a limit above what an upstream gets holds up nothing")
+{
+    LimitedSite site(7);
+    for (auto now = start; now < start + 6s; now += 100ms)
+        site.play(now, now + 20ms, 2); // 20 a second.
+    site.name(40.0, start + 6s);
+    const auto before = site.sentBy[0];
+    for (auto now = start + 6s; now < start + 9s; now += 100ms)
+        site.play(now, now + 20ms, 2);
+    // The share of the first daemon is 10 a second.
+    REQUIRE(site.sentBy[0] - before >= 24);
+}
+
 TEST_CASE("a limit that varies a little with each answer is used as any other")
 {
     const SiteBounds bounds;
