Limits of answers and of reports are taken by the same code

RequestLimit::onAnswer and onReport repeated the replacement of a sighting, and begin had a parameter that was always the present time.

--- a/include/goldcrestwood/request_limit.h
+++ b/include/goldcrestwood/request_limit.h
@@ -57,8 +57,7 @@
 
     /// Starts the turns of a new limit.
     /// @param initialTurns Turns that are left.
-    /// @param firstTurn Until when requests from before the limit count against it.
-    void begin(double initialTurns, TimePoint firstTurn, TimePoint now);
+    void begin(double initialTurns, TimePoint now);
 
     /// Postpones the first turn.
     void hold(TimePoint until) { this->firstTurn = std::max(this->firstTurn, until); }
@@ -77,6 +76,9 @@
 private:
     /// @return Whether @p sighting was stated after the one in force.
     bool isNewer(const LimitSighting& sighting) const;
+    /// Replaces the sighting in force by a newer one with another limit.
+    /// @return Whether the limit changed.
+    bool change(const LimitSighting& sighting, bool isOwnAnswer);
 
     LimitSighting latest;
     bool own = false;
--- a/src/request_limit.cc
+++ b/src/request_limit.cc
@@ -17,41 +17,38 @@
     return isStricter ? sighting.read > this->latest.sent : sighting.sent > this->latest.read;
 }
 
-bool RequestLimit::onAnswer(const LimitSighting& sighting)
+bool RequestLimit::change(const LimitSighting& sighting, bool isOwnAnswer)
 {
-    if (sighting.perSecond == this->latest.perSecond) {
-        this->own = true;
-        this->latest.sent = std::max(this->latest.sent, sighting.sent);
-        this->latest.read = std::max(this->latest.read, sighting.read);
-        return false;
-    }
     if (!this->isNewer(sighting))
         return false;
     this->latest = sighting;
-    this->own = true;
+    this->own = isOwnAnswer;
     return true;
 }
 
+bool RequestLimit::onAnswer(const LimitSighting& sighting)
+{
+    if (sighting.perSecond != this->latest.perSecond)
+        return this->change(sighting, true);
+    this->own = true;
+    this->latest.sent = std::max(this->latest.sent, sighting.sent);
+    this->latest.read = std::max(this->latest.read, sighting.read);
+    return false;
+}
+
 bool RequestLimit::onReport(const LimitSighting& sighting)
 {
-    auto earliest = sighting;
-    earliest.sent -= reportTransit;
-    if (earliest.perSecond == this->latest.perSecond) {
-        // Reports that pass between daemons again and again must not look newer each time.
-        this->latest.read = std::max(this->latest.read, earliest.read - reportTransit);
-        return false;
-    }
-    if (!this->isNewer(earliest))
-        return false;
-    this->latest = earliest;
-    this->own = false;
-    return true;
+    if (sighting.perSecond != this->latest.perSecond)
+        return this->change({ sighting.perSecond, sighting.sent - reportTransit, sighting.read }, false);
+    // Reports that pass between daemons again and again must not look newer each time.
+    this->latest.read = std::max(this->latest.read, sighting.read - reportTransit);
+    return false;
 }
 
-void RequestLimit::begin(double initialTurns, TimePoint first, TimePoint now)
+void RequestLimit::begin(double initialTurns, TimePoint now)
 {
     this->left = initialTurns;
-    this->firstTurn = first;
+    this->firstTurn = now;
     this->refilled = now;
 }
 
--- a/src/upstream_board_limits.cc
+++ b/src/upstream_board_limits.cc
@@ -88,7 +88,7 @@
         return;
     upstream.limitBegan = now;
     // Spreads the first turns of all daemons over time.
-    upstream.limit.begin(uniform(this->random), now, now);
+    upstream.limit.begin(uniform(this->random), now);
     // Most daemons send at about the same rate for their capacity.
     const auto own = static_cast<double>(upstream.limit.countRecent(this->turnShare(upstream), now));
     this->holdTurns(upstream, (own + countMargin) / this->senderShare(upstream.entry.id, this->daemons.size()));
--- a/test/request_limit_test.cc
+++ b/test/request_limit_test.cc
@@ -23,7 +23,7 @@
     RequestLimit limit;
     REQUIRE(limit.hasTurn(share, start));
     REQUIRE(limit.onAnswer(seen(2.0, start)));
-    limit.begin(0, start, start);
+    limit.begin(0, start);
     REQUIRE_FALSE(limit.hasTurn(share, start + 1900ms));
     REQUIRE(limit.hasTurn(share, start + 2s));
     REQUIRE(limit.turns(share, start + 100s) == 1);
@@ -39,7 +39,7 @@
     for (int number = 0; number < 10; ++number)
         limit.onSent(share, start + number * 100ms);
     REQUIRE(limit.onAnswer(seen(2.0, start + 1s)));
-    limit.begin(1, start, start + 1s);
+    limit.begin(1, start + 1s);
     // Three requests in 4 s are this daemon's share, so the last but two must leave the window.
     REQUIRE(limit.heldUntil(share, start + 1s) == start + 4700ms);
     REQUIRE_FALSE(limit.hasTurn(share, start + 4600ms));
