The rates that hold for all daemons together have one file

The code is moved as it is; upstream_board_test (with the cold-start models) and upstream_limit_test pass.

--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -25,11 +25,6 @@
     /// Candidates in a large pool: the top of the rendezvous ranking, plus random samples.
     constexpr std::size_t rankedCandidates = 8;
     constexpr std::size_t sampledCandidates = 16;
-    /// Allowance for daemons that have started but are not known here, and send to the same cold upstream.
-    constexpr std::size_t unknownDaemons = 2;
-    /// Requests per second that a daemon should get at a cold upstream. At a large site only some daemons send there, so
-    /// that no share drops below one whole request.
-    constexpr std::size_t minColdShare = 2;
     /// Approximate time until a full upstream frees a slot.
     constexpr Duration refusalPause = std::chrono::milliseconds(50);
     /// Loading new weights takes an upstream a few hundred milliseconds (210 to 760 as specified).
@@ -162,43 +157,6 @@
     this->removeUnknownPeers();
 }
 
-std::size_t UpstreamBoard::coldShare(const Upstream& upstream, double bound) const
-{
-    if (!this->isWholeSiteKnown)
-        return 0;
-    const auto siteBound = static_cast<std::size_t>(bound);
-    const auto all = std::max<std::size_t>(this->daemons.size(), 1);
-    const auto senders = std::max(siteBound / minColdShare, unknownDaemons + 1) - unknownDaemons;
-    if (all <= senders)
-        return siteBound / (all + unknownDaemons);
-    // Each cold upstream gets its own subset of daemons, weighted by capacity: large daemons receive most callers.
-    const auto own = std::find_if(this->daemons.begin(), this->daemons.end(), [&](const auto& daemon) { return daemon.instance == this->self; });
-    if (own == this->daemons.end())
-        return 0;
-    const auto& id = upstream.entry.id;
-    const auto ownScore = senderScore(id, *own);
-    const auto ahead = std::count_if(this->daemons.begin(), this->daemons.end(), [&](const auto& daemon) { return senderScore(id, daemon) > ownScore; });
-    return static_cast<std::size_t>(ahead) < senders ? siteBound / (senders + unknownDaemons) : 0;
-}
-
-double UpstreamBoard::senderScore(const UpstreamId& id, const DaemonCapacity& daemon)
-{
-    return weightedScore(stableHash(id.value), daemon.instance.value, std::max(daemon.capacity, minCapacity));
-}
-
-bool UpstreamBoard::hasColdCapacity(const Upstream& upstream, TimePoint now) const
-{
-    const auto* service = this->serviceOf(upstream.entry.service);
-    if (now >= upstream.coldUntil || service == nullptr || service->coldPerSecond <= 0)
-        return true;
-    // Each daemon stays within its own share, so the site total stays within the bound without coordination.
-    const auto bound = service->coldPerSecond * this->bounds.coldRateFactor + this->bounds.coldRateSlack;
-    const auto share = this->coldShare(upstream, bound);
-    const auto recent = std::count_if(upstream.coldSends.begin(), upstream.coldSends.end(),
-        [&](TimePoint sent) { return now - sent < std::chrono::milliseconds(1100); });
-    return static_cast<std::size_t>(recent) < share;
-}
-
 double UpstreamBoard::prefillCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing) const
 {
     const auto read = static_cast<double>(load.backlogAhead(classOf(request)) + missing) / this->tokensPerMillisecond;
--- a/src/upstream_board_limits.cc
+++ b/src/upstream_board_limits.cc
@@ -1,15 +1,22 @@
 /// @file
-/// UpstreamBoard: request limits that upstreams name, and this daemon's turns within them.
+/// UpstreamBoard: rates of requests that hold for all daemons together: of cold upstreams, and limits that upstreams name.
 
 #include <algorithm>
 #include <cmath>
 
+#include "goldcrestwood/hash.h"
 #include "goldcrestwood/upstream_board.h"
 
 namespace goldcrestwood {
 
 namespace {
 
+    /// Allowance for daemons that have started but are not known here, and send to the same cold upstream.
+    constexpr std::size_t unknownDaemons = 2;
+    /// Requests per second that a daemon should get at a cold upstream. At a large site only some daemons send there, so
+    /// that no share drops below one whole request.
+    constexpr std::size_t minColdShare = 2;
+
     /// Requests per second that all daemons together send to an upstream with a lower limit. Only an answer tells that a limit was
     /// lifted.
     constexpr double minRequestRate = 0.25;
@@ -32,6 +39,43 @@
 
 } // namespace
 
+std::size_t UpstreamBoard::coldShare(const Upstream& upstream, double bound) const
+{
+    if (!this->isWholeSiteKnown)
+        return 0;
+    const auto siteBound = static_cast<std::size_t>(bound);
+    const auto all = std::max<std::size_t>(this->daemons.size(), 1);
+    const auto senders = std::max(siteBound / minColdShare, unknownDaemons + 1) - unknownDaemons;
+    if (all <= senders)
+        return siteBound / (all + unknownDaemons);
+    // Each cold upstream gets its own subset of daemons, weighted by capacity: large daemons receive most callers.
+    const auto own = std::find_if(this->daemons.begin(), this->daemons.end(), [&](const auto& daemon) { return daemon.instance == this->self; });
+    if (own == this->daemons.end())
+        return 0;
+    const auto& id = upstream.entry.id;
+    const auto ownScore = senderScore(id, *own);
+    const auto ahead = std::count_if(this->daemons.begin(), this->daemons.end(), [&](const auto& daemon) { return senderScore(id, daemon) > ownScore; });
+    return static_cast<std::size_t>(ahead) < senders ? siteBound / (senders + unknownDaemons) : 0;
+}
+
+double UpstreamBoard::senderScore(const UpstreamId& id, const DaemonCapacity& daemon)
+{
+    return weightedScore(stableHash(id.value), daemon.instance.value, std::max(daemon.capacity, minCapacity));
+}
+
+bool UpstreamBoard::hasColdCapacity(const Upstream& upstream, TimePoint now) const
+{
+    const auto* service = this->serviceOf(upstream.entry.service);
+    if (now >= upstream.coldUntil || service == nullptr || service->coldPerSecond <= 0)
+        return true;
+    // Each daemon stays within its own share, so the site total stays within the bound without coordination.
+    const auto bound = service->coldPerSecond * this->bounds.coldRateFactor + this->bounds.coldRateSlack;
+    const auto share = this->coldShare(upstream, bound);
+    const auto recent = std::count_if(upstream.coldSends.begin(), upstream.coldSends.end(),
+        [&](TimePoint sent) { return now - sent < std::chrono::milliseconds(1100); });
+    return static_cast<std::size_t>(recent) < share;
+}
+
 double UpstreamBoard::senderShare(const UpstreamId& id, std::size_t senders) const
 {
     if (this->daemons.empty())
