The test of copied refusals checks the answers and the log lines

Nothing required that a request that came back to its address was answered: 502 for each would have passed. And the fields of the log that tell the connection had no test.

--- a/test/process/copied_refusal_test.py
+++ b/test/process/copied_refusal_test.py
@@ -59,6 +59,12 @@
         self.assertEqual(bool(replica.copies), replica.copies_refusals, figures)
         self.assertEqual({request: count for request, count in runs.items() if count > 1}, {}, figures)
         self.assertEqual({request: status for request, status in answers.items() if status in NOT_RUN_STATUSES and request in runs}, {}, figures)
+        returned = self.returned(replica)
+        self.assertEqual({answers.get(request) for request in returned}, {200}, figures)
+        # The log tells that each send of such a request had a connection of its own.
+        sends = [line for line in daemon.log_lines() if line["event"] == "request_attempt" and line["request"] in returned and line["connection"]]
+        self.assertGreaterEqual(len({line["request"] for line in sends}), 1, figures)
+        self.assertEqual(len({(line["request"], line["address"], line["connection"]) for line in sends}), len(sends), figures)
 
     def test_an_order_runs_once_beside_a_second_replica(self):
         # TWICE: it ran at both.
