Ages in peers' messages are bounded in one place

An age of 2^63 ms in a report of a limit overflowed when it was taken from the present time (upstream_limit_test under UBSan on: signed integer overflow; found by reading). Ages of target weights, of the duty's record, of the registry's contact and of roll-outs had the same; crash notices had a bound of their own. time.h has both conversions now, and the three copies go.

upstream_limit_test, rollout_test, beliefs_test, crash_suspects_test and weight_targets_test pass; only the reports of limits have a test of their own for it.

--- a/include/goldcrestwood/time.h
+++ b/include/goldcrestwood/time.h
@@ -4,6 +4,7 @@
 /// Time types. Callers pass the time in; the core library reads no clock.
 
 #include <chrono>
+#include <cstdint>
 
 namespace goldcrestwood {
 
@@ -24,6 +25,19 @@
     return toSeconds(duration) * 1000;
 }
 
+/// @return Whole milliseconds from @p at to @p now; 0 if @p at is later.
+constexpr std::uint64_t ageMs(TimePoint at, TimePoint now)
+{
+    return at >= now ? 0 : static_cast<std::uint64_t>((now - at) / std::chrono::milliseconds(1));
+}
+
+/// @return An age from a peer's message, bounded so that it can be subtracted from a time.
+constexpr Duration fromAgeMs(std::uint64_t milliseconds)
+{
+    constexpr std::uint64_t maxMs = 7ULL * 24 * 3600 * 1000;
+    return std::chrono::milliseconds(milliseconds < maxMs ? milliseconds : maxMs);
+}
+
 /// @return @p seconds as a duration, rounded towards zero.
 constexpr Duration fromSeconds(double seconds)
 {
--- a/src/crash_suspects.cc
+++ b/src/crash_suspects.cc
@@ -7,18 +7,6 @@
 
 namespace {
 
-    std::uint64_t ageMs(TimePoint at, TimePoint now)
-    {
-        return static_cast<std::uint64_t>(std::max(now - at, Duration(0)) / std::chrono::milliseconds(1));
-    }
-
-    /// @return A duration from a peer's message, bounded so that it can be added to a time.
-    Duration fromMilliseconds(std::uint64_t milliseconds)
-    {
-        constexpr std::uint64_t maxMs = 7ULL * 24 * 3600 * 1000;
-        return std::chrono::milliseconds(std::min(milliseconds, maxMs));
-    }
-
     /// @return Probability of at least @p least successes in @p count trials.
     double binomialTail(std::size_t least, std::size_t count, double probability)
     {
@@ -41,7 +29,7 @@
 
     TimePoint fromAge(std::uint64_t milliseconds, TimePoint now)
     {
-        return now - fromMilliseconds(milliseconds);
+        return now - fromAgeMs(milliseconds);
     }
 
     /// @return The number of groups of times that are at least @p gap apart.
@@ -193,7 +181,7 @@
         // It is the same one if it began before the end of ours.
         if (own != this->quarantines.end() && since < own->second.end)
             continue;
-        const auto left = std::min(fromMilliseconds(entry.leftMs), this->settings.maxQuarantine);
+        const auto left = std::min(fromAgeMs(entry.leftMs), this->settings.maxQuarantine);
         this->quarantines.insert_or_assign(entry.part, Quarantine { since, now + left, std::max(entry.count, 1U), false });
     }
 }
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -173,7 +173,7 @@
 
 void applyWeightsAge(EdgeState& state, const InstanceId& peer, const NamedWeightsAge& report, TimePoint now)
 {
-    const WeightTarget target { report.version, now - std::chrono::milliseconds(report.ageMs), true, report.replaces };
+    const WeightTarget target { report.version, now - fromAgeMs(report.ageMs), true, report.replaces };
     if (state.weightTargets[report.model].add(target, unseenNamingTime(state, now)))
         edge::log(LogClass::Decision, "weights_heard_of",
             { { "model", report.model }, { "version", static_cast<std::int64_t>(report.version) }, { "peer", peer.value }, { "age_ms", static_cast<std::int64_t>(report.ageMs) } });
--- a/src/edge/feed_exchange.cc
+++ b/src/edge/feed_exchange.cc
@@ -265,10 +265,10 @@
     this->state.lastReaderAnswer = now;
     if (answer.isReading) {
         this->state.registryContact.isReachable = true;
-        this->state.registryContact.since = now - std::chrono::milliseconds(answer.readingMs);
+        this->state.registryContact.since = now - fromAgeMs(answer.readingMs);
     }
     if (answer.duty && (!this->state.duty || answer.duty->record != this->state.duty->first))
-        applyDutyRecord(this->state, answer.duty->record, now - std::chrono::milliseconds(answer.duty->ageMs));
+        applyDutyRecord(this->state, answer.duty->record, now - fromAgeMs(answer.duty->ageMs));
 }
 
 void FeedExchange::applyAnswer(const FeedAnswer& answer, TimePoint asked)
@@ -311,7 +311,6 @@
 FeedAnswer FeedExchange::answerTo(const FeedQuery& query) const
 {
     const auto now = monotonicNow();
-    const auto ageMs = [&](TimePoint since) { return static_cast<std::uint64_t>((now - since) / std::chrono::milliseconds(1)); };
     FeedAnswer answer;
     answer.operatorRecords = toMessage(this->state.operatorFeed.since(query.operatorFrom));
     answer.operatorEnd = this->state.operatorFeed.end();
@@ -323,10 +322,10 @@
     }
     answer.daemons = this->peers.newsFor(query.daemonsSource, query.daemonsFrom);
     if (this->state.duty)
-        answer.duty = DutyNotice { this->state.duty->first, ageMs(this->state.duty->second) };
+        answer.duty = DutyNotice { this->state.duty->first, ageMs(this->state.duty->second, now) };
     answer.hearsAll = this->state.hasFullView(now);
     answer.isReading = this->state.readsStore();
-    answer.readingMs = ageMs(this->state.registryContact.since);
+    answer.readingMs = ageMs(this->state.registryContact.since, now);
     answer.crashes = this->state.crashSuspects.notice(true, now);
     answer.limits = this->state.board.limitNotice(true, now);
     return answer;
--- a/src/rollout.cc
+++ b/src/rollout.cc
@@ -145,7 +145,7 @@
     this->reverted = this->reverted || notice.isReverted;
     this->approved = this->approved || notice.isApproved;
     if (notice.isWitnessed) {
-        const auto orderedAt = now - std::chrono::milliseconds(notice.ageMs);
+        const auto orderedAt = now - fromAgeMs(notice.ageMs);
         this->since = this->since ? std::min(*this->since, orderedAt) : orderedAt;
     }
     this->peerOutcomes[{ peer, incarnation }] = notice.outcomes;
--- a/src/upstream_board_limits.cc
+++ b/src/upstream_board_limits.cc
@@ -32,11 +32,6 @@
     /// Added to a small count of events for the upper bound of its expectation at a confidence of 95%.
     constexpr double countMargin = 3;
 
-    std::uint64_t ageMs(TimePoint at, TimePoint now)
-    {
-        return static_cast<std::uint64_t>(std::max(now - at, Duration(0)) / std::chrono::milliseconds(1));
-    }
-
 } // namespace
 
 std::size_t UpstreamBoard::coldShare(const Upstream& upstream, double bound) const
@@ -169,7 +164,7 @@
             continue;
         auto& upstream = found->second;
         const auto before = upstream.limit.perSecond();
-        if (upstream.limit.onReport({ report.perSecond, now - std::chrono::milliseconds(report.sentAgeMs), now - std::chrono::milliseconds(report.readAgeMs) })) {
+        if (upstream.limit.onReport({ report.perSecond, now - fromAgeMs(report.sentAgeMs), now - fromAgeMs(report.readAgeMs) })) {
             this->onLimitChange(upstream, before, now);
             changed.push_back(report.upstream);
         }
--- a/test/upstream_limit_test.cc
+++ b/test/upstream_limit_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <memory>
 
@@ -174,6 +175,16 @@
         REQUIRE_FALSE(one->board.limitNotice(true, start + 20s));
 }
 
+TEST_CASE("a report with an absurd age is an old one")
+{
+    LimitedSite site(1);
+    site.name(1.0, start);
+    const auto oldest = std::numeric_limits<std::uint64_t>::max() / 2;
+    auto& board = site.sites.front()->board;
+    REQUIRE(board.onPeerLimits({ { { site.entry.id, site.entry.born, std::nullopt, oldest, oldest, 0 } } }, start).empty());
+    REQUIRE(board.requestLimit(site.entry.id) == 1.0);
+}
+
 TEST_CASE("a limit holds for one incarnation, also while its registry entry is missing")
 {
     LimitedSite site(2);
