Tests share the threads that call until a block ends

request_limit_test and rollout_test had the same eight lines to start and end their callers. The comment of repeats_refusals tells it from copies_refusals.

--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -431,7 +431,7 @@
         self.loading_until = 0.0
         self.next_version = 1
         self.refuse = self.fail = self.drop = self.cut_after = 0
-        self.repeats_refusals = False  # Whether it sends a refusal once more before the next answer on the connection.
+        self.repeats_refusals = False  # Whether it sends a refusal once more, without an id, before each later answer on the connection.
         self.copies_refusals = False  # Whether it sends the copy of a refusal, with its request's id, before the next answer on the connection.
         self.copies = []  # Id of the refused request and of the one before whose answer the copy came.
         self.misdirected = []  # Ids of the requests that were meant for another id at its address.
@@ -704,6 +704,24 @@
             wait_until(daemon.is_ready, f"{daemon.node} is ready", check=daemon.process)
 
 
+class Callers:
+    """Runs functions in threads of their own until the block ends; each gets the event that ends it."""
+
+    def __init__(self, functions):
+        self.ended = threading.Event()
+        self.threads = [threading.Thread(target=function, args=(self.ended,)) for function in functions]
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *error):
+        self.ended.set()
+        for thread in self.threads:
+            thread.join()
+
+
 def wait_until(condition, what, seconds=START_SECONDS, check=None):
     deadline = time.monotonic() + seconds
     while time.monotonic() < deadline:
--- a/test/process/request_limit_test.py
+++ b/test/process/request_limit_test.py
@@ -2,9 +2,9 @@
 
 import collections
 import contextlib
+import functools
 import http.client
 import math
-import threading
 import time
 import unittest
 
@@ -40,30 +40,18 @@
 
 
 class Readers:
-    """Callers that read through all daemons until the test ends."""
+    """Reads of callers through all daemons."""
 
     def __init__(self, daemons):
         self.daemons = daemons
         self.sent = {}  # By request id; an exception leaves no status.
-        self.ended = threading.Event()
-        self.threads = [threading.Thread(target=self.read, args=(number,)) for number in range(CALLERS)]
 
-    def __enter__(self):
-        for thread in self.threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *error):
-        self.ended.set()
-        for thread in self.threads:
-            thread.join()
-
-    def read(self, caller):
+    def read(self, caller, ended):
         daemon = self.daemons[caller % len(self.daemons)]
         interval = CALLERS / REQUESTS_PER_SECOND
-        self.ended.wait(interval * caller / CALLERS)
+        ended.wait(interval * caller / CALLERS)
         number = 0
-        while not self.ended.is_set():
+        while not ended.is_set():
             number += 1
             identifier = f"{caller + 1:08x}{number:08x}"
             at, status, headers, body = time.monotonic(), None, {}, b""
@@ -72,7 +60,7 @@
             answered = time.monotonic()
             self.sent[identifier] = Sent(daemon, at, answered, status, body)
             wait = min(float(headers.get("Retry-After", 0)), LONGEST_WAIT_SECONDS)
-            self.ended.wait(max(at + interval - answered, wait, 0))
+            ended.wait(max(at + interval - answered, wait, 0))
 
 
 class RequestLimitTest(unittest.TestCase):
@@ -82,7 +70,8 @@
         self.replicas = edge.plain
         for replica in edge.plain:
             replica.delay = ANSWER_SECONDS
-        with Readers(edge.daemons) as readers:
+        readers = Readers(edge.daemons)
+        with site.Callers([functools.partial(readers.read, number) for number in range(CALLERS)]):
             time.sleep(WARM_SECONDS)
             self.named = time.monotonic()
             for replica, limit in zip(edge.plain, limits):
--- a/test/process/rollout_test.py
+++ b/test/process/rollout_test.py
@@ -1,8 +1,8 @@
 """Roll-out of a new version of a plain service through real daemons: a good version completes, a failing one is reverted."""
 
 import base64
+import functools
 import json
-import threading
 import unittest
 
 import edge_site as site
@@ -12,11 +12,17 @@
 ORDER = {"service": "plain", "target": "v2", "duration_s": 12}
 
 
+def send_requests(daemon, ended):
+    """Sends requests for the plain service to a daemon until the test ends."""
+    while not ended.wait(0.01):
+        site.request(daemon, "/safe/a", method="GET", key=None)
+
+
 class RolloutTest(unittest.TestCase):
     def start(self):
         edge = self.enterContext(site.EdgeSite(daemons=3, bounds=BOUNDS))
         new = [site.Replica(edge.store, number, "plain", "plain", f"zone-{number % 3}", software="v2") for number in (8, 9)]
-        self.enterContext(Traffic(edge))
+        self.enterContext(site.Callers([functools.partial(send_requests, daemon) for daemon in edge.daemons]))
         return edge, new
 
     def states(self, edge):
@@ -67,28 +73,5 @@
         self.assertEqual(new.requests, [])
 
 
-class Traffic:
-    """Sends requests for the plain service to all daemons until the test ends."""
-
-    def __init__(self, edge):
-        self.edge = edge
-        self.ended = threading.Event()
-        self.threads = [threading.Thread(target=self.call, args=(daemon,)) for daemon in edge.daemons]
-
-    def __enter__(self):
-        for thread in self.threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *error):
-        self.ended.set()
-        for thread in self.threads:
-            thread.join()
-
-    def call(self, daemon):
-        while not self.ended.wait(0.01):
-            site.request(daemon, "/safe/a", method="GET", key=None)
-
-
 if __name__ == "__main__":
     unittest.main()
