Usage reports: counts by account and window, sent by the holder of the duty

The platform asks for the number of runs of each account in each window, once and for ever the same. Daemons count the runs they forward, tell the feed readers about once a second, and the holder appends the totals to the duty topic before it reports them.

--- a/include/goldcrestwood/duty_lease.h
+++ b/include/goldcrestwood/duty_lease.h
@@ -3,6 +3,7 @@
 /// @file
 /// Lease for giving orders to upstreams. The holder is elected by conditional appends to a topic of the store.
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -53,6 +54,13 @@
     /// Handles an append that was refused or has an unknown outcome: the topic must be read before the next append.
     void onAppendFailed();
 
+    /// Handles the refusal of an order because a higher fencing token was seen: this daemon gives no order with its token again, and
+    /// waits as after another holder's order before it claims a new one.
+    void onFenceRefused(TimePoint now);
+
+    /// Continues at @p position after records that the store has removed.
+    void skipTo(std::uint64_t position) { this->nextOffset = std::max(this->nextOffset, position); }
+
     /// @return Whether this daemon may give an order now.
     bool mayOrder(TimePoint now) const;
     /// @return Whether the holder should write a record now.
--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -267,6 +267,48 @@
     bool operator==(const LimitNotice&) const = default;
 };
 
+/// Runs that upstreams started for one client account.
+struct AccountRuns {
+    /// The account.
+    ClientAccount account;
+    /// Number of runs.
+    std::uint64_t runs = 0;
+
+    bool operator==(const AccountRuns&) const = default;
+};
+
+/// Runs that were started in one window of the usage reports.
+struct UsageWindow {
+    /// The window begins this many times the window's length after the start of 1970.
+    std::uint64_t window = 0;
+    /// Accounts with runs, sorted by name, each once.
+    std::vector<AccountRuns> counts;
+
+    bool operator==(const UsageWindow&) const = default;
+};
+
+/// Runs that one process counted, and the state of the usage reports if it holds the duty.
+struct UsageNotice {
+    /// The sender.
+    InstanceId instance;
+    /// Start of its process, Unix microseconds.
+    std::uint64_t incarnation = 0;
+    /// The sender's wall clock, Unix milliseconds.
+    std::uint64_t clockMs = 0;
+    /// Totals of the runs that the sender itself forwarded, by window; only those that changed.
+    std::vector<UsageWindow> counted;
+    /// Whether the sender wrote the last record of the duty topic that it knows; the following fields are empty otherwise.
+    bool isHolder = false;
+    /// Windows below this are in the duty topic or have been given up.
+    std::uint64_t settledEnd = 0;
+    /// Reports of windows below this were accepted or have been given up.
+    std::uint64_t acknowledgedEnd = 0;
+    /// Windows that the sender has just appended to the duty topic.
+    std::vector<UsageWindow> logged;
+
+    bool operator==(const UsageNotice&) const = default;
+};
+
 /// What a daemon knows of prompt parts that may crash engines.
 struct CrashNotice {
     /// Recent crashes, newest first.
@@ -291,6 +333,8 @@
     std::optional<CrashNotice> crashes;
     /// Request limits of upstreams that the sender saw.
     std::optional<LimitNotice> limits;
+    /// Runs that the sender counted, for daemons that may hold the duty.
+    std::optional<UsageNotice> usage;
 
     bool operator==(const PeerDatagram&) const = default;
 };
@@ -393,6 +437,14 @@
     std::vector<OrderedUpstream> ordered;
     /// Upstreams observed to have the version.
     std::vector<OrderedUpstream> done;
+    /// How often the store had returned from an older copy when the holder wrote the record.
+    std::uint64_t era = 0;
+    /// Windows of the usage reports below this are in this topic up to this record or have been given up; 0 if the holder sends no reports.
+    std::uint64_t settledEnd = 0;
+    /// Usage reports of windows below this were accepted or have been given up.
+    std::uint64_t acknowledgedEnd = 0;
+    /// Windows whose counts the holder is about to report.
+    std::vector<UsageWindow> usage;
 
     bool operator==(const DutyRecord&) const = default;
 };
@@ -552,6 +604,21 @@
 tl::expected<LimitNotice, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const LimitNotice& message);
 template <>
+std::string encode(const AccountRuns& message);
+template <>
+tl::expected<AccountRuns, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const AccountRuns& message);
+template <>
+std::string encode(const UsageWindow& message);
+template <>
+tl::expected<UsageWindow, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const UsageWindow& message);
+template <>
+std::string encode(const UsageNotice& message);
+template <>
+tl::expected<UsageNotice, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const UsageNotice& message);
+template <>
 std::string encode(const CrashNotice& message);
 template <>
 tl::expected<CrashNotice, DecodeError> decode(std::string_view bytes);
--- a/include/goldcrestwood/edge_settings.h
+++ b/include/goldcrestwood/edge_settings.h
@@ -32,10 +32,25 @@
     double limitFactor = 1.5; ///< Factor on the requests that the limit allows in that span.
     double limitSlack = 5; ///< Requests per span in addition to that.
     Duration maxDirectoryLifetime = std::chrono::seconds(5); ///< Maximum lifetime of a directory answer.
+    Duration usageWindow = std::chrono::seconds(5); ///< Length of a window of the usage reports.
+    double usageTolerance = 0.05; ///< Share by which a reported count may differ from the true one.
+    Duration usageLateness = std::chrono::seconds(10); ///< Time after the end of a window at which its usage report is due.
+    Duration freezeSlack = std::chrono::milliseconds(300); ///< Allowance for a holder of the duty that stands still between a check and a call.
+    Duration maxClockSkew = std::chrono::seconds(6); ///< Maximum difference between the wall clocks of two machines.
 
     bool operator==(const SiteBounds&) const = default;
 };
 
+/// Calls to the platform that one daemon at a time makes for the whole site.
+struct DutySettings {
+    std::string address; ///< Of the platform's endpoint; empty if there is none.
+    bool reportsUsage = false; ///< The number of runs of each client account is reported.
+    bool scalesReplicas = false; ///< The numbers of replicas are requested.
+    double callsPerSecond = 0; ///< Calls of each kind from all daemons together that the platform accepts; 0 if unlimited.
+
+    bool operator==(const DutySettings&) const = default;
+};
+
 /// Settings of one daemon, fixed at its start.
 struct EdgeSettings {
     InstanceId instance;
@@ -53,6 +68,7 @@
     std::uint64_t memoryBytes = 0; ///< Memory above which the platform kills the process; 0 if unknown.
     double linkMegabits = 0; ///< Bandwidth of the machine's link in megabits per second; 0 if unknown.
     SiteBounds bounds;
+    DutySettings duties;
 
     bool operator==(const EdgeSettings&) const = default;
 };
--- a/src/duty_lease.cc
+++ b/src/duty_lease.cc
@@ -83,6 +83,13 @@
     this->upToDate = false;
 }
 
+void DutyLease::onFenceRefused(TimePoint now)
+{
+    this->ownFence = 0;
+    this->upToDate = false;
+    this->claimableFrom = now + this->settings.margin + this->settings.handoverGap;
+}
+
 bool DutyLease::mayOrder(TimePoint now) const
 {
     return this->ownFence > 0 && this->isLastHolder() && now < this->orderUntil;
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -215,6 +215,15 @@
         logRequestLimit(state, upstream, "peer");
 }
 
+void applyUsageNotice(EdgeState& state, const UsageNotice& notice)
+{
+    if (!state.usage || notice.instance == state.settings.instance)
+        return;
+    const auto wall = wallClock();
+    state.usage->ledger.onNotice(notice, wall);
+    state.usage->reporter.onNotice(notice, wall, monotonicNow());
+}
+
 void applyDutyRecord(EdgeState& state, const DutyRecord& record, TimePoint readAt)
 {
     std::set<UpstreamId> ordered;
@@ -224,6 +233,8 @@
     for (const auto& entry : record.done)
         state.board.setWeights(entry.upstream, entry.model, entry.version);
     state.duty = { record, readAt };
+    // Daemons that get the record from this one need only the orders, and ask for it several times a second.
+    state.duty->first.usage.clear();
 }
 
 void applyOperatorRecords(EdgeState& state, const std::vector<KeyedRecord>& records, RecordSource source)
--- a/src/edge/beliefs.h
+++ b/src/edge/beliefs.h
@@ -46,6 +46,9 @@
 /// Applies a peer's report of request limits.
 void applyPeerLimits(EdgeState& state, const LimitNotice& notice);
 
+/// Applies a peer's counts of runs and its state of the usage reports.
+void applyUsageNotice(EdgeState& state, const UsageNotice& notice);
+
 /// Applies the duty holder's record of the upstreams that are loading new weights and of those that have loaded them.
 /// @param readAt When this daemon, or the one that forwarded the record, read it from its topic.
 void applyDutyRecord(EdgeState& state, const DutyRecord& record, TimePoint readAt);
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -1,7 +1,5 @@
 #include "edge/duty_runner.h"
 
-#include <ctime>
-
 #include "daemon/clock.h"
 #include "edge/beliefs.h"
 #include "edge/log.h"
@@ -32,18 +30,14 @@
     constexpr Duration dutyRecordLifetime = std::chrono::milliseconds(2500);
     /// Additional wait before a claim per rank, so that usually only one daemon appends.
     constexpr Duration rankDelay = std::chrono::milliseconds(150);
-
-    /// @return The time of a clock that includes machine suspension, during which a lease continues to run.
-    TimePoint suspensionAwareNow()
-    {
-        timespec time {};
-        clock_gettime(CLOCK_BOOTTIME, &time);
-        return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
-    }
+    /// Pause after a failed call to the store when only usage reports wait, which have seconds; other daemons than the holder only
+    /// look whether they must take over.
+    constexpr Duration holderRetryDelay = std::chrono::milliseconds(700);
+    constexpr Duration followerRetryDelay = std::chrono::seconds(2);
 
 } // namespace
 
-DutyRunner::DutyRunner(EdgeState& edgeState, const asio::any_io_executor& loop, ServiceQueues& serviceQueues, const PeerLink& peerLink)
+DutyRunner::DutyRunner(EdgeState& edgeState, const asio::any_io_executor& loop, ServiceQueues& serviceQueues, PeerLink& peerLink)
     : state(edgeState)
     , executor(loop)
     , queues(serviceQueues)
@@ -51,6 +45,7 @@
     , store(loop, edgeState.transferMemory, edgeState.settings.storeAddress)
     , lease(edgeState.settings.instance, edgeState.settings.peerAddress, edgeState.incarnation,
           DutyLeaseSettings { .handoverGap = edgeState.settings.bounds.leaseTime, .upstreamsCheckFences = edgeState.settings.bounds.fencesChecked })
+    , usage(edgeState, loop, peerLink, this->lease)
 {
 }
 
@@ -93,13 +88,19 @@
     return monotonicNow() - *this->claimableSince >= rankDelay * static_cast<int>(rank);
 }
 
-DutyRecord DutyRunner::makeRecord() const
+DutyRecord DutyRunner::makeRecord()
 {
-    DutyRecord record { this->state.settings.instance, this->state.settings.peerAddress, this->state.incarnation, this->lease.fence(), {}, {} };
+    DutyRecord record;
+    record.holder = this->state.settings.instance;
+    record.address = this->state.settings.peerAddress;
+    record.incarnation = this->state.incarnation;
+    record.fence = this->lease.fence();
+    record.era = logEra(this->lease.end());
     if (this->plan) {
         record.ordered = this->plan->ordered();
         record.done = this->plan->done();
     }
+    this->usage.addTo(record);
     return record;
 }
 
@@ -125,6 +126,7 @@
             { { "topic", dutyTopic }, { "era", static_cast<std::int64_t>(*era) }, { "read_to", static_cast<std::int64_t>(logOffset(this->lease.end())) }, { "fence", static_cast<std::int64_t>(this->lease.fence()) } });
     }
     this->lease.onRestored(*era, suspensionAwareNow());
+    this->usage.onStoreReturned();
     return false;
 }
 
@@ -143,8 +145,13 @@
         co_return true;
     }
     if (answer->status == 410) {
-        // The removed records are too old to matter; continue at the end.
         const auto gone = platform::decodeAppend(*answer);
+        // The oldest records that are left may have counts of usage that still have to be reported.
+        if (this->state.usage && gone.oldestOffset && logPosition(era, *gone.oldestOffset) > from) {
+            this->lease.skipTo(logPosition(era, *gone.oldestOffset));
+            co_return true;
+        }
+        // The removed records are too old to matter; continue at the end.
         const auto next = gone.endOffset ? gone.endOffset : gone.oldestOffset;
         this->lease.onReadTo(next ? logPosition(era, *next) : from);
         if (!this->copiedUpTo)
@@ -161,6 +168,7 @@
     for (const auto& raw : slice->records) {
         if (const auto record = decode<DutyRecord>(raw)) {
             this->lease.onRecord(*record, position, suspensionAwareNow());
+            this->usage.onRecord(*record);
             if (position >= *this->copiedUpTo)
                 this->applyRecord(*record);
         }
@@ -188,6 +196,7 @@
         co_return false;
     }
     this->lease.onAppended(record, logPosition(era, outcome.firstOffset), sent);
+    this->usage.onAppended(record);
     this->applyRecord(record);
     co_return true;
 }
@@ -204,34 +213,73 @@
             this->state.board.setLoadingWeights({});
         const auto target = this->nextTarget();
         if (!target) {
-            this->claimableSince.reset();
             this->plan.reset();
             this->state.board.setLoadingWeights({});
+        }
+        if (!target && !this->usage.isWorkDue()) {
+            this->claimableSince.reset();
             continue;
         }
         // Other daemons receive the topic from a feed reader.
-        if (!this->state.readerRank() && !this->lease.isLastHolder())
-            continue;
-        if (this->state.isStopping && !this->lease.isLastHolder()) {
+        if (this->state.readerRank() || this->lease.isLastHolder())
+            co_await this->work(target);
+    }
+}
+
+Task<> DutyRunner::work(const std::optional<NamedWeights>& target)
+{
+    if (this->state.isStopping && !this->lease.isLastHolder()) {
+        if (target)
             co_await this->followTopic(followHold);
-            continue;
-        }
-        if (this->lease.mustRead()) {
-            const bool isRead = co_await this->readTopic(Duration(0));
-            if (!isRead)
-                continue;
-        }
-        const bool mayClaim = this->lease.mayClaim(this->isHolderHealthy(), suspensionAwareNow());
-        if (!mayClaim)
-            this->claimableSince.reset();
-        else if (!this->claimableSince)
-            this->claimableSince = monotonicNow();
-        const bool isHolder = this->lease.isLastHolder() && !this->lease.isTermPending(suspensionAwareNow());
-        if (isHolder || (mayClaim && this->isClaimDue()))
-            co_await this->runPlan(*target);
-        else
-            co_await this->followTopic(mayClaim ? rankDelay : followHold);
+        co_return;
+    }
+    if (this->lease.mustRead()) {
+        const bool isRead = co_await this->readTopic(Duration(0));
+        if (!isRead && !target)
+            co_await this->pause(this->lease.isLastHolder() ? holderRetryDelay : followerRetryDelay);
+        // The topic may show that another daemon has done the work.
+        if (!isRead || this->lease.mustRead() || (!target && !this->usage.isWorkDue()))
+            co_return;
     }
+    // Usage reports have time for the whole gap between two holders. Weights do not, but the calls of the reports wait for its end.
+    const auto now = suspensionAwareNow();
+    const bool mayClaim = this->lease.mayClaim(!target || this->isHolderHealthy(), now);
+    if (!mayClaim)
+        this->claimableSince.reset();
+    else if (!this->claimableSince)
+        this->claimableSince = monotonicNow();
+    const bool isHolder = this->lease.isLastHolder() && !this->lease.isTermPending(now);
+    if (!isHolder && !(mayClaim && this->isClaimDue())) {
+        const bool isFollowed = co_await this->readTopic(mayClaim ? rankDelay : followHold);
+        if (!isFollowed && !target)
+            co_await this->pause(followerRetryDelay);
+        co_return;
+    }
+    if (!this->lease.mayClaim(true, now))
+        this->usage.holdCalls(now + this->state.settings.bounds.leaseTime + this->state.settings.bounds.freezeSlack);
+    if (target)
+        co_await this->runPlan(*target);
+    else
+        co_await this->runUsage();
+}
+
+Task<> DutyRunner::pause(Duration duration)
+{
+    asio::steady_timer timer(this->executor);
+    timer.expires_after(duration);
+    ErrorCode ignored;
+    co_await timer.async_wait(into(ignored));
+}
+
+Task<> DutyRunner::runUsage()
+{
+    const auto fenceBefore = this->lease.fence();
+    const auto record = this->makeRecord();
+    const bool isAppended = co_await this->append(record);
+    if (!isAppended)
+        co_await this->pause(holderRetryDelay);
+    else if (fenceBefore != this->lease.fence())
+        edge::log(LogClass::Decision, "duty_claimed", { { "fence", static_cast<std::int64_t>(this->lease.fence()) }, { "work", "usage" } });
 }
 
 Task<> DutyRunner::followTopic(Duration hold)
@@ -252,7 +300,7 @@
     this->plan->expire(present, now);
     const auto started = this->plan->start(all, now);
     const auto doneBefore = this->lease.last() ? this->lease.last()->done.size() : 0;
-    const bool hasNews = !started.empty() || this->plan->done().size() != doneBefore;
+    const bool hasNews = !started.empty() || this->plan->done().size() != doneBefore || this->usage.isWorkDue();
     const auto fenceBefore = this->lease.fence();
     if (hasNews || this->lease.isRenewalDue(suspensionAwareNow()) || !this->lease.mayOrder(suspensionAwareNow())) {
         const auto next = this->makeRecord();
--- a/src/edge/duty_runner.h
+++ b/src/edge/duty_runner.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// @file
-/// Updates model replicas to the weights named by the operator. One daemon at a time holds this duty.
+/// Updates model replicas to the weights named by the operator, and appends the counts of the usage reports to the duty topic. One
+/// daemon at a time holds the duty.
 
 #include <map>
 #include <optional>
@@ -10,6 +11,7 @@
 #include "edge/http_call.h"
 #include "edge/peer_link.h"
 #include "edge/service_queue.h"
+#include "edge/usage_runner.h"
 #include "goldcrestwood/duty_lease.h"
 #include "goldcrestwood/weight_plan.h"
 
@@ -17,16 +19,23 @@
 
 class DutyRunner {
 public:
-    DutyRunner(EdgeState& state, const asio::any_io_executor& executor, ServiceQueues& queues, const PeerLink& peers);
+    DutyRunner(EdgeState& state, const asio::any_io_executor& executor, ServiceQueues& queues, PeerLink& peers);
 
     /// Runs for the life of the process and orders weight updates while this daemon holds the duty.
     Task<> run();
+    /// @return The part that exchanges counts with peers and sends the usage reports.
+    UsageRunner& usageReports() { return this->usage; }
 
 private:
     std::vector<WeightCandidate> candidates(const std::string& model) const;
     std::optional<NamedWeights> nextTarget() const;
     Task<> followTopic(Duration hold);
     Task<> runPlan(const NamedWeights& target);
+    /// Appends a record of the usage reports.
+    Task<> runUsage();
+    /// Reads the topic, then claims the lease, works as its holder or follows the topic.
+    Task<> work(const std::optional<NamedWeights>& target);
+    Task<> pause(Duration duration);
     Task<bool> append(const DutyRecord& record);
     Task<bool> readTopic(Duration hold);
     Task<> updateUpstream(UpstreamId upstream);
@@ -40,7 +49,7 @@
     bool continuesTopic(const HttpAnswer& answer);
     bool isHolderHealthy() const;
     bool isClaimDue() const;
-    DutyRecord makeRecord() const;
+    DutyRecord makeRecord();
 
     EdgeState& state;
     asio::any_io_executor executor;
@@ -48,6 +57,7 @@
     const PeerLink& peers;
     HttpCaller store;
     DutyLease lease;
+    UsageRunner usage;
     /// End of the records that the store had when it returned from an older copy; nothing until they have been read.
     std::optional<std::uint64_t> copiedUpTo = 0;
     std::optional<WeightPlan> plan;
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -134,6 +134,10 @@
     spawn(this->feeds.catchUp());
     spawn(this->feeds.queryReaders());
     spawn(this->duty.run());
+    if (this->state.usage) {
+        spawn(this->duty.usageReports().exchangeCounts());
+        spawn(this->duty.usageReports().sendReports());
+    }
     spawn(this->rollouts.run());
     spawn(this->cacheWatch.run());
     spawn(this->crashes.run());
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -13,6 +13,8 @@
 #include "daemon/clock.h"
 #include "daemon/metrics.h"
 #include "goldcrestwood/crash_suspects.h"
+#include "goldcrestwood/duties/usage_ledger.h"
+#include "goldcrestwood/duties/usage_reporter.h"
 #include "goldcrestwood/edge_settings.h"
 #include "goldcrestwood/keyed_feed.h"
 #include "goldcrestwood/load_keepers.h"
@@ -38,6 +40,12 @@
     TimePoint confirmed {}; ///< Latest time for which all records are known.
 };
 
+/// What this daemon knows of the usage reports.
+struct UsageState {
+    UsageLedger ledger;
+    UsageReporter reporter;
+};
+
 struct EdgeState {
     /// Time without a reader's answer after which this daemon reads the store itself; covers several queries to readers in turn.
     static constexpr Duration readerAnswerLifetime = std::chrono::milliseconds(2500);
@@ -56,7 +64,18 @@
         , random(seed)
         , sendBudgets(settings.bounds, settings.isFirstStart ? std::nullopt : std::optional(started))
     {
-        this->incarnation = static_cast<std::uint64_t>(wallClock().count());
+        const auto wall = wallClock();
+        this->incarnation = static_cast<std::uint64_t>(wall.count());
+        if (!this->settings.duties.reportsUsage)
+            return;
+        UsageSettings usageSettings;
+        usageSettings.window = this->settings.bounds.usageWindow;
+        usageSettings.lateness = this->settings.bounds.usageLateness;
+        usageSettings.maxSkew = this->settings.bounds.maxClockSkew;
+        // A fifth below the platform's limit, as calls may be delayed on their way.
+        const auto perSecond = this->settings.duties.callsPerSecond * 0.8;
+        this->usage.emplace(UsageState { { this->settings.instance, this->incarnation, usageSettings },
+            { usageSettings, this->settings.isFirstStart, wall, perSecond > 0 ? fromSeconds(1 / perSecond) : Duration(0) } });
     }
 
     /// @return The roll-out of @p service, or null.
@@ -133,6 +152,7 @@
     Metrics metrics;
     SendBudgets sendBudgets;
     CrashSuspects crashSuspects;
+    std::optional<UsageState> usage; ///< Nothing if usage is not reported.
 };
 
 } // namespace goldcrestwood
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -190,6 +190,13 @@
     this->datagrams.send_to(asio::buffer(encode(datagram)), target, 0, ignored);
 }
 
+void PeerLink::sendToReaders(const PeerDatagram& datagram)
+{
+    for (const auto& reader : this->state.feedReaders)
+        if (const auto endpoint = reader == this->state.settings.instance ? std::nullopt : parseEndpoint(this->addressOf(reader)))
+            this->send(datagram, udp::endpoint(endpoint->address(), endpoint->port()));
+}
+
 void PeerLink::announce()
 {
     for (const auto& [address, datagram] : this->makeDatagrams(true))
@@ -284,6 +291,8 @@
         this->state.crashSuspects.onNotice(*datagram.crashes, monotonicNow());
     if (datagram.limits)
         applyPeerLimits(this->state, *datagram.limits);
+    if (datagram.usage)
+        applyUsageNotice(this->state, *datagram.usage);
     this->queues.dispatchAll();
 }
 
@@ -304,7 +313,14 @@
         if (auto* rollout = this->state.rolloutOf(notice.service))
             rollout->onNotice(message.instance, message.incarnation, notice, now);
     if (message.wantsReply)
-        this->send(PeerDatagram { this->makeHeartbeat(false), std::nullopt, std::nullopt, std::nullopt, std::nullopt }, sender);
+        this->sendHeartbeat(sender);
+}
+
+void PeerLink::sendHeartbeat(const udp::endpoint& target)
+{
+    PeerDatagram datagram;
+    datagram.heartbeat = this->makeHeartbeat(false);
+    this->send(datagram, target);
 }
 
 void PeerLink::onReport(const LoadReport& report, const udp::endpoint& sender)
@@ -316,7 +332,9 @@
         return;
     const auto& self = this->state.settings.instance;
     const auto isAggregated = [&](const UpstreamId& id) { return this->state.aggregators.aggregates(self, id.value); };
-    this->send(PeerDatagram { std::nullopt, std::nullopt, LoadDigest { self, this->state.board.loadsFor(report.instance, isAggregated, now), this->state.board.slowSources(now) }, std::nullopt, std::nullopt }, sender);
+    PeerDatagram datagram;
+    datagram.digest = LoadDigest { self, this->state.board.loadsFor(report.instance, isAggregated, now), this->state.board.slowSources(now) };
+    this->send(datagram, sender);
 }
 
 void PeerLink::onDigest(const LoadDigest& digest)
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -28,6 +28,8 @@
 
     Task<> sendDatagrams();
     Task<> receiveDatagrams();
+    /// Sends one datagram to each feed reader other than this daemon.
+    void sendToReaders(const PeerDatagram& datagram);
     /// Sends heartbeats at once, for example before a stop.
     void announce();
 
@@ -59,6 +61,7 @@
     /// @param isNew Whether a limit has just changed.
     void sendLimitNotice(bool isNew);
     void send(const PeerDatagram& datagram, const udp::endpoint& target);
+    void sendHeartbeat(const udp::endpoint& target);
     void onDatagram(const PeerDatagram& datagram, const udp::endpoint& sender);
     void onHeartbeat(const EdgeHeartbeat& message, const udp::endpoint& sender);
     void onReport(const LoadReport& report, const udp::endpoint& sender);
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -282,6 +282,17 @@
         monotonicNow() - exchange.received);
 }
 
+void Pipeline::countRun(const ClientExchange& exchange, const Attempt& attempt)
+{
+    if (!this->state.usage || exchange.account == nullptr || attempt.answer.provesNotRun)
+        return;
+    // A stream starts with its first token; other calls have started by the time that their answer comes, mostly when they were sent.
+    const bool isStream = exchange.route->kind == RequestKind::Stream && attempt.status < 300;
+    const auto started = wallClock() - (monotonicNow() - (isStream ? attempt.answerBegan : attempt.sent));
+    const bool isCounted = this->state.usage->ledger.onRun(exchange.account->name, started);
+    this->state.metrics.count("goldcrest_usage_runs_total", std::string("counted=\"") + (isCounted ? "yes" : "late") + "\"");
+}
+
 void Pipeline::recordRolloutOutcome(const ClientExchange& exchange, const Attempt& attempt)
 {
     auto* rollout = this->state.rolloutOf(exchange.placement.service);
@@ -430,6 +441,7 @@
         attempt.answerBegan = monotonicNow();
         attempt.firstByte = attempt.answerBegan - attempt.sent;
         this->state.board.onFirstByte(attempt.choice, exchange.placement, attempt.firstByte, monotonicNow());
+        this->countRun(exchange, attempt);
         if (exchange.route->kind == RequestKind::Stream && attempt.status < 300)
             co_await this->relayStream(exchange, attempt);
         else
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -54,6 +54,8 @@
     Task<> relayStream(ClientExchange& exchange, Attempt& attempt);
     Task<bool> writeStreamPiece(ClientExchange& exchange, Attempt& attempt, const char* data, std::size_t size, bool more);
     Task<> forwardBufferedAnswer(ClientExchange& exchange, Attempt& attempt);
+    /// Counts a run for the usage reports.
+    void countRun(const ClientExchange& exchange, const Attempt& attempt);
     /// Records the outcome of a send as evidence for a service's roll-out.
     void recordRolloutOutcome(const ClientExchange& exchange, const Attempt& attempt);
     /// Records a completed answer or a broken connection as evidence on the parts of the prompt.
--- /dev/null
+++ b/src/edge/usage_runner.cc
@@ -0,0 +1,224 @@
+#include "edge/usage_runner.h"
+
+#include <numeric>
+
+#include "daemon/clock.h"
+#include "edge/log.h"
+#include "platform/duty_calls.h"
+
+namespace goldcrestwood {
+
+namespace {
+
+    using edge::LogClass;
+
+    /// Interval of reports to the daemons that may hold the duty; traffic between failure domains is billed.
+    constexpr Duration exchangeInterval = std::chrono::seconds(1);
+    constexpr Duration callInterval = std::chrono::milliseconds(50);
+    /// An unanswered call is repeated; an exact repeat is harmless.
+    constexpr Duration callTimeout = std::chrono::seconds(3);
+    /// Time in which all daemons send their recent counts to a new feed reader: a heartbeat at a large site, and an exchange or two.
+    constexpr Duration coverTime = std::chrono::seconds(4);
+    /// The platform's answers are short.
+    constexpr std::uint64_t maxAnswerBytes = 64U << 10U;
+    /// A window that does not fit is known to other daemons only from the topic.
+    constexpr std::size_t maxLoggedBytes = 7000;
+
+    std::int64_t runsIn(const UsageWindow& usage)
+    {
+        return std::accumulate(usage.counts.begin(), usage.counts.end(), std::int64_t { 0 },
+            [](std::int64_t sum, const AccountRuns& entry) { return sum + static_cast<std::int64_t>(entry.runs); });
+    }
+
+} // namespace
+
+UsageRunner::UsageRunner(EdgeState& edgeState, const asio::any_io_executor& loop, PeerLink& peerLink, DutyLease& dutyLease)
+    : state(edgeState)
+    , executor(loop)
+    , peers(peerLink)
+    , lease(dutyLease)
+    , platformCaller(loop, edgeState.transferMemory, edgeState.settings.duties.address, maxAnswerBytes)
+{
+}
+
+bool UsageRunner::isCovered() const
+{
+    const auto now = monotonicNow();
+    return this->state.hasFullView(now) && now - *this->state.readerSince >= coverTime;
+}
+
+std::uint64_t UsageRunner::coveredFrom() const
+{
+    const auto since = this->state.readerSince.value_or(monotonicNow()) + coverTime;
+    UsageSettings settings;
+    settings.window = this->state.settings.bounds.usageWindow;
+    return usageWindowAt(settings, wallClock() - (monotonicNow() - since)) + 1;
+}
+
+bool UsageRunner::isWorkDue() const
+{
+    if (!this->state.usage)
+        return false;
+    const auto& [ledger, reporter] = *this->state.usage;
+    const auto now = monotonicNow();
+    if (!this->lease.isLastHolder())
+        return this->isCovered() && reporter.isTakeoverDue(ledger, wallClock(), now);
+    // Calls need a lease that runs.
+    const bool lacksLease = reporter.nextCall(now) && !this->lease.mayOrder(suspensionAwareNow());
+    return lacksLease || (this->isCovered() && reporter.isRecordDue(ledger, wallClock()));
+}
+
+void UsageRunner::addTo(DutyRecord& record)
+{
+    this->planned = {};
+    if (!this->state.usage || !this->isCovered())
+        return;
+    const auto& [ledger, reporter] = *this->state.usage;
+    this->planned = reporter.plan(ledger, record.era, this->coveredFrom(), wallClock());
+    record.settledEnd = this->planned.settledEnd;
+    record.acknowledgedEnd = this->planned.acknowledgedEnd;
+    record.usage = this->planned.usage;
+}
+
+void UsageRunner::onAppended(const DutyRecord& record)
+{
+    if (!this->state.usage)
+        return;
+    this->onRecord(record);
+    if (this->planned.missedBefore > 0)
+        edge::log(LogClass::Decision, "usage_missed_range",
+            { { "windows", static_cast<std::int64_t>(this->planned.missedBefore) }, { "reason", "no daemon that runs has counts of them" } });
+    if (this->planned.missedBefore > 0)
+        this->state.metrics.count("goldcrest_usage_reports_total", "result=\"missed\"", this->planned.missedBefore);
+    for (const auto window : this->planned.missed)
+        this->giveUp(window, "the store has lost records, and other counts may have been sent");
+    this->planned = {};
+    for (const auto& usage : record.usage) {
+        edge::log(LogClass::Decision, "usage_window_closed",
+            { { "window", static_cast<std::int64_t>(usage.window) }, { "accounts", static_cast<std::int64_t>(usage.counts.size()) }, { "runs", runsIn(usage) }, { "fence", static_cast<std::int64_t>(this->lease.fence()) } });
+        // Sent before the report, so that other daemons know its exact counts if the store loses the record.
+        auto notice = this->makeNotice();
+        notice.logged.push_back(usage);
+        if (encode(notice).size() <= maxLoggedBytes)
+            this->send(std::move(notice));
+    }
+}
+
+void UsageRunner::onRecord(const DutyRecord& record)
+{
+    if (this->state.usage)
+        this->state.usage->reporter.onRecord(record, wallClock());
+}
+
+void UsageRunner::onStoreReturned()
+{
+    if (this->state.usage)
+        this->state.usage->reporter.onStoreReturned();
+}
+
+void UsageRunner::holdCalls(TimePoint until)
+{
+    this->callsFrom = until;
+}
+
+void UsageRunner::giveUp(std::uint64_t window, const char* reason)
+{
+    edge::log(LogClass::Decision, "usage_missed", { { "window", static_cast<std::int64_t>(window) }, { "reason", reason } });
+    this->state.metrics.count("goldcrest_usage_reports_total", "result=\"missed\"");
+}
+
+UsageNotice UsageRunner::makeNotice() const
+{
+    UsageNotice notice;
+    notice.instance = this->state.settings.instance;
+    notice.incarnation = this->state.incarnation;
+    notice.clockMs = static_cast<std::uint64_t>(wallClock() / std::chrono::milliseconds(1));
+    // Without all counts, or when it stops, another daemon has to continue.
+    notice.isHolder = this->lease.isLastHolder() && this->isCovered() && !this->state.isStopping;
+    if (notice.isHolder) {
+        notice.settledEnd = this->state.usage->reporter.settledEnd();
+        notice.acknowledgedEnd = this->state.usage->reporter.acknowledgedEnd();
+    }
+    return notice;
+}
+
+void UsageRunner::send(UsageNotice notice)
+{
+    PeerDatagram datagram;
+    datagram.usage = std::move(notice);
+    this->peers.sendToReaders(datagram);
+}
+
+Task<> UsageRunner::exchangeCounts()
+{
+    asio::steady_timer timer(this->executor);
+    while (true) {
+        timer.expires_after(exchangeInterval);
+        ErrorCode ignored;
+        co_await timer.async_wait(into(ignored));
+        auto& [ledger, reporter] = *this->state.usage;
+        ledger.sweep(wallClock());
+        ledger.discardBelow(reporter.settledEnd());
+        std::set<InstanceId> readers(this->state.feedReaders.begin(), this->state.feedReaders.end());
+        if (!std::includes(this->receivers.begin(), this->receivers.end(), readers.begin(), readers.end()))
+            ledger.markAllChanged();
+        this->receivers = std::move(readers);
+        if (reporter.conflicts() != this->conflictsSeen)
+            edge::log(LogClass::Decision, "usage_conflict", { { "windows", static_cast<std::int64_t>(reporter.conflicts()) } });
+        this->conflictsSeen = reporter.conflicts();
+        const auto changes = ledger.takeChanges();
+        auto notice = this->makeNotice();
+        if (changes.empty() && notice.isHolder)
+            this->send(notice);
+        for (const auto& counted : changes) {
+            notice.counted = counted;
+            this->send(notice);
+        }
+    }
+}
+
+Task<> UsageRunner::sendReports()
+{
+    asio::steady_timer timer(this->executor);
+    while (true) {
+        timer.expires_after(callInterval);
+        ErrorCode ignored;
+        co_await timer.async_wait(into(ignored));
+        auto& reporter = this->state.usage->reporter;
+        if (!this->lease.isLastHolder())
+            continue;
+        for (const auto window : reporter.takeExpired(wallClock()))
+            this->giveUp(window, "the platform did not accept its report in time");
+        const auto usage = reporter.nextCall(monotonicNow());
+        const auto now = suspensionAwareNow();
+        if (usage && this->lease.mayOrder(now) && now >= this->callsFrom)
+            co_await this->sendReport(*usage);
+    }
+}
+
+Task<> UsageRunner::sendReport(const UsageWindow& usage)
+{
+    auto& reporter = this->state.usage->reporter;
+    const platform::DutyHolder holder { this->state.settings.instance, this->lease.fence() };
+    const bool isRepeat = reporter.wasSent(usage.window);
+    const auto begin = monotonicNow();
+    const auto call = platform::usageCall(holder, usage);
+    const auto answer = co_await this->platformCaller.call(call, callTimeout);
+    const auto outcome = platform::decodeDutyAnswer(answer);
+    reporter.onOutcome(usage.window, outcome, monotonicNow());
+    if (outcome == DutyOutcome::Fenced && this->lease.fence() == holder.fence)
+        this->lease.onFenceRefused(suspensionAwareNow());
+    edge::log(LogClass::Decision, "usage_reported",
+        { { "window", static_cast<std::int64_t>(usage.window) }, { "status", static_cast<std::int64_t>(answer ? answer->status : 0) }, { "reason", answer ? "" : answer.error().reason },
+            { "accounts", static_cast<std::int64_t>(usage.counts.size()) }, { "runs", runsIn(usage) }, { "fence", static_cast<std::int64_t>(holder.fence) }, { "repeat", isRepeat }, { "after_ms", toMs(monotonicNow() - begin) } });
+    if (isRepeat)
+        this->state.metrics.count("goldcrest_usage_repeats_total");
+    const char* result = "result=\"unanswered\"";
+    if (outcome == DutyOutcome::Accepted)
+        result = "result=\"accepted\"";
+    else if (answer)
+        result = "result=\"refused\"";
+    this->state.metrics.count("goldcrest_usage_reports_total", result);
+}
+
+} // namespace goldcrestwood
--- a/test/upstream_board_test.cc
+++ b/test/upstream_board_test.cc
@@ -369,7 +369,7 @@
     heartbeat.domain = FailureDomain("failure-domain");
     heartbeat.frontAddress = heartbeat.peerAddress = "10.200.100.100:65535";
     heartbeat.peers.assign(12, heartbeat.peerAddress);
-    CHECK(encode(PeerDatagram { heartbeat, message, std::nullopt, std::nullopt, std::nullopt }).size() <= 8192);
+    CHECK(encode(PeerDatagram { heartbeat, message, std::nullopt, std::nullopt, std::nullopt, std::nullopt }).size() <= 8192);
     // The busiest engines are reported; the outcomes that did not fit follow with the next heartbeats.
     CHECK(std::all_of(message.uses.begin(), message.uses.end(), [](const auto& use) { return use.requests == 5 || use.requests == 4; }));
     auto reported = message.upstreams.size();
