--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -190,11 +190,10 @@
     this->datagrams.send_to(asio::buffer(encode(datagram)), target, 0, ignored);
 }
 
-void PeerLink::sendToReaders(const PeerDatagram& datagram)
+void PeerLink::sendTo(const InstanceId& instance, const PeerDatagram& datagram)
 {
-    for (const auto& reader : this->state.feedReaders)
-        if (const auto endpoint = reader == this->state.settings.instance ? std::nullopt : parseEndpoint(this->addressOf(reader)))
-            this->send(datagram, udp::endpoint(endpoint->address(), endpoint->port()));
+    if (const auto endpoint = instance == this->state.settings.instance ? std::nullopt : parseEndpoint(this->addressOf(instance)))
+        this->send(datagram, udp::endpoint(endpoint->address(), endpoint->port()));
 }
 
 void PeerLink::announce()
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -28,8 +28,8 @@
 
     Task<> sendDatagrams();
     Task<> receiveDatagrams();
-    /// Sends one datagram to each feed reader other than this daemon.
-    void sendToReaders(const PeerDatagram& datagram);
+    /// Sends one datagram to @p instance, if its address is known and it is not this daemon.
+    void sendTo(const InstanceId& instance, const PeerDatagram& datagram);
     /// Sends heartbeats at once, for example before a stop.
     void announce();
 
--- a/src/edge/usage_runner.cc
+++ b/src/edge/usage_runner.cc
@@ -17,8 +17,17 @@
     constexpr Duration callInterval = std::chrono::milliseconds(50);
     /// An unanswered call is repeated; an exact repeat is harmless.
     constexpr Duration callTimeout = std::chrono::seconds(3);
-    /// Time in which all daemons send their recent counts to a new feed reader: a heartbeat at a large site, and an exchange or two.
+    /// Time in which all daemons send their recent counts to a new feed reader: two heartbeats at a large site, and an exchange or two.
     constexpr Duration coverTime = std::chrono::seconds(4);
+    /// The same at the first start of the site, when all daemons send from the start; a longer one delays the first reports.
+    constexpr Duration newSiteCoverTime = std::chrono::seconds(2);
+    /// Longest time from the start of a new site until a daemon of it has found the others and received their counts.
+    constexpr Duration newSiteTime = std::chrono::seconds(10);
+    /// Daemons that are feed readers no more still get notices for this long, as the choice changes for a while when the store is
+    /// down; they need every notice to know which windows may have been reported.
+    constexpr Duration receiverLifetime = std::chrono::seconds(60);
+    /// A shorter time, so that other daemons still send while this one counts on it.
+    constexpr Duration coverLifetime = std::chrono::seconds(50);
     /// The platform's answers are short.
     constexpr std::uint64_t maxAnswerBytes = 64U << 10U;
     /// A window that does not fit is known to other daemons only from the topic.
@@ -43,13 +52,15 @@
 
 bool UsageRunner::isCovered() const
 {
-    const auto now = monotonicNow();
-    return this->state.hasFullView(now) && now - *this->state.readerSince >= coverTime;
+    return this->receivesSince && monotonicNow() - *this->receivesSince >= (this->state.settings.isFirstStart ? newSiteCoverTime : coverTime);
 }
 
 std::uint64_t UsageRunner::coveredFrom() const
 {
-    const auto since = this->state.readerSince.value_or(monotonicNow()) + coverTime;
+    const auto since = this->receivesSince.value_or(monotonicNow()) + coverTime;
+    // Nobody appends before the daemons of a new site have found each other.
+    if (this->state.settings.isFirstStart && since - this->state.started < newSiteTime)
+        return 0;
     UsageSettings settings;
     settings.window = this->state.settings.bounds.usageWindow;
     return usageWindowAt(settings, wallClock() - (monotonicNow() - since)) + 1;
@@ -93,15 +104,9 @@
     for (const auto window : this->planned.missed)
         this->giveUp(window, "the store has lost records, and other counts may have been sent");
     this->planned = {};
-    for (const auto& usage : record.usage) {
+    for (const auto& usage : record.usage)
         edge::log(LogClass::Decision, "usage_window_closed",
             { { "window", static_cast<std::int64_t>(usage.window) }, { "accounts", static_cast<std::int64_t>(usage.counts.size()) }, { "runs", runsIn(usage) }, { "fence", static_cast<std::int64_t>(this->lease.fence()) } });
-        // Sent before the report, so that other daemons know its exact counts if the store loses the record.
-        auto notice = this->makeNotice();
-        notice.logged.push_back(usage);
-        if (encode(notice).size() <= maxLoggedBytes)
-            this->send(std::move(notice));
-    }
 }
 
 void UsageRunner::onRecord(const DutyRecord& record)
@@ -146,7 +151,22 @@
 {
     PeerDatagram datagram;
     datagram.usage = std::move(notice);
-    this->peers.sendToReaders(datagram);
+    for (const auto& [receiver, lastSeen] : this->receivers)
+        this->peers.sendTo(receiver, datagram);
+}
+
+void UsageRunner::updateReceivers(TimePoint now)
+{
+    for (const auto& reader : this->state.feedReaders)
+        if (const bool isNew = this->receivers.insert_or_assign(reader, now).second; isNew)
+            this->state.usage->ledger.markAllChanged();
+    std::erase_if(this->receivers, [&](const auto& entry) { return now - entry.second > receiverLifetime; });
+    if (this->state.isSiteKnown && this->state.readerRank()) {
+        this->lastReader = now;
+        this->receivesSince = this->receivesSince.value_or(now);
+    } else if (now - this->lastReader > coverLifetime) {
+        this->receivesSince.reset();
+    }
 }
 
 Task<> UsageRunner::exchangeCounts()
@@ -159,10 +179,7 @@
         auto& [ledger, reporter] = *this->state.usage;
         ledger.sweep(wallClock());
         ledger.discardBelow(reporter.settledEnd());
-        std::set<InstanceId> readers(this->state.feedReaders.begin(), this->state.feedReaders.end());
-        if (!std::includes(this->receivers.begin(), this->receivers.end(), readers.begin(), readers.end()))
-            ledger.markAllChanged();
-        this->receivers = std::move(readers);
+        this->updateReceivers(monotonicNow());
         if (reporter.conflicts() != this->conflictsSeen)
             edge::log(LogClass::Decision, "usage_conflict", { { "windows", static_cast<std::int64_t>(reporter.conflicts()) } });
         this->conflictsSeen = reporter.conflicts();
@@ -201,6 +218,11 @@
     auto& reporter = this->state.usage->reporter;
     const platform::DutyHolder holder { this->state.settings.instance, this->lease.fence() };
     const bool isRepeat = reporter.wasSent(usage.window);
+    // Sent before the report, also by a successor that has read the counts, so that other daemons know them if the store loses the record.
+    auto notice = this->makeNotice();
+    notice.logged.push_back(usage);
+    if (!isRepeat && encode(notice).size() <= maxLoggedBytes)
+        this->send(std::move(notice));
     const auto begin = monotonicNow();
     const auto call = platform::usageCall(holder, usage);
     const auto answer = co_await this->platformCaller.call(call, callTimeout);
--- a/src/edge/usage_runner.h
+++ b/src/edge/usage_runner.h
@@ -3,7 +3,8 @@
 /// @file
 /// Exchanges counts of runs with the daemons that may hold the duty, and sends the usage reports while this daemon holds it.
 
-#include <set>
+#include <map>
+#include <optional>
 
 #include "edge/edge_state.h"
 #include "edge/http_call.h"
@@ -39,6 +40,8 @@
     bool isCovered() const;
     /// @return First window for which this daemon has heard all notices of holders.
     std::uint64_t coveredFrom() const;
+    /// Follows the choice of feed readers.
+    void updateReceivers(TimePoint now);
     UsageNotice makeNotice() const;
     void send(UsageNotice notice);
     void giveUp(std::uint64_t window, const char* reason);
@@ -50,7 +53,9 @@
     DutyLease& lease;
     HttpCaller platformCaller;
     UsagePlan planned; ///< What was added to the last record.
-    std::set<InstanceId> receivers; ///< Feed readers that get own counts.
+    std::map<InstanceId, TimePoint> receivers; ///< Daemons that get own counts, and when they were last feed readers.
+    std::optional<TimePoint> receivesSince; ///< Since when other daemons send their counts to this one.
+    TimePoint lastReader; ///< When this daemon was last a feed reader.
     TimePoint callsFrom;
     std::uint64_t conflictsSeen = 0;
 };
