A daemon that joins learns the counts of processes that have ended

A holder that was killed and started again claims the duty at once, and lacked what its earlier process had reported to the others. Unit tests of ledger and decision pass.

--- a/include/goldcrestwood/duties/usage_ledger.h
+++ b/include/goldcrestwood/duties/usage_ledger.h
@@ -69,6 +69,11 @@
     /// @return Own counts that have changed recently, in lists that fit into one datagram each.
     std::vector<std::vector<UsageWindow>> takeChanges();
 
+    /// @param wall The current time since 1970.
+    /// @return Recent counts of other processes that have not been heard from lately, as notices in their names, for a daemon that did
+    /// not receive them: a process that has ended cannot send them again.
+    std::vector<UsageNotice> countsOfSilent(Duration wall) const;
+
     /// Marks all recent own counts as changed, as a daemon that did not receive them before needs them now.
     void markAllChanged();
 
@@ -105,6 +110,7 @@
     };
 
     Window* openWindow(std::uint64_t window);
+    void observeClock(const Process& process, std::uint64_t clockMs, Duration wall);
 
     Process self;
     UsageSettings settings;
--- a/include/goldcrestwood/duties/usage_reporter.h
+++ b/include/goldcrestwood/duties/usage_reporter.h
@@ -59,6 +59,8 @@
 
     /// @return The oldest report to send now; nothing if there is none or calls have to pause.
     std::optional<UsageWindow> nextCall(TimePoint now) const;
+    /// Handles the begin of a call, whose outcome is known at @p answeredBy at the latest; there is no other call until then.
+    void onSent(std::uint64_t window, TimePoint answeredBy);
     void onOutcome(std::uint64_t window, DutyOutcome outcome, TimePoint now);
     /// @return Windows whose reports were not accepted in time and are given up now.
     std::vector<std::uint64_t> takeExpired(Duration wall);
--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -289,11 +289,11 @@
 
 /// Runs that one process counted, and the state of the usage reports if it holds the duty.
 struct UsageNotice {
-    /// The sender.
+    /// The daemon that counted.
     InstanceId instance;
     /// Start of its process, Unix microseconds.
     std::uint64_t incarnation = 0;
-    /// The sender's wall clock, Unix milliseconds.
+    /// The sender's wall clock, Unix milliseconds; 0 if another process sends this in its name.
     std::uint64_t clockMs = 0;
     /// Totals of the runs that the sender itself forwarded, by window; only those that changed.
     std::vector<UsageWindow> counted;
--- a/src/duties/usage_ledger.cc
+++ b/src/duties/usage_ledger.cc
@@ -15,6 +15,40 @@
     /// Bytes of a window and of a count in a datagram, apart from the account's name.
     constexpr std::size_t windowBytes = 16;
     constexpr std::size_t countBytes = 12;
+    /// Processes that were heard from within this time send their counts themselves.
+    constexpr Duration silence = std::chrono::seconds(2);
+
+    /// Distributes counts, in the order of windows, over lists of limited size.
+    class Pieces {
+    public:
+        explicit Pieces(std::size_t maxPieceBytes)
+            : maxBytes(maxPieceBytes)
+        {
+        }
+
+        void add(std::uint64_t window, const ClientAccount& account, std::uint64_t runs)
+        {
+            const auto added = account.value.size() + countBytes + windowBytes;
+            if (this->pieces.empty() || this->bytes + added > this->maxBytes) {
+                this->pieces.emplace_back();
+                this->bytes = 0;
+            }
+            auto& piece = this->pieces.back();
+            if (piece.empty() || piece.back().window != window) {
+                piece.push_back({ window, {} });
+                this->bytes += windowBytes;
+            }
+            piece.back().counts.push_back({ account, runs });
+            this->bytes += added - windowBytes;
+        }
+
+        std::vector<std::vector<UsageWindow>> take() { return std::move(this->pieces); }
+
+    private:
+        std::size_t maxBytes;
+        std::size_t bytes = 0;
+        std::vector<std::vector<UsageWindow>> pieces;
+    };
 
 } // namespace
 
@@ -49,11 +83,8 @@
     const Process process(notice.instance, notice.incarnation);
     if (process == this->self)
         return;
-    const auto senderClock = std::chrono::milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(notice.clockMs, 1ULL << 45U)));
-    const auto ahead = std::chrono::duration_cast<Duration>(senderClock) - wall;
-    auto [clock, isNew] = this->clocks.try_emplace(process, Clock { ahead, wall });
-    if (!isNew)
-        clock->second = { std::max(ahead, clock->second.ahead - maxClockStep), wall };
+    if (notice.clockMs > 0)
+        this->observeClock(process, notice.clockMs, wall);
     const auto last = usageWindowAt(this->settings, wall + this->settings.maxSkew);
     for (const auto& entry : notice.counted) {
         auto* open = entry.window > last ? nullptr : this->openWindow(entry.window);
@@ -65,10 +96,18 @@
     }
 }
 
+void UsageLedger::observeClock(const Process& process, std::uint64_t clockMs, Duration wall)
+{
+    const auto senderClock = std::chrono::milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(clockMs, 1ULL << 45U)));
+    const auto ahead = std::chrono::duration_cast<Duration>(senderClock) - wall;
+    auto [clock, isNew] = this->clocks.try_emplace(process, Clock { ahead, wall });
+    if (!isNew)
+        clock->second = { std::max(ahead, clock->second.ahead - maxClockStep), wall };
+}
+
 std::vector<std::vector<UsageWindow>> UsageLedger::takeChanges()
 {
-    std::vector<std::vector<UsageWindow>> result;
-    std::size_t bytes = this->settings.maxDatagramBytes;
+    Pieces result(this->settings.maxDatagramBytes);
     for (auto& [window, accounts] : this->unsent) {
         const auto found = this->windows.find(window);
         if (found == this->windows.end() || found->second.isFolded) {
@@ -77,21 +116,36 @@
         }
         const auto& own = found->second.processes[this->self];
         for (auto& [account, sends] : accounts) {
-            const bool beginsWindow = result.empty() || result.back().empty() || result.back().back().window != window;
-            const auto added = account.value.size() + countBytes + (beginsWindow ? windowBytes : 0);
-            if (bytes + added > this->settings.maxDatagramBytes) {
-                result.emplace_back();
-                bytes = windowBytes;
-            }
-            if (result.back().empty() || result.back().back().window != window)
-                result.back().push_back({ window, {} });
-            result.back().back().counts.push_back({ account, own.at(account) });
-            bytes += added;
+            result.add(window, account, own.at(account));
             --sends;
         }
         std::erase_if(accounts, [](const auto& entry) { return entry.second == 0; });
     }
     std::erase_if(this->unsent, [](const auto& entry) { return entry.second.empty(); });
+    return result.take();
+}
+
+std::vector<UsageNotice> UsageLedger::countsOfSilent(Duration wall) const
+{
+    std::map<Process, Pieces> silent;
+    for (const auto& [window, kept] : this->windows)
+        for (const auto& [process, counts] : kept.processes) {
+            const auto clock = this->clocks.find(process);
+            if (process == this->self || (clock != this->clocks.end() && wall - clock->second.heard < silence))
+                continue;
+            auto& pieces = silent.try_emplace(process, this->settings.maxDatagramBytes).first->second;
+            for (const auto& [account, runs] : counts)
+                pieces.add(window, account, runs);
+        }
+    std::vector<UsageNotice> result;
+    for (auto& [process, pieces] : silent)
+        for (auto& counted : pieces.take()) {
+            UsageNotice notice;
+            notice.instance = process.first;
+            notice.incarnation = process.second;
+            notice.counted = std::move(counted);
+            result.push_back(std::move(notice));
+        }
     return result;
 }
 
--- a/src/duties/usage_reporter.cc
+++ b/src/duties/usage_reporter.cc
@@ -23,7 +23,8 @@
 UsageReporter::UsageReporter(UsageSettings usageSettings, bool isSiteNew, Duration wall, Duration interval)
     : settings(usageSettings)
     , isFirstStart(isSiteNew)
-    , startWindow(usageWindowAt(usageSettings, wall))
+    // A daemon that joins receives the counts of the time for which they are kept by process.
+    , startWindow(usageWindowAt(usageSettings, isSiteNew ? wall : wall - usageSettings.foldDelay))
     , callInterval(interval)
 {
 }
@@ -138,6 +139,13 @@
     return std::nullopt;
 }
 
+void UsageReporter::onSent(std::uint64_t window, TimePoint answeredBy)
+{
+    this->nextCallAt = answeredBy;
+    if (const auto found = this->logged.find(window); found != this->logged.end())
+        found->second.isSent = true;
+}
+
 void UsageReporter::onOutcome(std::uint64_t window, DutyOutcome outcome, TimePoint now)
 {
     switch (outcome) {
@@ -152,10 +160,8 @@
         this->nextCallAt = now + std::max(unansweredDelay, this->callInterval);
         break;
     }
-    if (const auto found = this->logged.find(window); found != this->logged.end()) {
-        found->second.isSent = true;
+    if (const auto found = this->logged.find(window); found != this->logged.end())
         found->second.isDone = found->second.isDone || outcome == DutyOutcome::Accepted;
-    }
 }
 
 std::vector<std::uint64_t> UsageReporter::takeExpired(Duration wall)
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -217,7 +217,8 @@
 
 void applyUsageNotice(EdgeState& state, const UsageNotice& notice)
 {
-    if (!state.usage || notice.instance == state.settings.instance)
+    // The ledger ignores own counts, and takes those of an earlier process of this machine.
+    if (!state.usage)
         return;
     const auto wall = wallClock();
     state.usage->ledger.onNotice(notice, wall);
--- a/src/edge/usage_runner.cc
+++ b/src/edge/usage_runner.cc
@@ -26,6 +26,10 @@
     /// Daemons that are feed readers no more still get notices for this long, as the choice changes for a while when the store is
     /// down; they need every notice to know which windows may have been reported.
     constexpr Duration receiverLifetime = std::chrono::seconds(60);
+    /// Time for which a new feed reader is told the counts of processes that are silent, less than coverTime.
+    constexpr Duration forwardTime = std::chrono::milliseconds(3500);
+    /// Number of feed readers, the first ones in rank, that do so.
+    constexpr std::size_t forwardingReaders = 3;
     /// A shorter time, so that other daemons still send while this one counts on it.
     constexpr Duration coverLifetime = std::chrono::seconds(50);
     /// The platform's answers are short.
@@ -151,16 +155,28 @@
 {
     PeerDatagram datagram;
     datagram.usage = std::move(notice);
-    for (const auto& [receiver, lastSeen] : this->receivers)
-        this->peers.sendTo(receiver, datagram);
+    for (const auto& [instance, receiver] : this->receivers)
+        this->peers.sendTo(instance, datagram);
 }
 
 void UsageRunner::updateReceivers(TimePoint now)
 {
-    for (const auto& reader : this->state.feedReaders)
-        if (const bool isNew = this->receivers.insert_or_assign(reader, now).second; isNew)
-            this->state.usage->ledger.markAllChanged();
-    std::erase_if(this->receivers, [&](const auto& entry) { return now - entry.second > receiverLifetime; });
+    auto& ledger = this->state.usage->ledger;
+    for (const auto& reader : this->state.feedReaders) {
+        const auto [receiver, isNew] = this->receivers.try_emplace(reader, Receiver { now, now });
+        receiver->second.lastReader = now;
+        if (isNew)
+            ledger.markAllChanged();
+    }
+    std::erase_if(this->receivers, [&](const auto& entry) { return now - entry.second.lastReader > receiverLifetime; });
+    // A few daemons are enough to tell a new reader what processes that have ended had reported.
+    for (const auto& [instance, receiver] : this->receivers)
+        if (now - receiver.since < forwardTime && this->state.readerRank().value_or(forwardingReaders) < forwardingReaders)
+            for (const auto& notice : ledger.countsOfSilent(wallClock())) {
+                PeerDatagram datagram;
+                datagram.usage = notice;
+                this->peers.sendTo(instance, datagram);
+            }
     if (this->state.isSiteKnown && this->state.readerRank()) {
         this->lastReader = now;
         this->receivesSince = this->receivesSince.value_or(now);
@@ -224,6 +240,7 @@
     if (!isRepeat && encode(notice).size() <= maxLoggedBytes)
         this->send(std::move(notice));
     const auto begin = monotonicNow();
+    reporter.onSent(usage.window, begin + callTimeout);
     const auto call = platform::usageCall(holder, usage);
     const auto answer = co_await this->platformCaller.call(call, callTimeout);
     const auto outcome = platform::decodeDutyAnswer(answer);
--- a/src/edge/usage_runner.h
+++ b/src/edge/usage_runner.h
@@ -36,6 +36,11 @@
     void holdCalls(TimePoint until);
 
 private:
+    struct Receiver {
+        TimePoint since; ///< When it became a feed reader.
+        TimePoint lastReader; ///< When it was last one.
+    };
+
     /// @return Whether this daemon has received the counts of all others.
     bool isCovered() const;
     /// @return First window for which this daemon has heard all notices of holders.
@@ -53,7 +58,7 @@
     DutyLease& lease;
     HttpCaller platformCaller;
     UsagePlan planned; ///< What was added to the last record.
-    std::map<InstanceId, TimePoint> receivers; ///< Daemons that get own counts, and when they were last feed readers.
+    std::map<InstanceId, Receiver> receivers; ///< Daemons that get own counts.
     std::optional<TimePoint> receivesSince; ///< Since when other daemons send their counts to this one.
     TimePoint lastReader; ///< When this daemon was last a feed reader.
     TimePoint callsFrom;
--- a/test/duties/usage_ledger_test.cc
+++ b/test/duties/usage_ledger_test.cc
@@ -72,6 +72,22 @@
     CHECK(ledger.totals(200).counts == std::vector<AccountRuns> { { one, 7 } });
 }
 
+TEST_CASE("a daemon that joins learns the counts of a process that has ended from another one")
+{
+    UsageLedger witness(InstanceId("b"), 1);
+    witness.onNotice(noticeOf("a", 1, start, { { 200, { { one, 5 } } } }), start);
+    witness.onNotice(noticeOf("c", 1, start + 2s, { { 200, { { one, 3 } } } }), start + 2s);
+    // The next process of the same machine.
+    UsageLedger joined(InstanceId("a"), 2);
+    for (const auto& notice : witness.countsOfSilent(start + 2500ms)) {
+        CHECK(notice.instance == InstanceId("a"));
+        joined.onNotice(notice, start + 2500ms);
+    }
+    CHECK(joined.totals(200).counts == std::vector<AccountRuns> { { one, 5 } });
+    // Its clock is not that of the daemon that sent the notice.
+    CHECK(joined.closesAt(200, start + 2500ms) == start + 6500ms);
+}
+
 TEST_CASE("only changed counts are sent, a few times, in pieces that fit into a datagram")
 {
     UsageSettings settings;
