--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -208,6 +208,12 @@
     this->datagrams.send_to(asio::buffer(bytes), target, 0, ignored);
 }
 
+void PeerLink::sendTo(const InstanceId& instance, const PeerDatagram& datagram)
+{
+    if (const auto endpoint = instance == this->state.settings.instance ? std::nullopt : parseEndpoint(this->addressOf(instance)))
+        this->send(datagram, udp::endpoint(endpoint->address(), endpoint->port()));
+}
+
 void PeerLink::announce()
 {
     for (const auto& [address, datagram] : this->makeDatagrams(true, true))
@@ -314,6 +320,8 @@
         this->state.crashSuspects.onNotice(*datagram.crashes, monotonicNow());
     if (datagram.limits)
         applyPeerLimits(this->state, *datagram.limits);
+    if (datagram.usage)
+        applyUsageNotice(this->state, *datagram.usage);
     this->queues.dispatchAll();
 }
 
@@ -334,7 +342,14 @@
         if (auto* rollout = this->state.rolloutOf(notice.service))
             rollout->onNotice(message.instance, message.incarnation, notice, now);
     if (message.wantsReply)
-        this->send(PeerDatagram { this->makeHeartbeat(false), std::nullopt, std::nullopt, std::nullopt, std::nullopt }, sender);
+        this->sendHeartbeat(sender);
+}
+
+void PeerLink::sendHeartbeat(const udp::endpoint& target)
+{
+    PeerDatagram datagram;
+    datagram.heartbeat = this->makeHeartbeat(false);
+    this->send(datagram, target);
 }
 
 void PeerLink::onReport(const LoadReport& report, const udp::endpoint& sender)
@@ -346,13 +361,15 @@
         return;
     const auto& self = this->state.settings.instance;
     const auto isAggregated = [&](const UpstreamId& id) { return this->state.aggregators.aggregates(self, id.value); };
-    const auto digest = encode(PeerDatagram { std::nullopt, std::nullopt, LoadDigest { self, this->state.board.loadsFor(report.instance, isAggregated, now), this->state.board.slowSources(now) }, std::nullopt, std::nullopt });
+    PeerDatagram answer;
+    answer.digest = LoadDigest { self, this->state.board.loadsFor(report.instance, isAggregated, now), this->state.board.slowSources(now) };
+    const auto bytes = encode(answer);
     // The answers to daemons that report more often than usual must leave this machine's link to its callers.
     auto& last = this->lastDigests[report.instance];
-    if (now - last < this->usualReportInterval() * 3 / 4 && !this->state.reportPace.takeBytes(digest.size(), now))
+    if (now - last < this->usualReportInterval() * 3 / 4 && !this->state.reportPace.takeBytes(bytes.size(), now))
         return;
     last = now;
-    this->sendBytes(digest, sender);
+    this->sendBytes(bytes, sender);
 }
 
 void PeerLink::onDigest(const LoadDigest& digest)
--- a/src/edge/peer_link.h
+++ b/src/edge/peer_link.h
@@ -29,6 +29,8 @@
 
     Task<> sendDatagrams();
     Task<> receiveDatagrams();
+    /// Sends one datagram to @p instance, if its address is known and it is not this daemon.
+    void sendTo(const InstanceId& instance, const PeerDatagram& datagram);
     /// Sends heartbeats at once, for example before a stop.
     void announce();
 
@@ -65,6 +67,7 @@
     void sendLimitNotice(bool isNew);
     void send(const PeerDatagram& datagram, const udp::endpoint& target);
     void sendBytes(const std::string& bytes, const udp::endpoint& target);
+    void sendHeartbeat(const udp::endpoint& target);
     void onDatagram(const PeerDatagram& datagram, const udp::endpoint& sender);
     void onHeartbeat(const EdgeHeartbeat& message, const udp::endpoint& sender);
     void onReport(const LoadReport& report, const udp::endpoint& sender);
