Waiting requests are ordered by the recent service of their accounts

Cause: a waiting request had no account, so a small account's request waited behind all earlier requests of a large one.

Change: each queue counts the placements of every account, with or without a wait, decayed over 2 s. Within a rank and class the account with the least recent service goes first; each request counts as one more service of its account than the one before it. A single account, requests without an account and accounts served about equally keep the order of arrival. countAhead, isNext, isInfeasible and order use one sorted list, so the estimates follow the order.

--- a/include/goldcrestwood/admission.h
+++ b/include/goldcrestwood/admission.h
@@ -3,13 +3,16 @@
 /// @file
 /// Queue of requests that wait for placement: order of service, early refusal of infeasible requests, and retry-after times.
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <span>
 #include <vector>
 
+#include "goldcrestwood/account_service.h"
 #include "goldcrestwood/random.h"
 #include "goldcrestwood/time.h"
 
@@ -24,6 +27,7 @@
     /// A request is refused early only if it would not be placed in time even at this multiple of the measured rate: a wrong
     /// refusal costs the caller an attempt, while a failure domain may return during the wait.
     double rateMargin = 2;
+    AccountServiceSettings accountService {};
     /// Retry-after time if no rate is known, and the minimum otherwise; about the duration of one answer.
     Duration defaultRetryAfter = std::chrono::milliseconds(300);
     /// Maximum retry-after time: the present state does not predict the load beyond it.
@@ -56,6 +60,7 @@
     TimePoint arrived;
     TimePoint onTimeUntil; ///< If placed by then, the answer can still be on time.
     TimePoint expiresAt; ///< Placement after this is useless to the caller.
+    ClientAccount account {}; ///< Empty without accounts and on public routes.
 
     bool operator==(const Waiter&) const = default;
 };
@@ -66,22 +71,27 @@
 /// down, and fewer later. With FIFO order and a short timeout nearly all are late or refused, and the refused ones return
 /// together into the same overload. Here requests that can still be on time go first, late ones wait for the spare capacity
 /// after the burst, and infeasible ones are refused at once, each with its own retry-after time at the measured placement rate.
+/// Within a rank and class the accounts with the least recent service go first, each request counting as one more service of its
+/// account than the one before it; requests of a single account, and of accounts served about equally, keep the order of arrival.
 class AdmissionQueue {
 public:
     explicit AdmissionQueue(AdmissionSettings queueSettings = {})
         : settings(queueSettings)
+        , service(queueSettings.accountService)
     {
     }
 
     /// @return Whether @p waiter precedes all waiters.
     bool isNext(const Waiter& waiter, TimePoint now) const;
-    /// @return Number of waiters that precede @p waiter.
+    /// @return Number of waiters that precede @p waiter, which may itself be waiting.
     std::size_t countAhead(const Waiter& waiter, TimePoint now) const;
-    /// @return Whether @p waiter would most likely not be placed before it expires.
+    /// @return Whether @p waiter, which may itself be waiting, would most likely not be placed before it expires.
     bool isInfeasible(const Waiter& waiter, TimePoint now) const;
     void add(const Waiter& waiter, TimePoint now);
     /// The waiter was placed, or has stopped waiting.
     void remove(std::uint64_t id, bool isPlaced, TimePoint now);
+    /// A request of @p account was placed without waiting.
+    void onPlaced(const ClientAccount& account, TimePoint now) { this->service.add(account, now); }
     /// @return Ids of all waiters, the next one first.
     std::vector<std::uint64_t> order(TimePoint now) const;
     std::size_t size() const { return this->waiters.size(); }
@@ -99,8 +109,27 @@
         Early, ///< Retried too early.
     };
 
+    /// Position of a waiter in the order of service.
+    struct Position {
+        std::uint32_t rank = 0;
+        QueueClass queueClass = QueueClass::OnTime;
+        std::size_t turn = 0; ///< By the service of its account.
+        TimePoint arrived;
+        std::uint64_t id = 0;
+        const ClientAccount* account = nullptr;
+
+        bool operator<(const Position& other) const;
+    };
+
     QueueClass queueClassOf(const Waiter& waiter, TimePoint now) const;
-    bool precedes(const Waiter& left, const Waiter& right, TimePoint now) const;
+    /// @return The waiters and @p candidate, if not null, the next one first.
+    std::vector<Position> positions(const Waiter* candidate, TimePoint now) const;
+    /// Sets the turns of waiters of one rank and class, which are in the order of arrival.
+    void assignTurns(std::span<Position> group, TimePoint now) const;
+    /// @return Time over which placements are counted.
+    Duration measuredTime(TimePoint now) const { return std::min(this->settings.rateWindow, now - this->waitingSince); }
+    std::size_t countPlacements(TimePoint now) const;
+    void forgetOld(TimePoint now);
     /// @return Placements of waiters per second, if measured over a long enough time.
     std::optional<double> rate(TimePoint now) const;
     void expireReturns(TimePoint now);
@@ -113,7 +142,8 @@
 
     AdmissionSettings settings;
     std::map<std::uint64_t, Waiter> waiters;
-    std::deque<TimePoint> placements; ///< Within the last rate window.
+    std::deque<TimePoint> placements; ///< Of waiters, within the last rate window.
+    AccountService service;
     TimePoint waitingSince; ///< Since when the queue has not been empty.
     TimePoint lastReturn; ///< The latest return assigned to a refused caller, before jitter.
     std::map<std::uint64_t, ExpectedReturn> expected; ///< By caller.
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -15,19 +15,57 @@
     return now < waiter.onTimeUntil ? QueueClass::OnTime : QueueClass::Late;
 }
 
-bool AdmissionQueue::precedes(const Waiter& left, const Waiter& right, TimePoint now) const
+bool AdmissionQueue::Position::operator<(const Position& other) const
 {
-    return std::tuple(left.rank, this->queueClassOf(left, now), left.arrived, left.id) < std::tuple(right.rank, this->queueClassOf(right, now), right.arrived, right.id);
+    return std::tie(this->rank, this->queueClass, this->turn, this->arrived, this->id) < std::tie(other.rank, other.queueClass, other.turn, other.arrived, other.id);
+}
+
+std::vector<AdmissionQueue::Position> AdmissionQueue::positions(const Waiter* candidate, TimePoint now) const
+{
+    std::vector<Position> result;
+    result.reserve(this->waiters.size() + 1);
+    const auto append = [&](const Waiter& waiter) { result.push_back({ waiter.rank, this->queueClassOf(waiter, now), 0, waiter.arrived, waiter.id, &waiter.account }); };
+    for (const auto& [id, waiter] : this->waiters)
+        append(waiter);
+    if (candidate != nullptr && !this->waiters.contains(candidate->id))
+        append(*candidate);
+    std::sort(result.begin(), result.end());
+    for (auto from = result.begin(); from != result.end();) {
+        const auto to = std::find_if(from, result.end(), [&](const auto& position) { return position.rank != from->rank || position.queueClass != from->queueClass; });
+        this->assignTurns({ from, to }, now);
+        from = to;
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+void AdmissionQueue::assignTurns(std::span<Position> group, TimePoint now) const
+{
+    const auto isSameAccount = [&](const auto& position) { return *position.account == *group.front().account; };
+    if (std::all_of(group.begin(), group.end(), isSameAccount))
+        return;
+    std::map<ClientAccount, double> tags;
+    for (const auto& position : group)
+        if (!tags.contains(*position.account))
+            tags[*position.account] = this->service.of(*position.account, now);
+    const auto least = std::min_element(tags.begin(), tags.end(), [](const auto& left, const auto& right) { return left.second < right.second; })->second;
+    const auto unit = this->service.tolerance(least);
+    for (auto& position : group) {
+        auto& tag = tags.at(*position.account);
+        position.turn = static_cast<std::size_t>((tag - least) / unit);
+        ++tag;
+    }
 }
 
 bool AdmissionQueue::isNext(const Waiter& waiter, TimePoint now) const
 {
-    return std::none_of(this->waiters.begin(), this->waiters.end(), [&](const auto& entry) { return this->precedes(entry.second, waiter, now); });
+    return this->waiters.empty() || this->countAhead(waiter, now) == 0;
 }
 
 std::size_t AdmissionQueue::countAhead(const Waiter& waiter, TimePoint now) const
 {
-    return static_cast<std::size_t>(std::count_if(this->waiters.begin(), this->waiters.end(), [&](const auto& entry) { return this->precedes(entry.second, waiter, now); }));
+    const auto all = this->positions(&waiter, now);
+    return static_cast<std::size_t>(std::find_if(all.begin(), all.end(), [&](const auto& position) { return position.id == waiter.id; }) - all.begin());
 }
 
 bool AdmissionQueue::isInfeasible(const Waiter& waiter, TimePoint now) const
@@ -44,40 +82,51 @@
         this->waitingSince = now;
         this->placements.clear();
     }
+    this->forgetOld(now);
     this->waiters.emplace(waiter.id, waiter);
 }
 
-void AdmissionQueue::remove(std::uint64_t id, bool isPlaced, TimePoint now)
+void AdmissionQueue::forgetOld(TimePoint now)
 {
-    this->waiters.erase(id);
-    if (isPlaced)
-        this->placements.push_back(now);
     while (!this->placements.empty() && now - this->placements.front() > this->settings.rateWindow)
         this->placements.pop_front();
 }
 
+void AdmissionQueue::remove(std::uint64_t id, bool isPlaced, TimePoint now)
+{
+    const auto found = this->waiters.find(id);
+    if (isPlaced) {
+        this->placements.push_back(now);
+        if (found != this->waiters.end())
+            this->service.add(found->second.account, now);
+    }
+    if (found != this->waiters.end())
+        this->waiters.erase(found);
+    this->forgetOld(now);
+}
+
 std::vector<std::uint64_t> AdmissionQueue::order(TimePoint now) const
 {
-    std::vector<const Waiter*> sorted;
-    sorted.reserve(this->waiters.size());
-    for (const auto& [id, waiter] : this->waiters)
-        sorted.push_back(&waiter);
-    std::sort(sorted.begin(), sorted.end(), [&](const auto* left, const auto* right) { return this->precedes(*left, *right, now); });
     std::vector<std::uint64_t> result;
-    result.reserve(sorted.size());
-    for (const auto* waiter : sorted)
-        result.push_back(waiter->id);
+    result.reserve(this->waiters.size());
+    for (const auto& position : this->positions(nullptr, now))
+        result.push_back(position.id);
     return result;
 }
 
+std::size_t AdmissionQueue::countPlacements(TimePoint now) const
+{
+    const auto window = this->measuredTime(now);
+    return static_cast<std::size_t>(std::count_if(this->placements.begin(), this->placements.end(), [&](TimePoint at) { return now - at <= window; }));
+}
+
 std::optional<double> AdmissionQueue::rate(TimePoint now) const
 {
-    const auto window = std::min(this->settings.rateWindow, now - this->waitingSince);
+    const auto window = this->measuredTime(now);
     if (this->waiters.empty() || window < this->settings.minRateWindow)
         return std::nullopt;
-    const auto placed = std::count_if(this->placements.begin(), this->placements.end(), [&](TimePoint at) { return now - at <= window; });
     // Counts one more than observed: the next placement may be imminent.
-    return static_cast<double>(placed + 1) / toSeconds(window);
+    return static_cast<double>(this->countPlacements(now) + 1) / toSeconds(window);
 }
 
 Duration AdmissionQueue::refuse(const Waiter& waiter, TimePoint now, Random& random)
--- a/src/edge/service_queue.cc
+++ b/src/edge/service_queue.cc
@@ -97,7 +97,8 @@
 
 Waiter ServiceQueues::makeWaiter(const ClientExchange& exchange, TimePoint now)
 {
-    return { ++this->lastWaiter, exchange.rank, callerKey(exchange), exchange.received, onTimeUntil(exchange), placementExpiry(exchange, now) };
+    return { ++this->lastWaiter, exchange.rank, callerKey(exchange), exchange.received, onTimeUntil(exchange), placementExpiry(exchange, now),
+        exchange.account == nullptr ? ClientAccount() : exchange.account->name };
 }
 
 Task<std::optional<PlacementChoice>> ServiceQueues::place(ClientExchange& exchange, PlacementRefusal& refusal)
@@ -108,8 +109,10 @@
     auto waiter = this->makeWaiter(exchange, now);
     refusal = PlacementRefusal::Full;
     if (queue.admission.isNext(waiter, now))
-        if (auto choice = this->tryAssign(exchange, refusal))
+        if (auto choice = this->tryAssign(exchange, refusal)) {
+            queue.admission.onPlaced(waiter.account, now);
             co_return choice;
+        }
     if (refusal == PlacementRefusal::NoUpstream)
         waiter.expiresAt = std::min(waiter.expiresAt, std::max(waiter.onTimeUntil, exchange.received + noUpstreamWait));
     // Every upstream that could serve the request has said when it accepts requests again, or how many.
@@ -138,9 +141,12 @@
         co_return std::exchange(exchange.assigned, std::nullopt);
     queue.admission.remove(waiter.id, false, monotonicNow());
     queue.exchanges.erase(waiter.id);
-    if (!exchange.isOver())
-        co_return this->tryAssign(exchange, refusal);
-    co_return std::nullopt;
+    if (exchange.isOver())
+        co_return std::nullopt;
+    auto choice = this->tryAssign(exchange, refusal);
+    if (choice)
+        queue.admission.onPlaced(waiter.account, monotonicNow());
+    co_return choice;
 }
 
 void ServiceQueues::dispatch(const ServiceName& service)
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "../support/bench/admission_model.h"
+#include "../support/bench/fairness_model.h"
 
 using namespace admission_model;
 using namespace std::chrono_literals;
@@ -14,6 +14,13 @@
     return { id, rank, caller == 0 ? id : caller, start + arrived, start + arrived + 200ms, start + arrived + 1600ms };
 }
 
+Waiter waiterOf(std::uint64_t id, const std::string& account)
+{
+    auto waiter = waiterOf(id, std::chrono::milliseconds(id));
+    waiter.account = ClientAccount(account);
+    return waiter;
+}
+
 } // namespace
 
 TEST_CASE("requests are ordered by rank, then those that can be on time before late ones")
@@ -133,3 +140,67 @@
     CHECK(now.refused == 0);
     CHECK(now.onTime >= before.onTime);
 }
+
+TEST_CASE("a small account does not wait behind the many requests of a large one")
+{
+    AdmissionQueue queue;
+    for (std::uint64_t id = 1; id <= 8; ++id)
+        queue.add(waiterOf(id, "large"), start);
+    const auto small = waiterOf(9, "small");
+    // Without service so far, the first two of each account have the first turn, in the order of arrival.
+    CHECK(queue.countAhead(small, start) == 2);
+    queue.onPlaced(ClientAccount("large"), start);
+    queue.remove(1, true, start);
+    CHECK(queue.isNext(small, start));
+    // The position of a request that is about to wait is the one that it gets.
+    const auto urgent = [] { auto waiter = waiterOf(10, "large"); waiter.rank = 0; return waiter; }();
+    CHECK(queue.isNext(urgent, start));
+    queue.add(small, start);
+    queue.add(urgent, start);
+    CHECK(queue.order(start) == std::vector<std::uint64_t> { 10, 9, 2, 3, 4, 5, 6, 7, 8 });
+    const auto second = waiterOf(11, "small");
+    const auto ahead = queue.countAhead(second, start);
+    queue.add(second, start);
+    CHECK(queue.order(start)[ahead] == 11);
+    CHECK(queue.countAhead(second, start) == ahead);
+    // After ten seconds the earlier service no longer counts.
+    CHECK(queue.order(start + 10s) == std::vector<std::uint64_t> { 10, 2, 3, 9, 11, 4, 5, 6, 7, 8 });
+}
+
+TEST_CASE("accounts served equally, and a single one, keep the order of arrival")
+{
+    AdmissionQueue queue;
+    for (int count = 0; count < 20; ++count)
+        for (const auto* account : { "first", "second" })
+            queue.onPlaced(ClientAccount(account), start);
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        queue.add(waiterOf(id, id % 2 == 1 ? "first" : "second"), start);
+    CHECK(queue.order(start) == std::vector<std::uint64_t> { 1, 2, 3, 4 });
+    AdmissionQueue single;
+    for (std::uint64_t id = 1; id <= 40; ++id)
+        single.add(waiterOf(id, "first"), start);
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        CHECK(single.order(start).front() == id);
+        single.remove(id, true, start);
+    }
+}
+
+TEST_CASE("in an overload by a third every account is placed at least a quarter as often as all, wherever its requests arrive")
+{
+    // Guards against a small account that is served less than others since it sends less, or sends through one daemon.
+    fairness_model::Load load;
+    load.isSkewed = GENERATE(false, true);
+    load.daemons = GENERATE(1, 12, 58);
+    const auto before = fairness_model::simulate(load, fairness_model::Order::Arrival, 1);
+    const auto now = fairness_model::simulate(load, fairness_model::Order::Local, 1);
+    INFO(load.daemons << " daemons" << (load.isSkewed ? ", skewed" : ""));
+    double small = 0;
+    double smallBefore = 0;
+    for (std::size_t index = 0; index < now.size(); ++index) {
+        CHECK(now[index].placedShare() * load.overload > 0.25);
+        small += index > 0 ? now[index].placedShare() : 0;
+        smallBefore += index > 0 ? before[index].placedShare() : 0;
+    }
+    if (!load.isSkewed)
+        CHECK(small > smallBefore);
+}
