An answer that ends with a connection whose write failed is not complete

Cause: when an upstream resets the connection while a request is being written, the write gets the connection's error and clears it; the read after it returns what has arrived and then a normal end. An answer without length was taken for complete, as the upstream itself was still reachable.

Change: such an answer is incomplete if the request could not be written whole. By reading: HttpCaller (src/edge/http_call.cc) and the HTTP library of src/daemon/http_client.cc give up a call whose write fails, so they are not affected.

--- a/src/edge/attempt.h
+++ b/src/edge/attempt.h
@@ -22,6 +22,7 @@
     bool isSent = false; ///< A byte of the request may have reached the upstream.
     TimePoint sent;
     bool provesNotRun = false;
+    bool isWriteBroken = false; ///< The request could not be written whole. The connection's error was reported then, so a later read sees a normal end.
     bool isRelayed = false; ///< The whole answer was written to the caller.
     bool hadFirstByte = false;
     TimePoint answerBegan; ///< Time of the first byte, if there was one.
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -417,6 +417,7 @@
         this->state.sendBudgets.of(exchange.placement.service).onSent(attempt.sent);
     ErrorCode error;
     co_await http::async_write(link.stream, request, into(error));
+    attempt.isWriteBroken = static_cast<bool>(error);
     // An upstream may answer before it has read a long request, so read even after a failed write.
     if (const auto end = this->weightsDeadline(exchange, attempt.choice))
         link.stream.expires_at(*end);
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -24,6 +24,7 @@
     constexpr std::uint64_t unlimitedBody = std::uint64_t { 1 } << 50U;
     constexpr std::size_t pieceBytes = 16384;
     constexpr unsigned misdirected = 421;
+    constexpr const char* brokenWrite = "the connection broke while the request was written, before an answer that ended with it";
     constexpr const char* unconfirmedEnd = "the upstream was gone after an answer that ended with its connection";
 
     /// @return The id of the last event in @p events that has one.
@@ -151,6 +152,8 @@
 {
     if (!attempt.parser->need_eof())
         co_return true;
+    if (attempt.isWriteBroken)
+        co_return false;
     auto probe = this->pool.create(attempt.choice.address);
     exchange.activeConnection = probe.get();
     const bool isAlive = co_await connect(*probe, upstreamConnectTimeout);
@@ -181,7 +184,7 @@
     const bool isComplete = attempt.provesNotRun || co_await this->confirmEnd(exchange, attempt);
     if (!isComplete) {
         attempt.result = AttemptResult::Unreachable;
-        attempt.failure = unconfirmedEnd;
+        attempt.failure = attempt.isWriteBroken ? brokenWrite : unconfirmedEnd;
         co_return;
     }
     if (attempt.answer.weightVersion && !exchange.placement.model.empty())
@@ -319,7 +322,7 @@
     const bool isComplete = co_await this->confirmEnd(exchange, attempt);
     if (!isComplete) {
         attempt.result = AttemptResult::Unreachable;
-        attempt.failure = unconfirmedEnd;
+        attempt.failure = attempt.isWriteBroken ? brokenWrite : unconfirmedEnd;
         co_return;
     }
     const bool isEnded = co_await this->writeStreamPiece(exchange, attempt, nullptr, 0, false);
