Answers with invalid statuses are refused

Cause: HTTP libraries accept any three digits. A status under 200 counted as interim, so the body after 000, 099 or 101 was read as the next answer and passed on, even as a sealed 200; without a body the deadline was awaited. Statuses from 600 on were passed on.

Change: an answer is final with a status of 200 to 599 (RFC 9110, 15) and interim with 100 to 199 except 101, which no request asks for. With any other status the connection is closed and the attempt counts as failed after it may have run. The same check in HttpCaller, which took an interim answer for the final one and would have taken the final one for that of the next call, and in src/daemon/http_client.cc, whose plain calls passed the status on.

--- a/src/daemon/framing.h
+++ b/src/daemon/framing.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Checks that the length of a message's body is beyond doubt (RFC 9112, 6.1 and 6.3).
+/// Checks that the length of a message's body is beyond doubt (RFC 9112, 6.1 and 6.3), and of the status of an answer (RFC 9110, 15).
 
 #include <boost/beast/http/fields.hpp>
 
@@ -24,4 +24,18 @@
 /// @return The fault in words, for logs and error messages.
 const char* toString(FramingFault fault);
 
+/// @return Whether @p status is that of an interim answer, which the final one follows. 101 is not: requests ask for no upgrade, and
+/// the bytes after it would be of another protocol.
+constexpr bool isInterimStatus(unsigned status)
+{
+    constexpr unsigned switchingProtocols = 101;
+    return status >= 100 && status < 200 && status != switchingProtocols;
+}
+
+/// @return Whether @p status is that of a final answer. HTTP libraries accept any three digits.
+constexpr bool isFinalStatus(unsigned status)
+{
+    return status >= 200 && status < 600;
+}
+
 } // namespace goldcrestwood
--- a/src/daemon/http_client.cc
+++ b/src/daemon/http_client.cc
@@ -2,6 +2,8 @@
 
 #include <httplib.h>
 
+#include "daemon/framing.h"
+
 namespace goldcrestwood {
 
 namespace {
@@ -47,6 +49,8 @@
         const auto result = client.send(makeRequest(call));
         if (!result)
             return tl::unexpected(failureOf(result.error()));
+        if (!isFinalStatus(static_cast<unsigned>(result->status)))
+            return tl::unexpected(HttpFailure::NoAnswer);
         HttpResponse response { result->status, result->get_header_value("Content-Type"), result->body, {} };
         for (const auto& [name, value] : result->headers)
             response.headers.push_back({ name, value });
@@ -83,7 +87,7 @@
         return end.status != 200 || onChunk({ data, length });
     };
     const auto result = client.send(request);
-    end.complete = static_cast<bool>(result);
+    end.complete = result && isFinalStatus(static_cast<unsigned>(result->status));
     end.sent = result || failureOf(result.error()) == HttpFailure::NoAnswer;
     return end;
 }
--- a/src/edge/http_call.cc
+++ b/src/edge/http_call.cc
@@ -92,6 +92,9 @@
         co_return tl::unexpected(CallFailure { "no whole answer: " + error.message(), progress.bytes() });
     if (const auto fault = framingFault(parser.get(), parser.get().version(), parser.chunked()); fault != FramingFault::None)
         co_return tl::unexpected(CallFailure { toString(fault), progress.bytes() });
+    // An interim answer is refused too: the final one would be taken for that of the next call.
+    if (!isFinalStatus(parser.get().result_int()))
+        co_return tl::unexpected(CallFailure { "invalid status", progress.bytes() });
     link.stream.expires_never();
     auto message = parser.release();
     // The copy of a refusal may come where the next answer is due, and calls have no id that would tell them apart.
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -64,10 +64,15 @@
             co_return false;
         }
         attempt.status = attempt.parser->get().result_int();
-        if (attempt.status < 200) {
+        if (isInterimStatus(attempt.status)) {
             ++interim;
             continue;
         }
+        if (!isFinalStatus(attempt.status)) {
+            attempt.result = AttemptResult::Unreachable;
+            attempt.failure = "invalid status";
+            co_return false;
+        }
         const auto& head = attempt.parser->get();
         if (const auto fault = framingFault(head, head.version(), attempt.parser->chunked()); fault != FramingFault::None) {
             attempt.result = AttemptResult::Unreachable;
