--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -24,6 +24,7 @@
     constexpr std::uint64_t unlimitedBody = std::uint64_t { 1 } << 50U;
     constexpr std::size_t pieceBytes = 16384;
     constexpr unsigned misdirected = 421;
+    constexpr const char* brokenWrite = "the connection broke while the request was written, before an answer that ended with it";
     constexpr const char* unconfirmedEnd = "the upstream was gone after an answer that ended with its connection";
 
     /// @return The id of the last event in @p events that has one.
@@ -63,10 +64,15 @@
             co_return false;
         }
         attempt.status = attempt.parser->get().result_int();
-        if (attempt.status < 200) {
+        if (isInterimStatus(attempt.status)) {
             ++interim;
             continue;
         }
+        if (!isFinalStatus(attempt.status)) {
+            attempt.result = AttemptResult::Unreachable;
+            attempt.failure = "invalid status";
+            co_return false;
+        }
         const auto& head = attempt.parser->get();
         if (const auto fault = framingFault(head, head.version(), attempt.parser->chunked()); fault != FramingFault::None) {
             attempt.result = AttemptResult::Unreachable;
@@ -151,6 +157,8 @@
 {
     if (!attempt.parser->need_eof())
         co_return true;
+    if (attempt.isWriteBroken)
+        co_return false;
     auto probe = this->pool.create(attempt.choice.address);
     exchange.activeConnection = probe.get();
     const bool isAlive = co_await connect(*probe, upstreamConnectTimeout);
@@ -181,7 +189,7 @@
     const bool isComplete = attempt.provesNotRun || co_await this->confirmEnd(exchange, attempt);
     if (!isComplete) {
         attempt.result = AttemptResult::Unreachable;
-        attempt.failure = unconfirmedEnd;
+        attempt.failure = attempt.isWriteBroken ? brokenWrite : unconfirmedEnd;
         co_return;
     }
     if (attempt.answer.weightVersion && !exchange.placement.model.empty())
@@ -319,7 +327,7 @@
     const bool isComplete = co_await this->confirmEnd(exchange, attempt);
     if (!isComplete) {
         attempt.result = AttemptResult::Unreachable;
-        attempt.failure = unconfirmedEnd;
+        attempt.failure = attempt.isWriteBroken ? brokenWrite : unconfirmedEnd;
         co_return;
     }
     const bool isEnded = co_await this->writeStreamPiece(exchange, attempt, nullptr, 0, false);
--- a/src/edge/service_queue.cc
+++ b/src/edge/service_queue.cc
@@ -97,7 +97,8 @@
 
 Waiter ServiceQueues::makeWaiter(const ClientExchange& exchange, TimePoint now)
 {
-    return { ++this->lastWaiter, exchange.rank, callerKey(exchange), exchange.received, onTimeUntil(exchange), placementExpiry(exchange, now) };
+    return { ++this->lastWaiter, exchange.rank, callerKey(exchange), exchange.received, onTimeUntil(exchange), placementExpiry(exchange, now),
+        exchange.account == nullptr ? ClientAccount() : exchange.account->name };
 }
 
 Task<std::optional<PlacementChoice>> ServiceQueues::place(ClientExchange& exchange, PlacementRefusal& refusal)
@@ -108,8 +109,10 @@
     auto waiter = this->makeWaiter(exchange, now);
     refusal = PlacementRefusal::Full;
     if (queue.admission.isNext(waiter, now))
-        if (auto choice = this->tryAssign(exchange, refusal))
+        if (auto choice = this->tryAssign(exchange, refusal)) {
+            queue.admission.onPlaced(waiter.account, now);
             co_return choice;
+        }
     if (refusal == PlacementRefusal::NoUpstream)
         waiter.expiresAt = std::min(waiter.expiresAt, std::max(waiter.onTimeUntil, exchange.received + noUpstreamWait));
     // Every upstream that could serve the request has said when it accepts requests again, or how many.
@@ -131,16 +134,28 @@
     queue.admission.add(waiter, monotonicNow());
     queue.exchanges[waiter.id] = &exchange;
     exchange.assigned.reset();
-    exchange.queueTimer.expires_at(waiter.expiresAt);
-    ErrorCode ignored;
-    co_await exchange.queueTimer.async_wait(into(ignored));
-    if (exchange.assigned)
-        co_return std::exchange(exchange.assigned, std::nullopt);
+    do {
+        exchange.queueTimer.expires_at(nextCheck(waiter, monotonicNow()));
+        ErrorCode ignored;
+        co_await exchange.queueTimer.async_wait(into(ignored));
+        if (exchange.assigned)
+            co_return std::exchange(exchange.assigned, std::nullopt);
+    } while (!exchange.isOver() && monotonicNow() < waiter.expiresAt && !this->isInfeasible(exchange, queue, waiter, monotonicNow()));
     queue.admission.remove(waiter.id, false, monotonicNow());
     queue.exchanges.erase(waiter.id);
-    if (!exchange.isOver())
-        co_return this->tryAssign(exchange, refusal);
-    co_return std::nullopt;
+    if (exchange.isOver())
+        co_return std::nullopt;
+    auto choice = this->tryAssign(exchange, refusal);
+    if (choice)
+        queue.admission.onPlaced(waiter.account, monotonicNow());
+    co_return choice;
+}
+
+bool ServiceQueues::isInfeasible(const ClientExchange& exchange, const Queue& queue, const Waiter& waiter, TimePoint now) const
+{
+    // Upstreams that have said when they accept requests again do so at once for all, whatever the rate was before.
+    const bool isOpening = this->state.board.nextAvailableAt(exchange.placement, exchange.tried, queue.admission.countAhead(waiter, now), now).has_value();
+    return !isOpening && queue.admission.isInfeasible(waiter, now);
 }
 
 void ServiceQueues::dispatch(const ServiceName& service)
