--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -618,7 +618,8 @@
 directory = "{ip}:7003"
 [limits]
 cpu_share = 0.25
-memory_mb = 110
+memory_mb = {memory_mb}
+{limits}
 [platform]
 addr = "{store}"
 [bounds]
@@ -631,13 +632,14 @@
 class Daemon:
     """One entry daemon on its own loopback address."""
 
-    def __init__(self, number, store, folder, seeds, link=None, bounds=""):
+    def __init__(self, number, store, folder, seeds, link=None, bounds="", memory_mb=110, limits=""):
         self.node, self.ip = f"edge-{number}", f"{SUBNET}.{number}"
-        self.front, self.ready, self.directory, self.metrics = (f"{self.ip}:{port}" for port in (7001, 7002, 7003, 9464))
+        self.front, self.ready, self.directory, self.metrics, self.peers = (f"{self.ip}:{port}" for port in (7001, 7002, 7003, 9464, 7000))
         self.store_address = link(store.add_address()) if link else store.add_address()
         self.settings = folder / f"{self.node}.toml"
         self.settings.write_text(SETTINGS.format(node=self.node, zone=f"zone-{number % 3}", ip=self.ip, store=self.store_address,
-                                                 seeds=", ".join(f'"{seed}:7000"' for seed in seeds)) + bounds)
+                                                 seeds=", ".join(f'"{seed}:7000"' for seed in seeds),
+                                                 memory_mb=memory_mb, limits=limits) + bounds)
         self.log_path = folder / f"{self.node}.log"
         self.process = None
 
@@ -654,6 +656,9 @@
         with open(f"/proc/{self.process.pid}/status", encoding="ascii") as status:
             return int(next(line for line in status if line.startswith("VmHWM")).split()[1]) / 1024
 
+    def open_descriptors(self):
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
     def log_lines(self):
         lines = []
         for line in self.log_path.read_text().splitlines():
@@ -676,20 +681,20 @@
 class EdgeSite(contextlib.ExitStack):
     """A store, replicas of a model and of a plain service, and daemons."""
 
-    def __init__(self, daemons=2, models=3, plain=2, configuration=None, link=None, bounds=""):
+    def __init__(self, daemons=2, models=3, plain=2, configuration=None, link=None, bounds="", memory_mb=110, limits=""):
         """Starts the site.
 
         link, if given, maps each address of the store and of a replica to the address to use instead.
-        bounds holds additional lines for the [bounds] table of the settings.
+        bounds and limits hold additional lines for the [bounds] and [limits] tables of the settings.
         """
         super().__init__()
         try:
-            self.begin(daemons, models, plain, configuration, link, bounds)
+            self.begin(daemons, models, plain, configuration, link, bounds, memory_mb, limits)
         except BaseException:
             self.close()  # Leaves no process running.
             raise
 
-    def begin(self, daemons, models, plain, configuration, link, bounds):
+    def begin(self, daemons, models, plain, configuration, link, bounds, memory_mb, limits):
         self.folder = pathlib.Path(self.enter_context(tempfile.TemporaryDirectory()))
         self.store = Store()
         self.callback(self.store.stop)
@@ -697,7 +702,7 @@
         self.models = [Replica(self.store, number, "model", "streaming", f"zone-{number % 3}", link=link) for number in range(models)]
         self.plain = [Replica(self.store, number, "plain", "plain", f"zone-{number % 3}", link=link) for number in range(plain)]
         seeds = [f"{SUBNET}.{number + 1}" for number in range(min(daemons, 3))]
-        self.daemons = [Daemon(number + 1, self.store, self.folder, seeds, link, bounds).start() for number in range(daemons)]
+        self.daemons = [Daemon(number + 1, self.store, self.folder, seeds, link, bounds, memory_mb, limits).start() for number in range(daemons)]
         for daemon in self.daemons:
             self.callback(daemon.stop)
         for daemon in self.daemons:
--- /dev/null
+++ b/test/process/uncontrolled_listeners_test.py
@@ -0,0 +1,44 @@
+"""The same clients against the listeners that are not for callers' requests."""
+
+import unittest
+
+import uncontrolled
+from uncontrolled import Client
+
+CLIENTS = 32
+BYTES = 6 << 20  # Of each client.
+CHUNKED = b"POST /readyz HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class ListenersTest(uncontrolled.UncontrolledTest):
+    def flood(self, first, piece):
+        """Floods one listener after the other with a process of its own."""
+        for listener in ("ready", "directory", "metrics"):
+            with self.subTest(listener):
+                self.start()
+                print(listener, end=" ")
+                try:
+                    self.endure([Client(getattr(self.daemon, listener), first, piece, BYTES) for _ in range(CLIENTS)])
+                finally:
+                    self.edge.close()
+
+    def test_trailers_that_never_end(self):
+        self.flood(CHUNKED + b"0\r\n", b"X-Noise: 0123456789abcdef\r\n" * 200)
+
+    def test_chunk_size_that_never_ends(self):
+        self.flood(CHUNKED, b"0" * 8000)
+
+    def test_bodies_that_never_end(self):
+        self.flood(CHUNKED, b"%x\r\n%s\r\n" % (16384, b"x" * 16384))
+
+    def test_many_bodies_short_of_their_end(self):
+        self.flood(b"POST /readyz HTTP/1.1\r\nHost: x\r\nContent-Length: 1048576\r\n\r\n", b"x" * 16384)
+
+    def test_frames_of_peers_that_do_not_end(self):
+        # A frame may have 8 MiB, and the sum of the frames was not bounded.
+        self.start()
+        self.endure([Client(self.daemon.peers, (8 << 20).to_bytes(4, "big"), b"\x80" * 65536, BYTES, reconnects=False) for _ in range(CLIENTS)])
+
+
+if __name__ == "__main__":
+    unittest.main()
