A caller's connection buffers a head and 4 KiB at most

Cause: the buffer of a connection had no maximum, and the parser keeps a chunk header or all trailers in it until their end. Eight clients took 108 MB of 40.

Change: the buffer's maximum is header_bytes and 4 KiB; what exceeds it is answered 431 and the connection ends. No request inside the limits is affected: a head has its own limit below, and data of bodies is consumed as it arrives.

--- a/src/edge/client_session.cc
+++ b/src/edge/client_session.cc
@@ -1,5 +1,7 @@
 #include "edge/client_session.h"
 
+#include <algorithm>
+
 #include "daemon/clock.h"
 #include "daemon/framing.h"
 #include "edge/caller_socket.h"
@@ -14,6 +16,10 @@
     /// Idle timeout of callers' connections on a stopping daemon.
     constexpr Duration stoppingIdleTimeout = std::chrono::milliseconds(1500);
 
+    /// Bytes beyond a longest head that a connection buffers. The part of a request that must be buffered whole, a head, a chunk header or all
+    /// trailers together, has no other bound.
+    constexpr std::size_t readAheadBytes = 4096;
+
     unsigned statusOf(FramingFault fault)
     {
         return fault == FramingFault::UnsupportedCoding ? 501 : 400;
@@ -21,7 +27,7 @@
 
     unsigned statusOf(ErrorCode error)
     {
-        if (error == http::error::header_limit)
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
             return 431;
         if (error == http::error::body_limit)
             return 413;
@@ -41,11 +47,12 @@
 {
     const auto bounds = this->limits();
     ErrorCode error;
+    // Requests behind the last one may already fill more, if the configuration has changed.
+    buffer.max_size(std::max(buffer.size(), bounds.headerBytes + readAheadBytes));
     if (buffer.size() == 0) {
         stream.expires_after(this->state.isStopping ? stoppingIdleTimeout : bounds.idleTimeout);
-        constexpr std::size_t firstRead = 4096;
         this->idle.insert(&stream);
-        const auto received = co_await stream.async_read_some(buffer.prepare(firstRead), into(error));
+        const auto received = co_await stream.async_read_some(buffer.prepare(readAheadBytes), into(error));
         this->idle.erase(&stream);
         // Closed before this coroutine resumed: drop the request, because it cannot be answered.
         if (!stream.socket().is_open())
@@ -77,8 +84,10 @@
     }
     if (!error)
         co_return true;
+    // g++ 12 destroys a temporary of a conditional inside co_await twice.
+    const std::string reason = error == http::error::buffer_overflow ? "chunk header or trailers too long" : error.message();
     if (error != http::error::end_of_stream && error != asio::error::connection_reset && error != http::error::partial_message)
-        co_await this->answerUnreadable(stream, statusOf(error), error.message());
+        co_await this->answerUnreadable(stream, statusOf(error), reason);
     co_return false;
 }
 
