One account of memory for requests that are received and held

Cause: each body was bounded, their sum was not. 48 bodies that stopped short of their end, or were sent over the limit, took 60 to 72 MB of 40.

Change: RequestMemory bounds buffers, fields and twice the bodies of all requests by a quarter of memory_mb. When it is spent, the unfinished request with the largest product of bytes and time without progress is answered 503 and its connection ends; it was never sent on. A complete request is kept, and a new one that finds no memory is refused. Idle connections keep no buffer.

--- a/src/edge/client_session.cc
+++ b/src/edge/client_session.cc
@@ -20,6 +20,26 @@
     /// trailers together, has no other bound.
     constexpr std::size_t readAheadBytes = 4096;
 
+    /// Retry-After of a request that found no memory: unfinished requests without progress end within the header timeout.
+    constexpr const char* exhaustedRetryAfter = "1";
+
+    /// @return Bytes that the fields of a request take, for the caller's and the upstream's copy of them.
+    std::uint64_t fieldBytes(const http::fields& fields)
+    {
+        constexpr std::uint64_t copies = 2;
+        constexpr std::uint64_t entryBytes = 96; // Each field is an allocation of its own.
+        std::uint64_t result = 0;
+        for (const auto& field : fields)
+            result += copies * (entryBytes + field.name_string().size() + field.value().size());
+        return result;
+    }
+
+    /// @param body Bytes of the body received. They take up to twice their number while they grow and while they are sent on.
+    std::uint64_t requestBytes(const beast::flat_buffer& buffer, std::uint64_t fields, std::size_t body)
+    {
+        return buffer.capacity() + fields + 2 * static_cast<std::uint64_t>(body);
+    }
+
     unsigned statusOf(FramingFault fault)
     {
         return fault == FramingFault::UnsupportedCoding ? 501 : 400;
@@ -43,7 +63,7 @@
     return this->state.routes ? this->state.routes->configuration().limits : ClientLimits {};
 }
 
-Task<bool> ClientSessions::readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser)
+Task<bool> ClientSessions::readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, RequestMemory::Share& memory)
 {
     const auto bounds = this->limits();
     ErrorCode error;
@@ -65,6 +85,11 @@
     parser.body_limit(bounds.bodyBytes);
     stream.expires_after(bounds.headerTimeout);
     co_await http::async_read_header(stream, buffer, parser, into(error));
+    const auto fields = error ? 0 : fieldBytes(parser.get());
+    if (!memory.resize(requestBytes(buffer, fields, 0), monotonicNow())) {
+        co_await this->answerExhausted(stream, parser);
+        co_return false;
+    }
     if (!error) {
         const auto& head = parser.get();
         if (const auto fault = framingFault(head, head.version(), parser.chunked()); fault != FramingFault::None) {
@@ -81,9 +106,15 @@
         // The header timeout also applies to each read of the body.
         stream.expires_after(bounds.headerTimeout);
         co_await http::async_read_some(stream, buffer, parser, into(error));
+        if (!memory.resize(requestBytes(buffer, fields, parser.get().body().size()), monotonicNow())) {
+            co_await this->answerExhausted(stream, parser);
+            co_return false;
+        }
     }
-    if (!error)
+    if (!error) {
+        memory.complete();
         co_return true;
+    }
     // g++ 12 destroys a temporary of a conditional inside co_await twice.
     const std::string reason = error == http::error::buffer_overflow ? "chunk header or trailers too long" : error.message();
     if (error != http::error::end_of_stream && error != asio::error::connection_reset && error != http::error::partial_message)
@@ -124,6 +155,25 @@
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+Task<> ClientSessions::answerExhausted(beast::tcp_stream& stream, Parser& parser)
+{
+    edge::log(edge::LogClass::Decision, "request_given_up",
+        { { "bytes", static_cast<std::int64_t>(parser.get().body().size()) }, { "held_bytes", static_cast<std::int64_t>(this->state.requestMemory.used()) } });
+    this->state.metrics.count("goldcrest_requests_given_up_total");
+    // Its memory already counts as free.
+    std::string().swap(parser.get().body());
+    http::response<http::string_body> response { http::status::service_unavailable, 11 };
+    response.keep_alive(false);
+    response.set(http::field::content_type, "application/problem+json");
+    response.set(http::field::retry_after, exhaustedRetryAfter);
+    response.body() = std::string("{\"title\":\"") + RequestMemory::exhausted + "\"}";
+    response.prepare_payload();
+    stream.expires_after(std::chrono::seconds(1));
+    ErrorCode ignored;
+    co_await http::async_write(stream, response, into(ignored));
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 Task<> ClientSessions::serve(tcp::socket socket)
 {
     setSilenceTimeout(socket, clientSilenceTimeout);
@@ -131,8 +181,10 @@
     beast::flat_buffer buffer;
     bool isOpen = true;
     while (isOpen) {
+        RequestMemory::Share memory(
+            this->state.requestMemory, [&stream] { stream.cancel(); }, monotonicNow());
         Parser parser;
-        if (!co_await this->readRequest(stream, buffer, parser))
+        if (!co_await this->readRequest(stream, buffer, parser, memory))
             break;
         stream.expires_never();
         ClientExchange exchange(stream);
@@ -151,6 +203,8 @@
             co_await this->pipeline.serve(exchange);
         }
         this->exchanges.erase(&exchange);
+        // An idle connection keeps no buffer.
+        buffer.shrink_to_fit();
         // A stream that began before the stop announced keep-alive, but another request would arrive too late.
         isOpen = exchange.clientKeepAlive && !exchange.hasClientLeft() && !this->state.isStopping;
     }
--- a/src/edge/client_session.h
+++ b/src/edge/client_session.h
@@ -35,9 +35,11 @@
 private:
     using Parser = http::request_parser<http::string_body>;
 
-    Task<bool> readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser);
+    Task<bool> readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, RequestMemory::Share& memory);
     /// Answers a request that cannot be read; its connection cannot serve another one.
     Task<> answerUnreadable(beast::tcp_stream& stream, unsigned status, std::string reason);
+    /// Refuses a request for lack of memory before it is complete, so that it has not run.
+    Task<> answerExhausted(beast::tcp_stream& stream, Parser& parser);
     ClientLimits limits() const;
 
     EdgeState& state;
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -210,6 +210,7 @@
         this->state.metrics.set("goldcrest_log_lines_dropped", "", static_cast<double>(edge::droppedLines()));
         this->state.metrics.set("goldcrest_transfer_memory_bytes", "", static_cast<double>(this->state.transferMemory.used()));
         this->state.metrics.set("goldcrest_answers_given_up", "", static_cast<double>(this->state.transferMemory.evictions()));
+        this->state.metrics.set("goldcrest_request_memory_bytes", "", static_cast<double>(this->state.requestMemory.used()));
         response.body() = this->state.metrics.prometheusText();
     } else if (path == statePath) {
         response.set(http::field::content_type, "application/json");
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -15,6 +15,7 @@
 #include "goldcrestwood/crash_suspects.h"
 #include "goldcrestwood/edge_settings.h"
 #include "goldcrestwood/keyed_feed.h"
+#include "goldcrestwood/load/request_memory.h"
 #include "goldcrestwood/load_keepers.h"
 #include "goldcrestwood/part_directory.h"
 #include "goldcrestwood/process_pauses.h"
@@ -45,13 +46,17 @@
     /// Time that a new feed reader needs to hear all daemons: two heartbeats at a large site.
     static constexpr Duration readerWarmUp = std::chrono::milliseconds(2200);
 
-    /// Share of the process's memory for answers that are being received. A growing buffer holds up to twice its contents.
+    /// Share of the process's memory for answers that are being received. A growing buffer holds up to twice its contents, so answers take half of
+    /// the memory, requests a quarter (twice their bytes are counted), and the process itself 12 MB of the smallest machine's 88.
     static constexpr std::uint64_t transferMemoryDivisor = 4;
+    static constexpr std::uint64_t requestMemoryDivisor = 4;
     static constexpr std::uint64_t defaultTransferMemory = 16U << 20U; ///< Bytes, if the process's memory is unknown.
+    static constexpr std::uint64_t defaultRequestMemory = 64U << 20U; ///< Bytes, if the process's memory is unknown.
 
     explicit EdgeState(EdgeSettings initial, std::uint64_t seed)
         : settings(std::move(initial))
         , transferMemory(settings.memoryBytes == 0 ? defaultTransferMemory : settings.memoryBytes / transferMemoryDivisor)
+        , requestMemory(settings.memoryBytes == 0 ? defaultRequestMemory : settings.memoryBytes / requestMemoryDivisor)
         , board(settings.instance, settings.bounds, parts)
         , random(seed)
         , sendBudgets(settings.bounds, settings.isFirstStart ? std::nullopt : std::optional(started))
@@ -94,6 +99,7 @@
 
     EdgeSettings settings;
     TransferMemory transferMemory;
+    RequestMemory requestMemory;
     std::uint64_t incarnation = 0; ///< Start of the process, Unix microseconds.
     TimePoint started = monotonicNow();
     std::shared_ptr<const RouteTable> routes; ///< Null until a configuration is known.
--- /dev/null
+++ b/test/load/request_memory_test.cc
@@ -0,0 +1,75 @@
+#include <catch2/catch.hpp>
+
+#include "goldcrestwood/load/request_memory.h"
+
+using namespace goldcrestwood;
+
+namespace {
+
+/// A request that is being received.
+struct Incoming {
+    explicit Incoming(RequestMemory& memory, TimePoint now = {})
+        : share(
+            memory, [this] { this->isGivenUp = true; }, now)
+    {
+    }
+
+    bool isGivenUp = false;
+    RequestMemory::Share share;
+};
+
+constexpr auto second = std::chrono::seconds(1);
+
+} // namespace
+
+// Fault: bodies inside the limit of each exceeded the memory together, and stayed just short of their end.
+TEST_CASE("a request without progress is given up before a larger one that makes progress")
+{
+    RequestMemory memory(100'000);
+    Incoming stalled(memory);
+    Incoming moving(memory);
+    TimePoint now {};
+    REQUIRE(stalled.share.resize(40'000, now));
+    now += 5 * second;
+    REQUIRE(moving.share.resize(50'000, now));
+    Incoming small(memory, now);
+    CHECK(small.share.resize(15'000, now));
+    CHECK(stalled.isGivenUp);
+    CHECK_FALSE(moving.isGivenUp);
+    CHECK_FALSE(stalled.share.resize(1, now));
+    CHECK(memory.used() == 65'000);
+    CHECK(memory.evictions() == 1);
+}
+
+TEST_CASE("a byte now and then is no progress")
+{
+    RequestMemory memory(100'000);
+    Incoming trickling(memory);
+    Incoming moving(memory);
+    TimePoint now {};
+    REQUIRE(trickling.share.resize(50'000, now));
+    for (std::uint64_t more = 1; more <= 10; ++more) {
+        now += second;
+        REQUIRE(trickling.share.resize(50'000 + more, now));
+        REQUIRE(moving.share.resize(4'990 * more, now));
+    }
+    CHECK(moving.share.resize(54'000, now));
+    CHECK(trickling.isGivenUp);
+}
+
+TEST_CASE("a whole request is kept, and a new one that finds no memory is refused")
+{
+    RequestMemory memory(100'000);
+    Incoming served(memory);
+    REQUIRE(served.share.resize(95'000, TimePoint {}));
+    served.share.complete();
+    const auto later = TimePoint {} + 60 * second;
+    {
+        Incoming next(memory, later);
+        CHECK_FALSE(next.share.resize(10'000, later));
+        CHECK(next.share.isGivenUp());
+        CHECK_FALSE(next.isGivenUp); // It was told by the result.
+    }
+    CHECK_FALSE(served.isGivenUp);
+    CHECK(memory.used() == 95'000);
+}
