Control calls and peers' queries are read into bounded buffers

Cause: readiness, directory, metrics and state took bodies of 1 MiB, and chunk headers and trailers without a bound; the peers' port took frames of 8 MiB as queries. 32 clients took 44 to 208 MB of 40.

Change: bodies of control calls have 4 KiB at most, their connections buffer 12 KiB, and a peer's query has 4 KiB at most (it has some numbers and flags). What exceeds this ends the connection, with a log line and a counter.

--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -25,6 +25,9 @@
     /// Lifetime of a directory answer: short enough that callers soon leave a stopped daemon, long enough to limit queries.
     constexpr Duration directoryLifetime = std::chrono::seconds(2);
     constexpr Duration controlIdleTimeout = std::chrono::seconds(15);
+    /// Control calls have no body; heads have the parser's own limit of 8 KiB, and what must be buffered whole has the buffer's.
+    constexpr std::uint64_t maxControlBodyBytes = 4096;
+    constexpr std::size_t maxControlBufferBytes = 12U << 10U;
     constexpr Duration sweepInterval = std::chrono::milliseconds(50);
     /// Callers still connect after SIGTERM until their directory answer expires.
     constexpr Duration minStopTime = std::chrono::milliseconds(2500);
@@ -178,11 +181,17 @@
     ErrorCode error;
     const auto caller = socket.remote_endpoint(error).address().to_string();
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(maxControlBufferBytes);
     while (!error) {
-        http::request<http::string_body> request;
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(maxControlBodyBytes);
         stream.expires_after(controlIdleTimeout);
-        co_await http::async_read(stream, buffer, request, into(error));
+        co_await http::async_read(stream, buffer, parser, into(error));
+        if (error == http::error::body_limit || error == http::error::buffer_overflow || error == http::error::header_limit) {
+            edge::log(edge::LogClass::Decision, "control_call_refused", { { "caller", caller }, { "reason", error.message() } });
+            this->state.metrics.count("goldcrest_control_calls_refused_total");
+        }
+        const auto& request = parser.get();
         if (error || framingFault(request, request.version(), request.chunked()) != FramingFault::None)
             break;
         auto response = this->answerControl(request, caller);
--- a/src/edge/feed_exchange.cc
+++ b/src/edge/feed_exchange.cc
@@ -21,6 +21,9 @@
     constexpr std::size_t lengthBytes = 4;
     /// Fits a full answer at the largest site: 4,500 upstreams, 340 daemons and the parts of the cache stores.
     constexpr std::size_t maxFrameBytes = 8U << 20U;
+    constexpr const char* overlongFrame = "a frame of ";
+    /// A query has some numbers and flags, under 200 bytes.
+    constexpr std::size_t maxQueryBytes = 4096;
     /// Answers with a configuration or all upstreams are larger; changes are smaller, and compressing those saves little.
     constexpr std::size_t minCompressedBytes = 16U << 10U;
     /// Memory is allocated as bytes arrive, regardless of the announced length.
@@ -76,7 +79,7 @@
 
     /// @param timeout Time until the frame begins.
     /// @return The payload of the next frame.
-    Task<tl::expected<std::string, CallFailure>> readFrame(beast::tcp_stream& stream, Duration timeout)
+    Task<tl::expected<std::string, CallFailure>> readFrame(beast::tcp_stream& stream, Duration timeout, std::size_t maxBytes)
     {
         TransferDeadline deadline(monotonicNow(), timeout);
         std::array<unsigned char, lengthBytes> head {};
@@ -88,8 +91,8 @@
         std::size_t length = 0;
         for (const auto byte : head)
             length = length << 8U | byte;
-        if (length > maxFrameBytes)
-            co_return tl::unexpected(CallFailure { "a frame of " + std::to_string(length) + " bytes", 0 });
+        if (length > maxBytes)
+            co_return tl::unexpected(CallFailure { std::string(overlongFrame) + std::to_string(length) + " bytes", 0 });
         std::string payload;
         deadline.onBytes(head.size(), monotonicNow());
         while (payload.size() < length) {
@@ -222,7 +225,7 @@
     co_await asio::async_write(*link.stream, asio::buffer(request), into(error));
     if (error)
         co_return tl::unexpected(CallFailure { "not sent: " + error.message(), 0 });
-    co_return co_await readFrame(*link.stream, queryTimeout);
+    co_return co_await readFrame(*link.stream, queryTimeout, maxFrameBytes);
 }
 
 Task<bool> FeedExchange::query(QueryLink& link, std::string address, bool wantsCache)
@@ -335,9 +338,14 @@
 {
     beast::tcp_stream stream(std::move(socket));
     while (true) {
-        const auto payload = co_await readFrame(stream, queryIdleTimeout);
-        if (!payload)
+        const auto payload = co_await readFrame(stream, queryIdleTimeout, maxQueryBytes);
+        if (!payload) {
+            if (payload.error().reason.starts_with(overlongFrame)) {
+                edge::log(edge::LogClass::Decision, "peer_query_refused", { { "reason", payload.error().reason } });
+                this->state.metrics.count("goldcrest_peer_queries_refused_total");
+            }
             co_return;
+        }
         const auto query = decode<FeedQuery>(*payload);
         if (!query)
             co_return;
