Connections are bounded by the descriptors of the process

Cause: each listener accepted connections until no descriptor was left; then no request could be sent on or accepted. 160 idle connections took 178 to 209 descriptors of 128, and with the limit enforced no request was answered for 20 s. Loops that accept control calls and peers' queries also spun without a pause.

Change: max_fds (or the process's own limit) is divided among the listeners, with room for upstreams, the store and files (connectionBudget). At its limit, a listener closes the connection that has waited longest for a request or its next 4 KiB; one with a request in progress is never closed for a new one, which gets 503 unread instead. Accept loops pause after a failure.

--- a/include/goldcrestwood/edge_settings.h
+++ b/include/goldcrestwood/edge_settings.h
@@ -51,6 +51,7 @@
     bool isFirstStart = false; ///< First start of the whole site: no process of it has run before.
     double processorShare = 1; ///< Processor share in cores.
     std::uint64_t memoryBytes = 0; ///< Memory above which the platform kills the process; 0 if unknown.
+    std::uint64_t maxDescriptors = 0; ///< File descriptors that the process may open; 0 if unknown.
     double linkMegabits = 0; ///< Bandwidth of the machine's link in megabits per second; 0 if unknown.
     SiteBounds bounds;
 
--- a/src/edge/client_session.cc
+++ b/src/edge/client_session.cc
@@ -63,7 +63,7 @@
     return this->state.routes ? this->state.routes->configuration().limits : ClientLimits {};
 }
 
-Task<bool> ClientSessions::readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, RequestMemory::Share& memory)
+Task<bool> ClientSessions::readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, RequestMemory::Share& memory, ConnectionLimit::Entry& place)
 {
     const auto bounds = this->limits();
     ErrorCode error;
@@ -80,12 +80,16 @@
         if (error)
             co_return false;
         buffer.commit(received);
+        place.waits(monotonicNow());
     }
     parser.header_limit(bounds.headerBytes);
     parser.body_limit(bounds.bodyBytes);
     stream.expires_after(bounds.headerTimeout);
     co_await http::async_read_header(stream, buffer, parser, into(error));
+    if (!stream.socket().is_open())
+        co_return false; // Closed for a new connection.
     const auto fields = error ? 0 : fieldBytes(parser.get());
+    std::size_t bodyAtProgress = 0;
     if (!memory.resize(requestBytes(buffer, fields, 0), monotonicNow())) {
         co_await this->answerExhausted(stream, parser);
         co_return false;
@@ -106,6 +110,12 @@
         // The header timeout also applies to each read of the body.
         stream.expires_after(bounds.headerTimeout);
         co_await http::async_read_some(stream, buffer, parser, into(error));
+        if (!stream.socket().is_open())
+            co_return false;
+        if (const auto body = parser.get().body().size(); body - bodyAtProgress >= RequestMemory::progressBytes) {
+            bodyAtProgress = body;
+            place.waits(monotonicNow());
+        }
         if (!memory.resize(requestBytes(buffer, fields, parser.get().body().size()), monotonicNow())) {
             co_await this->answerExhausted(stream, parser);
             co_return false;
@@ -174,18 +184,26 @@
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-Task<> ClientSessions::serve(tcp::socket socket)
+Task<> ClientSessions::serve(tcp::socket socket, std::unique_ptr<ConnectionLimit::Entry> place)
 {
     setSilenceTimeout(socket, clientSilenceTimeout);
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
+    place->onEvicted([&stream] {
+        ErrorCode ignored;
+        stream.socket().close(ignored);
+    });
     bool isOpen = true;
     while (isOpen) {
         RequestMemory::Share memory(
             this->state.requestMemory, [&stream] { stream.cancel(); }, monotonicNow());
         Parser parser;
-        if (!co_await this->readRequest(stream, buffer, parser, memory))
+        place->waits(monotonicNow());
+        const bool isRead = co_await this->readRequest(stream, buffer, parser, memory, *place);
+        // A connection that was closed for a new one may hold a request that was just completed; it was not sent on.
+        if (!isRead || !stream.socket().is_open())
             break;
+        place->serves();
         stream.expires_never();
         ClientExchange exchange(stream);
         exchange.unread = ageOfNewestBytes(stream.socket());
--- a/src/edge/client_session.h
+++ b/src/edge/client_session.h
@@ -3,6 +3,7 @@
 /// @file
 /// Callers' connections: reads the requests of each connection in sequence and passes them to the pipeline.
 
+#include <memory>
 #include <set>
 
 #include "edge/edge_state.h"
@@ -21,7 +22,8 @@
     }
 
     /// Serves @p socket until it closes.
-    Task<> serve(tcp::socket socket);
+    /// @param place Its place among the callers' connections.
+    Task<> serve(tcp::socket socket, std::unique_ptr<ConnectionLimit::Entry> place);
 
     /// Closes the connections without a request in progress.
     void closeIdle();
@@ -35,7 +37,7 @@
 private:
     using Parser = http::request_parser<http::string_body>;
 
-    Task<bool> readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, RequestMemory::Share& memory);
+    Task<bool> readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, RequestMemory::Share& memory, ConnectionLimit::Entry& place);
     /// Answers a request that cannot be read; its connection cannot serve another one.
     Task<> answerUnreadable(beast::tcp_stream& stream, unsigned status, std::string reason);
     /// Refuses a request for lack of memory before it is complete, so that it has not run.
--- a/src/edge/edge_main.cc
+++ b/src/edge/edge_main.cc
@@ -1,5 +1,8 @@
 #include "edge/edge_main.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -44,6 +47,9 @@
         std::cout << path << ": no findings\n";
         return 0;
     }
+    rlimit descriptors {};
+    if (::getrlimit(RLIMIT_NOFILE, &descriptors) == 0)
+        settings->maxDescriptors = settings->maxDescriptors == 0 ? descriptors.rlim_cur : std::min<std::uint64_t>(settings->maxDescriptors, descriptors.rlim_cur);
     std::signal(SIGPIPE, SIG_IGN);
     edge::startLog(settings->instance.value);
     asio::io_context loop(1);
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -1,5 +1,6 @@
 #include "edge/edge_server.h"
 
+#include <array>
 #include <csignal>
 #include <iostream>
 
@@ -57,6 +58,23 @@
         return state.aggregators.isMesh() ? registryPause : sharedRegistryPause;
     }
 
+    /// Pause after a connection could not be accepted, for lack of descriptors.
+    constexpr Duration acceptPause = std::chrono::milliseconds(20);
+
+    /// Tells a caller that requests are in progress on all connections, and closes the connection. Its request was not read, so it has not run.
+    void refuseConnection(tcp::socket socket)
+    {
+        static constexpr std::string_view answer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+        edge::log(edge::LogClass::Decision, "connection_refused", { { "reason", "requests are in progress on all connections" } });
+        ErrorCode ignored; // A caller that has left needs no answer.
+        socket.non_blocking(true, ignored);
+        socket.write_some(asio::buffer(answer), ignored);
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
+        // Unread bytes at the close would reset the connection, and the answer with it.
+        std::array<char, 16384> unread {};
+        socket.read_some(asio::buffer(unread), ignored);
+    }
+
     std::string queryField(const std::string& target, const std::string& name)
     {
         const auto question = target.find('?');
@@ -90,6 +108,10 @@
     , duty(this->state, ioContext.get_executor(), this->queues, this->peers)
     , rollouts(this->state, ioContext.get_executor())
     , cacheWatch(this->state, ioContext.get_executor())
+    , clientConnections(this->state.connections.clients)
+    , readyConnections(this->state.connections.control)
+    , directoryConnections(this->state.connections.control)
+    , metricsConnections(this->state.connections.control)
     , front(ioContext)
     , ready(ioContext)
     , directory(ioContext)
@@ -126,9 +148,9 @@
         });
     };
     spawn(this->acceptClients());
-    spawn(this->acceptControl(this->ready));
-    spawn(this->acceptControl(this->directory));
-    spawn(this->acceptControl(this->metrics));
+    spawn(this->acceptControl(this->ready, this->readyConnections));
+    spawn(this->acceptControl(this->directory, this->directoryConnections));
+    spawn(this->acceptControl(this->metrics, this->metricsConnections));
     spawn(this->operatorReader.run());
     spawn(this->registryReader.run());
     spawn(this->peers.sendDatagrams());
@@ -154,35 +176,50 @@
         ErrorCode error;
         auto socket = co_await this->front.async_accept(into(error));
         if (!error) {
-            asio::co_spawn(this->loop, this->sessions.serve(std::move(socket)), asio::detached);
+            if (auto place = this->clientConnections.admit(monotonicNow()))
+                asio::co_spawn(this->loop, this->sessions.serve(std::move(socket), std::move(place)), asio::detached);
+            else
+                refuseConnection(std::move(socket));
             continue;
         }
         if (error == asio::error::operation_aborted)
             co_return;
         // Out of file descriptors: closing connections free some.
         edge::log(edge::LogClass::Decision, "accept_failed", { { "reason", error.message() } });
-        pause.expires_after(std::chrono::milliseconds(20));
+        pause.expires_after(acceptPause);
         co_await pause.async_wait(into(error));
     }
 }
 
-Task<> EdgeServer::acceptControl(tcp::acceptor& acceptor)
+Task<> EdgeServer::acceptControl(tcp::acceptor& acceptor, ConnectionLimit& limit)
 {
+    asio::steady_timer pause(this->loop);
     while (acceptor.is_open()) {
         ErrorCode error;
         auto socket = co_await acceptor.async_accept(into(error));
-        if (!error)
-            asio::co_spawn(this->loop, this->serveControl(std::move(socket)), asio::detached);
+        if (!error) {
+            // Control calls are answered at once, so a connection always gets the place of another.
+            if (auto place = limit.admit(monotonicNow()))
+                asio::co_spawn(this->loop, this->serveControl(std::move(socket), std::move(place)), asio::detached);
+            continue;
+        }
+        pause.expires_after(acceptPause);
+        co_await pause.async_wait(into(error));
     }
 }
 
-Task<> EdgeServer::serveControl(tcp::socket socket)
+Task<> EdgeServer::serveControl(tcp::socket socket, std::unique_ptr<ConnectionLimit::Entry> place)
 {
     ErrorCode error;
     const auto caller = socket.remote_endpoint(error).address().to_string();
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer(maxControlBufferBytes);
+    place->onEvicted([&stream] {
+        ErrorCode ignored;
+        stream.socket().close(ignored);
+    });
     while (!error) {
+        place->waits(monotonicNow());
         http::request_parser<http::string_body> parser;
         parser.body_limit(maxControlBodyBytes);
         stream.expires_after(controlIdleTimeout);
@@ -219,6 +256,11 @@
         this->state.metrics.set("goldcrest_log_lines_dropped", "", static_cast<double>(edge::droppedLines()));
         this->state.metrics.set("goldcrest_transfer_memory_bytes", "", static_cast<double>(this->state.transferMemory.used()));
         this->state.metrics.set("goldcrest_answers_given_up", "", static_cast<double>(this->state.transferMemory.evictions()));
+        this->showConnections("front", this->clientConnections);
+        this->showConnections("ready", this->readyConnections);
+        this->showConnections("directory", this->directoryConnections);
+        this->showConnections("metrics", this->metricsConnections);
+        this->showConnections("peers", this->feeds.connections());
         this->state.metrics.set("goldcrest_request_memory_bytes", "", static_cast<double>(this->state.requestMemory.used()));
         response.body() = this->state.metrics.prometheusText();
     } else if (path == statePath) {
@@ -232,6 +274,14 @@
     return response;
 }
 
+void EdgeServer::showConnections(const char* listener, const ConnectionLimit& limit)
+{
+    const auto label = std::string("listener=\"") + listener + "\"";
+    this->state.metrics.set("goldcrest_connections", label, static_cast<double>(limit.size()));
+    this->state.metrics.set("goldcrest_connections_closed_for_new", label, static_cast<double>(limit.evictions()));
+    this->state.metrics.set("goldcrest_connections_refused", label, static_cast<double>(limit.refusals()));
+}
+
 std::string EdgeServer::directoryAnswer(const std::string& target, const std::string& caller)
 {
     const auto addresses = this->peers.frontsFor(caller, FailureDomain(queryField(target, "zone")));
--- a/src/edge/edge_server.h
+++ b/src/edge/edge_server.h
@@ -27,8 +27,9 @@
 
 private:
     Task<> acceptClients();
-    Task<> acceptControl(tcp::acceptor& acceptor);
-    Task<> serveControl(tcp::socket socket);
+    Task<> acceptControl(tcp::acceptor& acceptor, ConnectionLimit& limit);
+    Task<> serveControl(tcp::socket socket, std::unique_ptr<ConnectionLimit::Entry> place);
+    void showConnections(const char* listener, const ConnectionLimit& limit);
     http::response<http::string_body> answerControl(const http::request<http::string_body>& request, const std::string& caller);
     std::string directoryAnswer(const std::string& target, const std::string& caller);
     std::string stateDump() const;
@@ -51,6 +52,10 @@
     DutyRunner duty;
     RolloutRunner rollouts;
     CacheWatch cacheWatch;
+    ConnectionLimit clientConnections;
+    ConnectionLimit readyConnections;
+    ConnectionLimit directoryConnections;
+    ConnectionLimit metricsConnections;
     tcp::acceptor front;
     tcp::acceptor ready;
     tcp::acceptor directory;
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -15,6 +15,7 @@
 #include "goldcrestwood/crash_suspects.h"
 #include "goldcrestwood/edge_settings.h"
 #include "goldcrestwood/keyed_feed.h"
+#include "goldcrestwood/load/connection_limit.h"
 #include "goldcrestwood/load/request_memory.h"
 #include "goldcrestwood/load_keepers.h"
 #include "goldcrestwood/part_directory.h"
@@ -57,6 +58,7 @@
         : settings(std::move(initial))
         , transferMemory(settings.memoryBytes == 0 ? defaultTransferMemory : settings.memoryBytes / transferMemoryDivisor)
         , requestMemory(settings.memoryBytes == 0 ? defaultRequestMemory : settings.memoryBytes / requestMemoryDivisor)
+        , connections(connectionBudget(settings.maxDescriptors, settings.memoryBytes))
         , board(settings.instance, settings.bounds, parts)
         , random(seed)
         , sendBudgets(settings.bounds, settings.isFirstStart ? std::nullopt : std::optional(started))
@@ -100,6 +102,7 @@
     EdgeSettings settings;
     TransferMemory transferMemory;
     RequestMemory requestMemory;
+    ConnectionBudget connections;
     std::uint64_t incarnation = 0; ///< Start of the process, Unix microseconds.
     TimePoint started = monotonicNow();
     std::shared_ptr<const RouteTable> routes; ///< Null until a configuration is known.
--- a/src/edge/feed_exchange.cc
+++ b/src/edge/feed_exchange.cc
@@ -131,6 +131,7 @@
     , peers(peerLink)
     , operatorReader(operators)
     , registryReader(registry)
+    , peerConnections(edgeState.connections.peers)
     , acceptor(loop)
 {
 }
@@ -303,11 +304,17 @@
 
 Task<> FeedExchange::acceptQueries()
 {
+    asio::steady_timer pause(this->executor);
     while (true) {
         ErrorCode error;
         auto socket = co_await this->acceptor.async_accept(into(error));
-        if (!error)
-            asio::co_spawn(this->executor, this->answerQueries(std::move(socket)), asio::detached);
+        if (error) {
+            // Out of file descriptors: closing connections free some.
+            constexpr Duration acceptPause = std::chrono::milliseconds(20);
+            pause.expires_after(acceptPause);
+            co_await pause.async_wait(into(error));
+        } else if (auto place = this->peerConnections.admit(monotonicNow()))
+            asio::co_spawn(this->executor, this->answerQueries(std::move(socket), std::move(place)), asio::detached);
     }
 }
 
@@ -334,10 +341,15 @@
     return answer;
 }
 
-Task<> FeedExchange::answerQueries(tcp::socket socket)
+Task<> FeedExchange::answerQueries(tcp::socket socket, std::unique_ptr<ConnectionLimit::Entry> place)
 {
     beast::tcp_stream stream(std::move(socket));
+    place->onEvicted([&stream] {
+        ErrorCode ignored;
+        stream.socket().close(ignored);
+    });
     while (true) {
+        place->waits(monotonicNow());
         const auto payload = co_await readFrame(stream, queryIdleTimeout, maxQueryBytes);
         if (!payload) {
             if (payload.error().reason.starts_with(overlongFrame)) {
@@ -349,6 +361,7 @@
         const auto query = decode<FeedQuery>(*payload);
         if (!query)
             co_return;
+        place->serves();
         const auto bytes = framed(encodeAnswer(this->answerTo(*query), query->acceptsCompressed));
         if (!co_await writeFrame(stream, bytes))
             co_return;
--- a/src/edge/feed_exchange.h
+++ b/src/edge/feed_exchange.h
@@ -30,8 +30,11 @@
     /// Polls one of the feed readers for changes.
     Task<> queryReaders();
 
+    /// @return The connections of the peers that query this daemon.
+    const ConnectionLimit& connections() const { return this->peerConnections; }
+
 private:
-    Task<> answerQueries(tcp::socket socket);
+    Task<> answerQueries(tcp::socket socket, std::unique_ptr<ConnectionLimit::Entry> place);
     FeedAnswer answerTo(const FeedQuery& query) const;
     /// A reusable connection to a peer.
     struct QueryLink {
@@ -60,6 +63,7 @@
     PeerLink& peers;
     TopicReader& operatorReader;
     TopicReader& registryReader;
+    ConnectionLimit peerConnections;
     tcp::acceptor acceptor;
     /// Whether a peer has answered. The first query asks for all of the operator's records: the store may have lost some of them.
     bool hasPeerRecords = false;
--- /dev/null
+++ b/src/load/connection_limit.cc
@@ -0,0 +1,81 @@
+#include "goldcrestwood/load/connection_limit.h"
+
+#include <algorithm>
+
+namespace goldcrestwood {
+
+namespace {
+
+    /// Listeners, timers, the log, calls to the store and to cache stores: 18 at a small site.
+    constexpr std::uint64_t ownDescriptors = 32;
+    /// Part of the descriptors for each kind of listener other than callers'.
+    constexpr std::uint64_t listenerDivisor = 8;
+    /// Listeners with a budget for control calls.
+    constexpr std::uint64_t controlListeners = 3;
+    /// Each request in progress may need a connection to an upstream as well.
+    constexpr std::uint64_t descriptorsPerClient = 2;
+    /// Memory of an idle connection: its coroutine, socket and first buffer.
+    constexpr std::uint64_t bytesPerConnection = 8U << 10U;
+    /// Part of the memory for idle connections.
+    constexpr std::uint64_t memoryDivisor = 8;
+    constexpr std::uint64_t minConnections = 4;
+
+} // namespace
+
+ConnectionBudget connectionBudget(std::uint64_t maxDescriptors, std::uint64_t memoryBytes)
+{
+    const auto perListener = std::max(minConnections, maxDescriptors / listenerDivisor);
+    const auto control = std::max(minConnections, perListener / controlListeners);
+    const auto others = ownDescriptors + perListener + controlListeners * control;
+    auto clients = maxDescriptors > others ? (maxDescriptors - others) / descriptorsPerClient : 0;
+    if (memoryBytes > 0)
+        clients = std::min(clients, memoryBytes / memoryDivisor / bytesPerConnection);
+    return { std::max(minConnections, clients), control, perListener };
+}
+
+ConnectionLimit::Entry::Entry(ConnectionLimit& owner, TimePoint now)
+    : limit(owner)
+    , since(now)
+    , position(owner.entries.insert(owner.entries.end(), this))
+{
+}
+
+ConnectionLimit::Entry::~Entry()
+{
+    if (this->isClosing)
+        --this->limit.closing;
+    this->limit.entries.erase(this->position);
+}
+
+void ConnectionLimit::Entry::waits(TimePoint now)
+{
+    this->isServing = false;
+    this->since = now;
+}
+
+std::unique_ptr<ConnectionLimit::Entry> ConnectionLimit::admit(TimePoint now)
+{
+    if (this->size() >= this->maxConnections) {
+        auto* victim = this->longestWaiting();
+        if (victim == nullptr) {
+            ++this->refusalCount;
+            return nullptr;
+        }
+        victim->isClosing = true;
+        ++this->closing;
+        ++this->evictionCount;
+        victim->closeConnection();
+    }
+    return std::make_unique<Entry>(*this, now);
+}
+
+ConnectionLimit::Entry* ConnectionLimit::longestWaiting() const
+{
+    Entry* result = nullptr;
+    for (auto* entry : this->entries)
+        if (!entry->isServing && !entry->isClosing && entry->closeConnection && (result == nullptr || entry->since < result->since))
+            result = entry;
+    return result;
+}
+
+} // namespace goldcrestwood
--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -188,7 +188,7 @@
 TEST_CASE("invalid settings are reported with their lines")
 {
     const auto good = platform::decodeSettings("node='n'\nzone='z'\nregion='r'\nip='1.2.3.4'\nseeds=['1.2.3.4:1','1.2.3.5:1']\n[listen]\nfront='1.2.3.4:3'\n"
-                                               "ready='1.2.3.4:4'\ncontrol='1.2.3.4:1'\ndirectory='1.2.3.4:5'\n[limits]\ncpu_share=0.25\nmemory_mb=110\n"
+                                               "ready='1.2.3.4:4'\ncontrol='1.2.3.4:1'\ndirectory='1.2.3.4:5'\n[limits]\ncpu_share=0.25\nmemory_mb=110\nmax_fds=512\n"
                                                "[platform]\naddr='9.9.9.9:1'\n[bounds]\ngrace_s=8\nretry_ratio=0.2\nfence_required=false\n[unknown]\nx=1\n",
         "node.toml");
     REQUIRE(good);
@@ -196,6 +196,7 @@
     CHECK(good->bounds.shutdownGrace == std::chrono::seconds(8));
     CHECK_FALSE(good->bounds.fencesChecked);
     CHECK(good->memoryBytes == 110'000'000);
+    CHECK(good->maxDescriptors == 512);
     const auto bad = platform::decodeSettings("node=1\nzone='z'\nregion='r'\nip='i'\n[limits]\nmemory_mb='x'\n[listen]\n[bounds]\n", "node.toml");
     REQUIRE_FALSE(bad);
     CHECK(bad.error().size() >= 6);
