A request that makes progress outlives smaller ones that have stopped

Cause: 100 ms were added to the time without progress, so that a largest request counted as 0.1 s of idleness for all its bytes while it made progress.

Change: 10 ms.

Measured: the new case of request_memory_test fails with 100 ms and passes with 10 ms.

--- a/src/load/request_memory.cc
+++ b/src/load/request_memory.cc
@@ -6,8 +6,9 @@
 
 namespace {
 
-    /// Added to the time without progress, so that requests that have all just made progress compare by their bytes.
-    constexpr Duration progressGrace = std::chrono::milliseconds(100);
+    /// Added to the time without progress, so that requests that have all just made progress compare by their bytes. With 100 ms, a largest
+    /// request that made progress was given up before a small one that had stopped half a second ago.
+    constexpr Duration progressGrace = std::chrono::milliseconds(10);
 
 } // namespace
 
--- a/test/load/request_memory_test.cc
+++ b/test/load/request_memory_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <list>
+
 #include "goldcrestwood/load/request_memory.h"
 
 using namespace goldcrestwood;
@@ -57,6 +59,26 @@
     CHECK(trickling.isGivenUp);
 }
 
+// Fault: a largest request was given up while it made progress, before small ones that had stopped.
+TEST_CASE("a largest request that makes progress is kept while small ones have stopped")
+{
+    constexpr std::uint64_t largest = 8'000'000;
+    RequestMemory memory(10'000'000);
+    std::list<Incoming> stalled;
+    TimePoint now {};
+    for (int number = 0; number < 36; ++number) {
+        stalled.emplace_back(memory, now);
+        REQUIRE(stalled.back().share.resize(256'000, now));
+    }
+    now += second / 2;
+    Incoming moving(memory, now);
+    for (std::uint64_t bytes = 100'000; bytes <= largest; bytes += 100'000) {
+        now += std::chrono::milliseconds(5);
+        REQUIRE(moving.share.resize(bytes, now));
+    }
+    CHECK_FALSE(moving.isGivenUp);
+}
+
 TEST_CASE("a whole request is kept, and a new one that finds no memory is refused")
 {
     RequestMemory memory(100'000);
