--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -17,7 +17,9 @@
 #include "goldcrestwood/duties/usage_reporter.h"
 #include "goldcrestwood/edge_settings.h"
 #include "goldcrestwood/keyed_feed.h"
+#include "goldcrestwood/load/connection_limit.h"
 #include "goldcrestwood/load/report_pace.h"
+#include "goldcrestwood/load/request_memory.h"
 #include "goldcrestwood/load_keepers.h"
 #include "goldcrestwood/part_directory.h"
 #include "goldcrestwood/process_pauses.h"
@@ -54,13 +56,18 @@
     /// Time that a new feed reader needs to hear all daemons: two heartbeats at a large site.
     static constexpr Duration readerWarmUp = std::chrono::milliseconds(2200);
 
-    /// Share of the process's memory for answers that are being received. A growing buffer holds up to twice its contents.
+    /// Share of the process's memory for answers that are being received. A growing buffer holds up to twice its contents, so answers take half of
+    /// the memory, requests a quarter (twice their bytes are counted), and the process itself 12 MB of the smallest machine's 88.
     static constexpr std::uint64_t transferMemoryDivisor = 4;
+    static constexpr std::uint64_t requestMemoryDivisor = 4;
     static constexpr std::uint64_t defaultTransferMemory = 16U << 20U; ///< Bytes, if the process's memory is unknown.
+    static constexpr std::uint64_t defaultRequestMemory = 64U << 20U; ///< Bytes, if the process's memory is unknown.
 
     explicit EdgeState(EdgeSettings initial, std::uint64_t seed)
         : settings(std::move(initial))
         , transferMemory(settings.memoryBytes == 0 ? defaultTransferMemory : settings.memoryBytes / transferMemoryDivisor)
+        , requestMemory(settings.memoryBytes == 0 ? defaultRequestMemory : settings.memoryBytes / requestMemoryDivisor)
+        , connections(connectionBudget(settings.maxDescriptors, settings.memoryBytes))
         , board(settings.instance, settings.bounds, parts)
         , reportPace(settings.linkMegabits)
         , random(seed)
@@ -115,6 +122,8 @@
 
     EdgeSettings settings;
     TransferMemory transferMemory;
+    RequestMemory requestMemory;
+    ConnectionBudget connections;
     std::uint64_t incarnation = 0; ///< Start of the process, Unix microseconds.
     TimePoint started = monotonicNow();
     std::shared_ptr<const RouteTable> routes; ///< Null until a configuration is known.
