The configuration names bounds of a service's replicas

Services may have autoscale with min, max and boot_s, which nothing read. They are decoded into TrafficService; bounds that contradict each other are refused like other invalid fields.

--- a/include/goldcrestwood/traffic.h
+++ b/include/goldcrestwood/traffic.h
@@ -87,6 +87,15 @@
     bool operator==(const CacheStore&) const = default;
 };
 
+/// Bounds of the number of replicas of a service in each failure domain.
+struct Autoscale {
+    std::uint32_t min = 1;
+    std::uint32_t max = 1;
+    Duration bootTime = std::chrono::seconds(8); ///< Until a new replica serves requests.
+
+    bool operator==(const Autoscale&) const = default;
+};
+
 /// A service: a pool of replicas, or a store of KV cache.
 struct TrafficService {
     ServiceName name;
@@ -95,6 +104,7 @@
     double coldPerSecond = 0; ///< Requests per second that a cold replica can serve; 0: no limit.
     std::optional<EngineLimits> engine;
     std::optional<CacheStore> store;
+    std::optional<Autoscale> autoscale = std::nullopt; ///< Absent: the number of replicas is fixed.
 
     bool operator==(const TrafficService&) const = default;
 };
--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -31,6 +31,19 @@
     CHECK(configuration->hasAccounts);
 }
 
+TEST_CASE("the bounds of a service's replicas are decoded, and bounds that contradict each other are refused")
+{
+    const auto decode = [](const std::string& autoscale) {
+        return platform::decodeConfiguration(R"({"version":1,"services":[{"name":"s","autoscale":)" + autoscale + "}]}");
+    };
+    const auto configuration = decode(R"({"min":2,"max":9,"boot_s":8.5})");
+    REQUIRE(configuration);
+    CHECK(configuration->services[0].autoscale == Autoscale { 2, 9, std::chrono::milliseconds(8500) });
+    CHECK_FALSE(decode("null")->services[0].autoscale);
+    for (const char* bad : { "5", "{}", R"({"min":2})", R"({"min":3,"max":2})", R"({"min":0,"max":0})", R"({"min":-1,"max":2})", R"({"min":1,"max":2,"boot_s":-1})" })
+        CHECK_FALSE(decode(bad));
+}
+
 TEST_CASE("all findings of an invalid configuration are reported, each with its location")
 {
     const auto configuration = platform::decodeConfiguration(R"({"version":"x","routes":[{"host":1,"path_prefix":"/a/","kind":"safe"}],"tenants":{}})");
