Daemons report how many requests wait for services with a variable number of replicas

The number of replicas depends on the requests that wait at all daemons, and each daemon knows only its own.

--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -121,6 +121,16 @@
     bool operator==(const RolloutNotice&) const = default;
 };
 
+/// Requests that wait at one daemon for an upstream of a service.
+struct ServiceWaiting {
+    /// The service.
+    ServiceName service;
+    /// Waiting requests.
+    std::uint32_t requests = 0;
+
+    bool operator==(const ServiceWaiting&) const = default;
+};
+
 /// State that a daemon reports about itself.
 struct EdgeHeartbeat {
     /// The sender.
@@ -157,6 +167,8 @@
     std::vector<std::string> peers;
     /// Roll-outs that have not expired.
     std::vector<RolloutNotice> rollouts;
+    /// Waiting requests of each service whose number of replicas is adapted to demand; absent if the sender knows no such service or is of an earlier build.
+    std::optional<std::vector<ServiceWaiting>> waiting;
 
     bool operator==(const EdgeHeartbeat&) const = default;
 };
@@ -507,6 +519,11 @@
 tl::expected<RolloutNotice, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const RolloutNotice& message);
 template <>
+std::string encode(const ServiceWaiting& message);
+template <>
+tl::expected<ServiceWaiting, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const ServiceWaiting& message);
+template <>
 std::string encode(const EdgeHeartbeat& message);
 template <>
 tl::expected<EdgeHeartbeat, DecodeError> decode(std::string_view bytes);
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -81,6 +81,12 @@
     message.readsStore = this->state.readsStore();
     message.operatorEnd = this->state.operatorFeed.end();
     message.registryEnd = this->state.registryFeed.end();
+    if (this->state.adaptsReplicas()) {
+        message.waiting.emplace();
+        for (const auto& service : this->state.routes->configuration().services)
+            if (service.autoscale)
+                message.waiting->push_back({ service.name, static_cast<std::uint32_t>(this->queues.waitingCount(service.name)) });
+    }
     return message;
 }
 
--- a/src/edge/service_queue.cc
+++ b/src/edge/service_queue.cc
@@ -181,4 +181,10 @@
     return sum;
 }
 
+std::size_t ServiceQueues::waitingCount(const ServiceName& service) const
+{
+    const auto found = this->queues.find(service);
+    return found == this->queues.end() ? 0 : found->second.admission.size();
+}
+
 } // namespace goldcrestwood
--- a/src/edge/service_queue.h
+++ b/src/edge/service_queue.h
@@ -30,6 +30,8 @@
 
     /// @return Number of waiting requests.
     std::size_t waitingCount() const;
+    /// @return Number of requests that wait for @p service.
+    std::size_t waitingCount(const ServiceName& service) const;
 
 private:
     struct Queue {
--- a/test/codec_test.cc
+++ b/test/codec_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "goldcrestwood/configuration.h"
+#include "goldcrestwood/edge_messages.h"
 #include "goldcrestwood/log_record.h"
 
 using namespace goldcrestwood;
@@ -24,6 +25,22 @@
     CHECK(decoded->resumes);
 }
 
+TEST_CASE("heartbeats of daemons that don't report waiting requests are understood, and theirs by such daemons")
+{
+    EdgeHeartbeat heartbeat;
+    heartbeat.instance = InstanceId("i");
+    heartbeat.sequence = 7;
+    // An array of 18 fields, the last of them absent.
+    const auto encoded = encode(heartbeat);
+    REQUIRE(encoded.substr(0, 3) == std::string("\xdc\x00\x12", 3));
+    REQUIRE(encoded.back() == '\xc0');
+    CHECK(decode<EdgeHeartbeat>(std::string("\xdc\x00\x11", 3) + encoded.substr(3, encoded.size() - 4)) == heartbeat);
+    // To an earlier build the field is one more than it knows.
+    CHECK(decode<EdgeHeartbeat>(std::string("\xdc\x00\x13", 3) + encoded.substr(3) + "\x05") == heartbeat);
+    heartbeat.waiting = { { ServiceName("s"), 3 } };
+    CHECK(decode<EdgeHeartbeat>(encode(heartbeat)) == heartbeat);
+}
+
 TEST_CASE("invalid bytes give a decode error")
 {
     CHECK_FALSE(decode<LogRecord>("no message"));
