The board sums up the demand for a service's replicas by failure domain

For each ready upstream it takes the scarcest of slots, memory and prefill backlog over all daemons.

--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "goldcrestwood/duties/domain_demand.h"
 #include "goldcrestwood/edge_messages.h"
 #include "goldcrestwood/edge_settings.h"
 #include "goldcrestwood/engine_order.h"
@@ -138,6 +139,14 @@
     bool operator==(const PlacementObstacles&) const = default;
 };
 
+/// Shortest and longest objective of a service's requests; they bound the prefill backlog that an engine may have.
+struct BacklogLimits {
+    Duration shortest = std::chrono::seconds(1);
+    Duration longest = std::chrono::seconds(1);
+
+    bool operator==(const BacklogLimits&) const = default;
+};
+
 /// How an attempt ended, as far as its upstream's health is concerned.
 enum class AttemptResult : std::uint8_t {
     Answered, ///< A complete answer without a failure status.
@@ -170,7 +179,9 @@
     std::size_t daemonCount() const { return this->daemons.size(); }
     void onPeerUse(const InstanceId& peer, const std::vector<UpstreamUse>& uses, TimePoint now);
     /// Takes an aggregator's load sums; its upstreams that are not in @p loads are idle.
-    void onAggregatorLoad(const InstanceId& aggregator, const std::vector<UpstreamLoad>& loads, TimePoint now);
+    /// @param isAggregated Whether this daemon receives all reports on an upstream itself, and needs no sum; empty: none.
+    void onAggregatorLoad(const InstanceId& aggregator, const std::vector<UpstreamLoad>& loads, TimePoint now,
+        const std::function<bool(const UpstreamId&)>& isAggregated = {});
     /// @param receiver Daemon whose own load is left out.
     /// @param isAggregated Whether to include an upstream.
     /// @return Load sums over all daemons but @p receiver, without idle upstreams; only the busiest upstreams if there are many.
@@ -246,6 +257,13 @@
     void forEach(const std::function<void(const RegistryEntry&)>& visit) const;
     /// @return Requests of all daemons in flight at an upstream, by the latest reports.
     std::uint32_t requestsAt(const UpstreamId& id, TimePoint now) const;
+    /// @param isAggregated Whether this daemon receives all reports on an upstream itself.
+    /// @return Demand for the service's replicas by failure domain, without waiting requests. Those of evacuated domains take no requests.
+    std::vector<DomainDemand> demandFor(
+        const ServiceName& service, const BacklogLimits& limits, const std::function<bool(const UpstreamId&)>& isAggregated, TimePoint now) const;
+    /// @param aggregators The daemons that aggregate load reports; this one may be among them.
+    /// @return Whether enough of them have sent load sums lately that the load of all upstreams is known.
+    bool hasLoadSums(const std::vector<InstanceId>& aggregators, TimePoint now) const;
     /// @return Number of peers with a load report.
     std::size_t knownPeers() const { return this->usedByPeer.size(); }
     /// @return Engines with their addresses.
@@ -392,6 +410,10 @@
     void recordSourceSamples(const SourceExperience& report, TimePoint now);
     void removePendingTransfers(const PlacementChoice& choice);
     const TrafficService* serviceOf(const ServiceName& name) const;
+    /// @return Share of an upstream's slots, memory or prefill backlog that is in use, whichever is largest; at most 1.
+    double usedShare(const Upstream& upstream, const Load& load, const EngineLimits* engine, const BacklogLimits& limits) const;
+    /// @return Whether an upstream is cold, fails or can't take all requests.
+    bool isImpaired(const Upstream& upstream, TimePoint now) const;
 
     InstanceId self;
     SiteBounds bounds;
@@ -421,7 +443,13 @@
     static double slownessOf(const TransferSource& source, TimePoint now);
 
     std::map<std::string, TransferSource> transferSources;
-    std::map<InstanceId, std::vector<UpstreamId>> reportedByAggregator; ///< Upstreams in each aggregator's last digest.
+    /// An aggregator's last digest.
+    struct Digest {
+        std::vector<UpstreamId> upstreams;
+        TimePoint at;
+        bool isFull = false; ///< It had room only for the busiest upstreams.
+    };
+    std::map<InstanceId, Digest> digests; ///< By aggregator.
     std::vector<DaemonCapacity> daemons;
     bool isWholeSiteKnown = false;
     std::uint32_t inFlight = 0;
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -141,8 +141,9 @@
     report.upstreams = this->state.board.takeUpstreamOutcomes();
     report.sources = this->state.board.takeSourceSamples();
     const bool hasWork = !report.uses.empty() || !report.upstreams.empty() || !report.sources.empty();
-    // Send one empty report, so that the aggregators learn that no work is left.
-    if (!hasWork && !this->hadLoad)
+    // Send one empty report, so that the aggregators learn that no work is left. A reader without work may need their sums all the same.
+    const bool needsSums = !this->isMesh() && this->state.readerRank() && this->state.adaptsReplicas();
+    if (!hasWork && !this->hadLoad && !needsSums)
         return;
     this->hadLoad = hasWork;
     for (auto& [aggregator, part] : this->state.aggregators.split(this->state.settings.instance, report))
@@ -328,10 +329,8 @@
 void PeerLink::onDigest(const LoadDigest& digest)
 {
     const auto now = monotonicNow();
-    auto loads = digest.loads;
-    // This daemon has all reports on the upstreams that it aggregates itself.
-    std::erase_if(loads, [&](const auto& load) { return this->state.aggregators.aggregates(this->state.settings.instance, load.upstream.value); });
-    this->state.board.onAggregatorLoad(digest.keeper, loads, now);
+    const auto isAggregated = [&](const UpstreamId& id) { return this->state.aggregators.aggregates(this->state.settings.instance, id.value); };
+    this->state.board.onAggregatorLoad(digest.keeper, digest.loads, now, isAggregated);
     this->state.board.onPeerOutcomes({}, digest.sources, now);
 }
 
--- a/src/upstream_board_peers.cc
+++ b/src/upstream_board_peers.cc
@@ -56,20 +56,27 @@
         }
 }
 
-void UpstreamBoard::onAggregatorLoad(const InstanceId& aggregator, const std::vector<UpstreamLoad>& loads, TimePoint now)
+void UpstreamBoard::onAggregatorLoad(const InstanceId& aggregator, const std::vector<UpstreamLoad>& loads, TimePoint now,
+    const std::function<bool(const UpstreamId&)>& isAggregated)
 {
-    auto& reported = this->reportedByAggregator[aggregator];
+    auto& digest = this->digests[aggregator];
+    digest.at = now;
+    digest.isFull = loads.size() >= this->settings.maxReportedLoads;
+    auto& reported = digest.upstreams;
     for (const auto& id : reported)
         if (const auto found = this->upstreams.find(id); found != this->upstreams.end() && found->second.reported && found->second.reported->aggregator == aggregator)
             found->second.reported.reset();
     reported.clear();
-    for (const auto& load : loads)
+    for (const auto& load : loads) {
+        if (isAggregated && isAggregated(load.upstream))
+            continue;
         if (const auto found = this->upstreams.find(load.upstream); found != this->upstreams.end()) {
             ReportedLoad sum { aggregator, {}, load.failureShare, now };
             addUse(sum.load, { load.upstream, load.requests, load.tokens, load.backlog, {} });
             found->second.reported = std::move(sum);
             reported.push_back(load.upstream);
         }
+    }
 }
 
 void UpstreamBoard::addUse(Load& load, const UpstreamUse& use)
