--- a/include/goldcrestwood/duties/domain_demand.h
+++ b/include/goldcrestwood/duties/domain_demand.h
@@ -4,6 +4,7 @@
 /// Demand for the replicas of one service, by failure domain.
 
 #include <cstdint>
+#include <vector>
 
 #include "goldcrestwood/names.h"
 
@@ -22,4 +23,12 @@
     bool operator==(const DomainDemand&) const = default;
 };
 
+/// Demand for a service's replicas.
+struct ServiceDemand {
+    std::vector<DomainDemand> domains;
+    bool isWhole = true; ///< The figures of all daemons are included; otherwise the demand may be higher.
+
+    bool operator==(const ServiceDemand&) const = default;
+};
+
 } // namespace goldcrestwood
--- a/include/goldcrestwood/duties/usage_reporter.h
+++ b/include/goldcrestwood/duties/usage_reporter.h
@@ -9,20 +9,13 @@
 #include <optional>
 #include <vector>
 
+#include "goldcrestwood/duties/duty_outcome.h"
 #include "goldcrestwood/duties/usage_ledger.h"
 #include "goldcrestwood/edge_messages.h"
 #include "goldcrestwood/time.h"
 
 namespace goldcrestwood {
 
-/// What became of a call that the holder of the duty made.
-enum class DutyOutcome : std::uint8_t {
-    Accepted,
-    Fenced, ///< A higher fencing token was seen.
-    TooManyCalls,
-    Unknown, ///< No answer, or another one; the call may still be executed.
-};
-
 /// What the next record of the duty topic contains of the usage reports.
 struct UsagePlan {
     std::uint64_t settledEnd = 0;
