The holder of the duty requests the numbers of replicas

ScaleRunner collects the demand of the services with autoscale four times a second, appends the numbers to the duty topic and then sends them, paced below duty_per_s. It makes no decision without a full view, during an outage of the store or during a roll-out, and removes nothing while a daemon is silent or of the earlier build. Not yet run against a platform stand-in.

--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -435,6 +435,18 @@
     bool operator==(const OrderedUpstream&) const = default;
 };
 
+/// Number of replicas of a service that is requested in one failure domain.
+struct RequestedReplicas {
+    /// The service.
+    ServiceName service;
+    /// The failure domain.
+    FailureDomain domain;
+    /// The number.
+    std::uint32_t desired = 0;
+
+    bool operator==(const RequestedReplicas&) const = default;
+};
+
 /// A record of the duty topic: the lease holder that gives orders to upstreams, and the state of its orders.
 struct DutyRecord {
     /// The daemon that wrote the record.
@@ -457,6 +469,8 @@
     std::uint64_t acknowledgedEnd = 0;
     /// Windows whose counts the holder is about to report.
     std::vector<UsageWindow> usage;
+    /// All numbers of replicas that are requested; empty if none is, or the holder is of an earlier build.
+    std::vector<RequestedReplicas> replicas;
 
     bool operator==(const DutyRecord&) const = default;
 };
@@ -676,6 +690,11 @@
 tl::expected<OrderedUpstream, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const OrderedUpstream& message);
 template <>
+std::string encode(const RequestedReplicas& message);
+template <>
+tl::expected<RequestedReplicas, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const RequestedReplicas& message);
+template <>
 std::string encode(const DutyRecord& message);
 template <>
 tl::expected<DutyRecord, DecodeError> decode(std::string_view bytes);
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -235,6 +235,7 @@
     state.duty = { record, readAt };
     // Daemons that get the record from this one need only the orders, and ask for it several times a second.
     state.duty->first.usage.clear();
+    state.duty->first.replicas.clear();
 }
 
 void applyOperatorRecords(EdgeState& state, const std::vector<KeyedRecord>& records, RecordSource source)
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -46,6 +46,7 @@
     , lease(edgeState.settings.instance, edgeState.settings.peerAddress, edgeState.incarnation,
           DutyLeaseSettings { .handoverGap = edgeState.settings.bounds.leaseTime, .upstreamsCheckFences = edgeState.settings.bounds.fencesChecked })
     , usage(edgeState, loop, peerLink, this->lease)
+    , scale(edgeState, loop, serviceQueues, peerLink, this->lease)
 {
 }
 
@@ -79,6 +80,11 @@
     return false;
 }
 
+bool DutyRunner::isCallWorkDue() const
+{
+    return this->usage.isWorkDue() || this->scale.isWorkDue(this->isHolderHealthy());
+}
+
 bool DutyRunner::isClaimDue() const
 {
     if (this->lease.isOwnPredecessor())
@@ -101,6 +107,7 @@
         record.done = this->plan->done();
     }
     this->usage.addTo(record);
+    this->scale.addTo(record);
     return record;
 }
 
@@ -169,6 +176,7 @@
         if (const auto record = decode<DutyRecord>(raw)) {
             this->lease.onRecord(*record, position, suspensionAwareNow());
             this->usage.onRecord(*record);
+            this->scale.onRecord(*record);
             if (position >= *this->copiedUpTo)
                 this->applyRecord(*record);
         }
@@ -197,6 +205,7 @@
     }
     this->lease.onAppended(record, logPosition(era, outcome.firstOffset), sent);
     this->usage.onAppended(record);
+    this->scale.onAppended(record);
     this->applyRecord(record);
     co_return true;
 }
@@ -216,7 +225,7 @@
             this->plan.reset();
             this->state.board.setLoadingWeights({});
         }
-        if (!target && !this->usage.isWorkDue()) {
+        if (!target && !this->isCallWorkDue()) {
             this->claimableSince.reset();
             continue;
         }
@@ -238,7 +247,7 @@
         if (!isRead && !target)
             co_await this->pause(this->lease.isLastHolder() ? holderRetryDelay : followerRetryDelay);
         // The topic may show that another daemon has done the work.
-        if (!isRead || this->lease.mustRead() || (!target && !this->usage.isWorkDue()))
+        if (!isRead || this->lease.mustRead() || (!target && !this->isCallWorkDue()))
             co_return;
     }
     // Usage reports have time for the whole gap between two holders. Weights do not, but the calls of the reports wait for its end.
@@ -255,12 +264,15 @@
             co_await this->pause(followerRetryDelay);
         co_return;
     }
-    if (!this->lease.mayClaim(true, now))
-        this->usage.holdCalls(now + this->state.settings.bounds.leaseTime + this->state.settings.bounds.freezeSlack);
+    if (!this->lease.mayClaim(true, now)) {
+        const auto until = now + this->state.settings.bounds.leaseTime + this->state.settings.bounds.freezeSlack;
+        this->usage.holdCalls(until);
+        this->scale.holdCalls(until);
+    }
     if (target)
         co_await this->runPlan(*target);
     else
-        co_await this->runUsage();
+        co_await this->runCalls();
 }
 
 Task<> DutyRunner::pause(Duration duration)
@@ -271,7 +283,7 @@
     co_await timer.async_wait(into(ignored));
 }
 
-Task<> DutyRunner::runUsage()
+Task<> DutyRunner::runCalls()
 {
     const auto fenceBefore = this->lease.fence();
     const auto record = this->makeRecord();
@@ -279,7 +291,7 @@
     if (!isAppended)
         co_await this->pause(holderRetryDelay);
     else if (fenceBefore != this->lease.fence())
-        edge::log(LogClass::Decision, "duty_claimed", { { "fence", static_cast<std::int64_t>(this->lease.fence()) }, { "work", "usage" } });
+        edge::log(LogClass::Decision, "duty_claimed", { { "fence", static_cast<std::int64_t>(this->lease.fence()) }, { "work", "calls" } });
 }
 
 Task<> DutyRunner::followTopic(Duration hold)
@@ -300,7 +312,7 @@
     this->plan->expire(present, now);
     const auto started = this->plan->start(all, now);
     const auto doneBefore = this->lease.last() ? this->lease.last()->done.size() : 0;
-    const bool hasNews = !started.empty() || this->plan->done().size() != doneBefore || this->usage.isWorkDue();
+    const bool hasNews = !started.empty() || this->plan->done().size() != doneBefore || this->isCallWorkDue();
     const auto fenceBefore = this->lease.fence();
     if (hasNews || this->lease.isRenewalDue(suspensionAwareNow()) || !this->lease.mayOrder(suspensionAwareNow())) {
         const auto next = this->makeRecord();
--- a/src/edge/duty_runner.h
+++ b/src/edge/duty_runner.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// @file
-/// Updates model replicas to the weights named by the operator, and appends the counts of the usage reports to the duty topic. One
-/// daemon at a time holds the duty.
+/// Updates model replicas to the weights named by the operator, and appends the counts of the usage reports and the requested numbers
+/// of replicas to the duty topic. One daemon at a time holds the duty.
 
 #include <map>
 #include <optional>
@@ -10,6 +10,7 @@
 #include "edge/edge_state.h"
 #include "edge/http_call.h"
 #include "edge/peer_link.h"
+#include "edge/scale_runner.h"
 #include "edge/service_queue.h"
 #include "edge/usage_runner.h"
 #include "goldcrestwood/duty_lease.h"
@@ -25,14 +26,18 @@
     Task<> run();
     /// @return The part that exchanges counts with peers and sends the usage reports.
     UsageRunner& usageReports() { return this->usage; }
+    /// @return The part that requests numbers of replicas.
+    ScaleRunner& replicaRequests() { return this->scale; }
 
 private:
     std::vector<WeightCandidate> candidates(const std::string& model) const;
     std::optional<NamedWeights> nextTarget() const;
     Task<> followTopic(Duration hold);
     Task<> runPlan(const NamedWeights& target);
-    /// Appends a record of the usage reports.
-    Task<> runUsage();
+    /// @return Whether usage reports or numbers of replicas need a record, or a holder.
+    bool isCallWorkDue() const;
+    /// Appends a record for the calls to the platform.
+    Task<> runCalls();
     /// Reads the topic, then claims the lease, works as its holder or follows the topic.
     Task<> work(const std::optional<NamedWeights>& target);
     Task<> pause(Duration duration);
@@ -58,6 +63,7 @@
     HttpCaller store;
     DutyLease lease;
     UsageRunner usage;
+    ScaleRunner scale;
     /// End of the records that the store had when it returned from an older copy; nothing until they have been read.
     std::optional<std::uint64_t> copiedUpTo = 0;
     std::optional<WeightPlan> plan;
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -138,6 +138,8 @@
         spawn(this->duty.usageReports().exchangeCounts());
         spawn(this->duty.usageReports().sendReports());
     }
+    if (this->state.settings.duties.scalesReplicas)
+        spawn(this->duty.replicaRequests().run());
     spawn(this->rollouts.run());
     spawn(this->cacheWatch.run());
     spawn(this->crashes.run());
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -111,10 +111,10 @@
     /// @return Whether the daemon can serve callers.
     bool isReady() const { return this->routes != nullptr && this->registryFeed.isKnown() && !this->isStopping; }
 
-    /// @return Whether the configuration has a service whose number of replicas is adapted to demand.
+    /// @return Whether the number of replicas of any service is adapted to demand.
     bool adaptsReplicas() const
     {
-        if (this->routes == nullptr)
+        if (this->routes == nullptr || !this->settings.duties.scalesReplicas)
             return false;
         const auto& services = this->routes->configuration().services;
         return std::any_of(services.begin(), services.end(), [](const auto& service) { return service.autoscale.has_value(); });
