--- a/support/bench/peer_bytes.cc
+++ b/support/bench/peer_bytes.cc
@@ -62,14 +62,14 @@
     double reportBytes = 0;
     double digestBytes = 0;
     for (const auto& [aggregator, part] : aggregators.split(InstanceId("somebody"), report)) {
-        reportBytes += static_cast<double>(encode(PeerDatagram { std::nullopt, part, std::nullopt, std::nullopt, std::nullopt }).size());
+        reportBytes += static_cast<double>(encode(PeerDatagram { std::nullopt, part, std::nullopt, std::nullopt, std::nullopt, std::nullopt }).size());
         LoadDigest digest { aggregator, {}, {} };
         for (std::size_t number = 0; number < usedUpstreams; ++number)
             if (aggregators.aggregates(aggregator, makeUpstreamId(number).value))
                 digest.loads.push_back({ makeUpstreamId(number), 9, 70000, { 0, 0, 0, 20000, 0, 0, 0, 0, 0, 0 }, 0.01 });
-        digestBytes += static_cast<double>(encode(PeerDatagram { std::nullopt, std::nullopt, digest, std::nullopt, std::nullopt }).size());
+        digestBytes += static_cast<double>(encode(PeerDatagram { std::nullopt, std::nullopt, digest, std::nullopt, std::nullopt, std::nullopt }).size());
     }
-    const auto heartbeat = static_cast<double>(encode(PeerDatagram { makeHeartbeat(), std::nullopt, std::nullopt, std::nullopt, std::nullopt }).size());
+    const auto heartbeat = static_cast<double>(encode(PeerDatagram { makeHeartbeat(), std::nullopt, std::nullopt, std::nullopt, std::nullopt, std::nullopt }).size());
     const auto peerCount = static_cast<double>(isMesh ? daemons - 1 : aggregators.all().size() + 1);
     const auto idle = heartbeat * peerCount * (isMesh ? meshHeartbeatsPerSecond : heartbeatsPerSecond);
     const auto busy = idle + reportBytes * (isMesh ? meshReportsPerSecond : reportsPerSecond);
--- a/test/duty_lease_test.cc
+++ b/test/duty_lease_test.cc
@@ -20,7 +20,7 @@
 
 DutyRecord recordOf(const char* holder, std::uint64_t incarnation = 1)
 {
-    return { InstanceId(holder), addressOf(holder), incarnation, 0, {}, {}, 0, 0, 0, {} };
+    return { InstanceId(holder), addressOf(holder), incarnation, 0, {}, {}, 0, 0, 0, {}, {} };
 }
 
 DutyLease leaseOf(const char* instance, bool checksFences = true)
