No number is requested while replicas that boot at the start are unknown

A holder that begins while replicas boot would have requested a few more than are ready, and so ended the others. Domains without a recorded number now wait for the boot and cold time. replica_scaler_test (162 assertions) and the two tests with daemons pass.

--- a/src/duties/replica_scaler.cc
+++ b/src/duties/replica_scaler.cc
@@ -272,7 +272,10 @@
 
 void ReplicaScaler::decideNumber(Domain& domain, std::uint32_t required, std::uint32_t sufficient, bool mayRemoveNow, TimePoint now)
 {
-    if (isLost(domain))
+    // Of a domain without an order, replicas that are still booting when this holder begins are unknown, and a number that leaves
+    // them out would end them.
+    const bool isPresentKnown = domain.ordered || now - *this->viewSince >= this->bounds.bootTime + this->settings.coldTime;
+    if (isLost(domain) || !isPresentKnown)
         return;
     const auto present = this->presentNumber(domain);
     if (required > present) {
