--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -121,6 +121,16 @@
     bool operator==(const RolloutNotice&) const = default;
 };
 
+/// Requests that wait at one daemon for an upstream of a service.
+struct ServiceWaiting {
+    /// The service.
+    ServiceName service;
+    /// Waiting requests.
+    std::uint32_t requests = 0;
+
+    bool operator==(const ServiceWaiting&) const = default;
+};
+
 /// State that a daemon reports about itself.
 struct EdgeHeartbeat {
     /// The sender.
@@ -157,6 +167,8 @@
     std::vector<std::string> peers;
     /// Roll-outs that have not expired.
     std::vector<RolloutNotice> rollouts;
+    /// Waiting requests of each service whose number of replicas is adapted to demand; absent if the sender knows no such service or is of an earlier build.
+    std::optional<std::vector<ServiceWaiting>> waiting;
 
     bool operator==(const EdgeHeartbeat&) const = default;
 };
@@ -423,6 +435,18 @@
     bool operator==(const OrderedUpstream&) const = default;
 };
 
+/// Number of replicas of a service that is requested in one failure domain.
+struct RequestedReplicas {
+    /// The service.
+    ServiceName service;
+    /// The failure domain.
+    FailureDomain domain;
+    /// The number.
+    std::uint32_t desired = 0;
+
+    bool operator==(const RequestedReplicas&) const = default;
+};
+
 /// A record of the duty topic: the lease holder that gives orders to upstreams, and the state of its orders.
 struct DutyRecord {
     /// The daemon that wrote the record.
@@ -445,6 +469,8 @@
     std::uint64_t acknowledgedEnd = 0;
     /// Windows whose counts the holder is about to report.
     std::vector<UsageWindow> usage;
+    /// All numbers of replicas that are requested; empty if none is, or the holder is of an earlier build.
+    std::vector<RequestedReplicas> replicas;
 
     bool operator==(const DutyRecord&) const = default;
 };
@@ -559,6 +585,11 @@
 tl::expected<RolloutNotice, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const RolloutNotice& message);
 template <>
+std::string encode(const ServiceWaiting& message);
+template <>
+tl::expected<ServiceWaiting, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const ServiceWaiting& message);
+template <>
 std::string encode(const EdgeHeartbeat& message);
 template <>
 tl::expected<EdgeHeartbeat, DecodeError> decode(std::string_view bytes);
@@ -659,6 +690,11 @@
 tl::expected<OrderedUpstream, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const OrderedUpstream& message);
 template <>
+std::string encode(const RequestedReplicas& message);
+template <>
+tl::expected<RequestedReplicas, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const RequestedReplicas& message);
+template <>
 std::string encode(const DutyRecord& message);
 template <>
 tl::expected<DutyRecord, DecodeError> decode(std::string_view bytes);
