Upstreams report how long work takes; placement uses the report for a second

Answers of some upstreams carry X-Goldcrestwood-Server-Load. Its fourth value, the time that work takes on a shared machine, changes several times a second and was unknown to the daemon that chooses an engine, so expected times were too low on slow machines.

The header is decoded strictly and applied from answers to requests, reports, orders and cache event calls. The pace of an incarnation decays towards normal with a half-life of 300 ms. It multiplies expected reading times, the backlog check and, for streams, the risk of a late event gap; learned slowness, latency and gaps are divided by it. LoadReport and LoadDigest carry recent paces with their age in a new last field, which earlier builds skip; the oldest are dropped if a datagram would exceed 8,192 bytes. Without the fourth value placement is unchanged.

--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -161,6 +161,20 @@
     bool operator==(const EdgeHeartbeat&) const = default;
 };
 
+/// How long work took on an upstream's machine when the upstream last reported it.
+struct PaceReport {
+    /// The upstream.
+    UpstreamId upstream;
+    /// Start of its incarnation.
+    std::int64_t born = 0;
+    /// Time that work takes, in percent of the normal time.
+    std::uint32_t percent = 0;
+    /// Milliseconds since the answer with the report was read.
+    std::uint64_t ageMs = 0;
+
+    bool operator==(const PaceReport&) const = default;
+};
+
 /// A daemon's report to the aggregators of upstreams: its work in flight there and the outcomes.
 struct LoadReport {
     /// The sender.
@@ -173,6 +187,8 @@
     std::vector<SourceExperience> sources;
     /// Whether the receiver should answer with totals over all daemons.
     bool wantsDigest = false;
+    /// Recent reports of upstreams to the sender; absent from earlier builds.
+    std::vector<PaceReport> paces;
 
     bool operator==(const LoadReport&) const = default;
 };
@@ -201,6 +217,8 @@
     std::vector<UpstreamLoad> loads;
     /// Slow sources of cached blocks.
     std::vector<SourceExperience> sources;
+    /// Recent reports of the upstreams that the sender aggregates; absent from earlier builds.
+    std::vector<PaceReport> paces;
 
     bool operator==(const LoadDigest&) const = default;
 };
@@ -512,6 +530,11 @@
 tl::expected<EdgeHeartbeat, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const EdgeHeartbeat& message);
 template <>
+std::string encode(const PaceReport& message);
+template <>
+tl::expected<PaceReport, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const PaceReport& message);
+template <>
 std::string encode(const LoadReport& message);
 template <>
 tl::expected<LoadReport, DecodeError> decode(std::string_view bytes);
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -18,6 +18,7 @@
 #include "goldcrestwood/edge_settings.h"
 #include "goldcrestwood/engine_order.h"
 #include "goldcrestwood/feed_readers.h"
+#include "goldcrestwood/load/upstream_pace.h"
 #include "goldcrestwood/names.h"
 #include "goldcrestwood/part_cache.h"
 #include "goldcrestwood/part_directory.h"
@@ -54,6 +55,8 @@
     std::size_t maxReportedParts = 160;
     /// Entries per notice of request limits.
     std::size_t maxReportedLimits = 64;
+    /// Pace reports per load report and digest; fewer if the datagram would exceed its bound.
+    std::size_t maxReportedPaces = 80;
     /// How long a lifted limit is reported, as datagrams get lost.
     Duration liftReportTime = std::chrono::seconds(5);
 };
@@ -98,6 +101,7 @@
     std::int64_t born = 0; ///< Start of the incarnation that was chosen.
     std::string softwareVersion;
     bool isCold = false; ///< The upstream has just started.
+    std::optional<double> pace; ///< Expected time of work as a multiple of the normal time; nothing if the upstream does not report it.
     TimePoint chosen; ///< Time of the choice.
 
     bool operator==(const PlacementChoice&) const = default;
@@ -216,6 +220,17 @@
     bool takeLimitNews() { return std::exchange(this->hasLimitNews, false); }
     /// @return Requests per second that an upstream accepts from all daemons together; nothing if it has no limit.
     std::optional<double> requestLimit(const UpstreamId& id) const;
+    /// Takes the load that an upstream reported in an answer. It holds for that incarnation only.
+    /// @param born Start of the incarnation that answered.
+    void onServerLoad(const UpstreamId& id, std::int64_t born, const ServerLoad& load, TimePoint now);
+    /// @return Whether a load report that cannot be read is the first one of that incarnation.
+    bool isFirstInvalidLoad(const UpstreamId& id);
+    /// Takes the pace reports that a peer received from upstreams.
+    void onPeerPaces(const std::vector<PaceReport>& paces, TimePoint now);
+    /// @param isIncluded Whether to include an upstream.
+    /// @param withPeers Whether to include reports that are known only from peers.
+    /// @return Recent pace reports, the newest if there are many.
+    std::vector<PaceReport> recentPaces(const std::function<bool(const UpstreamId&)>& isIncluded, bool withPeers, TimePoint now) const;
     /// @return Whether an upstream has announced that it is draining.
     bool isLeaving(const UpstreamId& id) const;
     /// @return Remaining time for which an upstream told this instance to back off.
@@ -308,6 +323,8 @@
         std::array<GapEstimate, engineClasses> gaps {}; ///< By engine class.
         UpstreamExperience unreportedOutcomes; ///< Outcomes since the last report to the peers.
         std::deque<TimePoint> coldSends; ///< Requests sent within the last second while it was cold.
+        UpstreamPace pace;
+        bool hadInvalidLoad = false; ///< It sent a load report that cannot be read.
         RequestLimit limit;
         TimePoint limitChanged;
         TimePoint limitBegan; ///< When it was first named, or fell by more than a little.
@@ -370,7 +387,11 @@
     Coverage coverageAt(const Upstream& upstream, const PlacementRequest& request, const PartHolders& holders,
         const EngineLimits& engine, TimePoint now) const;
     double gapCost(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const;
-    double prefillCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing) const;
+    double prefillCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing, TimePoint now) const;
+    /// @return The learned slowness of an engine at its current pace.
+    static double slownessAt(const Upstream& upstream, TimePoint now);
+    /// @return Mean pace while a request ran, from the choice to the first byte; 1 if the upstream did not report it.
+    static double paceDuring(const Upstream& upstream, const PlacementChoice& choice, TimePoint now);
     /// @return Why the upstream has no capacity, or Obstacle::None.
     Obstacle capacityObstacle(const Upstream& upstream, const Load& load, const PlacementRequest& request, const EngineLimits* engine, TimePoint now) const;
     void planCache(const Upstream& upstream, const PlacementRequest& request, Coverage coverage, PlacementChoice& choice, TimePoint now) const;
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -209,6 +209,17 @@
     state.metrics.count("goldcrest_upstream_limit_changes_total", "");
 }
 
+void applyServerLoad(EdgeState& state, const UpstreamId& upstream, std::int64_t born, const tl::expected<std::optional<ServerLoad>, Finding>& load)
+{
+    if (load && *load) {
+        state.board.onServerLoad(upstream, born, **load, monotonicNow());
+    } else if (!load) {
+        state.metrics.count("goldcrest_server_load_rejected_total", "");
+        if (state.board.isFirstInvalidLoad(upstream))
+            reportFindings(upstream.value.c_str(), { load.error() });
+    }
+}
+
 void applyPeerLimits(EdgeState& state, const LimitNotice& notice)
 {
     for (const auto& upstream : state.board.onPeerLimits(notice, monotonicNow()))
--- a/src/edge/beliefs.h
+++ b/src/edge/beliefs.h
@@ -43,6 +43,11 @@
 void applyRequestLimit(EdgeState& state, const UpstreamId& upstream, std::int64_t born,
     const tl::expected<std::optional<double>, Finding>& limit, TimePoint sent, const std::string& request);
 
+/// Applies the load that an upstream reports in an answer; one that cannot be read is logged once for each incarnation.
+/// @param born Start of the incarnation that answered.
+/// @param load As decoded from the answer.
+void applyServerLoad(EdgeState& state, const UpstreamId& upstream, std::int64_t born, const tl::expected<std::optional<ServerLoad>, Finding>& load);
+
 /// Applies a peer's report of request limits.
 void applyPeerLimits(EdgeState& state, const LimitNotice& notice);
 
--- a/src/edge/cache_watch.cc
+++ b/src/edge/cache_watch.cc
@@ -145,8 +145,10 @@
     const auto born = entry == nullptr ? 0 : entry->born;
     const auto call = platform::cacheEventsCall(next, engineEventsHold);
     const auto answer = co_await caller.call(call, engineEventsHold + answerTimeout);
-    if (answer)
+    if (answer) {
         applyUpstreamNotice(this->state, upstream, born, platform::decodeNotice(answer->status, answer->fields), call.target);
+        applyServerLoad(this->state, upstream, born, platform::decodeServerLoad(answer->fields));
+    }
     if (!answer || answer->status != 200)
         co_return false;
     const auto events = platform::decodeCacheEvents(answer->body);
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -277,8 +277,10 @@
     const auto* entry = this->state.board.find(upstream);
     const auto born = entry == nullptr ? 0 : entry->born;
     auto answer = co_await caller.call(call, upstreamTimeout);
-    if (answer)
+    if (answer) {
         applyUpstreamNotice(this->state, upstream, born, platform::decodeNotice(answer->status, answer->fields), call.target);
+        applyServerLoad(this->state, upstream, born, platform::decodeServerLoad(answer->fields));
+    }
     co_return answer;
 }
 
--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -134,7 +134,8 @@
     report.uses = this->state.board.ownUses();
     report.upstreams = this->state.board.takeUpstreamOutcomes();
     report.sources = this->state.board.takeSourceSamples();
-    const bool hasWork = !report.uses.empty() || !report.upstreams.empty() || !report.sources.empty();
+    report.paces = this->state.board.recentPaces([](const auto&) { return true; }, false, monotonicNow());
+    const bool hasWork = !report.uses.empty() || !report.upstreams.empty() || !report.sources.empty() || !report.paces.empty();
     // Send one empty report, so that the aggregators learn that no work is left.
     if (!hasWork && !this->hadLoad)
         return;
@@ -187,7 +188,7 @@
 void PeerLink::send(const PeerDatagram& datagram, const udp::endpoint& target)
 {
     ErrorCode ignored; // A datagram may be lost anyway; the next one follows.
-    this->datagrams.send_to(asio::buffer(encode(datagram)), target, 0, ignored);
+    this->datagrams.send_to(asio::buffer(encodeBounded(datagram, maxDatagramBytes)), target, 0, ignored);
 }
 
 void PeerLink::announce()
@@ -312,11 +313,12 @@
     const auto now = monotonicNow();
     this->state.board.onPeerUse(report.instance, report.uses, now);
     this->state.board.onPeerOutcomes(report.upstreams, report.sources, now);
+    this->state.board.onPeerPaces(report.paces, now);
     if (!report.wantsDigest)
         return;
     const auto& self = this->state.settings.instance;
     const auto isAggregated = [&](const UpstreamId& id) { return this->state.aggregators.aggregates(self, id.value); };
-    this->send(PeerDatagram { std::nullopt, std::nullopt, LoadDigest { self, this->state.board.loadsFor(report.instance, isAggregated, now), this->state.board.slowSources(now) }, std::nullopt, std::nullopt }, sender);
+    this->send(PeerDatagram { std::nullopt, std::nullopt, LoadDigest { self, this->state.board.loadsFor(report.instance, isAggregated, now), this->state.board.slowSources(now), this->state.board.recentPaces(isAggregated, true, now) }, std::nullopt, std::nullopt }, sender);
 }
 
 void PeerLink::onDigest(const LoadDigest& digest)
@@ -327,6 +329,7 @@
     std::erase_if(loads, [&](const auto& load) { return this->state.aggregators.aggregates(this->state.settings.instance, load.upstream.value); });
     this->state.board.onAggregatorLoad(digest.keeper, loads, now);
     this->state.board.onPeerOutcomes({}, digest.sources, now);
+    this->state.board.onPeerPaces(digest.paces, now);
 }
 
 void PeerLink::onNews(const DaemonNews& news, bool isFromReader)
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -265,7 +265,7 @@
                 { "status", static_cast<std::int64_t>(attempt.status) }, { "failure", attempt.failure }, { "late", late }, { "detail", attempt.detail },
                 { "framing", attempt.framing }, { "body_bytes", static_cast<std::int64_t>(attempt.bodyBytes) }, { "events", static_cast<std::int64_t>(attempt.events) },
                 { "output", static_cast<std::int64_t>(exchange.info.maxOutputTokens) }, { "send", static_cast<std::int64_t>(exchange.sends) },
-                { "expected_ms", toMs(attempt.choice.expectedWait) }, { "missing", static_cast<std::int64_t>(attempt.choice.missingTokens) },
+                { "expected_ms", toMs(attempt.choice.expectedWait) }, { "pace", attempt.choice.pace.value_or(0) }, { "missing", static_cast<std::int64_t>(attempt.choice.missingTokens) },
                 { "moved", static_cast<std::int64_t>(attempt.choice.transferredTokens) }, { "weights", static_cast<std::int64_t>(attempt.choice.weightVersion) }, { "min_weights", static_cast<std::int64_t>(exchange.placement.minWeightVersion) }, { "prompt", static_cast<std::int64_t>(exchange.info.promptTokens) },
                 { "own", static_cast<std::int64_t>(exchange.info.parts.empty() ? 0 : exchange.info.parts.back().tokens) }, { "saves", !attempt.choice.saveTo.empty() },
                 { "placed_ms", toMs(attempt.choice.chosen - exchange.received) }, { "first_ms", toMs(attempt.firstByte) }, { "gap_ms", toMs(attempt.longestGap) }, { "age_ms", toMs(now - exchange.received) }, { "unread_ms", toMs(exchange.unread) }, { "client_gone", exchange.hasClientLeft() }, { "gone_ms", exchange.clientLeftAt ? toMs(now - *exchange.clientLeftAt) : 0.0 } });
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -39,6 +39,8 @@
     Task<bool> readHead(ClientExchange& exchange, Attempt& attempt);
     /// Applies the drain and back-off notices in the head of an answer.
     void applyNotice(const ClientExchange& exchange, const Attempt& attempt);
+    /// Applies the load reported in the head of an answer to this attempt. A stale answer says nothing about the current load.
+    void applyLoad(const Attempt& attempt);
     /// Applies the request limit in the head of an answer to this attempt.
     void applyLimit(const ClientExchange& exchange, const Attempt& attempt);
     /// @return The incarnation that answered, by its id and start; nothing if it is not known.
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -85,6 +85,7 @@
         if (attempt.answer.idleTimeout)
             link.idleTimeout = *attempt.answer.idleTimeout;
         if (attempt.answer.requestId == exchange.info.id || isAnonymous) {
+            this->applyLoad(attempt);
             this->applyLimit(exchange, attempt);
             co_return true;
         }
@@ -112,6 +113,12 @@
         applyUpstreamNotice(this->state, sender->first, sender->second, platform::decodeNotice(attempt.status, attempt.parser->get().base()), exchange.info.id);
 }
 
+void Pipeline::applyLoad(const Attempt& attempt)
+{
+    if (const auto sender = this->answeredBy(attempt))
+        applyServerLoad(this->state, sender->first, sender->second, platform::decodeServerLoad(attempt.parser->get().base()));
+}
+
 void Pipeline::applyLimit(const ClientExchange& exchange, const Attempt& attempt)
 {
     const auto limit = platform::decodeRequestLimit(attempt.parser->get().base());
--- a/src/load_keepers.cc
+++ b/src/load_keepers.cc
@@ -49,6 +49,8 @@
         addToReports(outcomes.upstream.value, outcomes, &LoadReport::upstreams);
     for (const auto& source : report.sources)
         addToReports(source.address, source, &LoadReport::sources);
+    for (const auto& pace : report.paces)
+        addToReports(pace.upstream.value, pace, &LoadReport::paces);
     return result;
 }
 
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -157,10 +157,10 @@
     this->removeUnknownPeers();
 }
 
-double UpstreamBoard::prefillCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing) const
+double UpstreamBoard::prefillCost(const Upstream& upstream, const Load& load, const PlacementRequest& request, std::uint64_t missing, TimePoint now) const
 {
     const auto read = static_cast<double>(load.backlogAhead(classOf(request)) + missing) / this->tokensPerMillisecond;
-    return (read + load.requests * runningRequestMs) * upstream.slowness;
+    return (read + load.requests * runningRequestMs) * slownessAt(upstream, now);
 }
 
 double UpstreamBoard::gapCost(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const
@@ -168,7 +168,7 @@
     const auto& gaps = upstream.gaps[classOf(request)];
     if (request.gapObjective <= Duration(0) || gaps.ms <= 0)
         return 0;
-    const auto share = gaps.ms / toMs(request.gapObjective);
+    const auto share = gaps.ms * upstream.pace.factor(now) / toMs(request.gapObjective);
     const auto risk = std::clamp((share - acceptableGapShare) / (lateGapShare - acceptableGapShare), 0.0, 1.0);
     // Missing the gap objective is as bad as missing the first-token objective.
     return risk * std::exp2(-toSeconds(now - gaps.at) / toSeconds(gapHalfLife)) * toMs(request.objective);
@@ -180,7 +180,9 @@
     if (found == this->upstreams.end() || request.promptTokens == 0)
         return;
     auto& gaps = found->second.gaps[classOf(request)];
-    gaps.ms = gaps.ms == 0 ? toMs(longestGap) : gaps.ms * (1 - gapSampleWeight) + toMs(longestGap) * gapSampleWeight;
+    // The estimate is for the normal pace; gapCost applies the current one.
+    const auto gapMs = toMs(longestGap) / std::max(1.0, paceDuring(found->second, choice, now));
+    gaps.ms = gaps.ms == 0 ? gapMs : gaps.ms * (1 - gapSampleWeight) + gapMs * gapSampleWeight;
     gaps.at = now;
 }
 
@@ -265,7 +267,7 @@
         if (engine != nullptr) {
             const auto& known = holdersInScope(holders, scopeOf(upstream.entry, request), request, candidates);
             coverage = this->coverageAt(upstream, request, known, *engine, now);
-            readMs = this->prefillCost(upstream, load, request, coverage.missing);
+            readMs = this->prefillCost(upstream, load, request, coverage.missing, now);
             cost = readMs + coverage.transferMs + this->gapCost(upstream, request, now);
             // Other daemons send prompts with the same parts to the preferred engine too, so it most likely holds them.
             if (preferred != candidate) {
@@ -275,7 +277,7 @@
             }
         } else {
             const auto latency = upstream.latencyMs > 0 ? upstream.latencyMs : unknownLatencyMs;
-            cost = latency * (1 + static_cast<double>(load.requests) / std::max(1U, upstream.entry.slots));
+            cost = latency * (1 + static_cast<double>(load.requests) / std::max(1U, upstream.entry.slots)) * upstream.pace.factor(now);
         }
         cost *= 1 + failureFactor * this->failureShareOf(upstream, now);
         if (weightsOf(upstream.entry, request.model) < request.preferredWeightVersion)
@@ -289,6 +291,7 @@
             best->born = upstream.entry.born;
             best->softwareVersion = upstream.entry.softwareVersion;
             best->isCold = now < upstream.coldUntil;
+            best->pace = upstream.pace.isKnown() ? std::optional(upstream.pace.factor(now)) : std::nullopt;
             best->chosen = now;
             best->missingTokens = coverage.missing;
             best->prefillTime = fromSeconds(readMs / 1000);
@@ -338,8 +341,11 @@
     auto& backlog = upstream.own.backlog[classOf(request)];
     backlog -= std::min(backlog, choice.missingTokens);
     const auto weight = this->settings.sampleWeight;
+    // What the reported pace explains must not be learned a second time as slowness.
+    const auto pace = paceDuring(upstream, choice, now);
     if (request.promptTokens == 0) {
-        upstream.latencyMs = upstream.latencyMs == 0 ? toMs(delay) : upstream.latencyMs * (1 - weight) + toMs(delay) * weight;
+        const auto latencyMs = toMs(delay) / pace;
+        upstream.latencyMs = upstream.latencyMs == 0 ? latencyMs : upstream.latencyMs * (1 - weight) + latencyMs * weight;
         return;
     }
     if (choice.transferredTokens >= minSampleTokens) {
@@ -348,7 +354,7 @@
     }
     if (choice.missingTokens < minSampleTokens)
         return;
-    const auto expected = std::max(1.0, toMs(choice.prefillTime) / upstream.slowness);
+    const auto expected = std::max(1.0, toMs(choice.prefillTime) / choice.pace.value_or(1) * pace / upstream.slowness);
     const auto ratio = std::clamp(toMs(delay) / expected, minSlowness, maxSlowness);
     upstream.slowness = std::clamp(upstream.slowness * (1 - weight) + ratio * weight, minSlowness, maxSlowness);
 }
--- a/src/upstream_board_obstacles.cc
+++ b/src/upstream_board_obstacles.cc
@@ -150,7 +150,7 @@
     if (load.requests > 0 && static_cast<double>(needed + reserved) > memory)
         return Obstacle::Memory;
     const auto ahead = static_cast<double>(load.backlogAhead(classOf(request)));
-    const bool isLate = ahead > 0 && ahead / this->tokensPerMillisecond * upstream.slowness > toMs(request.objective) * this->settings.backlogShare;
+    const bool isLate = ahead > 0 && ahead / this->tokensPerMillisecond * slownessAt(upstream, now) > toMs(request.objective) * this->settings.backlogShare;
     return isLate ? Obstacle::Backlog : Obstacle::None;
 }
 
--- a/support/bench/peer_bytes.cc
+++ b/support/bench/peer_bytes.cc
@@ -63,7 +63,7 @@
     double digestBytes = 0;
     for (const auto& [aggregator, part] : aggregators.split(InstanceId("somebody"), report)) {
         reportBytes += static_cast<double>(encode(PeerDatagram { std::nullopt, part, std::nullopt, std::nullopt, std::nullopt }).size());
-        LoadDigest digest { aggregator, {}, {} };
+        LoadDigest digest { aggregator, {}, {}, {} };
         for (std::size_t number = 0; number < usedUpstreams; ++number)
             if (aggregators.aggregates(aggregator, makeUpstreamId(number).value))
                 digest.loads.push_back({ makeUpstreamId(number), 9, 70000, { 0, 0, 0, 20000, 0, 0, 0, 0, 0, 0 }, 0.01 });
--- a/test/load_keepers_test.cc
+++ b/test/load_keepers_test.cc
@@ -212,7 +212,7 @@
     }
     LoadDigest digest { InstanceId("edge-with-a-long-name-100"), board.loadsFor(
                                                                      InstanceId("other"), [](const UpstreamId&) { return true; }, start),
-        {} };
+        {}, {} };
     CHECK(encode(PeerDatagram { std::nullopt, std::nullopt, digest, std::nullopt, std::nullopt }).size() <= 8192);
     CHECK(digest.loads.size() == 80);
     CHECK(std::all_of(digest.loads.begin(), digest.loads.end(), [](const auto& load) { return load.requests == 30; }));
--- a/test/platform/beliefs_test.cc
+++ b/test/platform/beliefs_test.cc
@@ -122,3 +122,18 @@
     CHECK(pauses.lastBegan(start + 5s, start) == start + 100ms);
     CHECK_FALSE(pauses.lastBegan(start + 5s, start + 5s));
 }
+
+TEST_CASE("a load report that cannot be read leaves the pace unchanged and is reported once for each upstream")
+{
+    EdgeState state({}, 1);
+    state.registryContact = { true, monotonicNow() - 10s };
+    applyRegistryRecords(state, { registered }, RecordSource::Log);
+    const auto born = state.board.find(upstream)->born;
+    const auto isAny = [](const UpstreamId&) { return true; };
+    applyServerLoad(state, upstream, born, ServerLoad { 1, 0, 1, 250 });
+    applyServerLoad(state, upstream, born, tl::unexpected(Finding { { "header", 0, 0 }, "cannot be read" }));
+    const auto paces = state.board.recentPaces(isAny, false, monotonicNow());
+    REQUIRE(paces.size() == 1);
+    CHECK(paces.front().percent == 250);
+    CHECK_FALSE(state.board.isFirstInvalidLoad(upstream));
+}
--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -244,3 +244,22 @@
     for (const auto* value : { "", "abc", "-1", "nan", "inf", "2.7 requests", "2,7" })
         REQUIRE(limitOf(value).error().location.file == "Server-Limit");
 }
+
+TEST_CASE("a load report has three or four numbers, the last one a plausible pace")
+{
+    const auto loadOf = [](const char* value) {
+        http::fields fields;
+        fields.set("X-Goldcrestwood-Server-Load", value);
+        return platform::decodeServerLoad(fields);
+    };
+    REQUIRE_FALSE(platform::decodeServerLoad(http::fields()).value());
+    REQUIRE(loadOf("3,0,64").value() == ServerLoad { 3, 0, 64, std::nullopt });
+    REQUIRE(loadOf("3,12,64,250").value() == ServerLoad { 3, 12, 64, 250 });
+    for (const auto* value : { "", "3", "3,0", "3,0,64,", "3,0,64,100,1", "3, 0, 64", "3,,64", "-1,0,64", "3,0,64,0", "3,0,64,9",
+             "3,0,64,10001", "3,0,64,-100", "3,0,64,1.5", "3,0,64,99999999999", "a,b,c" })
+        REQUIRE(loadOf(value).error().location.file == "X-Goldcrestwood-Server-Load");
+    http::fields twice;
+    twice.insert("X-Goldcrestwood-Server-Load", "3,0,64,100");
+    twice.insert("X-Goldcrestwood-Server-Load", "3,0,64,250");
+    REQUIRE_FALSE(platform::decodeServerLoad(twice));
+}
