--- a/src/edge/peer_link.cc
+++ b/src/edge/peer_link.cc
@@ -140,7 +140,8 @@
     report.uses = this->state.board.ownUses();
     report.upstreams = this->state.board.takeUpstreamOutcomes();
     report.sources = this->state.board.takeSourceSamples();
-    const bool hasWork = !report.uses.empty() || !report.upstreams.empty() || !report.sources.empty();
+    report.paces = this->state.board.recentPaces([](const auto&) { return true; }, false, monotonicNow());
+    const bool hasWork = !report.uses.empty() || !report.upstreams.empty() || !report.sources.empty() || !report.paces.empty();
     // Send one empty report, so that the aggregators learn that no work is left. A reader without work may need their sums all the same.
     const bool needsSums = !this->isMesh() && this->state.readerRank() && this->state.adaptsReplicas();
     if (!hasWork && !this->hadLoad && !needsSums)
@@ -206,7 +207,7 @@
 
 void PeerLink::send(const PeerDatagram& datagram, const udp::endpoint& target)
 {
-    this->sendBytes(encode(datagram), target);
+    this->sendBytes(encodeBounded(datagram, maxDatagramBytes), target);
 }
 
 void PeerLink::sendBytes(const std::string& bytes, const udp::endpoint& target)
@@ -274,7 +275,7 @@
         std::size_t sentBytes = 0;
         for (const auto& [address, datagram] : this->makeDatagrams(isDue, withReports))
             if (const auto endpoint = parseEndpoint(address)) {
-                const auto bytes = encode(datagram);
+                const auto bytes = encodeBounded(datagram, maxDatagramBytes);
                 sentBytes += bytes.size();
                 this->sendBytes(bytes, udp::endpoint(endpoint->address(), endpoint->port()));
             }
@@ -364,13 +365,14 @@
     const auto now = monotonicNow();
     this->state.board.onPeerUse(report.instance, report.uses, now);
     this->state.board.onPeerOutcomes(report.upstreams, report.sources, now);
+    this->state.board.onPeerPaces(report.paces, now);
     if (!report.wantsDigest)
         return;
     const auto& self = this->state.settings.instance;
     const auto isAggregated = [&](const UpstreamId& id) { return this->state.aggregators.aggregates(self, id.value); };
     PeerDatagram answer;
-    answer.digest = LoadDigest { self, this->state.board.loadsFor(report.instance, isAggregated, now), this->state.board.slowSources(now) };
-    const auto bytes = encode(answer);
+    answer.digest = LoadDigest { self, this->state.board.loadsFor(report.instance, isAggregated, now), this->state.board.slowSources(now), this->state.board.recentPaces(isAggregated, true, now) };
+    const auto bytes = encodeBounded(answer, maxDatagramBytes);
     // The answers to daemons that report more often than usual must leave this machine's link to its callers.
     auto& last = this->lastDigests[report.instance];
     if (now - last < this->usualReportInterval() * 3 / 4 && !this->state.reportPace.takeBytes(bytes.size(), now))
@@ -385,6 +387,7 @@
     const auto isAggregated = [&](const UpstreamId& id) { return this->state.aggregators.aggregates(this->state.settings.instance, id.value); };
     this->state.board.onAggregatorLoad(digest.keeper, digest.loads, now, isAggregated);
     this->state.board.onPeerOutcomes({}, digest.sources, now);
+    this->state.board.onPeerPaces(digest.paces, now);
 }
 
 void PeerLink::onNews(const DaemonNews& news, bool isFromReader)
