--- a/test/process/usage_test.py
+++ b/test/process/usage_test.py
@@ -129,6 +129,22 @@
         self.assertGreater(len(again), 1)
         self.assertNotIn(holder, again[1:])
 
+    def test_the_holder_starts_again(self):
+        """Guards against counts without those that the earlier process of the new holder had reported."""
+        self.begin()
+        with self.load():
+            first = int(time.time() // WINDOW_SECONDS) + 1
+            site.wait_until(lambda: first + 2 in self.windows(), "the windows of the start are reported")
+            holder = self.cloud.reports()[-1][1]
+            daemon = next(daemon for daemon in self.edge.daemons if daemon.node == holder)
+            died = time.time()
+            daemon.stop()
+            time.sleep(1)
+            daemon.start()
+            last = int(time.time() // WINDOW_SECONDS) + 3
+            site.wait_until(lambda: last in self.windows(), "later windows are reported")
+        self.check(first, last, holder, died)
+
     def test_refused_calls_are_repeated(self):
         """Guards against windows that are lost or sent with other counts after 409, 429 or a failure of the platform."""
         self.begin(daemons=2)
