--- a/include/goldcrestwood/duties/replica_scaler.h
+++ b/include/goldcrestwood/duties/replica_scaler.h
@@ -28,11 +28,14 @@
     double newPeakFactor = 1.05;
     /// Limit of the growth that is expected within the boot time, as a share of the demand: a burst ends as fast as it began.
     double maxTrendShare = 0.3;
-    /// Share of a domain's capacity that its own predicted demand may use; the rest is for bursts within a second.
+    /// Share of the capacity of all domains that the predicted demand may use; the rest is for bursts within a second.
     double targetUse = 0.7;
+    /// Share of a domain's capacity that its own predicted demand may use. Domains peak at different times, and a burst in one can use
+    /// the room of others.
+    double targetUseInDomain = 0.85;
     /// Share of the capacity left after the loss of the largest failure domain that the predicted demand of all may use.
     double targetUseAfterLoss = 0.95;
-    /// Replicas are removed only if the demand uses no more than this share of the two above afterwards.
+    /// Replicas are removed only if the demand uses no more than this share of the three above afterwards.
     double removalMargin = 0.85;
     /// Replicas of a domain removed at a time; a removed replica takes its cached prompt parts with it.
     std::uint32_t maxRemoved = 2;
@@ -118,6 +121,7 @@
     using History = std::deque<Sample>;
     struct Domain {
         History history;
+        TimePoint since; ///< When it was first seen, also after it was forgotten.
         DomainDemand demand; ///< By the last view.
         std::optional<std::uint32_t> ordered; ///< Last number decided.
         std::optional<ScaleReason> change; ///< Why it was changed, until it is sent.
@@ -143,6 +147,9 @@
     /// @param margin Factor on the shares of capacity that demand may use.
     /// @return The numbers that the predicted demand needs.
     Numbers needed(double margin, TimePoint now) const;
+    /// Raises the numbers in proportion until they add up to @p required, without lost domains.
+    void coverTotal(Numbers& numbers, double required) const;
+    /// Raises the smallest numbers until @p required replicas are left after the loss of the largest domain.
     void coverLoss(Numbers& numbers, double required) const;
     std::uint32_t withinBounds(double replicas) const;
     /// @return Whether all replicas are present and healthy.
@@ -161,7 +168,7 @@
     History total; ///< Demand of all domains.
     std::optional<TimePoint> viewSince; ///< Begin of the uninterrupted full view.
     TimePoint lastView;
-    std::optional<TimePoint> lastPartialView; ///< Last view that was not whole.
+    std::optional<TimePoint> lastPartialView; ///< Last view that was not whole, or in which a domain was lost or new.
     double usePerRequest = 0; ///< Moving average, in replicas; 0 if unknown.
     std::optional<TimePoint> increasedAt; ///< First increase for the present demand.
     std::optional<TimePoint> lastIncrease;
--- a/src/duties/replica_scaler.cc
+++ b/src/duties/replica_scaler.cc
@@ -50,7 +50,8 @@
     if (!view)
         return {};
     this->observe(view->domains, now);
-    if (!view->isWhole)
+    // A domain that was lost, or is new, shows its whole demand only after a period.
+    if (!view->isWhole || std::any_of(this->domains.begin(), this->domains.end(), [](const auto& entry) { return isLost(entry.second); }))
         this->lastPartialView = now;
     // The first samples are too short for an average.
     if (this->isFenced || now - *this->viewSince < 2 * this->settings.sampleTime)
@@ -91,8 +92,12 @@
     double requests = 0;
     for (const auto& demand : view) {
         // A domain without replicas of its own only has waiting requests, which others serve.
-        if (demand.ready + demand.leaving > 0 || this->domains.contains(demand.domain))
-            this->domains[demand.domain].demand = demand;
+        if (demand.ready + demand.leaving > 0 || this->domains.contains(demand.domain)) {
+            const auto [position, isNew] = this->domains.try_emplace(demand.domain);
+            position->second.demand = demand;
+            if (isNew)
+                position->second.since = this->lastPartialView.emplace(now);
+        }
         used += demand.used;
         requests += demand.requests;
     }
@@ -207,13 +212,27 @@
     Numbers numbers;
     for (const auto& [name, domain] : this->domains) {
         // What a lost domain served arrives elsewhere; its own number stays.
-        const auto own = this->predict(domain.history, now) / (this->settings.targetUse * margin);
+        const auto own = this->predict(domain.history, now) / (this->settings.targetUseInDomain * margin);
         numbers[name] = this->withinBounds(isLost(domain) ? this->presentNumber(domain) : own);
     }
-    this->coverLoss(numbers, this->predict(this->total, now) / (this->settings.targetUseAfterLoss * margin));
+    const auto all = this->predict(this->total, now) / margin;
+    this->coverTotal(numbers, all / this->settings.targetUse);
+    this->coverLoss(numbers, all / this->settings.targetUseAfterLoss);
     return numbers;
 }
 
+void ReplicaScaler::coverTotal(Numbers& numbers, double required) const
+{
+    double sum = 0;
+    for (const auto& [name, number] : numbers)
+        sum += isLost(this->domains.at(name)) ? 0 : number;
+    if (sum == 0 || sum >= required)
+        return;
+    for (auto& [name, number] : numbers)
+        if (!isLost(this->domains.at(name)))
+            number = this->withinBounds(number * required / sum);
+}
+
 void ReplicaScaler::coverLoss(Numbers& numbers, double required) const
 {
     const bool isAnyLost = std::any_of(this->domains.begin(), this->domains.end(), [](const auto& entry) { return isLost(entry.second); });
@@ -266,15 +285,16 @@
 {
     const bool isPeriodSeen = now - *this->viewSince >= this->settings.demandPeriod;
     const bool isIncreasing = this->lastIncrease && now < *this->lastIncrease + this->bounds.bootTime + this->settings.demandPeriod;
-    const bool isPartial = this->lastPartialView && now - *this->lastPartialView < this->settings.demandPeriod;
+    // By then no sample from before counts.
+    const bool isPartial = this->lastPartialView && now - *this->lastPartialView < this->settings.demandPeriod + 2 * this->settings.sampleTime;
     return isPeriodSeen && !isIncreasing && !isPartial && this->isSettled();
 }
 
 void ReplicaScaler::decideNumber(Domain& domain, std::uint32_t required, std::uint32_t sufficient, bool mayRemoveNow, TimePoint now)
 {
-    // Of a domain without an order, replicas that are still booting when this holder begins are unknown, and a number that leaves
-    // them out would end them.
-    const bool isPresentKnown = domain.ordered || now - *this->viewSince >= this->bounds.bootTime + this->settings.coldTime;
+    // Of a domain without an order, replicas that are still booting when it is first seen are unknown, and a number that leaves them
+    // out would end them.
+    const bool isPresentKnown = domain.ordered || now - std::max(domain.since, *this->viewSince) >= this->bounds.bootTime + this->settings.coldTime;
     if (isLost(domain) || !isPresentKnown)
         return;
     const auto present = this->presentNumber(domain);
--- a/test/duties/scale_site.h
+++ b/support/bench/scale_model.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// Test fixture: a service's replicas in several failure domains in simulated time, and the platform that starts and stops them.
+/// A service's replicas in several failure domains in simulated time, and the platform that starts and stops them.
 
 #include <algorithm>
 #include <functional>
@@ -10,7 +10,7 @@
 
 #include "goldcrestwood/duties/replica_scaler.h"
 
-namespace scale_site {
+namespace scale_model {
 
 using namespace goldcrestwood;
 using namespace std::chrono_literals;
@@ -129,4 +129,4 @@
     return static_cast<std::size_t>(std::count_if(orders.begin(), orders.end(), [&](const auto& order) { return order.reason == reason; }));
 }
 
-} // namespace scale_site
+} // namespace scale_model
