Requests leave their failure domain for a shortage, within a share of the room elsewhere

chooseAmong had no term for the domain, so most requests crossed domains, and a cost alone would let all daemons of a domain leave at once.

Where upstreams in the own domain and elsewhere report their pace, local upstreams come first and are most of the candidates. A request leaves if the wait elsewhere is shorter by more than the measured crossing and the price of its bytes, within the daemon's share of the room there; if its cached parts elsewhere save more than the crossing; or if no local upstream is usable. Other services are placed as before.

--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -18,6 +19,7 @@
 #include "goldcrestwood/edge_settings.h"
 #include "goldcrestwood/engine_order.h"
 #include "goldcrestwood/feed_readers.h"
+#include "goldcrestwood/load/domain_overflow.h"
 #include "goldcrestwood/load/upstream_pace.h"
 #include "goldcrestwood/names.h"
 #include "goldcrestwood/part_cache.h"
@@ -57,6 +59,8 @@
     std::size_t maxReportedLimits = 64;
     /// Pace reports per load report and digest; fewer if the datagram would exceed its bound.
     std::size_t maxReportedPaces = 80;
+    /// Price of the bytes of a request and its answer that cross to another failure domain, milliseconds of wait per kilobyte.
+    double crossingMsPerKilobyte = 0.5;
     /// How long a lifted limit is reported, as datagrams get lost.
     Duration liftReportTime = std::chrono::seconds(5);
 };
@@ -68,6 +72,7 @@
     std::vector<PromptPart> parts;
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0;
+    std::uint64_t bodyBytes = 0;
     std::uint32_t rank = 0;
     Duration objective = std::chrono::seconds(1); ///< Time to the first token, or to the answer, that is still on time.
     Duration gapObjective = Duration(0); ///< Longest gap between events that is still on time; 0: any.
@@ -102,6 +107,7 @@
     std::string softwareVersion;
     bool isCold = false; ///< The upstream has just started.
     std::optional<double> pace; ///< Expected time of work as a multiple of the normal time; nothing if the upstream does not report it.
+    LeaveReason leaves = LeaveReason::None; ///< Why it is in another failure domain than this daemon.
     TimePoint chosen; ///< Time of the choice.
 
     bool operator==(const PlacementChoice&) const = default;
@@ -158,6 +164,8 @@
     /// @param parts Contents of the KV cache stores; must outlive the board.
     UpstreamBoard(InstanceId self, SiteBounds bounds, const PartDirectory& parts, BoardSettings settings = {});
 
+    /// @param own Failure domain of this daemon; without one, domains are not distinguished.
+    void setDomain(FailureDomain own) { this->ownDomain = std::move(own); }
     void setServices(const RouteTable& table);
     void setUpstream(const RegistryEntry& entry, TimePoint now);
     void removeUpstream(const UpstreamId& id);
@@ -238,6 +246,8 @@
     /// @return Addresses of upstreams that have announced that they are draining.
     std::vector<std::string> leavingAddresses() const;
 
+    /// A new connection to the upstream was opened within @p time.
+    void onConnected(const PlacementChoice& choice, Duration time, TimePoint now);
     /// The request is being sent to @p choice; each call needs a matching finish().
     void begin(const PlacementChoice& choice, const PlacementRequest& request, TimePoint now);
     /// The first byte of the answer came @p delay after the request was sent.
@@ -376,14 +386,39 @@
         std::vector<std::vector<const Upstream*>> byPart;
     };
 
+    /// Whether and how a service distinguishes failure domains for one request.
+    struct DomainScope {
+        bool isActive = false; ///< Upstreams in the own domain and elsewhere have reported their pace.
+        bool hasUsableLocal = false;
+        bool prefersLocal() const { return this->isActive && this->hasUsableLocal; }
+    };
+    /// The best upstream of one side.
+    struct Placed {
+        const Upstream* upstream = nullptr; ///< Null if there is none.
+        double cost = std::numeric_limits<double>::infinity(); ///< Milliseconds, without the crossing.
+        double crossingMs = 0;
+        double readMs = 0;
+        Coverage coverage;
+    };
+    bool isLocal(const Upstream& upstream) const { return upstream.entry.domain == this->ownDomain; }
+    DomainScope domainScope(const PlacementRequest& request, const std::set<UpstreamId>& excluded, TimePoint now) const;
+    double crossingMs(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const;
+    /// @return This daemon's part of the capacity of all daemons whose domains are short of capacity.
+    double capacityShare(const ServiceName& service, TimePoint now) const;
+    /// @return Requests like @p request that can be added elsewhere until the wait there is @p limitMs.
+    double roomElsewhere(const PlacementRequest& request, const std::set<UpstreamId>& excluded, double limitMs, std::uint64_t missing, TimePoint now) const;
+    LeaveReason decideLeave(const Placed& local, const Placed& elsewhere, const DomainScope& scope, const PlacementRequest& request,
+        const std::set<UpstreamId>& excluded, TimePoint now);
+    static double latencyCost(const Upstream& upstream, const Load& load, TimePoint now);
+
     static const PartHolders& holdersInScope(std::vector<PartHolders>& known, const std::string& scope,
         const PlacementRequest& request, const std::vector<const Upstream*>& candidates);
     /// @param leaving Whether to return draining upstreams instead of the others.
     /// @param preferred Set to the affinity target of the prompt's shared prefix, or null.
     std::vector<const Upstream*> candidatesFor(const PlacementRequest& request, const std::set<UpstreamId>& excluded,
-        TimePoint now, bool leaving, const Upstream*& preferred);
+        TimePoint now, bool leaving, const DomainScope& scope, const Upstream*& preferred);
     std::optional<PlacementChoice> chooseAmong(const std::vector<const Upstream*>& candidates, const Upstream* preferred,
-        const PlacementRequest& request, TimePoint now, PlacementRefusal& refusal) const;
+        const PlacementRequest& request, const std::set<UpstreamId>& excluded, const DomainScope& scope, TimePoint now, PlacementRefusal& refusal);
     Coverage coverageAt(const Upstream& upstream, const PlacementRequest& request, const PartHolders& holders,
         const EngineLimits& engine, TimePoint now) const;
     double gapCost(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const;
@@ -414,7 +449,17 @@
     void removePendingTransfers(const PlacementChoice& choice);
     const TrafficService* serviceOf(const ServiceName& name) const;
 
+    /// What may leave the own domain, by service.
+    struct ServiceOverflow {
+        OverflowShare share;
+        double room = 0; ///< This daemon's share of the room elsewhere, requests.
+        TimePoint at; ///< When the room was computed.
+    };
+
     InstanceId self;
+    FailureDomain ownDomain;
+    std::map<ServiceName, ServiceOverflow> overflows;
+    std::map<FailureDomain, LinkDelay> linkDelays;
     SiteBounds bounds;
     Random random { 1 };
     const PartDirectory& parts;
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -56,6 +56,7 @@
         , random(seed)
         , sendBudgets(settings.bounds, settings.isFirstStart ? std::nullopt : std::optional(started))
     {
+        this->board.setDomain(this->settings.domain);
         this->incarnation = static_cast<std::uint64_t>(wallClock().count());
     }
 
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -169,6 +169,7 @@
     placement.parts = exchange.info.parts;
     placement.promptTokens = exchange.info.promptTokens;
     placement.outputTokens = exchange.info.maxOutputTokens;
+    placement.bodyBytes = exchange.request.body().size();
     placement.rank = exchange.rank;
     placement.objective = exchange.route->objective;
     placement.gapObjective = exchange.route->gapObjective;
@@ -265,10 +266,12 @@
                 { "status", static_cast<std::int64_t>(attempt.status) }, { "failure", attempt.failure }, { "late", late }, { "detail", attempt.detail },
                 { "framing", attempt.framing }, { "body_bytes", static_cast<std::int64_t>(attempt.bodyBytes) }, { "events", static_cast<std::int64_t>(attempt.events) },
                 { "output", static_cast<std::int64_t>(exchange.info.maxOutputTokens) }, { "send", static_cast<std::int64_t>(exchange.sends) },
-                { "expected_ms", toMs(attempt.choice.expectedWait) }, { "pace", attempt.choice.pace.value_or(0) }, { "missing", static_cast<std::int64_t>(attempt.choice.missingTokens) },
+                { "expected_ms", toMs(attempt.choice.expectedWait) }, { "pace", attempt.choice.pace.value_or(0) }, { "left", toString(attempt.choice.leaves) }, { "missing", static_cast<std::int64_t>(attempt.choice.missingTokens) },
                 { "moved", static_cast<std::int64_t>(attempt.choice.transferredTokens) }, { "weights", static_cast<std::int64_t>(attempt.choice.weightVersion) }, { "min_weights", static_cast<std::int64_t>(exchange.placement.minWeightVersion) }, { "prompt", static_cast<std::int64_t>(exchange.info.promptTokens) },
                 { "own", static_cast<std::int64_t>(exchange.info.parts.empty() ? 0 : exchange.info.parts.back().tokens) }, { "saves", !attempt.choice.saveTo.empty() },
                 { "placed_ms", toMs(attempt.choice.chosen - exchange.received) }, { "first_ms", toMs(attempt.firstByte) }, { "gap_ms", toMs(attempt.longestGap) }, { "age_ms", toMs(now - exchange.received) }, { "unread_ms", toMs(exchange.unread) }, { "client_gone", exchange.hasClientLeft() }, { "gone_ms", exchange.clientLeftAt ? toMs(now - *exchange.clientLeftAt) : 0.0 } });
+        if (attempt.choice.leaves != LeaveReason::None)
+            this->state.metrics.count("goldcrest_left_domain_total", std::string("reason=\"") + toString(attempt.choice.leaves) + "\"");
         this->state.metrics.count("goldcrest_attempts_total", std::string("result=\"") + toString(attempt.result) + "\"");
         if (attempt.isRelayed || exchange.isOver() || !this->maySendAgain(exchange, attempt))
             break;
@@ -358,24 +361,28 @@
         co_await this->reject(exchange, 503, attempt.failure[0] == '\0' ? "not started in time" : attempt.failure, exchange.retryAfter.value_or(defaultRetryAfter));
 }
 
-Task<ConnectionPtr> Pipeline::openConnection(ClientExchange& exchange, const std::string& address)
+Task<ConnectionPtr> Pipeline::openConnection(ClientExchange& exchange, const PlacementChoice& choice)
 {
+    const auto& address = choice.address;
     // On a connection that carried the request, a copy of its earlier answer cannot be told from the answer to this send.
     if (!exchange.sentTo.contains(address))
         if (auto idle = this->pool.takeIdle(address, monotonicNow()))
             co_return idle;
     auto connection = this->pool.create(address);
     exchange.activeConnection = connection.get();
+    const auto began = monotonicNow();
     const bool isOpen = co_await connect(*connection, upstreamConnectTimeout);
     exchange.activeConnection = nullptr;
-    if (!isOpen)
+    if (isOpen)
+        this->state.board.onConnected(choice, monotonicNow() - began, monotonicNow());
+    else
         connection = nullptr;
     co_return connection;
 }
 
 Task<> Pipeline::attempt(ClientExchange& exchange, Attempt& attempt)
 {
-    attempt.connection = co_await this->openConnection(exchange, attempt.choice.address);
+    attempt.connection = co_await this->openConnection(exchange, attempt.choice);
     // A late event loop reads requests before it learns that their callers have left or that their time has passed.
     if (!exchange.hasClientLeft() && isClosedByPeer(exchange.client.socket()))
         exchange.clientLeftAt = monotonicNow();
--- a/src/edge/pipeline.h
+++ b/src/edge/pipeline.h
@@ -35,7 +35,7 @@
     std::string obstacles(const ClientExchange& exchange) const;
     /// Returns the connection of a finished attempt to the pool.
     void keepConnection(Attempt& attempt);
-    Task<ConnectionPtr> openConnection(ClientExchange& exchange, const std::string& address);
+    Task<ConnectionPtr> openConnection(ClientExchange& exchange, const PlacementChoice& choice);
     Task<bool> readHead(ClientExchange& exchange, Attempt& attempt);
     /// Applies the drain and back-off notices in the head of an answer.
     void applyNotice(const ClientExchange& exchange, const Attempt& attempt);
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -25,6 +25,8 @@
     /// Candidates in a large pool: the top of the rendezvous ranking, plus random samples.
     constexpr std::size_t rankedCandidates = 8;
     constexpr std::size_t sampledCandidates = 16;
+    /// Random samples outside the own failure domain, if its upstreams come first.
+    constexpr std::size_t sampledElsewhere = 8;
     /// Approximate time until a full upstream frees a slot.
     constexpr Duration refusalPause = std::chrono::milliseconds(50);
     /// Loading new weights takes an upstream a few hundred milliseconds (210 to 760 as specified).
@@ -193,7 +195,7 @@
 }
 
 std::vector<const UpstreamBoard::Upstream*> UpstreamBoard::candidatesFor(const PlacementRequest& request,
-    const std::set<UpstreamId>& excluded, TimePoint now, bool leaving, const Upstream*& preferred)
+    const std::set<UpstreamId>& excluded, TimePoint now, bool leaving, const DomainScope& scope, const Upstream*& preferred)
 {
     std::vector<const Upstream*> usable;
     std::vector<InstanceId> names;
@@ -208,9 +210,13 @@
     // Use recently failed upstreams only if there is no healthy one.
     if (anyHealthy)
         std::erase_if(usable, [&](const auto* upstream) { return upstream->avoidUntil > now; });
+    // The prompts of each domain have their own affinity targets.
+    if (scope.prefersLocal())
+        std::stable_partition(usable.begin(), usable.end(), [&](const auto* upstream) { return this->isLocal(*upstream); });
     names.reserve(usable.size());
     for (const auto* upstream : usable)
-        names.emplace_back(upstream->entry.id.value);
+        if (!scope.prefersLocal() || this->isLocal(*upstream))
+            names.emplace_back(upstream->entry.id.value);
     preferred = nullptr;
     const auto key = affinityKey(request);
     std::vector<std::size_t> ranking;
@@ -225,8 +231,14 @@
     candidates.reserve(ranking.size() + sampledCandidates);
     for (const auto index : ranking)
         candidates.push_back(usable[index]);
-    for (std::size_t draw = 0; draw < sampledCandidates; ++draw)
-        candidates.push_back(usable[std::uniform_int_distribution<std::size_t>(0, usable.size() - 1)(this->random)]);
+    const auto sample = [&](std::size_t begin, std::size_t end, std::size_t count) {
+        for (std::size_t draw = 0; begin < end && draw < count; ++draw)
+            candidates.push_back(usable[std::uniform_int_distribution<std::size_t>(begin, end - 1)(this->random)]);
+    };
+    // Where local upstreams come first, they are most of the candidates.
+    const auto elsewhere = scope.prefersLocal() && names.size() < usable.size() ? sampledElsewhere : 0;
+    sample(0, names.size(), sampledCandidates - elsewhere);
+    sample(names.size(), usable.size(), elsewhere);
     return candidates;
 }
 
@@ -234,26 +246,25 @@
     const std::set<UpstreamId>& excluded, TimePoint now, PlacementRefusal& refusal)
 {
     refusal = PlacementRefusal::NoUpstream;
+    const auto scope = this->domainScope(request, excluded, now);
     // Draining upstreams are used only if no other one takes the request.
     for (const bool leaving : { false, true }) {
         const Upstream* preferred = nullptr;
-        const auto candidates = this->candidatesFor(request, excluded, now, leaving, preferred);
-        if (auto choice = this->chooseAmong(candidates, preferred, request, now, refusal))
+        const auto candidates = this->candidatesFor(request, excluded, now, leaving, scope, preferred);
+        if (auto choice = this->chooseAmong(candidates, preferred, request, excluded, scope, now, refusal))
             return choice;
     }
     return std::nullopt;
 }
 
 std::optional<PlacementChoice> UpstreamBoard::chooseAmong(const std::vector<const Upstream*>& candidates, const Upstream* preferred,
-    const PlacementRequest& request, TimePoint now, PlacementRefusal& refusal) const
+    const PlacementRequest& request, const std::set<UpstreamId>& excluded, const DomainScope& scope, TimePoint now, PlacementRefusal& refusal)
 {
     const auto* service = this->serviceOf(request.service);
     const auto* engine = service != nullptr && service->engine ? &*service->engine : nullptr;
     std::vector<PartHolders> holders;
-    std::optional<PlacementChoice> best;
-    Coverage bestCoverage;
-    const Upstream* chosen = nullptr;
-    auto bestCost = std::numeric_limits<double>::infinity();
+    Placed local;
+    Placed elsewhere;
     for (const auto* candidate : candidates) {
         const auto& upstream = *candidate;
         const auto load = this->totalLoad(upstream, now);
@@ -276,37 +287,49 @@
                 cost += std::max(minNonPreferredPenaltyMs, preferredHoldsChance * static_cast<double>(shared) / this->tokensPerMillisecond);
             }
         } else {
-            const auto latency = upstream.latencyMs > 0 ? upstream.latencyMs : unknownLatencyMs;
-            cost = latency * (1 + static_cast<double>(load.requests) / std::max(1U, upstream.entry.slots)) * upstream.pace.factor(now);
+            cost = latencyCost(upstream, load, now);
         }
         cost *= 1 + failureFactor * this->failureShareOf(upstream, now);
         if (weightsOf(upstream.entry, request.model) < request.preferredWeightVersion)
             cost *= staleWeightsFactor;
-        if (cost < bestCost) {
-            bestCost = cost;
-            chosen = &upstream;
-            best.emplace();
-            best->upstream = upstream.entry.id;
-            best->address = upstream.entry.address;
-            best->born = upstream.entry.born;
-            best->softwareVersion = upstream.entry.softwareVersion;
-            best->isCold = now < upstream.coldUntil;
-            best->pace = upstream.pace.isKnown() ? std::optional(upstream.pace.factor(now)) : std::nullopt;
-            best->chosen = now;
-            best->missingTokens = coverage.missing;
-            best->prefillTime = fromSeconds(readMs / 1000);
-            best->expectedWait = fromSeconds(cost / 1000);
-            bestCoverage = std::move(coverage);
-        }
+        const bool isElsewhere = scope.isActive && !this->isLocal(upstream);
+        const auto crossing = isElsewhere ? this->crossingMs(upstream, request, now) : 0;
+        if (auto& best = isElsewhere ? elsewhere : local; cost + crossing < best.cost + best.crossingMs)
+            best = { &upstream, cost, crossing, readMs, std::move(coverage) };
     }
-    if (best && engine != nullptr)
-        this->planCache(*chosen, request, std::move(bestCoverage), *best, now);
-    return best;
+    const auto reason = scope.isActive ? this->decideLeave(local, elsewhere, scope, request, excluded, now) : LeaveReason::None;
+    auto& best = reason == LeaveReason::None ? local : elsewhere;
+    if (best.upstream == nullptr)
+        return std::nullopt;
+    const auto& entry = best.upstream->entry;
+    PlacementChoice choice;
+    choice.upstream = entry.id;
+    choice.address = entry.address;
+    choice.born = entry.born;
+    choice.softwareVersion = entry.softwareVersion;
+    choice.isCold = now < best.upstream->coldUntil;
+    choice.pace = best.upstream->pace.isKnown() ? std::optional(best.upstream->pace.factor(now)) : std::nullopt;
+    choice.leaves = reason;
+    choice.chosen = now;
+    choice.missingTokens = best.coverage.missing;
+    choice.prefillTime = fromSeconds(best.readMs / 1000);
+    choice.expectedWait = fromSeconds((best.cost + best.crossingMs) / 1000);
+    if (engine != nullptr)
+        this->planCache(*best.upstream, request, std::move(best.coverage), choice, now);
+    return choice;
+}
+
+double UpstreamBoard::latencyCost(const Upstream& upstream, const Load& load, TimePoint now)
+{
+    const auto latency = upstream.latencyMs > 0 ? upstream.latencyMs : unknownLatencyMs;
+    return latency * (1 + static_cast<double>(load.requests) / std::max(1U, upstream.entry.slots)) * upstream.pace.factor(now);
 }
 
 void UpstreamBoard::begin(const PlacementChoice& choice, const PlacementRequest& request, TimePoint now)
 {
     ++this->inFlight;
+    if (choice.leaves == LeaveReason::Shortage)
+        this->overflows[request.service].share.onSent();
     const auto found = this->upstreams.find(choice.upstream);
     if (found == this->upstreams.end())
         return;
