--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -73,6 +73,7 @@
         , random(seed)
         , sendBudgets(settings.bounds, settings.isFirstStart ? std::nullopt : std::optional(started))
     {
+        this->board.setDomain(this->settings.domain);
         const auto wall = wallClock();
         this->incarnation = static_cast<std::uint64_t>(wall.count());
         if (!this->settings.duties.reportsUsage)
