--- a/src/edge/log.h
+++ b/src/edge/log.h
@@ -20,7 +20,7 @@
 enum class LogClass : std::uint8_t {
     Routine, ///< A successful request; limited first.
     Decision, ///< A failed request or a change of state.
-    Lifecycle, ///< Start, stop, reload, lost and regained dependencies; never limited.
+    Lifecycle, ///< Start, stop, reload, lost and regained dependencies, and the few lines on usage reports; never limited.
 };
 
 /// Sets the instance name for all lines and makes standard output non-blocking.
--- a/src/edge/usage_runner.cc
+++ b/src/edge/usage_runner.cc
@@ -101,7 +101,7 @@
         return;
     this->onRecord(record);
     if (this->planned.missedBefore > 0)
-        edge::log(LogClass::Decision, "usage_missed_range",
+        edge::log(LogClass::Lifecycle, "usage_missed_range",
             { { "windows", static_cast<std::int64_t>(this->planned.missedBefore) }, { "reason", "no daemon that runs has counts of them" } });
     if (this->planned.missedBefore > 0)
         this->state.metrics.count("goldcrest_usage_reports_total", "result=\"missed\"", this->planned.missedBefore);
@@ -109,7 +109,7 @@
         this->giveUp(window, "the store has lost records, and other counts may have been sent");
     this->planned = {};
     for (const auto& usage : record.usage)
-        edge::log(LogClass::Decision, "usage_window_closed",
+        edge::log(LogClass::Lifecycle, "usage_window_closed",
             { { "window", static_cast<std::int64_t>(usage.window) }, { "accounts", static_cast<std::int64_t>(usage.counts.size()) }, { "runs", runsIn(usage) }, { "fence", static_cast<std::int64_t>(this->lease.fence()) } });
 }
 
@@ -132,7 +132,7 @@
 
 void UsageRunner::giveUp(std::uint64_t window, const char* reason)
 {
-    edge::log(LogClass::Decision, "usage_missed", { { "window", static_cast<std::int64_t>(window) }, { "reason", reason } });
+    edge::log(LogClass::Lifecycle, "usage_missed", { { "window", static_cast<std::int64_t>(window) }, { "reason", reason } });
     this->state.metrics.count("goldcrest_usage_reports_total", "result=\"missed\"");
 }
 
@@ -197,7 +197,7 @@
         ledger.discardBelow(reporter.settledEnd());
         this->updateReceivers(monotonicNow());
         if (reporter.conflicts() != this->conflictsSeen)
-            edge::log(LogClass::Decision, "usage_conflict", { { "windows", static_cast<std::int64_t>(reporter.conflicts()) } });
+            edge::log(LogClass::Lifecycle, "usage_conflict", { { "windows", static_cast<std::int64_t>(reporter.conflicts()) } });
         this->conflictsSeen = reporter.conflicts();
         const auto changes = ledger.takeChanges();
         auto notice = this->makeNotice();
@@ -247,7 +247,7 @@
     reporter.onOutcome(usage.window, outcome, monotonicNow());
     if (outcome == DutyOutcome::Fenced && this->lease.fence() == holder.fence)
         this->lease.onFenceRefused(suspensionAwareNow());
-    edge::log(LogClass::Decision, "usage_reported",
+    edge::log(LogClass::Lifecycle, "usage_reported",
         { { "window", static_cast<std::int64_t>(usage.window) }, { "status", static_cast<std::int64_t>(answer ? answer->status : 0) }, { "reason", answer ? "" : answer.error().reason },
             { "accounts", static_cast<std::int64_t>(usage.counts.size()) }, { "runs", runsIn(usage) }, { "fence", static_cast<std::int64_t>(holder.fence) }, { "repeat", isRepeat }, { "after_ms", toMs(monotonicNow() - begin) } });
     if (isRepeat)
