The peers' port has connections for a feed reader's peers

Cause: an eighth of max_fds for the peers' port is under 43 where max_fds is under 344; at the largest site, 340 daemons with 8 readers, each reader has 43 peers that query it, and their connections would close each other.

Change: 64 connections if that is more than an eighth, up to a quarter of max_fds.

--- a/src/load/connection_limit.cc
+++ b/src/load/connection_limit.cc
@@ -8,8 +8,12 @@
 
     /// Listeners, timers, the log, calls to the store and to cache stores: 18 at a small site.
     constexpr std::uint64_t ownDescriptors = 32;
-    /// Part of the descriptors for each kind of listener other than callers'.
+    /// Part of the descriptors for the control listeners together, and for the peers' port.
     constexpr std::uint64_t listenerDivisor = 8;
+    /// Peers that query a feed reader at the largest site: 340 daemons with 8 readers have 43 each, and more while readers are missing.
+    constexpr std::uint64_t ordinaryPeers = 64;
+    /// The peers' port has no more than this part of the descriptors for them.
+    constexpr std::uint64_t maxPeersDivisor = 4;
     /// Listeners with a budget for control calls.
     constexpr std::uint64_t controlListeners = 3;
     /// Each request in progress may need a connection to an upstream as well.
@@ -26,11 +30,12 @@
 {
     const auto perListener = std::max(minConnections, maxDescriptors / listenerDivisor);
     const auto control = std::max(minConnections, perListener / controlListeners);
-    const auto others = ownDescriptors + perListener + controlListeners * control;
+    const auto peers = std::max(perListener, std::min(ordinaryPeers, maxDescriptors / maxPeersDivisor));
+    const auto others = ownDescriptors + peers + controlListeners * control;
     auto clients = maxDescriptors > others ? (maxDescriptors - others) / descriptorsPerClient : 0;
     if (memoryBytes > 0)
         clients = std::min(clients, memoryBytes / memoryDivisor / bytesPerConnection);
-    return { std::max(minConnections, clients), control, perListener };
+    return { std::max(minConnections, clients), control, peers };
 }
 
 ConnectionLimit::Entry::Entry(ConnectionLimit& owner, TimePoint now)
--- a/test/load/connection_limit_test.cc
+++ b/test/load/connection_limit_test.cc
@@ -47,5 +47,7 @@
         CHECK(2 * budget.clients + 3 * budget.control + budget.peers <= descriptors - 32);
         CHECK(budget.clients >= descriptors / 8);
     }
+    // The peers of a feed reader at the largest site: with fewer connections their queries would close each other's.
+    CHECK(connectionBudget(256, 0).peers >= 43);
     CHECK(connectionBudget(1U << 20U, 88'000'000).clients * 16384 <= 11'000'000);
 }
