Waiting requests are not refused by the counts of a pause that is over

Cause: the check of waiting requests used the placement rate, which is low during and just after a pause of the upstreams, and counts over the last second, which still show the pause while the backlog is being placed.

--- a/include/goldcrestwood/admission.h
+++ b/include/goldcrestwood/admission.h
@@ -97,8 +97,11 @@
     bool isNext(const Waiter& waiter, TimePoint now) const;
     /// @return Number of waiters that precede @p waiter, which may itself be waiting.
     std::size_t countAhead(const Waiter& waiter, TimePoint now) const;
-    /// @return Whether @p waiter, which may itself be waiting, would most likely not be placed before it expires.
+    /// @return Whether @p waiter, which is about to wait, would most likely not be placed before it expires.
     bool isInfeasible(const Waiter& waiter, TimePoint now) const;
+    /// The same for a request that already waits: the placement rate alone is no reason, as it is low during a pause of the upstreams.
+    /// @return Whether requests that precede a late @p waiter have been arriving faster than any were placed.
+    bool isOvertaken(const Waiter& waiter, TimePoint now) const;
     void add(const Waiter& waiter, TimePoint now);
     /// The waiter was placed, or has stopped waiting.
     void remove(std::uint64_t id, bool isPlaced, TimePoint now);
@@ -144,11 +147,9 @@
     std::vector<Position> positions(const Waiter* candidate, TimePoint now) const;
     /// Sets the turns of waiters of one rank and class, which are in the order of arrival.
     void assignTurns(std::span<Position> group, TimePoint now) const;
-    /// @return Whether for the last rate window more requests that precede a late @p waiter have arrived than were placed.
-    bool isOvertaken(const Waiter& waiter, TimePoint now) const;
-    /// @return Time over which placements and arrivals are counted.
+    /// @return Time over which the placement rate is measured.
     Duration measuredTime(TimePoint now) const { return std::min(this->settings.rateWindow, now - this->waitingSince); }
-    std::size_t countPlacements(TimePoint now) const;
+    std::size_t countPlacements(Duration window, TimePoint now) const;
     void forgetOld(TimePoint now);
     /// @return Placements of waiters per second, if measured over a long enough time.
     std::optional<double> rate(TimePoint now) const;
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -83,11 +83,17 @@
     // A caller that returned when told to has no attempt left, so it gains nothing from an earlier refusal.
     if (this->queueClassOf(waiter, now) != QueueClass::Late || this->measuredTime(now) < this->settings.minRateWindow)
         return false;
-    const auto arrived = std::count_if(this->arrivals.begin(), this->arrivals.end(), [&](const auto& arrival) { return arrival.rank <= waiter.rank && now - arrival.at <= this->settings.rateWindow; });
-    const auto placed = static_cast<double>(this->countPlacements(now));
-    const auto excess = static_cast<double>(arrived) - placed;
+    const auto arrivedWithin = [&](Duration window) {
+        return static_cast<double>(std::count_if(this->arrivals.begin(), this->arrivals.end(), [&](const auto& arrival) { return arrival.rank <= waiter.rank && now - arrival.at <= window; }));
+    };
+    // After a pause of the upstreams the counts of the whole window still show it, while the backlog is already being placed.
+    const auto recent = this->settings.minRateWindow;
+    if (arrivedWithin(recent) <= static_cast<double>(this->countPlacements(recent, now)))
+        return false;
+    const auto arrived = arrivedWithin(this->settings.rateWindow);
+    const auto placed = static_cast<double>(this->countPlacements(this->settings.rateWindow, now));
     // If nothing is placed, upstreams are paused or being replaced, and all capacity may return at once.
-    return placed > 0 && excess > this->settings.overloadStandardErrors * std::sqrt(static_cast<double>(arrived) + placed);
+    return placed > 0 && arrived - placed > this->settings.overloadStandardErrors * std::sqrt(arrived + placed);
 }
 
 void AdmissionQueue::add(const Waiter& waiter, TimePoint now)
@@ -133,9 +139,8 @@
     return result;
 }
 
-std::size_t AdmissionQueue::countPlacements(TimePoint now) const
+std::size_t AdmissionQueue::countPlacements(Duration window, TimePoint now) const
 {
-    const auto window = this->measuredTime(now);
     return static_cast<std::size_t>(std::count_if(this->placements.begin(), this->placements.end(), [&](TimePoint at) { return now - at <= window; }));
 }
 
@@ -145,7 +150,7 @@
     if (this->waiters.empty() || window < this->settings.minRateWindow)
         return std::nullopt;
     // Counts one more than observed: the next placement may be imminent.
-    return static_cast<double>(this->countPlacements(now) + 1) / toSeconds(window);
+    return static_cast<double>(this->countPlacements(window, now) + 1) / toSeconds(window);
 }
 
 Duration AdmissionQueue::refuse(const Waiter& waiter, TimePoint now, Random& random)
--- a/src/edge/service_queue.cc
+++ b/src/edge/service_queue.cc
@@ -140,7 +140,7 @@
         co_await exchange.queueTimer.async_wait(into(ignored));
         if (exchange.assigned)
             co_return std::exchange(exchange.assigned, std::nullopt);
-    } while (!exchange.isOver() && monotonicNow() < waiter.expiresAt && !this->isInfeasible(exchange, queue, waiter, monotonicNow()));
+    } while (!exchange.isOver() && monotonicNow() < waiter.expiresAt && !this->isOvertaken(exchange, queue, waiter, monotonicNow()));
     queue.admission.remove(waiter.id, false, monotonicNow());
     queue.exchanges.erase(waiter.id);
     if (exchange.isOver())
@@ -151,11 +151,11 @@
     co_return choice;
 }
 
-bool ServiceQueues::isInfeasible(const ClientExchange& exchange, const Queue& queue, const Waiter& waiter, TimePoint now) const
+bool ServiceQueues::isOvertaken(const ClientExchange& exchange, const Queue& queue, const Waiter& waiter, TimePoint now) const
 {
     // Upstreams that have said when they accept requests again do so at once for all, whatever the rate was before.
     const bool isOpening = this->state.board.nextAvailableAt(exchange.placement, exchange.tried, queue.admission.countAhead(waiter, now), now).has_value();
-    return !isOpening && queue.admission.isInfeasible(waiter, now);
+    return !isOpening && queue.admission.isOvertaken(waiter, now);
 }
 
 void ServiceQueues::dispatch(const ServiceName& service)
--- a/src/edge/service_queue.h
+++ b/src/edge/service_queue.h
@@ -44,7 +44,7 @@
     std::optional<PlacementChoice> tryAssign(ClientExchange& exchange, PlacementRefusal& refusal);
     Waiter makeWaiter(const ClientExchange& exchange, TimePoint now);
     /// @return Whether a waiting request would most likely not be placed before its wait expires.
-    bool isInfeasible(const ClientExchange& exchange, const Queue& queue, const Waiter& waiter, TimePoint now) const;
+    bool isOvertaken(const ClientExchange& exchange, const Queue& queue, const Waiter& waiter, TimePoint now) const;
     Task<std::optional<PlacementChoice>> wait(ClientExchange& exchange, Queue& queue, const Waiter& waiter, PlacementRefusal& refusal);
 
     EdgeState& state;
