--- a/test/load/report_pace_test.cc
+++ b/test/load/report_pace_test.cc
@@ -54,7 +54,7 @@
                 intervals += toMs(interval);
                 ++reports;
             }
-        // One request a step: 200 a second, 10 an engine, of which a third are long; the engines are busy for three fifths of the time.
+        // One request a step: 200 a second, 10 per engine, of which a third are long; the engines are busy for three fifths of the time.
         const auto daemon = random() % daemons;
         const double tokens = random() % 3 == 0 ? 9000 : 1000;
         auto& view = known[daemon];
@@ -108,12 +108,13 @@
 
 TEST_CASE("frequent reports use no more than their share of a small link")
 {
-    ReportPace pace(10); // 1,250,000 bytes per second, of which a tenth.
+    ReportPace pace(10); // 1,250,000 bytes per second, of which reports may use a tenth.
     std::size_t taken = 0;
     for (auto now = start; now < start + 10s; now += 10ms)
         taken += pace.takeBytes(8000, now) ? 8000 : 0;
-    CHECK(taken <= 11 * 125000);
-    CHECK(taken >= 9 * 125000);
+    constexpr std::size_t bytesPerSecond = 125000;
+    CHECK(taken <= 11 * bytesPerSecond);
+    CHECK(taken >= 9 * bytesPerSecond);
     ReportPace unknownLink(0);
     CHECK(unknownLink.takeBytes(1U << 30U, start));
 }
