--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A caller names prompt parts of no tokens; the daemons keep every one of them until their memory is used up."""
+"""A faulty replica sends bytes that are not its answer but begin like one; a caller gets them as the success of its order."""
 
 import http.client
 import pathlib
@@ -10,81 +10,77 @@
 import site_2 as shared  # noqa: E402
 from site_2 import edge_site as site  # noqa: E402
 
-MEMORY_MB = 110  # memory_mb of the Khangai sheet.
-PARTS = 1400  # The header with them has under 15,000 bytes; header_bytes allows 16,384 for the head.
-RUN_SECONDS = 85
-MACHINES, ENDS = 2, 3  # The rule: on a tenth of the machines, two at least, three times.
-
-
-def fields(identifier, parts, tokens):
-    return {"Host": "site.example", "X-Goldcrestwood-Request-Id": identifier, "X-Goldcrestwood-Deadline-Ms": "4000", "X-Goldcrestwood-Key": "key-one",
-            "X-Goldcrestwood-Model": "m", "X-Goldcrestwood-Token-Usage": tokens, "X-Goldcrestwood-Prefix-Hash": parts}
-
-
-class Caller:
-    """Sends one request after the other on kept connections and waits for each answer."""
-
-    def __init__(self, record, name, daemon, path, head, pause):
-        self.record, self.name, self.daemon, self.path, self.head, self.pause = record, name, daemon, path, head, pause
-        self.sent, self.answers, self.failures, self.largest = 0, {}, 0, 0
-
-    def run(self, ended):
-        connection = None
-        while not ended.is_set():
-            identifier = f"{next(site.request_numbers):016x}"
-            headers = self.head(identifier, self.sent)
-            self.largest = max(self.largest, sum(len(name) + len(value) + 4 for name, value in headers.items()))
-            self.sent += 1
-            try:
-                if connection is None:
-                    host, _, port = self.daemon.front.rpartition(":")
-                    connection = http.client.HTTPConnection(host, int(port), timeout=5)
-                connection.request("POST", self.path, b"p", headers)
-                response = connection.getresponse()
-                response.read()
-                self.answers[response.status] = self.answers.get(response.status, 0) + 1
-                if response.will_close:
-                    connection.close()
-                    connection = None
-            except (OSError, http.client.HTTPException):
-                self.failures += 1
-                if connection is not None:
-                    connection.close()
-                connection = None
-                time.sleep(0.2)
-            if self.sent % 200 == 0:
-                self.report()
-            ended.wait(self.pause)
-
-    def report(self):
-        self.record.write("caller", name=self.name, daemon=self.daemon.node, sent=self.sent, answers=self.answers, without_answer=self.failures, largest_head=self.largest)
-
-
-def sound(identifier, number):
-    return fields(identifier, f"aa01:700,bb01:200,{identifier}:100", "1000,40")
-
-
-def empty_parts(identifier, number):
-    return fields(identifier, ",".join(f"{identifier[-4:]}{part:03x}:0" for part in range(PARTS)), "1000,40")
+SECONDS = 40
+CALLERS = 6
+EVERY = 50  # The faulty replica spoils one answer of this many: x = .02.
+NO_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\nok\n"
+
+
+class OrderReplica(site.ReplicaHandler):
+    """Runs orders and answers with the seal; a faulty one now and then sends other bytes, and has not run the order then."""
+
+    def serve(self):
+        replica = self.server.owner
+        body = self.body()
+        request = self.headers.get("X-Goldcrestwood-Request-Id", "")
+        headers = [("X-Goldcrestwood-Request-Id", request), ("X-Goldcrestwood-Instance-Id", replica.id)]
+        if self.headers.get("X-Goldcrestwood-Expect-Instance") not in (None, replica.id):
+            return self.answer(421, headers=[*headers, ("X-Goldcrestwood-Not-Executed", "1")])
+        with replica.crash_lock:
+            replica.received += 1
+            spoils = replica.faulty and replica.received % EVERY == 0
+        if spoils:
+            replica.spoiled.append(request)
+            self.close_connection = True
+            self.wfile.write(NO_ANSWER)
+            return None
+        time.sleep(0.06)  # The work of an order on the sheet.
+        replica.ran.append(request)
+        # A server closes idle connections after a while and says so; occasionally it ends one.
+        return self.answer(200, replica.id.encode() + b":" + body,
+                           [*headers, ("X-Goldcrestwood-Response-Seal", f"{replica.id}.{request}"), ("Keep-Alive", "timeout=1")])
 
 
 def case(record):
-    with site.EdgeSite(daemons=3, configuration=shared.configuration(), memory_mb=MEMORY_MB, bounds=shared.BOUNDS) as edge:
-        time.sleep(1)
-        platform = shared.Platform(record, edge.daemons, MEMORY_MB)
-        many = [Caller(record, f"uncontrolled-{number}", daemon, "/stream/a", empty_parts if shared.TROUBLE else sound, 0.0)
-                for daemon in edge.daemons[:MACHINES] for number in range(2)]
-        others = [Caller(record, "ordinary", daemon, "/stream/b", sound, 0.1) for daemon in edge.daemons]
-        watchers = [lambda ended, daemon=daemon: platform.watch(daemon, ended) for daemon in edge.daemons]
-        with shared.threads(*watchers, *(caller.run for caller in many + others)):
-            deadline = time.monotonic() + RUN_SECONDS
-            while time.monotonic() < deadline and sum(ends >= ENDS for ends in platform.ends.values()) < MACHINES:
-                time.sleep(0.2)
-        for caller in many + others:
-            caller.report()
-        ran = sum(len(replica.requests) for replica in edge.models)
-        record.write("platform", ends=platform.ends, peak_mb={node: round(used) for node, used in platform.peak_mb.items()}, ran_at_replicas=ran)
-        return sum(ends >= ENDS for ends in platform.ends.values()) >= MACHINES
+    with site.EdgeSite(daemons=2, plain=0, configuration=shared.configuration(), bounds=shared.BOUNDS) as edge:
+        replicas = []
+        for number in range(3):
+            replica = site.Replica(edge.store, 10 + number, "plain", "plain", f"zone-{number}", slots=6)
+            replica.server.RequestHandlerClass = OrderReplica
+            replica.received, replica.spoiled, replica.ran = 0, [], []
+            replica.faulty = shared.TROUBLE and number == 0
+            replicas.append(replica)
+        time.sleep(2)
+        answers, lock = [], threading.Lock()
+
+        def caller(daemon):
+            def run(ended):
+                while not ended.is_set():
+                    try:
+                        identifier, status, headers, body = site.request(daemon, "/once/order", b"order")
+                        with lock:
+                            answers.append((identifier, status, headers.get("X-Goldcrestwood-Response-Seal"), body))
+                    except (OSError, http.client.HTTPException) as error:
+                        with lock:
+                            answers.append((None, type(error).__name__, None, b""))
+                    ended.wait(0.15)
+            return run
+
+        with shared.threads(*(caller(edge.daemons[number % 2]) for number in range(CALLERS))):
+            time.sleep(SECONDS)
+        ran = {request for replica in replicas for request in replica.ran}
+        spoiled = {request for replica in replicas for request in replica.spoiled}
+        statuses = {}
+        broken = 0
+        for identifier, status, seal, body in answers:
+            statuses[str(status)] = statuses.get(str(status), 0) + 1
+            if isinstance(status, int) and 200 <= status < 300 and not seal:
+                broken += 1
+                record.write("success_without_seal", request=identifier, status=status, body=body.decode("latin-1"), ran=identifier in ran, spoiled=identifier in spoiled)
+        for replica in replicas:
+            record.write("replica", id=replica.id, faulty=replica.faulty, received=replica.received, ran=len(replica.ran), spoiled=replica.spoiled)
+        record.write("callers", sent=len(answers), answers=statuses, successes_without_seal=broken)
+        return broken > 0
 
 
 if __name__ == "__main__":
