--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,9 +10,10 @@
 import site_2 as shared  # noqa: E402
 from site_2 import edge_site as site  # noqa: E402
 
-SECONDS = 40
-CALLERS = 6
-EVERY = 50  # The faulty replica spoils one answer of this many: x = .02.
+SECONDS = 60
+CALLERS, PAUSE = 12, 1.2  # Longer than the replicas keep an idle connection, so that most orders begin a new one.
+REPLICAS, FAULTY = 4, 2  # share = .5
+EVERY = 50  # A faulty replica spoils one answer of this many: x = .02.
 NO_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\nok\n"
 
 
@@ -44,11 +45,11 @@
 def case(record):
     with site.EdgeSite(daemons=2, plain=0, configuration=shared.configuration(), bounds=shared.BOUNDS) as edge:
         replicas = []
-        for number in range(3):
-            replica = site.Replica(edge.store, 10 + number, "plain", "plain", f"zone-{number}", slots=6)
+        for number in range(REPLICAS):
+            replica = site.Replica(edge.store, 10 + number, "plain", "plain", f"zone-{number % 3}", slots=6)
             replica.server.RequestHandlerClass = OrderReplica
             replica.received, replica.spoiled, replica.ran = 0, [], []
-            replica.faulty = shared.TROUBLE and number == 0
+            replica.faulty = shared.TROUBLE and number < FAULTY
             replicas.append(replica)
         time.sleep(2)
         answers, lock = [], threading.Lock()
@@ -63,7 +64,8 @@
                     except (OSError, http.client.HTTPException) as error:
                         with lock:
                             answers.append((None, type(error).__name__, None, b""))
-                    ended.wait(0.15)
+                    # All callers send at the same moments.
+                    ended.wait(PAUSE - time.monotonic() % PAUSE)
             return run
 
         with shared.threads(*(caller(edge.daemons[number % 2]) for number in range(CALLERS))):
