Review: case 10, a late write brings a replica back that has left, at a daemon that was added since

One renewal of a leaving replica is carried out 5.9 s late; a daemon that was added after the removal of the entry takes it for a new one. It takes the place of the case of many unreadable registry entries.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,96 +1,125 @@
-"""Another writer leaves entries that cannot be read in the registry; the daemons keep their bytes until their memory is used up."""
+"""A daemon that is added after a replica has left takes the replica's late write for a new entry, and sends it orders."""
 
-import base64
 import http.client
-import json
 import pathlib
 import sys
+import threading
 import time
-import urllib.parse
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 import site_2 as shared  # noqa: E402
 from site_2 import edge_site as site  # noqa: E402
 
-MEMORY_MB = 110  # memory_mb of the Khangai sheet.
-ENTRIES, ENTRY_BYTES = 440, 250_000  # record_bytes allows 262,144; all together 110 MB of the 400 MB that the store keeps.
-RUN_SECONDS = 80
-MACHINES, ENDS = 2, 3  # The rule: on a tenth of the machines, two at least, three times.
-
-
-PAGE_ITEMS, PAGE_BYTES = 500, 1 << 20
-
-
-class PagingHandler(site.StoreHandler):
-    """Lists the newest records in pages, as the platform's store does."""
-
-    def do_GET(self):
-        path, _, query = self.path.partition("?")
-        if path != "/log-newest":
-            return super().do_GET()
-        fields = dict(urllib.parse.parse_qsl(query))
-        store = self.server.owner
-        with store.changed:
-            records = list(store.topics.get(fields["topic"], []))
-        latest = {record[1:1 + record[0]].decode(): offset for offset, record in enumerate(records)}
-        items, size, more = [], 0, False
-        for key in sorted(key for key in latest if key > fields.get("after", "")):
-            value = records[latest[key]][1 + len(key):]
-            if not value:
-                continue
-            if len(items) >= PAGE_ITEMS or size + len(value) > PAGE_BYTES:
-                more = True
-                break
-            size += len(value)
-            items.append({"key": key, "value": base64.b64encode(value).decode(), "offset": latest[key]})
-        return self.answer(200, json.dumps({"items": items, "more": more, "end": len(records)}).encode())
+DAEMONS, REPLICAS, CALLERS = 3, 4, 3
+ROUNDS, ROUND_SECONDS = 3, 20.0
+BEAT = 1.2  # heartbeat_ms
+LOST = 4.5  # Length of platform_lost on the site.
+LATE = 5.9  # Lost writes are done 1 to 6 s later.
+CONTACT = 3.0  # contact_ms: the store is stable after it, and calm machines are in touch.
+DRAIN = 2.0  # drain_ms
+SERVES_ON = 6.0  # After its removal: drain_ms and longer, at times many seconds.
+
+
+class Replica(site.Replica):
+    """A replica that renews its entry, and leaves without a report: its entry is removed and it serves on for some time."""
+
+    def __init__(self, store, number, record):
+        super().__init__(store, number, "plain", "plain", f"zone-{number % 3}")
+        self.record, self.delay, self.sequence = record, 0.06, 1
+        self.is_late, self.gone_at, self.lock = False, None, threading.Lock()
+        threading.Thread(target=self.beat, daemon=True).start()
+
+    def beat(self):
+        due = time.monotonic() + BEAT
+        while True:
+            time.sleep(max(0.0, due - time.monotonic()))
+            due += BEAT
+            with self.lock:
+                if self.gone_at is not None:
+                    return
+                self.sequence += 1
+                if self.is_late:
+                    self.is_late = False
+                    self.record.write("store_does_not_answer", replica=self.id, seq=self.sequence)
+                    threading.Timer(LATE, self.carry_out, (self.sequence,)).start()
+                else:
+                    self.register("ready", seq=self.sequence)
 
+    def carry_out(self, sequence):
+        self.register("ready", seq=sequence)
+        self.record.write("store_carries_out", replica=self.id, seq=sequence)
+        # Nothing renews it: the store removes it after three intervals of silence.
+        threading.Timer(3 * BEAT, self.leave).start()
 
-def write(store, key, value):
-    with store.changed:
-        store.topics["keyed.servers"].append(bytes([len(key)]) + key.encode() + value)
-        store.changed.notify_all()
+    def go(self):
+        with self.lock:
+            self.leave()
+            self.gone_at = time.monotonic()
+        self.record.write("store_accepts_removal", replica=self.id, seq=self.sequence)
 
 
 def case(record):
-    with site.EdgeSite(daemons=3, configuration=shared.configuration(), memory_mb=MEMORY_MB, bounds=shared.BOUNDS) as edge:
-        for server in edge.store.servers:
-            server.RequestHandlerClass = PagingHandler
+    with site.EdgeSite(daemons=DAEMONS, models=1, plain=0, configuration=shared.configuration(), bounds=shared.BOUNDS) as edge:
+        replicas = [Replica(edge.store, number, record) for number in range(REPLICAS)]
         time.sleep(1)
-        platform = shared.Platform(record, edge.daemons, MEMORY_MB)
-        orders = {}
+        sent, lock, daemons = {}, threading.Lock(), list(edge.daemons)
+        started = {daemon.node: time.monotonic() - CONTACT for daemon in daemons}
 
-        def ordinary(daemon):
+        def caller(daemon):
             def run(ended):
                 while not ended.is_set():
+                    began = time.monotonic()
                     try:
-                        status = str(site.request(daemon, "/once/order", b"order", timeout=5)[1])
+                        identifier, status, _, _ = site.request(daemon, "/once/order", b"order", timeout=6)
                     except (OSError, http.client.HTTPException) as error:
-                        status = type(error).__name__
-                    answers = orders.setdefault(daemon.node, {})
-                    answers[status] = answers.get(status, 0) + 1
-                    ended.wait(0.1)
+                        identifier, status = f"none-{began}", type(error).__name__
+                    with lock:
+                        sent[identifier] = (daemon.node, began, str(status))
+                    if status != 200:
+                        record.write("order", request=identifier, daemon=daemon.node, answer=str(status))
+                    ended.wait(0.05)
             return run
 
-        def other_writer(ended):
-            for number in range(ENTRIES):
-                if shared.TROUBLE:
-                    write(edge.store, f"odd-{number:04d}", b"\xff" * ENTRY_BYTES)
-                else:
-                    edge.plain[0].register("ready", seq=2 + number)
-                if number % 40 == 39:
-                    record.write("written", entries=number + 1)
-                if ended.wait(0.05):
-                    return
-
-        watchers = [lambda ended, daemon=daemon: platform.watch(daemon, ended) for daemon in edge.daemons]
-        with shared.threads(other_writer, *watchers, *(ordinary(daemon) for daemon in edge.daemons)):
-            deadline = time.monotonic() + RUN_SECONDS
-            while time.monotonic() < deadline and sum(ends >= ENDS for ends in platform.ends.values()) < MACHINES:
-                time.sleep(0.2)
-        record.write("orders", answers=orders)
-        record.write("platform", ends=platform.ends, peak_mb={node: round(used) for node, used in platform.peak_mb.items()})
-        return sum(ends >= ENDS for ends in platform.ends.values()) >= MACHINES
+        def add_daemon(ended, number):
+            daemon = site.Daemon(number, edge.store, edge.folder, [f"{site.SUBNET}.{seed + 1}" for seed in range(3)], bounds=shared.BOUNDS)
+            edge.callback(daemon.stop)
+            daemon.start()
+            started[daemon.node] = time.monotonic()
+            record.write("daemon_added", node=daemon.node)
+            site.wait_until(daemon.is_ready, "the added daemon is ready", check=daemon.process)
+            daemons.append(daemon)
+            callers.threads.extend(threading.Thread(target=caller(daemon), args=(ended,)) for _ in range(CALLERS))
+            for thread in callers.threads[-CALLERS:]:
+                thread.start()
+
+        with shared.threads(*(caller(daemon) for daemon in edge.daemons for _ in range(CALLERS))) as callers:
+            begun = time.monotonic() + 1
+            for turn in range(ROUNDS):
+                replica = replicas[turn]
+                time.sleep(max(0.0, begun + turn * ROUND_SECONDS - time.monotonic()))
+                record.write("answers_are_lost" if shared.TROUBLE else "calm")
+                time.sleep(LOST - BEAT)
+                replica.is_late = shared.TROUBLE  # Its next write, the last one in the disruption.
+                time.sleep(BEAT)
+                record.write("store_answers_again")
+                time.sleep(CONTACT + 0.1)
+                replica.go()
+                add_daemon(callers.ended, DAEMONS + 1 + turn)
+                time.sleep(max(0.0, replica.gone_at + SERVES_ON - time.monotonic()))
+                replica.server.abort()
+                record.write("replica_exits", replica=replica.id)
+            time.sleep(max(0.0, begun + ROUNDS * ROUND_SECONDS - 4 - time.monotonic()))
+        late = 0
+        for replica in replicas[:ROUNDS]:
+            for at, identifier in replica.arrivals:
+                node, began, status = sent.get(identifier, ("unknown", 0.0, "none"))
+                in_touch = node in started and began >= started[node] + CONTACT
+                if at > replica.gone_at + DRAIN:
+                    late += in_touch
+                    record.write("late_order", request=identifier, replica=replica.id, after_s=round(at - replica.gone_at, 3), daemon=node, in_touch=in_touch, answer=status)
+        statuses = [status for _, _, status in sent.values()]
+        record.write("orders", answers={status: statuses.count(status) for status in sorted(set(statuses))}, late_from_machines_in_touch=late)
+        return late > 0
 
 
 if __name__ == "__main__":
