Trailers of a request are dropped and no longer count as fields of its head

Cause: Beast's parser inserts the fields of the trailer section into those of the head. RequestMemory counts a head when it is complete, so that trailers were in no account, and each is an allocation of its own.

Change: RequestParser stores fields only until the head is complete, and keeps what the head says of the connection (RFC 9110, 6.5.1). A trailer that names a framing is still refused by the library, with 400.

--- a/src/edge/client_session.cc
+++ b/src/edge/client_session.cc
@@ -67,7 +67,7 @@
     return this->state.routes ? this->state.routes->configuration().limits : ClientLimits {};
 }
 
-Task<bool> ClientSessions::readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, RequestMemory::Share& memory, ConnectionLimit::Entry& place)
+Task<bool> ClientSessions::readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, RequestParser& parser, RequestMemory::Share& memory, ConnectionLimit::Entry& place)
 {
     const auto bounds = this->limits();
     ErrorCode error;
@@ -169,7 +169,7 @@
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-Task<> ClientSessions::answerExhausted(beast::tcp_stream& stream, Parser& parser)
+Task<> ClientSessions::answerExhausted(beast::tcp_stream& stream, RequestParser& parser)
 {
     edge::log(edge::LogClass::Decision, "request_given_up",
         { { "bytes", static_cast<std::int64_t>(parser.get().body().size()) }, { "held_bytes", static_cast<std::int64_t>(this->state.requestMemory.used()) } });
@@ -201,7 +201,7 @@
     while (isOpen) {
         RequestMemory::Share memory(
             this->state.requestMemory, [&stream] { stream.cancel(); }, monotonicNow());
-        Parser parser;
+        RequestParser parser;
         place->waits(monotonicNow());
         const bool isRead = co_await this->readRequest(stream, buffer, parser, memory, *place);
         // A connection that was closed for a new one may hold a request that was just completed; it was not sent on.
@@ -213,7 +213,7 @@
         exchange.unread = ageOfNewestBytes(stream.socket());
         exchange.received = monotonicNow() - exchange.unread;
         this->state.metrics.observe("goldcrest_request_unread_seconds", "", exchange.unread);
-        exchange.clientKeepAlive = parser.keep_alive();
+        exchange.clientKeepAlive = parser.keepsAlive();
         exchange.request = parser.release();
         exchange.info = platform::decodeRequest(exchange.request.base());
         this->exchanges.insert(&exchange);
--- a/src/edge/client_session.h
+++ b/src/edge/client_session.h
@@ -9,6 +9,7 @@
 #include "edge/edge_state.h"
 #include "edge/net.h"
 #include "edge/pipeline.h"
+#include "edge/request_parser.h"
 
 namespace goldcrestwood {
 
@@ -35,13 +36,11 @@
     std::size_t active() const { return this->exchanges.size(); }
 
 private:
-    using Parser = http::request_parser<http::string_body>;
-
-    Task<bool> readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, RequestMemory::Share& memory, ConnectionLimit::Entry& place);
+    Task<bool> readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, RequestParser& parser, RequestMemory::Share& memory, ConnectionLimit::Entry& place);
     /// Answers a request that cannot be read; its connection cannot serve another one.
     Task<> answerUnreadable(beast::tcp_stream& stream, unsigned status, std::string reason);
     /// Refuses a request for lack of memory before it is complete, so that it has not run.
-    Task<> answerExhausted(beast::tcp_stream& stream, Parser& parser);
+    Task<> answerExhausted(beast::tcp_stream& stream, RequestParser& parser);
     ClientLimits limits() const;
 
     EdgeState& state;
--- a/support/uncontrolled.py
+++ b/support/uncontrolled.py
@@ -1,6 +1,7 @@
 """Clients that keep to no limit, and the checks that each test of them makes of the daemon."""
 
 import contextlib
+import http.client
 import resource
 import selectors
 import socket
@@ -18,6 +19,10 @@
 # Ends a crowd whose bytes the daemon does not read.
 CROWD_SECONDS = 12
 MAX_CONNECTS = 40
+# As many as fit into header_bytes next to the fields of head().
+SMALL_FIELDS = 3900
+# Python's server accepts 100 fields by default; a replica accepts what the daemon does.
+http.client._MAXHEADERS = 2 * SMALL_FIELDS  # pylint: disable=protected-access
 
 
 def head(path="/once/a", *fields, method="POST"):
@@ -37,6 +42,7 @@
         host, _, port = address.rpartition(":")
         self.target, self.first, self.piece, self.left, self.pause = (host, int(port)), first, piece, max(total, len(first)), pause
         self.connects, self.most_connects = 0, MAX_CONNECTS if reconnects else 1
+        self.was_closed = False  # Whether the daemon has closed a connection.
         self.socket, self.pending, self.next_send, self.received = None, b"", 0.0, b""
 
     def open(self, selector):
@@ -69,6 +75,7 @@
             if mask & selectors.EVENT_READ:
                 data = self.socket.recv(65536)
                 if not data:
+                    self.was_closed = True
                     return self.close(selector)
                 self.received = (self.received + data)[:4096]
             if mask & selectors.EVENT_WRITE and self.left > 0 and time.monotonic() >= self.next_send:
@@ -81,6 +88,7 @@
         except BlockingIOError:
             pass
         except OSError:
+            self.was_closed = True
             self.close(selector)
         return None
 
--- a/test/process/framing_test.py
+++ b/test/process/framing_test.py
@@ -28,6 +28,15 @@
     (("Transfer-Encoding: gzip, chunked",), 501),
 )
 
+# Fields of a request, those behind its body, and the status that it gets.
+TRAILERS = (
+    (("Host: site.example",), ("X-Goldcrestwood-Key: key-one",), 401),
+    (("X-Goldcrestwood-Key: key-one",), ("Host: site.example",), 404),
+    (("Host: site.example", "X-Goldcrestwood-Key: key-one"), ("X-Goldcrestwood-Deadline-Ms: 0", "X-Other: 1", "Connection: close"), 200),
+    (("Host: site.example", "X-Goldcrestwood-Key: key-one"), ("Transfer-Encoding: chunked",), 400),
+    (("Host: site.example", "X-Goldcrestwood-Key: key-one"), ("Content-Length: 5",), 400),
+)
+
 
 def head(identifier, *fields, version="1.1"):
     lines = (f"POST /once/a HTTP/{version}", "Host: site.example", f"X-Goldcrestwood-Request-Id: {identifier}",
@@ -65,6 +74,21 @@
         answer = self.exchange(edge.daemons[0], first + head("b" * 16, "Content-Length: 0", "Connection: close"))
         self.assertEqual(answer.count(b"HTTP/1.1 200 "), 2, answer)
 
+    def test_fields_behind_a_body_are_no_fields_of_the_head(self):
+        # A key or a host behind the body was taken for that of the request (RFC 9110, 6.5.1), and sent on to the upstream.
+        edge = self.enterContext(site.EdgeSite(daemons=1, models=1))
+        numbers = itertools.count(1)
+        for fields, trailers, status in TRAILERS:
+            with self.subTest(fields=fields, trailers=trailers):
+                lines = ("POST /once/a HTTP/1.1", f"X-Goldcrestwood-Request-Id: {next(numbers):016x}", "Transfer-Encoding: chunked", *fields)
+                request = "\r\n".join((*lines, "", "5", "order", "0", *trailers, "", ""))
+                # A trailer does not end the connection either.
+                answer = self.exchange(edge.daemons[0], request.encode() + head(f"{next(numbers):016x}", "Content-Length: 0", "Connection: close"))
+                self.assertEqual(answer.split(b" ")[1], str(status).encode(), answer)
+                self.assertEqual(answer.count(b"HTTP/1.1 "), 1 if status == 400 else 2, answer)
+        sent = [fields for replica in edge.plain for _, fields, _ in replica.requests]
+        self.assertNotIn("X-Other", {name for fields in sent for name in fields})
+
     def test_an_answer_under_an_unknown_transfer_coding_is_not_passed_on(self):
         # MIXED: its coded bytes reached the caller as a whole body.
         edge = self.enterContext(site.EdgeSite(daemons=1, models=1))
