--- a/include/goldcrestwood/load/request_memory.h
+++ b/include/goldcrestwood/load/request_memory.h
@@ -32,14 +32,14 @@
     /// The bytes that one request holds.
     class Share {
     public:
-        /// @param evicted Called when the request is given up in favour of another one; must end its transfer.
+        /// @param evicted Called when the request is given up in favour of another one; must free what it holds before it returns.
         Share(RequestMemory& owner, std::function<void()> evicted, TimePoint now);
         ~Share();
         Share(const Share&) = delete;
         Share& operator=(const Share&) = delete;
 
         /// @param next Bytes that the request holds now.
-        /// @return Whether it may; if not, the request must be given up.
+        /// @return Whether it may; if not, the request is given up, and the caller must free what it holds before another one resizes.
         bool resize(std::uint64_t next, TimePoint now);
 
         /// The request is whole and is no longer given up.
--- a/src/edge/caller_socket.cc
+++ b/src/edge/caller_socket.cc
@@ -4,6 +4,8 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include "daemon/clock.h"
+
 namespace goldcrestwood {
 
 namespace {
@@ -76,4 +78,41 @@
     });
 }
 
+SocketDeadline::SocketDeadline(tcp::socket& socket)
+    : watched(socket)
+    , timer(socket.get_executor())
+{
+}
+
+SocketDeadline::~SocketDeadline()
+{
+    *this->isOver = true;
+}
+
+void SocketDeadline::expiresAfter(Duration timeout)
+{
+    this->isPassed = false;
+    this->end = monotonicNow() + timeout;
+    if (!this->firesAt || *this->end < *this->firesAt)
+        this->wait(*this->end);
+}
+
+void SocketDeadline::wait(TimePoint until)
+{
+    this->firesAt = until;
+    this->timer.expires_at(until);
+    this->timer.async_wait([this, over = this->isOver](ErrorCode error) {
+        if (*over || error)
+            return;
+        this->firesAt.reset();
+        if (!this->end)
+            return;
+        if (monotonicNow() < *this->end)
+            return this->wait(*this->end);
+        this->isPassed = true;
+        ErrorCode ignored;
+        this->watched.cancel(ignored);
+    });
+}
+
 } // namespace goldcrestwood
--- a/src/edge/caller_socket.h
+++ b/src/edge/caller_socket.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "edge/net.h"
 #include "goldcrestwood/time.h"
@@ -36,4 +37,28 @@
     std::shared_ptr<bool> isOver = std::make_shared<bool>(false);
 };
 
+/// Cancels the operations of a socket when their time is over. Moving the end further away, as each read does, costs no timer operation.
+class SocketDeadline {
+public:
+    explicit SocketDeadline(tcp::socket& socket);
+    SocketDeadline(const SocketDeadline&) = delete;
+    SocketDeadline& operator=(const SocketDeadline&) = delete;
+    ~SocketDeadline();
+
+    void expiresAfter(Duration timeout);
+    void expiresNever() { this->end.reset(); }
+    /// @return Whether the time that was set last is over.
+    bool hasPassed() const { return this->isPassed; }
+
+private:
+    void wait(TimePoint until);
+
+    tcp::socket& watched;
+    asio::steady_timer timer;
+    std::optional<TimePoint> end;
+    std::optional<TimePoint> firesAt; ///< Set while the timer runs; not after the end.
+    bool isPassed = false;
+    std::shared_ptr<bool> isOver = std::make_shared<bool>(false);
+};
+
 } // namespace goldcrestwood
--- a/src/load/request_memory.cc
+++ b/src/load/request_memory.cc
@@ -43,8 +43,8 @@
             owner.evict(*this);
             return false;
         }
-        owner.evict(*victim);
         victim->onEvicted();
+        owner.evict(*victim);
     }
     return true;
 }
@@ -54,14 +54,13 @@
     const auto cost = [now](const Share& share) { return static_cast<double>(share.bytes) * toSeconds(now - share.progressed + progressGrace); };
     Share* result = nullptr;
     for (auto* share : this->shares)
-        if (!share->isComplete && !share->isEvicted && (result == nullptr || cost(*share) > cost(*result)))
+        if (share->bytes > 0 && !share->isComplete && !share->isEvicted && (result == nullptr || cost(*share) > cost(*result)))
             result = share;
     return result;
 }
 
 void RequestMemory::evict(Share& share)
 {
-    // Its transfer ends now, and with it the memory that it holds.
     this->usedBytes -= std::exchange(share.bytes, 0);
     share.isEvicted = true;
     ++this->evictionCount;
--- a/test/load/request_memory_test.cc
+++ b/test/load/request_memory_test.cc
@@ -86,6 +86,7 @@
     REQUIRE(served.share.resize(95'000, TimePoint {}));
     served.share.complete();
     const auto later = TimePoint {} + 60 * second;
+    const Incoming idle(memory); // A connection that waits for its next request has nothing to give up.
     {
         Incoming next(memory, later);
         CHECK_FALSE(next.share.resize(10'000, later));
@@ -93,5 +94,6 @@
         CHECK_FALSE(next.isGivenUp); // It was told by the result.
     }
     CHECK_FALSE(served.isGivenUp);
+    CHECK_FALSE(idle.isGivenUp);
     CHECK(memory.used() == 95'000);
 }
--- a/test/process/uncontrolled_bodies_test.py
+++ b/test/process/uncontrolled_bodies_test.py
@@ -5,7 +5,7 @@
 
 import edge_site as site
 import uncontrolled
-from uncontrolled import BODY_BYTES, Client, chunked, head
+from uncontrolled import BODY_BYTES, SMALL_FIELDS, Client, chunked, head
 
 CLIENTS = 48
 NEARLY = BODY_BYTES - 4096
@@ -86,6 +86,17 @@
                 self.assertLess(self.daemon.peak_mb(), memory_mb)
                 self.edge.close()
 
+    def test_a_request_in_the_smallest_pieces_is_served(self):
+        # Guards against bounds on fields and on the framing of a body that refuse a client inside the limits.
+        self.start()
+        body = b"0000000000000001\r\nx\r\n" * SMALL
+        fields = [f"a: {number}" for number in range(SMALL_FIELDS // 4)]
+        client = Client(self.daemon.front, chunked(*fields) + body + b"0\r\n\r\n", reconnects=False)
+        with uncontrolled.Crowd([client]):
+            site.wait_until(lambda: client.received, "the answer")
+        self.assertEqual(self.statuses([client]), {b"200"})
+        self.assertEqual(max(len(body) for replica in self.edge.plain for _, _, body in replica.requests), SMALL)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/test/process/uncontrolled_heads_test.py
+++ b/test/process/uncontrolled_heads_test.py
@@ -13,6 +13,11 @@
 
 
 class HeadsTest(uncontrolled.UncontrolledTest):
+    def test_heads_of_many_small_fields(self):
+        # Fault: heads were parsed before they were counted, and the memory of those that were given up counted as free while it was still held.
+        self.start(max_fds=MAX_FDS)
+        self.endure([Client(self.daemon.front, head("/once/a", "Content-Length: 10")[:-2] + FIELDS + b"\r\n", reconnects=False) for _ in range(CLIENTS)])
+
     def test_trailers_of_many_small_fields(self):
         # Fault: trailers were stored with the fields of the head, and not counted.
         self.start(max_fds=MAX_FDS)
