The framing of a chunked body is bounded by the body

What callers saw: nothing; a client could send a chunk of one byte with an extension of 4,000 bytes again and again, 4 GB for a body of 1 MB, and hold a connection and the daemon's processor that long. 8 clients with 1,000 such chunks each were read to their end on.

Cause: each chunk header had a bound, the buffer, but not their sum (RFC 9112, 7.1.1, asks for one).

Change: chunk headers, extensions and trailers of a request may have as many bytes as a head, 4 KiB, and 20 bytes for each byte of the body; then 431. A body without extensions does not meet this, also in chunks of one byte with sizes of 16 digits. A head that comes a byte at a time is no longer copied for each byte.

Measured: the new case of process_uncontrolled_framing_test fails on (0 of 8 connections closed) and passes.

--- a/src/edge/request_receiver.cc
+++ b/src/edge/request_receiver.cc
@@ -12,6 +12,9 @@
     /// trailers together, has no other bound.
     constexpr std::size_t readAheadBytes = 4096;
 
+    /// Framing that a byte of a body may have: a chunk of its own with a size of 16 digits and two line ends.
+    constexpr std::size_t maxFramingPerByte = 20;
+
     /// @return Bytes that a field takes, for the caller's and the upstream's copy of it and for what is decoded from it.
     std::uint64_t storedBytes(beast::string_view name, beast::string_view value)
     {
@@ -53,7 +56,7 @@
 void RequestReceiver::begin(const ClientLimits& requestLimits, TimePoint now)
 {
     this->limits = requestLimits;
-    this->fieldBytes = 0;
+    this->fieldBytes = this->framedBytes = 0;
     this->expectsContinue = false;
     this->share.emplace(
         this->memory,
@@ -106,14 +109,17 @@
     if (this->isGivenUp())
         return ReceiveState::GivenUp;
     this->received = now;
-    const auto earlier = std::exchange(this->unparsed, {});
-    const auto joined = earlier.empty() ? std::string() : earlier + std::string(bytes);
-    auto rest = earlier.empty() ? bytes : std::string_view(joined);
+    auto joined = std::exchange(this->unparsed, {});
+    if (!joined.empty())
+        joined.append(bytes);
+    auto rest = joined.empty() ? bytes : std::string_view(joined);
     const auto state = this->parse(rest);
     if (state == ReceiveState::Refused)
         return state;
-    if (!this->isGivenUp() && this->count(rest.size())) {
-        this->unparsed = rest;
+    // A head that comes a byte at a time is not copied each time.
+    const bool isUnchanged = !joined.empty() && rest.size() == joined.size();
+    if (!this->isGivenUp() && this->count(isUnchanged ? joined.capacity() : rest.size())) {
+        this->unparsed = isUnchanged ? std::move(joined) : std::string(rest);
         if (state == ReceiveState::Complete)
             this->share->complete();
         return state;
@@ -128,7 +134,10 @@
     while (!bytes.empty() && !request.is_done()) {
         const bool wasInHead = !request.is_header_done();
         ErrorCode error;
-        bytes.remove_prefix(request.put({ bytes.data(), bytes.size() }, error));
+        const auto taken = request.put({ bytes.data(), bytes.size() }, error);
+        bytes.remove_prefix(taken);
+        if (!wasInHead)
+            this->framedBytes += taken;
         if (this->isGivenUp())
             return ReceiveState::GivenUp;
         if (error == http::error::need_more)
@@ -145,6 +154,10 @@
         // All chunks that are there are parsed in one call.
         request.eager(true);
     }
+    const auto bodySize = request.get().body().size();
+    // Chunk extensions need a limit like all parts of a request (RFC 9112, 7.1.1).
+    if (this->framedBytes - bodySize > this->limits.headerBytes + readAheadBytes + maxFramingPerByte * bodySize)
+        return this->refuse(431, "chunk extensions too long");
     if (request.is_done())
         return ReceiveState::Complete;
     if (bytes.size() >= this->limits.headerBytes + readAheadBytes)
--- a/src/edge/request_receiver.h
+++ b/src/edge/request_receiver.h
@@ -91,6 +91,7 @@
     std::optional<RequestMemory::Share> share;
     TimePoint received; ///< When the bytes that are being parsed were received.
     std::uint64_t fieldBytes = 0;
+    std::uint64_t framedBytes = 0; ///< Bytes behind the head that were parsed: the body with its chunk headers and trailers.
     std::size_t freedBodyBytes = 0;
     bool expectsContinue = false;
     ReceiveRefusal refused;
--- a/test/platform/request_receiver_test.cc
+++ b/test/platform/request_receiver_test.cc
@@ -117,6 +117,18 @@
     CHECK(memory.used() == 0);
 }
 
+TEST_CASE("a request may come in pieces of one byte, and its body in chunks of one byte")
+{
+    RequestMemory memory(memoryLimit);
+    Connection connection(memory);
+    const auto request = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n" + repeated("a:\r\n", 1000) + "\r\n" + repeated("0000000000000001\r\nx\r\n", 3000) + "0\r\n\r\n";
+    auto state = ReceiveState::Head;
+    for (const char byte : request)
+        state = connection.receive({ &byte, 1 });
+    REQUIRE(state == ReceiveState::Complete);
+    CHECK(connection.receiver.release().body() == std::string(3000, 'x'));
+}
+
 TEST_CASE("what cannot be read is refused and holds nothing")
 {
     const auto [request, status] = GENERATE(table<std::string, unsigned>({
@@ -128,6 +140,7 @@
         { "POST / HTTP/1.1\r\nA: " + std::string(20'000, 'x'), 431 },
         { chunkedHead + std::string(30'000, '0'), 431 },
         { chunkedHead + "0\r\nA: " + std::string(30'000, 'x'), 431 },
+        { chunkedHead + repeated("1;" + std::string(1000, 'x') + "\r\nx\r\n", 30), 431 },
         { "POST / HTTP/1.1\r\nA\r\n\r\n", 400 },
     }));
     RequestMemory memory(memoryLimit);
--- a/test/process/uncontrolled_framing_test.py
+++ b/test/process/uncontrolled_framing_test.py
@@ -28,6 +28,14 @@
     def test_chunk_extensions_that_never_end(self):
         self.flood(chunked() + b"5", b";name=value" * 700)
 
+    def test_chunk_extensions_without_a_body_worth_them(self):
+        # Fault: each chunk could have an extension as long as the buffer, so that a body inside the limit took thousands of times its bytes.
+        self.start()
+        piece = b"1;" + b"x" * 4000 + b"\r\nx\r\n"
+        clients = [Client(self.daemon.front, chunked(), piece, BYTES // 4, reconnects=False) for _ in range(CLIENTS)]
+        self.endure(clients)
+        self.assertEqual(sum(client.was_closed for client in clients), CLIENTS)
+
     def test_head_that_never_ends(self):
         self.flood(uncontrolled.head()[:-2], b"X-Noise: 0123456789abcdef\r\n" * 200)
 
