A connection ends after a response to a request whose body was not read

What callers saw: with 8 caller threads and 24 clients whose chunked bodies exceed max_body_size and do not end, no ordinary request was answered at a daemon with a settings file for as long as they sent (30 s in the test).

Cause: after the 413 the connection stayed open for the next request, and CivetWeb reads what is left of a body before that, however long it takes. Any refusal before the body, such as 401, had the same effect.

Change: a response to a request whose body was not read to its end closes the connection.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -52,6 +52,9 @@
 HttpExchange::HttpExchange(mg_connection* peer)
     : connection(peer)
 {
+    // Null for a request that could not be parsed.
+    if (const auto* request = mg_get_request_info(this->connection))
+        this->hasUnreadBody = request->content_length > 0 || mg_get_header(this->connection, "Transfer-Encoding") != nullptr;
 }
 
 std::string_view HttpExchange::method() const
@@ -99,12 +102,21 @@
     }
     if (contentLength > 0 && body.size() < static_cast<std::size_t>(contentLength))
         return tl::unexpected(Problem { 400, "Body incomplete", "the connection ended or stalled within the body" });
+    this->hasUnreadBody = false;
     return body;
 }
 
+void HttpExchange::begin(int responseStatus)
+{
+    this->status = responseStatus;
+    // CivetWeb reads what is left of a body before the next request, however long that takes.
+    if (this->hasUnreadBody)
+        mg_disable_connection_keep_alive(this->connection);
+}
+
 void HttpExchange::respond(const HttpResponse& response)
 {
-    this->status = response.status;
+    this->begin(response.status);
     mg_response_header_start(this->connection, response.status);
     mg_response_header_add(this->connection, "Content-Type", response.contentType.c_str(), -1);
     mg_response_header_add(this->connection, "Content-Length", std::to_string(response.body.size()).c_str(), -1);
@@ -116,7 +128,7 @@
 
 void HttpExchange::beginEvents()
 {
-    this->status = 200;
+    this->begin(200);
     mg_response_header_start(this->connection, 200);
     mg_response_header_add(this->connection, "Content-Type", "text/event-stream", -1);
     mg_response_header_add(this->connection, "Cache-Control", "no-store", -1);
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -86,7 +86,11 @@
     int sentStatus() const { return this->status; }
 
 private:
+    /// Ends the connection after the response if a part of the request's body was not read.
+    void begin(int responseStatus);
+
     mg_connection* connection;
+    bool hasUnreadBody = false;
     int status = 0;
 };
 
--- a/test/process/uncontrolled_callers_test.py
+++ b/test/process/uncontrolled_callers_test.py
@@ -48,6 +48,12 @@
         # A body that grows is copied to twice its size.
         self.assertLess(self.peak_mb(), PROCESS_MB + 2 * threads * BODY_MB)
 
+    def test_bodies_over_the_limit_that_do_not_end(self):
+        # Fault: such a body was refused and then read on, in case that another request came behind it.
+        threads = 8
+        self.start(threads)
+        self.endure([Client(self.daemon.callers, self.chunked(number), CHUNK, 1 << 40) for number in range(3 * threads)])
+
 
 if __name__ == "__main__":
     unittest.main()
