A chunked body that breaks off is refused instead of run as a whole request

Cause: readBody took an error of mg_read for the end of the body, and checked the length only of bodies that announce one.

Change: an error while a chunked body is read is "Body incomplete", 400.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -92,15 +92,14 @@
         return tl::unexpected(tooLarge);
     std::string body;
     std::array<char, readChunkSize> chunk {};
-    while (true) {
-        const auto count = mg_read(this->connection, chunk.data(), chunk.size());
-        if (count <= 0)
-            break;
+    int count = 0;
+    while ((count = mg_read(this->connection, chunk.data(), chunk.size())) > 0) {
         if (body.size() + static_cast<std::size_t>(count) > limit)
             return tl::unexpected(tooLarge);
         body.append(chunk.data(), static_cast<std::size_t>(count));
     }
-    if (contentLength > 0 && body.size() < static_cast<std::size_t>(contentLength))
+    // A broken chunk is an error; a body of known length that breaks off is not.
+    if (count < 0 || (contentLength > 0 && body.size() < static_cast<std::size_t>(contentLength)))
         return tl::unexpected(Problem { 400, "Body incomplete", "the connection ended or stalled within the body" });
     this->hasUnreadBody = false;
     return body;
--- a/test/process/bad_input_test.py
+++ b/test/process/bad_input_test.py
@@ -102,6 +102,16 @@
                 answer = self.read_to_end(connection)
                 self.assertNotIn(b" 200 ", answer)
 
+    def test_a_chunked_body_that_breaks_off_does_not_run(self):
+        # Fault: what had been read of it ran as a whole order.
+        fields = "Idempotency-Key: {}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for number, body in enumerate(("5\r\nor", "5\r\norder\r\n", "5\r\norder\r\n5\r\nxx", "zz\r\n", "5\r\norderXX0\r\n\r\n")):
+            with self.subTest(body), self.open() as connection:
+                head = self.head(fields.format(number)).replace(PATH, "/v1/services/orders/call")
+                connection.sendall((head + body).encode())
+                connection.shutdown(socket.SHUT_WR)
+                self.assertIn(b" 400 ", self.read_to_end(connection).split(b"\r\n")[0])
+
     def test_connection_dropped_mid_request(self):
         for content in ("POST", self.head(), self.head("Content-Length: 100\r\n\r\n") + "{"):
             with self.open() as connection:
