--- a/support/uncontrolled.py
+++ b/support/uncontrolled.py
@@ -10,6 +10,7 @@
 import unittest
 
 import edge_site as site
+import harness
 
 MEMORY_MB = 40  # memory_mb in the settings.
 MAX_FDS = 128  # max_fds in the settings.
@@ -172,3 +173,34 @@
 
     def statuses(self, clients):
         return {client.received.split(b" ")[1] for client in clients if client.received.startswith(b"HTTP/1.1 ")}
+
+
+class CallersTest(unittest.TestCase):
+    """Starts a small site of daemons with a settings file and few caller threads."""
+
+    def start(self, threads):
+        self.site = self.enterContext(harness.Site(harness.SMALL, listen=f"caller_threads = {threads}\n"))
+        self.daemon = self.site.daemons[0]
+        self.caller = harness.Caller(self.site, "first")
+
+    def chunked(self, number):
+        lines = ("POST /v1/services/orders/call HTTP/1.1", "Host: x", f"Authorization: {self.caller.headers['Authorization']}",
+                 f"Idempotency-Key: {number}", "Transfer-Encoding: chunked")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+    def peak_mb(self):
+        with open(f"/proc/{self.daemon.process.pid}/status", encoding="ascii") as status:
+            return int(next(line for line in status if line.startswith("VmHWM")).split()[1]) / 1024
+
+    def endure(self, clients):
+        """Runs the clients; checks that an ordinary request is answered while their connections stay open, and after that."""
+        expected = harness.expected_tokens("an ordinary prompt", "v1", 7, 2)
+
+        def is_answered():
+            return self.caller.complete("model", "an ordinary prompt", 2, address=self.daemon.callers, attempts=1).tokens == expected
+
+        with Crowd(clients):
+            self.assertTrue(self.daemon.is_running())
+            harness.wait_until(is_answered, "an ordinary request is answered while the clients are connected")
+        harness.wait_until(is_answered, "an ordinary request is answered after the clients")
+        self.assertTrue(self.daemon.is_running())
--- a/test/process/uncontrolled_callers_test.py
+++ b/test/process/uncontrolled_callers_test.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-import harness
-from uncontrolled import Client, Crowd
+import uncontrolled
+from uncontrolled import Client
 
 BODY_MB = 4  # max_body_size.
 PROCESS_MB = 64  # Without the bodies of requests.
@@ -11,34 +11,7 @@
 CHUNK = b"10000\r\n" + b"x" * 65536 + b"\r\n"
 
 
-class CallersTest(unittest.TestCase):
-    def start(self, threads):
-        self.site = self.enterContext(harness.Site(harness.SMALL, listen=f"caller_threads = {threads}\n"))
-        self.daemon = self.site.daemons[0]
-        self.caller = harness.Caller(self.site, "first")
-
-    def chunked(self, number):
-        lines = ("POST /v1/services/orders/call HTTP/1.1", "Host: x", f"Authorization: {self.caller.headers['Authorization']}",
-                 f"Idempotency-Key: {number}", "Transfer-Encoding: chunked")
-        return "\r\n".join(lines).encode() + b"\r\n\r\n"
-
-    def peak_mb(self):
-        with open(f"/proc/{self.daemon.process.pid}/status", encoding="ascii") as status:
-            return int(next(line for line in status if line.startswith("VmHWM")).split()[1]) / 1024
-
-    def endure(self, clients):
-        """Runs the clients; checks that an ordinary request is answered while their connections stay open, and after that."""
-        expected = harness.expected_tokens("an ordinary prompt", "v1", 7, 2)
-
-        def is_answered():
-            return self.caller.complete("model", "an ordinary prompt", 2, address=self.daemon.callers, attempts=1).tokens == expected
-
-        with Crowd(clients):
-            self.assertTrue(self.daemon.is_running())
-            harness.wait_until(is_answered, "an ordinary request is answered while the clients are connected")
-        harness.wait_until(is_answered, "an ordinary request is answered after the clients")
-        self.assertTrue(self.daemon.is_running())
-
+class CallersTest(uncontrolled.CallersTest):
     def test_bodies_short_of_their_end(self):
         # Fault: each thread kept what its largest bodies had taken while they grew, several times their size.
         threads = 32
