A request whose parts need too long a header keeps no upstream's place

A planned stop ended with signal 11.

Cause: the address to save each part to makes X-Goldcrestwood-Kv-Save longer than the 64 KiB that the HTTP library takes; its exception left the pipeline without UpstreamBoard::finish and ClientSessions with a pointer to a request that was gone, which the stop followed.

An exception in an attempt gives the place back and the caller 503, or 502 if the request was sent; requests in progress leave the list with their scope; an exception that ends a connection is logged.

--- a/src/edge/client_session.cc
+++ b/src/edge/client_session.cc
@@ -16,6 +16,23 @@
     /// Retry-After of a request that found no memory: unfinished requests without progress end within the header timeout.
     constexpr const char* exhaustedRetryAfter = "1";
 
+    /// Lists a request as in progress while it lives, also if an exception ends it.
+    class ActiveExchange {
+    public:
+        ActiveExchange(std::set<ClientExchange*>& list, ClientExchange& exchange)
+            : exchanges(list)
+            , position(list.insert(&exchange).first)
+        {
+        }
+        ActiveExchange(const ActiveExchange&) = delete;
+        ActiveExchange& operator=(const ActiveExchange&) = delete;
+        ~ActiveExchange() { this->exchanges.erase(this->position); }
+
+    private:
+        std::set<ClientExchange*>& exchanges;
+        std::set<ClientExchange*>::iterator position;
+    };
+
 } // namespace
 
 ClientLimits ClientSessions::limits() const
@@ -167,15 +184,14 @@
         exchange.clientKeepAlive = receiver.keepsAlive();
         exchange.request = receiver.release();
         exchange.info = platform::decodeRequest(exchange.request.base());
-        this->exchanges.insert(&exchange);
         {
+            const ActiveExchange active(this->exchanges, exchange);
             CloseWatch watch(stream.socket(), [&exchange] {
                 exchange.clientLeftAt = monotonicNow();
                 exchange.interrupt();
             });
             co_await this->pipeline.serve(exchange);
         }
-        this->exchanges.erase(&exchange);
         receiver.end();
         // A stream that began before the stop announced keep-alive, but another request would arrive too late.
         isOpen = exchange.clientKeepAlive && !exchange.hasClientLeft() && !this->state.isStopping;
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -76,6 +76,15 @@
         socket.read_some(asio::buffer(unread), ignored);
     }
 
+    /// An exception ends only the connection that it came from.
+    void logFailure(const std::exception_ptr& failure)
+    try {
+        if (failure)
+            std::rethrow_exception(failure);
+    } catch (const std::exception& error) {
+        edge::log(edge::LogClass::Decision, "connection_failed", { { "reason", std::string(error.what()) } });
+    }
+
     /// A control call is decided by its target. Its other fields are not stored: each is an allocation of its own.
     struct KeepFraming {
         FieldAction operator()(http::field name, beast::string_view /*nameText*/, beast::string_view /*value*/) const
@@ -192,7 +201,7 @@
         auto socket = co_await this->front.async_accept(into(error));
         if (!error) {
             if (auto place = this->clientConnections.admit(monotonicNow()))
-                asio::co_spawn(this->loop, this->sessions.serve(std::move(socket), std::move(place)), asio::detached);
+                asio::co_spawn(this->loop, this->sessions.serve(std::move(socket), std::move(place)), &logFailure);
             else
                 refuseConnection(std::move(socket));
             continue;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -246,7 +246,20 @@
         attempt.staleAnswers = 0;
         attempt.detail.clear();
         attempt.firstByte = attempt.longestGap = Duration(0);
-        co_await this->attempt(exchange, attempt);
+        bool hasFailed = false;
+        try {
+            co_await this->attempt(exchange, attempt);
+        } catch (const std::exception& error) {
+            // The place at the upstream must be given back, and the caller answered, whatever the reason.
+            hasFailed = true;
+            exchange.activeConnection = nullptr;
+            attempt.result = AttemptResult::Cancelled;
+            attempt.failure = "internal error";
+            attempt.detail = error.what();
+            attempt.parser = nullptr;
+            attempt.memory.reset();
+            attempt.connection = nullptr;
+        }
         const auto now = monotonicNow();
         if (exchange.isOver() && attempt.result == AttemptResult::Unreachable)
             attempt.result = AttemptResult::Cancelled;
@@ -273,7 +286,7 @@
         if (attempt.choice.leaves != LeaveReason::None)
             this->state.metrics.count("goldcrest_left_domain_total", std::string("reason=\"") + toString(attempt.choice.leaves) + "\"");
         this->state.metrics.count("goldcrest_attempts_total", std::string("result=\"") + toString(attempt.result) + "\"");
-        if (attempt.isRelayed || exchange.isOver() || !this->maySendAgain(exchange, attempt))
+        if (attempt.isRelayed || hasFailed || exchange.isOver() || !this->maySendAgain(exchange, attempt))
             break;
         exchange.tried.insert(attempt.choice.upstream);
     }
