The models of engines' caches list a bounded number of prompt parts

Cause: PartCache evicts while the sum of tokens exceeds the engine's memory. Parts without tokens add nothing to it and were kept for good; caches of services without an engine have no such bound at all, and parts of one token are as many as the engine's tokens.

Change: parts without tokens, and those with ids over 128 bytes, are not listed; a part without tokens does not interrupt the leading parts of a prompt and is not saved. All caches of a daemon list 131,072 parts together, least recently used first; a key is stored once.

--- a/include/goldcrestwood/part_cache.h
+++ b/include/goldcrestwood/part_cache.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <list>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -19,9 +20,15 @@
     auto operator<=>(const PromptPart&) const = default;
 };
 
-/// Model of an engine's cache: an LRU list of prompt parts, bounded by the engine's memory.
+/// Model of an engine's cache: an LRU list of prompt parts, bounded by the engine's memory and by the number of parts. Parts without tokens
+/// hold nothing, and parts with ids over 128 bytes are not worth their memory: neither is listed.
 class PartCache {
 public:
+    static constexpr std::size_t defaultMaxParts = 8192;
+
+    /// @param count Most parts that are listed.
+    void setMaxParts(std::size_t count);
+
     /// @param capacityTokens Size of the engine's cache, tokens; 0: unbounded.
     void setCapacity(std::uint64_t capacityTokens);
 
@@ -48,13 +55,14 @@
         std::uint32_t tokens = 0;
     };
 
-    void touch(const std::string& key, std::uint32_t tokens);
+    void touch(const std::string& scope, const std::string& id, std::uint32_t tokens);
     void evict();
 
     std::uint64_t capacity = 0;
+    std::size_t maxParts = defaultMaxParts;
     std::uint64_t held = 0;
     std::list<Entry> order; ///< Most recently used first.
-    std::unordered_map<std::string, std::list<Entry>::iterator> index;
+    std::unordered_map<std::string_view, std::list<Entry>::iterator> index; ///< By the keys of the entries.
 };
 
 } // namespace goldcrestwood
--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -43,6 +43,8 @@
     Duration maxAvoidance = std::chrono::seconds(3);
     /// Prefill rate of an engine in prompt tokens per millisecond, scaled by each engine's learned slowness.
     double prefillTokensPerMillisecond = 60;
+    /// Parts of prompts in the models of all caches together; each takes some 200 bytes.
+    std::size_t maxCachedParts = 131072;
     /// Share of an engine's cache memory that running requests may fill before others wait; beyond it the engine preempts.
     double memoryShare = 0.92;
     /// Prefill time of equally or more urgent requests that may queue at an engine, as a share of a request's objective.
--- a/src/part_cache.cc
+++ b/src/part_cache.cc
@@ -1,9 +1,13 @@
 #include "goldcrestwood/part_cache.h"
 
+#include <utility>
+
 namespace goldcrestwood {
 
 namespace {
 
+    constexpr std::size_t maxIdBytes = 128;
+
     std::string keyOf(const std::string& scope, const std::string& id)
     {
         return scope + '/' + id;
@@ -17,10 +21,18 @@
     this->evict();
 }
 
+void PartCache::setMaxParts(std::size_t count)
+{
+    this->maxParts = count;
+    this->evict();
+}
+
 std::uint64_t PartCache::heldTokens(const std::string& scope, const std::vector<PromptPart>& parts) const
 {
     std::uint64_t sum = 0;
     for (const auto& part : parts) {
+        if (part.tokens == 0)
+            continue;
         const auto found = this->index.find(keyOf(scope, part.id));
         if (found == this->index.end())
             break;
@@ -41,13 +53,13 @@
 {
     // Touch from last to first, so that a prompt's tail is evicted before its head.
     for (std::size_t remaining = parts.size(); remaining > 0; --remaining)
-        this->touch(keyOf(scope, parts[remaining - 1].id), parts[remaining - 1].tokens);
+        this->touch(scope, parts[remaining - 1].id, parts[remaining - 1].tokens);
     this->evict();
 }
 
 void PartCache::add(const std::string& scope, const std::string& id, std::uint32_t tokens)
 {
-    this->touch(keyOf(scope, id), tokens);
+    this->touch(scope, id, tokens);
     this->evict();
 }
 
@@ -60,19 +72,23 @@
     found->second->tokens = tokens;
     if (tokens > 0)
         return;
-    this->order.erase(found->second);
+    const auto entry = found->second;
     this->index.erase(found);
+    this->order.erase(entry);
 }
 
 void PartCache::clear()
 {
-    this->order.clear();
     this->index.clear();
+    this->order.clear();
     this->held = 0;
 }
 
-void PartCache::touch(const std::string& key, std::uint32_t tokens)
+void PartCache::touch(const std::string& scope, const std::string& id, std::uint32_t tokens)
 {
+    if (tokens == 0 || id.size() > maxIdBytes)
+        return;
+    auto key = keyOf(scope, id);
     if (const auto found = this->index.find(key); found != this->index.end()) {
         this->order.splice(this->order.begin(), this->order, found->second);
         if (tokens > found->second->tokens) {
@@ -81,14 +97,14 @@
         }
         return;
     }
-    this->order.push_front({ key, tokens });
-    this->index[key] = this->order.begin();
+    this->order.push_front({ std::move(key), tokens });
+    this->index.emplace(this->order.front().key, this->order.begin());
     this->held += tokens;
 }
 
 void PartCache::evict()
 {
-    while (this->capacity > 0 && this->held > this->capacity && !this->order.empty()) {
+    while (!this->order.empty() && ((this->capacity > 0 && this->held > this->capacity) || this->index.size() > this->maxParts)) {
         this->held -= this->order.back().tokens;
         this->index.erase(this->order.back().key);
         this->order.pop_back();
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -351,6 +351,7 @@
     for (const auto& address : choice.transferSources)
         if (choice.transferTime > Duration(0))
             this->transferSources[address].pending.push_back({ choice.chosen, toMs(choice.transferTime) });
+    upstream.cache.setMaxParts(std::max<std::size_t>(1, this->settings.maxCachedParts / this->upstreams.size()));
     upstream.cache.use(choice.scope, request.parts);
 }
 
--- a/src/upstream_board_cache.cc
+++ b/src/upstream_board_cache.cc
@@ -138,6 +138,8 @@
     std::uint64_t covered = held;
     for (std::size_t index = 0; index + 1 < request.parts.size(); ++index) {
         const auto& part = request.parts[index];
+        if (part.tokens == 0)
+            continue;
         end += part.tokens;
         const auto transfer = this->fastestTransfer(upstream, holders.scope, part, holders.byPart[index], engine, now);
         if (end <= held) {
@@ -176,7 +178,7 @@
     bool saves = false;
     for (std::size_t index = 0; index + 1 < request.parts.size(); ++index) {
         const auto& part = request.parts[index];
-        if (this->parts.find(choice.scope, part, upstream.entry.domain, now))
+        if (part.tokens == 0 || this->parts.find(choice.scope, part, upstream.entry.domain, now))
             continue;
         if (auto place = this->parts.storeFor(choice.scope, part, now)) {
             save[index] = std::move(*place);
