Parts that are tracked as causes of crashes are bounded

Cause: CrashSuspects counts the requests and the answers of each part that comes, and only time removes them.

Change: 32,768 parts are counted; one beyond them is not convicted, as its requests may have come without being counted. The models of caches take an eighth of the process's memory at most, at 200 bytes a part.

Measured: the new case of crash_suspects_test; 6,400 distinct parts stay at a bound of 1,000, and a part of all requests that is not counted is not convicted.

--- a/include/goldcrestwood/crash_suspects.h
+++ b/include/goldcrestwood/crash_suspects.h
@@ -3,6 +3,7 @@
 /// @file
 /// Finds prompt parts that crash the engines which answer them, from crashes seen by all daemons, and quarantines them.
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -51,6 +52,8 @@
     /// How long own crashes and answers are repeated to the peers, as datagrams get lost.
     Duration reportLifetime = std::chrono::seconds(6);
     std::size_t maxCrashes = 256;
+    /// Parts whose requests, and whose answers, are counted. Parts beyond them are not convicted.
+    std::size_t maxTrackedParts = 32768;
     std::size_t maxPartsPerCrash = 64;
     /// Entries of each kind in one notice, so that it fits a datagram.
     std::size_t maxReported = 80;
@@ -106,6 +109,9 @@
     /// @return Time until the last of the quarantined parts is accepted again; nothing if none is quarantined.
     std::optional<Duration> quarantineLeft(const std::vector<std::string>& parts, TimePoint now) const;
 
+    /// @return Number of parts whose requests or answers are counted.
+    std::size_t trackedParts() const { return std::max(this->requestsByPart.size(), this->answered.size()); }
+
     /// @return The quarantined parts and the time that is left.
     std::vector<std::pair<std::string, Duration>> quarantined(TimePoint now) const;
 
--- a/src/crash_suspects.cc
+++ b/src/crash_suspects.cc
@@ -104,6 +104,8 @@
         ++this->allRequests;
     this->allParts += parts.size();
     for (const auto& part : parts) {
+        if (this->requestsByPart.size() >= this->settings.maxTrackedParts && !this->requestsByPart.contains(part))
+            continue;
         auto& count = this->requestsByPart[part];
         count.service = service;
         ++count.current;
@@ -134,8 +136,10 @@
 
 void CrashSuspects::onAnsweredPart(const std::string& part, TimePoint began, bool isOwn, TimePoint now)
 {
-    auto& last = this->answered[part];
-    last = std::max(last, began);
+    if (this->answered.size() < this->settings.maxTrackedParts || this->answered.contains(part)) {
+        auto& last = this->answered[part];
+        last = std::max(last, began);
+    }
     bool isRelevant = false;
     for (auto& [key, crash] : this->crashes)
         if (crash.at < began && crash.suspects.erase(part) > 0)
@@ -297,6 +301,9 @@
         const auto& total = this->requestsByService.at(found->second.service);
         with = found->second.current + found->second.last;
         all = total.current + total.last;
+    } else if (this->requestsByPart.size() >= this->settings.maxTrackedParts) {
+        // Its requests may have come without being counted.
+        return std::nullopt;
     } else {
         // Only peers have met the part; its service is taken to be the one with the fewest requests.
         for (const auto& [service, total] : this->requestsByService)
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -63,12 +63,23 @@
     static constexpr std::uint64_t defaultTransferMemory = 16U << 20U; ///< Bytes, if the process's memory is unknown.
     static constexpr std::uint64_t defaultRequestMemory = 64U << 20U; ///< Bytes, if the process's memory is unknown.
 
+    /// @return The settings of the board; its models of caches may take an eighth of the process's memory.
+    static BoardSettings boardSettings(std::uint64_t memoryBytes)
+    {
+        constexpr std::uint64_t memoryDivisor = 8;
+        constexpr std::uint64_t cachedPartBytes = 200;
+        BoardSettings result;
+        if (memoryBytes > 0)
+            result.maxCachedParts = std::min<std::size_t>(result.maxCachedParts, memoryBytes / memoryDivisor / cachedPartBytes);
+        return result;
+    }
+
     explicit EdgeState(EdgeSettings initial, std::uint64_t seed)
         : settings(std::move(initial))
         , transferMemory(settings.memoryBytes == 0 ? defaultTransferMemory : settings.memoryBytes / transferMemoryDivisor)
         , requestMemory(settings.memoryBytes == 0 ? defaultRequestMemory : settings.memoryBytes / requestMemoryDivisor)
         , connections(connectionBudget(settings.maxDescriptors, settings.memoryBytes))
-        , board(settings.instance, settings.bounds, parts)
+        , board(settings.instance, settings.bounds, parts, boardSettings(settings.memoryBytes))
         , reportPace(settings.linkMegabits)
         , random(seed)
         , sendBudgets(settings.bounds, settings.isFirstStart ? std::nullopt : std::optional(started))
--- a/test/crash_suspects_test.cc
+++ b/test/crash_suspects_test.cc
@@ -46,6 +46,28 @@
     CHECK_FALSE(suspects.quarantineLeft({ "common", "rare-1" }, start + 4s));
 }
 
+// Fault: each part of each request was kept for a minute, so that requests with many parts used up the memory.
+TEST_CASE("the parts that are tracked are bounded, and one that is not counted is not convicted")
+{
+    CrashSuspectsSettings settings;
+    settings.maxTrackedParts = 1000;
+    CrashSuspects suspects(settings);
+    crash(suspects, 0, 2, { "late" }, start);
+    for (int request = 0; request < 100; ++request) {
+        std::vector<std::string> parts;
+        for (int part = 0; part < 64; ++part)
+            parts.push_back(std::to_string(request) + '-' + std::to_string(part));
+        suspects.onRequest(service, parts, start);
+        suspects.onAnswer(service, parts, start, start);
+    }
+    CHECK(suspects.trackedParts() <= settings.maxTrackedParts);
+    // All requests have the part, but none of them is counted.
+    for (int request = 0; request < 200; ++request)
+        suspects.onRequest(service, { "late" }, start);
+    crash(suspects, 10, 4, { "late" }, start + 3s);
+    CHECK(suspects.sweep(start + 8s).empty());
+}
+
 TEST_CASE("the last part of a prompt is never a suspect")
 {
     CHECK(CrashSuspects::sharedParts({ { "a", 1 }, { "b", 1 }, { "own", 1 } }) == std::vector<std::string> { "a", "b" });
