A connection that pipelines requests gives its place to a new one

Cause: at the limit a new connection takes the place of one that waits, and a connection whose next request is there already does not wait.

Change: after a refusal the next such connection to end a request closes.

--- a/include/goldcrestwood/load/connection_limit.h
+++ b/include/goldcrestwood/load/connection_limit.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <utility>
 
 #include "goldcrestwood/time.h"
 
@@ -27,7 +28,8 @@
 ConnectionBudget connectionBudget(std::uint64_t maxDescriptors, std::uint64_t memoryBytes);
 
 /// Load pattern: clients open connections and leave them idle, or send heads a byte at a time. At the limit, a new connection takes the
-/// place of the one that has waited longest for a request or its next bytes; a request in progress is never given up for it.
+/// place of the one that has waited longest for a request or its next bytes; a request in progress is never given up for it. Clients that
+/// always have a next request there would keep all places, so one of them leaves after its request if a new connection was refused.
 class ConnectionLimit {
 public:
     /// @param limit Number of connections.
@@ -53,6 +55,9 @@
         void waits(TimePoint now);
         /// A request is in progress.
         void serves() { this->isServing = true; }
+        /// A request has ended and the next one is there already.
+        /// @return Whether the connection must close, because a new one was refused while requests were in progress on all of them.
+        bool yields() { return std::exchange(this->limit.owesPlace, false); }
 
     private:
         friend class ConnectionLimit;
@@ -82,6 +87,7 @@
     std::size_t closing = 0; ///< Entries whose connections are closed already.
     std::uint64_t evictionCount = 0;
     std::uint64_t refusalCount = 0;
+    bool owesPlace = false; ///< A new connection was refused, and no place has become free since.
     std::list<Entry*> entries;
 };
 
--- a/src/edge/client_session.cc
+++ b/src/edge/client_session.cc
@@ -51,7 +51,7 @@
     deadline.expiresAfter(isIdle ? idleTimeout : bounds.headerTimeout);
     auto progress = ReceiveState::Head;
     if (!isIdle) {
-        // Other connections get their turn between the requests of one, and a new one can take its place.
+        // Other connections get their turn between the requests of one.
         co_await asio::post(stream.get_executor(), asio::use_awaitable);
         if (!stream.socket().is_open())
             co_return false;
@@ -194,7 +194,7 @@
         }
         receiver.end();
         // A stream that began before the stop announced keep-alive, but another request would arrive too late.
-        isOpen = exchange.clientKeepAlive && !exchange.hasClientLeft() && !this->state.isStopping;
+        isOpen = exchange.clientKeepAlive && !exchange.hasClientLeft() && !this->state.isStopping && !(receiver.hasUnparsed() && place->yields());
     }
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     stream.socket().close(ignored);
--- a/src/load/connection_limit.cc
+++ b/src/load/connection_limit.cc
@@ -49,6 +49,8 @@
 {
     if (this->isClosing)
         --this->limit.closing;
+    else
+        this->limit.owesPlace = false;
     this->limit.entries.erase(this->position);
 }
 
@@ -64,6 +66,7 @@
         auto* victim = this->longestWaiting();
         if (victim == nullptr) {
             ++this->refusalCount;
+            this->owesPlace = true;
             return nullptr;
         }
         victim->isClosing = true;
--- a/test/load/connection_limit_test.cc
+++ b/test/load/connection_limit_test.cc
@@ -35,6 +35,17 @@
     entries[4]->serves();
     CHECK_FALSE(open(5));
     CHECK(limit.refusals() == 1);
+    // The refused one gets the place of a connection whose next request is there already.
+    CHECK(entries[2]->yields());
+    CHECK_FALSE(entries[4]->yields());
+    entries.erase(2);
+    CHECK(open(5));
+    entries[5]->serves();
+    CHECK_FALSE(open(6));
+    entries.erase(5);
+    CHECK_FALSE(entries[4]->yields()); // A place is free.
+    REQUIRE(open(5));
+    entries[5]->serves();
     entries[1]->waits(now);
     CHECK(open(6));
     CHECK(isClosed.size() == 2);
