Bodies that come too slowly no longer keep the callers' threads

What callers saw: 24 clients that send a chunk of one byte a second kept the 8 caller threads of a daemon with a settings file: an ordinary request was not answered within 30 s, for as long as they sent.

Cause: CivetWeb reads a body on its caller's thread and renews the time of a read at each byte, so that one call of mg_read can last hours.

Change: a body must bring 4 KiB, or end, within receive_timeout. BodyWatch shuts down the connection of a read that takes longer, from a thread of its own; it finds the socket by both ends of the connection, as CivetWeb gives out no handle, and only then.

Measured: process_uncontrolled_slow_callers_test failed on and on (30 s without an answer) and passes, two runs; process_bad_input_test and process_uncontrolled_callers_test pass, one run each.

--- a/include/goldcrestwood/settings.h
+++ b/include/goldcrestwood/settings.h
@@ -45,7 +45,7 @@
     std::uint64_t maxBodySize = 4194304;
     /// Largest request header.
     std::uint64_t maxHeaderSize = 16384;
-    /// Longest wait for a caller's request.
+    /// Longest wait for a caller's request, and for each 4 KiB of its body.
     Duration receiveTimeout = Duration(10000000);
 
     bool operator==(const ListenSettings&) const = default;
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -7,13 +7,15 @@
 #include <civetweb.h>
 #include <nlohmann/json.hpp>
 
+#include "daemon/body_watch.h"
 #include "daemon/framing.h"
 
 namespace goldcrestwood {
 
 namespace {
 
-    constexpr std::size_t readChunkSize = std::size_t { 16 } * 1024;
+    /// A body must bring as much within the receive timeout, so that a byte now and then does not keep a thread.
+    constexpr std::size_t readChunkSize = std::size_t { 4 } * 1024;
 
     const char* toString(Executed executed)
     {
@@ -49,8 +51,9 @@
     return response;
 }
 
-HttpExchange::HttpExchange(mg_connection* peer)
+HttpExchange::HttpExchange(mg_connection* peer, BodyWatch& watch)
     : connection(peer)
+    , bodyWatch(watch)
 {
     // Null for a request that could not be parsed.
     if (const auto* request = mg_get_request_info(this->connection))
@@ -92,8 +95,13 @@
         return tl::unexpected(tooLarge);
     std::string body;
     std::array<char, readChunkSize> chunk {};
+    const auto read = [&] {
+        const auto& request = *mg_get_request_info(this->connection);
+        const BodyWatch::Read watched(this->bodyWatch, { request.remote_addr, request.remote_port, request.server_port });
+        return mg_read(this->connection, chunk.data(), chunk.size());
+    };
     int count = 0;
-    while ((count = mg_read(this->connection, chunk.data(), chunk.size())) > 0) {
+    while ((count = read()) > 0) {
         if (body.size() + static_cast<std::size_t>(count) > limit)
             return tl::unexpected(tooLarge);
         body.append(chunk.data(), static_cast<std::size_t>(count));
@@ -146,7 +154,14 @@
 }
 
 struct HttpServer::State {
+    State(HttpHandler requestHandler, Duration receiveTimeout)
+        : handler(std::move(requestHandler))
+        , bodyWatch(receiveTimeout)
+    {
+    }
+
     HttpHandler handler;
+    BodyWatch bodyWatch;
     mg_context* context = nullptr;
 
     ~State()
@@ -173,7 +188,7 @@
     int handleRequest(mg_connection* connection)
     {
         auto* state = static_cast<State*>(mg_get_user_data(mg_get_context(connection)));
-        HttpExchange exchange(connection);
+        HttpExchange exchange(connection, state->bodyWatch);
         if (const auto fault = framingFaultOf(*mg_get_request_info(connection)); fault != FramingFault::None) {
             mg_disable_connection_keep_alive(connection);
             exchange.respond(problemResponse({ 400, "Bad request", toString(fault) }));
@@ -188,9 +203,10 @@
         return exchange.sentStatus() == 0 ? 500 : exchange.sentStatus();
     }
 
+    template <typename State>
     int handleError(mg_connection* connection, int status, const char* message)
     {
-        HttpExchange exchange(connection);
+        HttpExchange exchange(connection, static_cast<State*>(mg_get_user_data(mg_get_context(connection)))->bodyWatch);
         exchange.respond(problemResponse({ status, mg_get_response_code_text(connection, status), message }));
         return 0;
     }
@@ -208,8 +224,7 @@
 
 tl::expected<HttpServer, std::string> HttpServer::start(const HttpServerSettings& settings, HttpHandler handler)
 {
-    auto state = std::make_unique<State>();
-    state->handler = std::move(handler);
+    auto state = std::make_unique<State>(std::move(handler), settings.receiveTimeout);
     const auto threads = std::to_string(settings.threads);
     const auto headerSize = std::to_string(settings.maxHeaderSize);
     const auto timeout = std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(settings.receiveTimeout).count());
@@ -220,7 +235,7 @@
     };
     mg_callbacks callbacks {};
     callbacks.begin_request = handleRequest<State>;
-    callbacks.http_error = handleError;
+    callbacks.http_error = handleError<State>;
     callbacks.log_message = [](const mg_connection*, const char*) { return 1; };
     state->context = mg_start(&callbacks, state.get(), const_cast<const char**>(options.data()));
     if (!state->context)
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -20,6 +20,8 @@
 
 namespace goldcrestwood {
 
+class BodyWatch;
+
 struct HttpHeader {
     std::string name;
     std::string value;
@@ -61,7 +63,7 @@
 /// One request and the connection for its response.
 class HttpExchange {
 public:
-    explicit HttpExchange(mg_connection* peer);
+    HttpExchange(mg_connection* peer, BodyWatch& watch);
 
     std::string_view method() const;
     std::string_view path() const;
@@ -72,7 +74,7 @@
 
     /// Reads the whole body.
     /// @param limit Maximum size in bytes.
-    /// @return The body, 413 if it exceeds the limit, or 400 if the caller stopped sending.
+    /// @return The body, 413 if it exceeds the limit, or 400 if the caller stopped sending or sends less than 4 KiB within the receive timeout.
     tl::expected<std::string, Problem> readBody(std::uint64_t limit);
 
     void respond(const HttpResponse& response);
@@ -90,6 +92,7 @@
     void begin(int responseStatus);
 
     mg_connection* connection;
+    BodyWatch& bodyWatch;
     bool hasUnreadBody = false;
     int status = 0;
 };
--- a/test/process/uncontrolled_slow_callers_test.py
+++ b/test/process/uncontrolled_slow_callers_test.py
@@ -10,7 +10,7 @@
 
 class SlowCallersTest(uncontrolled.CallersTest):
     def test_bodies_of_a_byte_now_and_then(self):
-        # Fault: each byte extends the time of a request, so that a few slow bodies keep all threads.
+        # Fault: each byte extended the time of a request, so that a few slow bodies kept all threads.
         self.start(THREADS)
         self.endure([Client(self.daemon.callers, self.chunked(number), b"1\r\nx\r\n", 100_000, pause=1.0) for number in range(3 * THREADS)])
 
