--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -244,7 +244,7 @@
     });
     while (!error) {
         place->waits(monotonicNow());
-        RequestParser<KeepFraming> parser;
+        RequestParser parser { KeepFraming {} };
         parser.body_limit(maxControlBodyBytes);
         stream.expires_after(controlIdleTimeout);
         co_await http::async_read(stream, buffer, parser, into(error));
--- a/src/edge/request_parser.h
+++ b/src/edge/request_parser.h
@@ -32,7 +32,7 @@
 template <FieldPolicy Policy>
 class RequestParser : public http::request_parser<http::string_body> {
 public:
-    explicit RequestParser(Policy fieldPolicy = {})
+    explicit RequestParser(Policy fieldPolicy)
         : policy(std::move(fieldPolicy))
     {
     }
--- a/test/crash_suspects_test.cc
+++ b/test/crash_suspects_test.cc
@@ -54,9 +54,9 @@
     CrashSuspects suspects(settings);
     crash(suspects, 0, 2, { "late" }, start);
     for (int request = 0; request < 100; ++request) {
-        std::vector<std::string> parts;
-        for (int part = 0; part < 64; ++part)
-            parts.push_back(std::to_string(request) + '-' + std::to_string(part));
+        std::vector<std::string> parts(64);
+        for (std::size_t part = 0; part < parts.size(); ++part)
+            parts[part] = std::to_string(request) + '-' + std::to_string(part);
         suspects.onRequest(service, parts, start);
         suspects.onAnswer(service, parts, start, start);
     }
--- a/test/part_cache_test.cc
+++ b/test/part_cache_test.cc
@@ -7,11 +7,11 @@
 namespace {
 
 /// @return Parts with distinct ids.
-std::vector<PromptPart> distinctParts(int count, std::uint32_t tokens, const std::string& prefix)
+std::vector<PromptPart> distinctParts(std::size_t count, std::uint32_t tokens, const std::string& prefix)
 {
-    std::vector<PromptPart> parts;
-    for (int number = 0; number < count; ++number)
-        parts.push_back({ prefix + std::to_string(number), tokens });
+    std::vector<PromptPart> parts(count);
+    for (std::size_t number = 0; number < count; ++number)
+        parts[number] = { prefix + std::to_string(number), tokens };
     return parts;
 }
 
