--- a/test/process/uncontrolled_callers_test.py
+++ b/test/process/uncontrolled_callers_test.py
@@ -27,6 +27,12 @@
         self.start(threads)
         self.endure([Client(self.daemon.callers, self.chunked(number), CHUNK, 1 << 40) for number in range(3 * threads)])
 
+    def test_bodies_of_a_byte_now_and_then(self):
+        # Fault: each byte extended the time of a request, so that a few slow bodies kept all threads.
+        threads = 8
+        self.start(threads)
+        self.endure([Client(self.daemon.callers, self.chunked(number), b"1\r\nx\r\n", 100_000, pause=1.0) for number in range(3 * threads)])
+
 
 if __name__ == "__main__":
     unittest.main()
