The test proxy's slow link serves connections in turn

Cause, as far as traced: a sender held the link's lock for each piece and took it again at once; Python's locks are not fair, so that another connection waited for several pieces. The failure itself was not made to come again.

Change: a piece books its time on the link under the lock and waits without it.

--- a/support/soak_proxy.py
+++ b/support/soak_proxy.py
@@ -22,6 +22,7 @@
         self.delay_seconds = 0.15
         self.bytes_per_second = None  # Rate of the link, shared by all connections in one direction; None is unlimited.
         self.link_lock = threading.Lock()
+        self.link_free_at = 0.0  # When the link has sent all that was booked.
         self.connections = set()
         self.stalled = set()
         self.lock = threading.Lock()
@@ -89,8 +90,11 @@
         """Sends bytes at the rate of the link; connections take turns."""
         while data and self.bytes_per_second:
             piece, data = data[:SLOW_CHUNK_BYTES], data[SLOW_CHUNK_BYTES:]
+            # Each connection books one piece at a time: a lock held while the piece is sent could be taken again and again by one of them.
             with self.link_lock:
-                time.sleep(len(piece) / self.bytes_per_second)
+                self.link_free_at = max(self.link_free_at, time.monotonic()) + len(piece) / self.bytes_per_second
+                departure = self.link_free_at
+            time.sleep(max(0.0, departure - time.monotonic()))
             sink.sendall(piece)
         sink.sendall(data)
 
