Placements no longer go through the parts of all requests in progress

Callers of a daemon got no answer for 20 s while 800 clients had one stream request each in progress or waiting, of 1,400 prompt parts of one token (14 KB), at 12 engines: process_uncontrolled_parts_test, PartsInProgressTest. It fails on and on.

Cause: each placement copied the shared parts of all requests in flight at each engine into a vector, and looked for each of its own parts there one after the other: the product of the two, for each engine and several times a placement.

Change: SharedParts counts them with their sum; the load of an engine refers to it. Parts that peers report are sorted. Whether an engine holds a request's parts is asked only if the answer decides whether it fits. The results of placements and reports are the same as before.

--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -21,6 +21,7 @@
 #include "goldcrestwood/engine_order.h"
 #include "goldcrestwood/feed_readers.h"
 #include "goldcrestwood/load/domain_overflow.h"
+#include "goldcrestwood/load/shared_parts.h"
 #include "goldcrestwood/load/upstream_pace.h"
 #include "goldcrestwood/names.h"
 #include "goldcrestwood/part_cache.h"
@@ -301,7 +302,8 @@
     struct Load {
         std::uint32_t requests = 0;
         std::uint64_t tokens = 0; ///< Tokens private to one request each.
-        std::vector<PartUse> parts; ///< Shared parts; each is in memory once.
+        const SharedParts* ownParts = nullptr; ///< Shared parts of this daemon's requests; each is in memory once.
+        std::vector<PartUse> peerParts; ///< Shared parts that only requests of other daemons use, by key.
         /// Prompt tokens still to be prefilled, by engine class.
         std::array<std::uint64_t, engineClasses> backlog {};
 
@@ -311,11 +313,6 @@
         /// @return Tokens of the engine's memory that are in use and can't be evicted.
         std::uint64_t memory() const;
     };
-    /// Reference count of a shared part that this daemon's requests use.
-    struct PartCount {
-        std::uint32_t tokens = 0;
-        std::uint32_t requests = 0;
-    };
     struct PeerUse {
         UpstreamUse use;
         TimePoint at;
@@ -341,7 +338,7 @@
         RegistryEntry entry;
         TimePoint coldUntil;
         Load own; ///< Without the shared parts, which are in ownParts.
-        std::map<std::uint32_t, PartCount> ownParts;
+        SharedParts ownParts;
         std::map<InstanceId, PeerUse> peers;
         std::optional<ReportedLoad> reported;
         PartCache cache;
@@ -371,6 +368,9 @@
 
     Load totalLoad(const Upstream& upstream, TimePoint now) const;
     static void addUse(Load& load, const UpstreamUse& use);
+    /// Adds what the peers report that @p isCounted returns true for.
+    template <typename Predicate>
+    void addPeers(Load& load, const Upstream& upstream, Predicate isCounted, TimePoint now) const;
     static Load ownLoad(const Upstream& upstream);
     double failureShareOf(const Upstream& upstream, TimePoint now) const;
     Obstacle eligibilityObstacle(const Upstream& upstream, const PlacementRequest& request, TimePoint now) const;
--- a/src/upstream_board.cc
+++ b/src/upstream_board.cc
@@ -140,12 +140,16 @@
 
 bool UpstreamBoard::Load::uses(std::uint32_t part) const
 {
-    return std::any_of(this->parts.begin(), this->parts.end(), [&](const auto& use) { return use.key == part; });
+    if (this->ownParts != nullptr && this->ownParts->contains(part))
+        return true;
+    const auto found = std::lower_bound(this->peerParts.begin(), this->peerParts.end(), part, [](const auto& use, std::uint32_t key) { return use.key < key; });
+    return found != this->peerParts.end() && found->key == part;
 }
 
 std::uint64_t UpstreamBoard::Load::memory() const
 {
-    return std::accumulate(this->parts.begin(), this->parts.end(), this->tokens, [](std::uint64_t sum, const auto& use) { return sum + use.tokens; });
+    const auto own = this->tokens + (this->ownParts != nullptr ? this->ownParts->tokens() : 0);
+    return own + sumOfTokens(this->peerParts);
 }
 
 std::uint64_t UpstreamBoard::Load::backlogAhead(std::size_t engineClass) const
@@ -336,11 +340,7 @@
     auto& upstream = found->second;
     ++upstream.own.requests;
     upstream.own.tokens += privateTokens(request);
-    forEachShared(request, choice.scope, [&](std::uint32_t key, std::uint32_t tokens) {
-        auto& part = upstream.ownParts[key];
-        part.tokens = tokens;
-        ++part.requests;
-    });
+    forEachShared(request, choice.scope, [&](std::uint32_t key, std::uint32_t tokens) { upstream.ownParts.add({ key, tokens }); });
     upstream.own.backlog[classOf(request)] += choice.missingTokens;
     upstream.limit.onSent(this->turnShare(upstream), now);
     if (now < upstream.coldUntil) {
@@ -402,10 +402,7 @@
     auto& upstream = found->second;
     upstream.own.requests -= std::min(upstream.own.requests, 1U);
     upstream.own.tokens -= std::min(upstream.own.tokens, privateTokens(request));
-    forEachShared(request, choice.scope, [&](std::uint32_t key, std::uint32_t /*tokens*/) {
-        if (const auto part = upstream.ownParts.find(key); part != upstream.ownParts.end() && --part->second.requests == 0)
-            upstream.ownParts.erase(part);
-    });
+    forEachShared(request, choice.scope, [&](std::uint32_t key, std::uint32_t /*tokens*/) { upstream.ownParts.remove(key); });
     auto& backlog = upstream.own.backlog[classOf(request)];
     if (!hadFirstByte)
         backlog -= std::min(backlog, choice.missingTokens);
--- a/src/upstream_board_obstacles.cc
+++ b/src/upstream_board_obstacles.cc
@@ -142,12 +142,15 @@
     if (load.requests >= upstream.entry.slots)
         return Obstacle::Slots;
     const auto memory = static_cast<double>(engine->cacheTokens) * this->settings.memoryShare;
+    const auto fits = [&](std::uint64_t tokens) { return load.requests == 0 || static_cast<double>(tokens + reserved) <= memory; };
     auto needed = load.memory() + privateTokens(request);
-    forEachShared(request, scopeOf(upstream.entry, request), [&](std::uint32_t key, std::uint32_t tokens) {
-        if (!load.uses(key))
-            needed += tokens;
-    });
-    if (load.requests > 0 && static_cast<double>(needed + reserved) > memory)
+    // Most requests fit, or not, whichever of their parts are in use.
+    if (fits(needed) && !fits(needed + sharedTokens(request)))
+        forEachShared(request, scopeOf(upstream.entry, request), [&](std::uint32_t key, std::uint32_t tokens) {
+            if (!load.uses(key))
+                needed += tokens;
+        });
+    if (!fits(needed))
         return Obstacle::Memory;
     const auto ahead = static_cast<double>(load.backlogAhead(classOf(request)));
     const bool isLate = ahead > 0 && ahead / this->tokensPerMillisecond * slownessAt(upstream, now) > toMs(request.objective) * this->settings.backlogShare;
--- a/src/upstream_board_peers.cc
+++ b/src/upstream_board_peers.cc
@@ -85,16 +85,27 @@
     load.tokens += use.tokens;
     for (std::size_t index = 0; index < std::min(engineClasses, use.backlog.size()); ++index)
         load.backlog[index] += use.backlog[index];
-    for (const auto& part : use.parts)
-        if (!load.uses(part.key))
-            load.parts.push_back(part);
+}
+
+template <typename Predicate>
+void UpstreamBoard::addPeers(Load& load, const Upstream& upstream, Predicate isCounted, TimePoint now) const
+{
+    auto& shared = load.peerParts;
+    for (const auto& [peer, report] : upstream.peers) {
+        if (!isCounted(peer) || now - report.at > this->settings.peerReportLifetime)
+            continue;
+        addUse(load, report.use);
+        shared.insert(shared.end(), report.use.parts.begin(), report.use.parts.end());
+    }
+    std::erase_if(shared, [&](const auto& part) { return upstream.ownParts.contains(part.key); });
+    std::stable_sort(shared.begin(), shared.end(), [](const auto& left, const auto& right) { return left.key < right.key; });
+    shared.erase(std::unique(shared.begin(), shared.end(), [](const auto& left, const auto& right) { return left.key == right.key; }), shared.end());
 }
 
 UpstreamBoard::Load UpstreamBoard::ownLoad(const Upstream& upstream)
 {
     auto load = upstream.own;
-    for (const auto& [key, part] : upstream.ownParts)
-        load.parts.push_back({ key, part.tokens });
+    load.ownParts = &upstream.ownParts;
     return load;
 }
 
@@ -106,9 +117,8 @@
         addUse(load, { {}, reported.requests, reported.tokens, { reported.backlog.begin(), reported.backlog.end() }, {} });
         return load;
     }
-    for (const auto& [peer, report] : upstream.peers)
-        if (now - report.at <= this->settings.peerReportLifetime)
-            addUse(load, report.use);
+    this->addPeers(
+        load, upstream, [](const InstanceId&) { return true; }, now);
     return load;
 }
 
@@ -126,9 +136,8 @@
         if (!isAggregated(id))
             continue;
         auto load = ownLoad(upstream);
-        for (const auto& [peer, report] : upstream.peers)
-            if (peer != receiver && now - report.at <= this->settings.peerReportLifetime)
-                addUse(load, report.use);
+        this->addPeers(
+            load, upstream, [&](const InstanceId& peer) { return peer != receiver; }, now);
         if (load.requests > 0 || upstream.failureShare >= minReportedFailureShare)
             result.push_back({ id, load.requests, load.memory(), { load.backlog.begin(), load.backlog.end() }, upstream.failureShare });
     }
@@ -154,15 +163,16 @@
     for (const auto& [id, upstream] : this->upstreams) {
         if (upstream.own.requests == 0)
             continue;
-        const auto load = ownLoad(upstream);
-        uses.push_back({ id, load.requests, load.tokens, { load.backlog.begin(), load.backlog.end() }, load.parts });
+        const auto& load = upstream.own;
+        uses.push_back({ id, load.requests, load.tokens, { load.backlog.begin(), load.backlog.end() }, {} });
     }
     keepBusiest(uses, this->settings.maxReportedUses);
     // Parts beyond the limit are counted as private tokens.
     auto left = this->settings.maxReportedParts;
     for (auto& use : uses) {
-        for (; use.parts.size() > left; use.parts.pop_back())
-            use.tokens += use.parts.back().tokens;
+        const auto& own = this->upstreams.at(use.upstream).ownParts;
+        use.parts = own.first(left);
+        use.tokens += own.tokens() - sumOfTokens(use.parts);
         left -= use.parts.size();
     }
     return uses;
--- a/src/upstream_cost.h
+++ b/src/upstream_cost.h
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <numeric>
 #include <string>
+#include <vector>
 
 #include "goldcrestwood/hash.h"
 #include "goldcrestwood/upstream_board.h"
@@ -46,13 +48,25 @@
         visit(static_cast<std::uint32_t>(stableHash(scope + '/' + request.parts[index].id)), request.parts[index].tokens);
 }
 
+/// @return Tokens of the request's shared parts.
+inline std::uint64_t sharedTokens(const PlacementRequest& request)
+{
+    std::uint64_t sum = 0;
+    for (std::size_t index = 0; index + 1 < request.parts.size(); ++index)
+        sum += request.parts[index].tokens;
+    return sum;
+}
+
 /// @return Tokens in an engine's memory that only this request uses.
 inline std::uint64_t privateTokens(const PlacementRequest& request)
 {
-    std::uint64_t shared = 0;
-    for (std::size_t index = 0; index + 1 < request.parts.size(); ++index)
-        shared += request.parts[index].tokens;
-    return request.promptTokens - std::min(request.promptTokens, shared) + request.outputTokens;
+    return request.promptTokens - std::min(request.promptTokens, sharedTokens(request)) + request.outputTokens;
+}
+
+/// @return Tokens of all @p parts.
+inline std::uint64_t sumOfTokens(const std::vector<PartUse>& parts)
+{
+    return std::accumulate(parts.begin(), parts.end(), std::uint64_t { 0 }, [](std::uint64_t sum, const auto& part) { return sum + part.tokens; });
 }
 
 } // namespace goldcrestwood
--- a/support/uncontrolled.py
+++ b/support/uncontrolled.py
@@ -132,10 +132,10 @@
 
     hard_descriptor_limit = False  # Whether the system enforces max_fds.
 
-    def start(self, limits=None, memory_mb=MEMORY_MB, max_fds=MAX_FDS):
+    def start(self, limits=None, memory_mb=MEMORY_MB, max_fds=MAX_FDS, models=1):
         routes = [{**route, "timeout_ms": ROUTE_TIMEOUT_MS} for route in site.CONFIGURATION["routes"]]
         configuration = {**site.CONFIGURATION, "routes": routes, "limits": limits or LIMITS}
-        edge = self.enterContext(site.EdgeSite(daemons=1, models=1, configuration=configuration, memory_mb=memory_mb, limits=f"max_fds = {max_fds}"))
+        edge = self.enterContext(site.EdgeSite(daemons=1, models=models, configuration=configuration, memory_mb=memory_mb, limits=f"max_fds = {max_fds}"))
         self.edge, self.daemon = edge, edge.daemons[0]
         self.pid, self.memory_mb, self.max_fds = self.daemon.process.pid, memory_mb, max_fds
         if self.hard_descriptor_limit:
--- a/test/process/uncontrolled_parts_test.py
+++ b/test/process/uncontrolled_parts_test.py
@@ -8,9 +8,16 @@
 import unittest
 
 import edge_site as site
+import uncontrolled
 
 PARTS = 3980
 SLOTS = 8
+BUSY_CLIENTS = 800
+BUSY_ENGINES = 12
+BUSY_PARTS = 1400
+BUSY_MEMORY_MB = 110
+BUSY_FDS = 4100
+WORK_SECONDS = 4
 STORE_IP = f"{site.SUBNET}.200"
 
 
@@ -51,5 +58,20 @@
         self.assertEqual(self.daemon.process.wait(20), 0)
 
 
+class PartsInProgressTest(uncontrolled.UncontrolledTest):
+    def test_parts_of_many_requests_in_progress(self):
+        # Fault: each placement went through the parts of all requests in progress, for each engine and each of its own parts, so that the daemon
+        # answered nobody.
+        self.start(memory_mb=BUSY_MEMORY_MB, max_fds=BUSY_FDS, models=BUSY_ENGINES)
+        for replica in self.edge.models:
+            replica.delay = WORK_SECONDS
+        clients = []
+        for number in range(BUSY_CLIENTS):
+            parts = ",".join(f"{number:x}.{part:x}:1" for part in range(BUSY_PARTS))
+            fields = ("X-Goldcrestwood-Model: m", f"X-Goldcrestwood-Token-Usage: {BUSY_PARTS},40", f"X-Goldcrestwood-Prefix-Hash: {parts}", "Content-Length: 0")
+            clients.append(uncontrolled.Client(self.daemon.front, uncontrolled.head("/stream/a", *fields), reconnects=False))
+        self.endure(clients)
+
+
 if __name__ == "__main__":
     unittest.main()
