--- a/include/goldcrestwood/upstream_board.h
+++ b/include/goldcrestwood/upstream_board.h
@@ -368,7 +368,7 @@
 
     Load totalLoad(const Upstream& upstream, TimePoint now) const;
     static void addUse(Load& load, const UpstreamUse& use);
-    /// Adds what the peers report that @p isCounted returns true for.
+    /// Adds the requests of other daemons to @p load. @param isCounted Whether a daemon's requests are added, by its InstanceId.
     template <typename Predicate>
     void addPeers(Load& load, const Upstream& upstream, Predicate isCounted, TimePoint now) const;
     static Load ownLoad(const Upstream& upstream);
