--- a/test/load/shared_parts_test.cc
+++ b/test/load/shared_parts_test.cc
@@ -25,7 +25,8 @@
 
 } // namespace
 
-void* operator new(std::size_t size)
+// Inlined, g++ takes free() for a mismatch with the operator.
+[[gnu::noinline]] void* operator new(std::size_t size)
 {
     allocatedBytes += size;
     if (auto* memory = std::malloc(size))
@@ -33,12 +34,12 @@
     throw std::bad_alloc();
 }
 
-void operator delete(void* memory) noexcept
+[[gnu::noinline]] void operator delete(void* memory) noexcept
 {
     std::free(memory);
 }
 
-void operator delete(void* memory, std::size_t /*size*/) noexcept
+[[gnu::noinline]] void operator delete(void* memory, std::size_t /*size*/) noexcept
 {
     std::free(memory);
 }
