--- a/test/load/shared_parts_test.cc
+++ b/test/load/shared_parts_test.cc
@@ -25,11 +25,16 @@
 
 } // namespace
 
-// Inlined, g++ takes free() for a mismatch with the operator.
-[[gnu::noinline]] void* operator new(std::size_t size)
+// Inlined, g++ takes free() for a mismatch with the operator. All forms that delete frees are replaced, as sanitizers check that they match.
+[[gnu::noinline]] void* operator new(std::size_t size, const std::nothrow_t& /*tag*/) noexcept
 {
     allocatedBytes += size;
-    if (auto* memory = std::malloc(size))
+    return std::malloc(size);
+}
+
+[[gnu::noinline]] void* operator new(std::size_t size)
+{
+    if (auto* memory = operator new(size, std::nothrow))
         return memory;
     throw std::bad_alloc();
 }
