--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -539,7 +539,7 @@
 class CacheStore:
     """A store of cached prompt parts; the test puts parts into it."""
 
-    def __init__(self):
+    def __init__(self, ip="127.0.0.1"):
         self.parts = {}  # Tokens by scope and part id.
         self.events = []
         self.calls = []  # Time in milliseconds and body of each call that frees parts.
@@ -547,7 +547,7 @@
         self.changed = threading.Condition()
         self.clock_ms = 5_000_000  # The clock of the replicas and stores, in milliseconds, when the store started.
         self.started = time.monotonic()
-        self.server = Server("127.0.0.1", self, CacheStoreHandler)
+        self.server = Server(ip, self, CacheStoreHandler)
         self.address = self.server.address
 
     def now_ms(self):
--- a/test/process/uncontrolled_parts_test.py
+++ b/test/process/uncontrolled_parts_test.py
@@ -18,16 +18,7 @@
 BUSY_MEMORY_MB = 110
 BUSY_FDS = 4100
 WORK_SECONDS = 4
-STORE_IP = f"{site.SUBNET}.200"
-
-
-def cache_store():
-    """Returns a cache store at an address as long as most."""
-    store = site.CacheStore()
-    store.server.abort()
-    store.server = site.Server(STORE_IP, store, site.CacheStoreHandler)
-    store.address = store.server.address
-    return store
+STORE_IP = f"{site.SUBNET}.200"  # As long as most addresses.
 
 
 class PartsTest(unittest.TestCase):
@@ -42,7 +33,7 @@
         configuration = copy.deepcopy(site.CONFIGURATION)
         configuration["limits"]["header_bytes"] = 16384
         configuration["services"][0]["engine"].update(slots=SLOTS, max_inflight=SLOTS)
-        configuration["services"].append({"name": "store", "kv_store_addr": cache_store().address, "zone": "zone-0", "kv_tokens": 1000000,
+        configuration["services"].append({"name": "store", "kv_store_addr": site.CacheStore(STORE_IP).address, "zone": "zone-0", "kv_tokens": 1000000,
                                           "link_mbps": 10000.0, "max_inflight": 12, "managed": True, "first_ms": 6.0})
         edge = self.enterContext(site.EdgeSite(daemons=1, models=1, configuration=configuration))
         self.daemon = edge.daemons[0]
