--- a/test/load/shared_parts_test.cc
+++ b/test/load/shared_parts_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <new>
 
@@ -77,8 +78,34 @@
     CHECK(parts.tokens() == 0);
 }
 
-// Guards against placements that go through the parts of all requests in flight: a copy of these parts for each engine allocates their bytes.
-TEST_CASE("the work of a placement does not grow with the parts of requests in flight")
+// Guards against an account of an engine's memory that misses parts in use, or counts them again for each daemon.
+TEST_CASE("a request fits an engine where its parts are in use, and one with other parts of that size does not")
+{
+    const auto request = prompt(60'000, "subject", 0);
+    Site peer;
+    peer.board.setUpstream(entryOf(1, model), start);
+    auto choice = *peer.choose(request);
+    choice.missingTokens = 0; // It has been prefilled.
+    peer.board.begin(choice, request, start);
+    auto uses = peer.board.ownUses();
+    std::reverse(uses.front().parts.begin(), uses.front().parts.end()); // A peer may report them in any order.
+    const auto [isOwn, peers] = GENERATE(table<bool, int>({ { true, 0 }, { false, 1 }, { false, 2 }, { true, 2 } }));
+    Site site;
+    site.board.setUpstream(entryOf(1, model), start);
+    if (isOwn)
+        site.board.begin(choice, request, start);
+    for (int number = 0; number < peers; ++number)
+        site.board.onPeerUse(InstanceId("peer" + std::to_string(number)), uses, start);
+    CHECK(site.choose(request));
+    CHECK_FALSE(site.choose(prompt(60'000, "other", 0)));
+    // What a finished request used alone may be evicted.
+    if (isOwn)
+        site.board.finish(choice, request, true, AttemptResult::Answered, start);
+    CHECK(site.choose(prompt(60'000, "other", 0)).has_value() == (peers == 0));
+}
+
+// Guards against placements that copy the parts of all requests in flight for each engine.
+TEST_CASE("what a placement allocates does not grow with the parts of requests in flight")
 {
     constexpr int engines = 12;
     constexpr int requestsPerEngine = 32;
