An answer counts only with its request's id, a success only with the signature

Cause: the head of an answer was trusted for the place where it came. Without an id it was rejected only on a reused connection, the signature was asked for nowhere, and a status that promises was taken without the proof. Notices were applied before the id was compared, and a connection was kept after a rejected head that announced no body.

Change: checkHead decides what a head is before anything reads it. What is not the request's own counts as a broken connection: 502, or another replica if the request may be repeated. An own answer whose status promises without the proof becomes 502. Requests without an id go over connections of their own.

--- a/src/daemon/framing.h
+++ b/src/daemon/framing.h
@@ -38,4 +38,19 @@
     return status >= 200 && status < 600;
 }
 
+constexpr bool isSuccessStatus(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// @return Whether @p status states that the request has not run and never will.
+constexpr bool isRefusalStatus(unsigned status)
+{
+    constexpr unsigned requestTimeout = 408;
+    constexpr unsigned misdirectedRequest = 421;
+    constexpr unsigned tooManyRequests = 429;
+    constexpr unsigned serviceUnavailable = 503;
+    return status == requestTimeout || status == misdirectedRequest || status == tooManyRequests || status == serviceUnavailable;
+}
+
 } // namespace goldcrestwood
--- /dev/null
+++ b/src/edge/answer_check.cc
@@ -0,0 +1,35 @@
+#include "edge/answer_check.h"
+
+#include "daemon/framing.h"
+
+namespace goldcrestwood {
+
+HeadVerdict checkHead(const platform::AnswerInfo& answer, unsigned status, const std::string& requestId)
+{
+    if (answer.requestId != requestId)
+        return answer.requestId.empty() ? HeadVerdict::Unidentified : HeadVerdict::Stale;
+    if (!isSuccessStatus(status))
+        return HeadVerdict::Own;
+    if (answer.provesNotRun)
+        return HeadVerdict::Contradictory;
+    return answer.isSealed ? HeadVerdict::Own : HeadVerdict::Unsigned;
+}
+
+const char* toString(HeadVerdict verdict)
+{
+    switch (verdict) {
+    case HeadVerdict::Own:
+        return "the answer to the request";
+    case HeadVerdict::Stale:
+        return "an answer to another request";
+    case HeadVerdict::Unidentified:
+        return "an answer without a request id";
+    case HeadVerdict::Unsigned:
+        return "a success without a signature";
+    case HeadVerdict::Contradictory:
+        return "a success that states that the request has not run";
+    }
+    return "unknown";
+}
+
+} // namespace goldcrestwood
--- a/src/edge/http_call.cc
+++ b/src/edge/http_call.cc
@@ -10,20 +10,6 @@
     /// Connecting takes longer only if the machine is unreachable.
     constexpr Duration connectTimeout = std::chrono::milliseconds(600);
 
-    /// @return Whether an answer states that the call was refused.
-    bool isRefusal(unsigned status)
-    {
-        switch (static_cast<http::status>(status)) {
-        case http::status::request_timeout:
-        case http::status::misdirected_request:
-        case http::status::too_many_requests:
-        case http::status::service_unavailable:
-            return true;
-        default:
-            return false;
-        }
-    }
-
 } // namespace
 
 HttpCaller::HttpCaller(asio::any_io_executor loop, TransferMemory& transferMemory, std::string target, std::uint64_t maxAnswerBytes)
@@ -98,7 +84,7 @@
     link.stream.expires_never();
     auto message = parser.release();
     // The copy of a refusal may come where the next answer is due, and calls have no id that would tell them apart.
-    const bool isKept = message.keep_alive() && link.buffer.size() == 0 && !isRefusal(message.result_int());
+    const bool isKept = message.keep_alive() && link.buffer.size() == 0 && !isRefusalStatus(message.result_int());
     HttpAnswer answer { message.result_int(), message.base(), std::move(message.body()) };
     if (!isKept)
         this->connection = nullptr;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "daemon/clock.h"
+#include "daemon/framing.h"
 #include "edge/attempt.h"
 #include "edge/caller_socket.h"
 #include "edge/log.h"
@@ -303,7 +304,7 @@
     if (!this->state.usage || exchange.account == nullptr || attempt.answer.provesNotRun)
         return;
     // A stream starts with its first token; other calls have started by the time that their answer comes, mostly when they were sent.
-    const bool isStream = exchange.route->kind == RequestKind::Stream && attempt.status < 300;
+    const bool isStream = exchange.route->kind == RequestKind::Stream && isSuccessStatus(attempt.status);
     const auto started = wallClock() - (monotonicNow() - (isStream ? attempt.answerBegan : attempt.sent));
     const bool isCounted = this->state.usage->ledger.onRun(exchange.account->name, started);
     this->state.metrics.count("goldcrest_usage_runs_total", std::string("counted=\"") + (isCounted ? "yes" : "late") + "\"");
@@ -326,7 +327,7 @@
 void Pipeline::recordPartOutcome(const ClientExchange& exchange, const Attempt& attempt)
 {
     const auto now = monotonicNow();
-    if (attempt.result == AttemptResult::Answered && attempt.isRelayed && attempt.status < 300)
+    if (attempt.result == AttemptResult::Answered && attempt.isRelayed && isSuccessStatus(attempt.status))
         this->state.crashSuspects.onAnswer(exchange.placement.service, CrashSuspects::sharedParts(exchange.info.parts), attempt.answerBegan, now);
     else if (attempt.result == AttemptResult::Unreachable && attempt.isSent) {
         const bool hasStarted = attempt.hadFirstByte && now - attempt.answerBegan >= startedAnswerAge;
@@ -388,8 +389,9 @@
 Task<ConnectionPtr> Pipeline::openConnection(ClientExchange& exchange, const PlacementChoice& choice)
 {
     const auto& address = choice.address;
-    // On a connection that carried the request, a copy of its earlier answer cannot be told from the answer to this send.
-    if (!exchange.sentTo.contains(address))
+    // On a connection that carried the request, a copy of its earlier answer cannot be told from the answer to this send; nor can any
+    // answer on a used connection if the request has no id.
+    if (!exchange.sentTo.contains(address) && !exchange.info.id.empty())
         if (auto idle = this->pool.takeIdle(address, monotonicNow()))
             co_return idle;
     auto connection = this->pool.create(address);
@@ -465,7 +467,7 @@
         if (exchange.info.promptTokens > 0 && !attempt.answer.provesNotRun)
             this->state.reportPace.onFirstToken(attempt.choice.expectedWait, attempt.firstByte, exchange.route->objective, attempt.answerBegan);
         this->countRun(exchange, attempt);
-        if (exchange.route->kind == RequestKind::Stream && attempt.status < 300)
+        if (exchange.route->kind == RequestKind::Stream && isSuccessStatus(attempt.status))
             co_await this->relayStream(exchange, attempt);
         else
             co_await this->relayBuffered(exchange, attempt);
@@ -474,7 +476,8 @@
     // Only a whole answer outlives its connection.
     if (!attempt.bufferedAnswer)
         attempt.memory.reset();
-    if (attempt.connection && attempt.parser && attempt.parser->is_done() && attempt.parser->keep_alive() && !attempt.parser->need_eof())
+    const bool isWhole = hasHead && attempt.parser->is_done() && !attempt.parser->need_eof();
+    if (attempt.connection && isWhole && attempt.parser->keep_alive() && !exchange.info.id.empty())
         this->keepConnection(attempt);
     attempt.connection = nullptr;
     attempt.parser = nullptr;
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -5,6 +5,7 @@
 
 #include "daemon/clock.h"
 #include "daemon/framing.h"
+#include "edge/answer_check.h"
 #include "edge/attempt.h"
 #include "edge/beliefs.h"
 #include "goldcrestwood/event_ends.h"
@@ -80,21 +81,20 @@
             co_return false;
         }
         attempt.answer = platform::decodeAnswer(attempt.parser->get().base());
-        const bool isAnonymous = attempt.answer.requestId.empty() && !attempt.answer.isSealed;
-        if (isAnonymous && link.requests > 1) {
-            // It may be an earlier answer that was sent again, so it proves nothing about this request.
-            attempt.result = AttemptResult::Unreachable;
-            attempt.failure = "an answer without a request id on a reused connection";
-            co_return false;
-        }
-        this->applyNotice(exchange, attempt);
-        if (attempt.answer.idleTimeout)
-            link.idleTimeout = *attempt.answer.idleTimeout;
-        if (attempt.answer.requestId == exchange.info.id || isAnonymous) {
+        const auto verdict = checkHead(attempt.answer, attempt.status, exchange.info.id);
+        if (verdict == HeadVerdict::Own) {
+            this->applyNotice(exchange, attempt);
+            if (attempt.answer.idleTimeout)
+                link.idleTimeout = *attempt.answer.idleTimeout;
             this->applyLoad(attempt);
             this->applyLimit(exchange, attempt);
             co_return true;
         }
+        if (verdict != HeadVerdict::Stale) {
+            attempt.result = AttemptResult::Unreachable;
+            attempt.failure = toString(verdict);
+            co_return false;
+        }
         // A stale answer to an earlier request: skip it.
         ++attempt.staleAnswers;
         std::string discarded(pieceBytes, '\0');
@@ -207,6 +207,12 @@
         attempt.failure = isAnother ? "another upstream has the address" : "refused by the upstream";
         co_return;
     }
+    if (isRefusalStatus(attempt.status)) {
+        // To a caller the status alone is a promise that the request has not run.
+        attempt.result = AttemptResult::FailureAnswer;
+        attempt.failure = "a refusal of a request that may have run";
+        co_return;
+    }
     if (exchange.headSent) {
         attempt.result = AttemptResult::FailureAnswer;
         attempt.failure = "the answer does not resume the stream";
--- a/test/process/incomplete_answer_test.py
+++ b/test/process/incomplete_answer_test.py
@@ -1,4 +1,4 @@
-"""Incomplete and invalid answers of replicas, through a real entry daemon: no caller gets a part or an invalid status as an answer."""
+"""Incomplete, invalid and forged answers of replicas, through a real entry daemon: no caller gets one of them as the answer."""
 
 import copy
 import http.client
@@ -21,6 +21,15 @@
 PATHS = ("/once/a", "/safe/a", "/stream/a", "/whole/a")
 # 101 is valid only if the request asked for an upgrade.
 STATUSES = ("000", "099", "1000", "20", "2x0", "101", "600", "999")
+ID, SEAL, NOT_RUN = "X-Goldcrestwood-Request-Id: {request}", "X-Goldcrestwood-Response-Seal: s.{request}", "X-Goldcrestwood-Not-Executed: 1"
+# Heads of answers that are not the replica's, or refuse a request that it has run: the status and the fields.
+FORGED = (
+    *((status, ()) for status in (200, 201, 204, 206, 400, 408, 421, 429, 500, 503)),
+    (200, (ID,)), (204, (ID,)), (200, (SEAL,)), (200, (ID, SEAL, NOT_RUN)), (503, (NOT_RUN,)), (503, (SEAL, NOT_RUN)),
+    *((status, (ID, SEAL)) for status in (408, 429, 503)), (503, (ID,)),
+)
+# What the sender of a forged head says of itself: nobody may send to it any more.
+CLAIMS = ("Server-Leaving: 1", "Server-Limit: 0.01", "X-Goldcrestwood-Server-Load: 99,99,1", "Retry-After: 60")
 
 
 class FaultyHandler(site.ReplicaHandler):
@@ -77,11 +86,30 @@
     return fault
 
 
+def forged(status, fields, framing):
+    """Returns a fault: the request runs, and a forged head with a body comes; a connection that may not be kept stays open."""
+    def fault(handler, request):
+        handler.body()
+        names_request = ID in fields and status >= 300
+        lines = [f"HTTP/1.1 {status} Some", *(field.format(request=request) for field in fields), *(("Connection: close",) if names_request else CLAIMS)]
+        body = PART + b"id: 4\ndata: fake\n\n" if status != 204 else b""
+        if framing == "chunks" and body:
+            lines.append("Transfer-Encoding: chunked")
+            body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        elif framing != "connection":
+            lines.append(f"Content-Length: {len(body)}")
+        handler.wfile.write("\r\n".join((*lines, "Content-Type: text/event-stream", "", "")).encode() + body)
+        handler.wfile.flush()
+        if framing != "connection" and not names_request:
+            handler.rfile.read(1)
+    return fault
+
+
 class IncompleteAnswerTest(unittest.TestCase):
     def setUp(self):
         configuration = copy.deepcopy(site.CONFIGURATION)
         configuration["limits"]["max_body_bytes"] = 16 << 20
-        self.edge = self.enterContext(site.EdgeSite(daemons=1, models=1, plain=1, configuration=configuration))
+        self.edge = self.enterContext(site.EdgeSite(daemons=1, models=1, plain=1, configuration=configuration, bounds="retry_slack = 100\n"))
         self.replicas = [*self.edge.models, *self.edge.plain]
         for replica in self.replicas:
             replica.fault = None
@@ -125,6 +153,39 @@
             with self.subTest(path=path, status=status, framing=framing, reused=reused):
                 self.check(path, b"order", invalid(status, framing), reused)
 
+    def test_a_forged_answer_is_not_passed_on(self):
+        # MIXED: it was a success if it came first on its connection, or with the request's id. REFUSED: 503 for an order that had run.
+        heads = [(*head, framing) for head in FORGED for framing in ("length", "chunks", "connection") if framing == "length" or head[0] < 300]
+        for path, (status, fields, framing), reused in itertools.product(PATHS, heads, (False, True)):
+            with self.subTest(path=path, status=status, fields=fields, framing=framing, reused=reused):
+                self.check(path, b"order", forged(status, fields, framing), reused)
+                self.assertEqual(self.outcome(path, b"order")[0], 200, "its claims count for nothing")
+                for replica in self.replicas:
+                    replica.server.end_connections()
+
+    def test_a_forged_answer_moves_what_may_be_repeated_to_another_replica(self):
+        for kind, replicas, path in (("plain", self.edge.plain, "/safe/a"), ("streaming", self.edge.models, "/stream/a")):
+            other = site.Replica(self.edge.store, 7, replicas[0].service, kind, "zone-0")
+            other.fault = None
+            other.server.RequestHandlerClass = FaultyHandler
+            state = lambda: site.call(self.edge.daemons[0].metrics, "GET", "/state")[2].decode()
+            site.wait_until(lambda: f'"{other.id}"' in state(), "the other replica is listed")
+            for status, fields in FORGED:
+                with self.subTest(path=path, status=status, fields=fields):
+                    faults = [forged(status, fields, "length")]
+                    for replica in (replicas[0], other):
+                        replica.fault = lambda handler, request: self.fault_once(faults, handler, request)
+                    status_seen, answer = self.outcome(path, b"order")
+                    self.assertEqual((status_seen, faults), (200, []), answer)
+                    self.assertNotIn(b"fake", answer)
+
+    @staticmethod
+    def fault_once(faults, handler, request):
+        if faults:
+            return faults.pop()(handler, request)
+        handler.close_connection = False
+        return handler.serve()
+
 
 if __name__ == "__main__":
     unittest.main()
