A daemon that starts learns from its peers which replicas had left

Cause: what a key's writer had counted before the removal was known only to processes that had seen it. At a small site nobody asks the others, a removal was passed on without the count that it replaced, and the first record of a key was taken as it was.

Change: a removal carries the highest revision of its key, also between daemons, and outweighs what was written before it, whichever comes first. A daemon that starts asks peers for remembered removals until one remembers for as long as a write can be late (RemovalMemory). Removals are forgotten after a minute.

--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -393,6 +393,16 @@
     bool operator==(const DaemonNews&) const = default;
 };
 
+/// The revision of a key's value, in two parts of falling significance.
+struct FeedRevision {
+    /// Start of an upstream, or version.
+    std::uint64_t high = 0;
+    /// Writes of the upstream since its start.
+    std::uint64_t low = 0;
+
+    bool operator==(const FeedRevision&) const = default;
+};
+
 /// The newest record of a key that a peer holds.
 struct FeedRecord {
     /// The key.
@@ -403,6 +413,8 @@
     std::string value;
     /// Offset of the record in its topic.
     std::uint64_t offset = 0;
+    /// Of a record without a revision: the highest one that the key had before.
+    std::optional<FeedRevision> replaced;
 
     bool operator==(const FeedRecord&) const = default;
 };
@@ -521,6 +533,8 @@
     std::uint64_t daemonsFrom = 0;
     /// Whether the answer may be compressed.
     bool acceptsCompressed = false;
+    /// Whether the answer needs only the remembered removals, for how long they are known, and the registry's end.
+    bool removalsOnly = false;
 
     bool operator==(const FeedQuery&) const = default;
 };
@@ -563,6 +577,12 @@
     std::optional<CompressedAnswer> compressed;
     /// Request limits of upstreams that the sender saw or heard of.
     std::optional<LimitNotice> limits;
+    /// Whether a key of the registry is gone if it has no record in the answer.
+    bool isRegistryListing = false;
+    /// Remembered removals from the registry, if requested.
+    std::vector<FeedRecord> removals;
+    /// Milliseconds for which the sender knows all removals.
+    std::uint64_t rememberedMs = 0;
 
     bool operator==(const FeedAnswer&) const = default;
 };
@@ -693,6 +713,11 @@
 tl::expected<DaemonNews, DecodeError> decode(std::string_view bytes);
 void to_json(nlohmann::json& out, const DaemonNews& message);
 template <>
+std::string encode(const FeedRevision& message);
+template <>
+tl::expected<FeedRevision, DecodeError> decode(std::string_view bytes);
+void to_json(nlohmann::json& out, const FeedRevision& message);
+template <>
 std::string encode(const FeedRecord& message);
 template <>
 tl::expected<FeedRecord, DecodeError> decode(std::string_view bytes);
--- a/include/goldcrestwood/keyed_feed.h
+++ b/include/goldcrestwood/keyed_feed.h
@@ -12,13 +12,19 @@
 #include <utility>
 #include <vector>
 
+#include "goldcrestwood/time.h"
+
 namespace goldcrestwood {
 
+/// A number that the writer of a key raises with each change, in two parts; of two values the one with the higher number is newer.
+using KeyRevision = std::pair<std::uint64_t, std::uint64_t>;
+
 /// The newest record of a key; no value means that the key was removed.
 struct KeyedRecord {
     std::string key;
     std::optional<std::string> value;
     std::uint64_t offset = 0; ///< Position in the topic (see log_position.h).
+    std::optional<KeyRevision> replaced {}; ///< Of a record without a revision: the highest one that the key had before, if known.
 
     auto operator<=>(const KeyedRecord&) const = default;
 };
@@ -29,8 +35,7 @@
     /// Whether two values of a key are equivalent. Load pattern: thousands of upstreams renew their entries each second, and
     /// only a few of these renewals need to reach peers.
     using IsEquivalent = bool (*)(const std::string&, const std::string&);
-    /// A number that the writer of a key raises with each change; of two values the one with the higher number is newer.
-    using Revision = std::optional<std::pair<std::uint64_t, std::uint64_t>>;
+    using Revision = std::optional<KeyRevision>;
     /// @return The revision of a key's value, or nothing if the writer does not count its changes.
     using RevisionOf = Revision (*)(const std::string& key, const std::string& value);
 
@@ -72,6 +77,15 @@
     /// @return The changes from @p offset on, including removals and a sample of the unchanged renewals, ordered by position.
     std::vector<KeyedRecord> since(std::uint64_t offset) const;
 
+    /// @return The removed keys. A daemon that starts later needs them to recognize what the store writes late.
+    std::vector<KeyedRecord> removals() const;
+
+    /// Forgets the keys whose removal was first seen here longer ago than @p lifetime.
+    void forgetRemovals(TimePoint now, Duration lifetime);
+
+    /// @return Whether since(@p offset) lacks removals that have been forgotten, so that only a listing tells what is gone.
+    bool hasForgotten(std::uint64_t offset) const { return this->forgottenUpTo && offset <= *this->forgottenUpTo; }
+
 private:
     /// @param forwardFrom Lowest position at which a change is passed on: peers have read further than a listed record's position.
     std::optional<KeyedRecord> merge(const KeyedRecord& record, std::uint64_t forwardFrom);
@@ -82,7 +96,7 @@
     /// Consecutive records of a key whose revisions are lower than one before.
     struct OlderWrites {
         std::uint64_t offset = 0; ///< Position of the last one.
-        std::pair<std::uint64_t, std::uint64_t> revision;
+        KeyRevision revision;
         std::uint32_t writes = 0;
     };
 
@@ -91,8 +105,8 @@
         std::uint64_t lastForwarded = 0; ///< Position of the last record to pass on to peers.
         std::uint32_t confirmations = 0; ///< Equivalent records since the last change.
         std::optional<Revision> revision; ///< Of the record, once it has been read.
-        Revision replaced; ///< Of the last value that had one, if the record has none.
         OlderWrites older;
+        std::optional<TimePoint> removalSeen; ///< When forgetRemovals() first found the key removed.
     };
 
     /// @return The revision of the last value in @p entry that had one, also after the key's removal.
@@ -102,16 +116,20 @@
     /// after a return from a copy what was lost is written again in its old order.
     /// @return Whether @p record, with @p revision, is newer than the one held in @p entry, which counts the older ones.
     bool supersedes(Entry& entry, const KeyedRecord& record, const Revision& revision) const;
+    /// @return Whether a value with @p revision at @p offset was written after the removal in @p removal. The same revision may be
+    /// that of another write, but a store that returns from an older copy of its data brings back a value that was removed.
+    static bool outlives(const KeyRevision& revision, std::uint64_t offset, const KeyedRecord& removal);
     /// Holds @p record, with @p revision, and remembers the last revision if it has none.
     void replace(Entry& entry, const KeyedRecord& record, const Revision& revision) const;
     /// Keeps a writer whose clock has gone back, or an odd record with a huge revision, from blocking a key for good.
     /// @return Whether @p record, with a lower revision, is one of many that the key's writer has counted up from there.
-    static bool countsAnew(Entry& entry, const KeyedRecord& record, const std::pair<std::uint64_t, std::uint64_t>& revision);
+    static bool countsAnew(Entry& entry, const KeyedRecord& record, const KeyRevision& revision);
 
     IsEquivalent isEquivalent;
     RevisionOf revisionOf;
     std::map<std::string, Entry> newest;
     std::uint64_t nextOffset = 0;
+    std::optional<std::uint64_t> forgottenUpTo; ///< Highest position from which a forgotten removal would have been passed on.
     bool known = false;
 };
 
--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -24,6 +24,8 @@
             return "listing";
         case RecordSource::Peer:
             return "peer";
+        case RecordSource::PeerMemory:
+            return "peer_memory";
         }
         return "unknown";
     }
@@ -151,7 +153,8 @@
         // If only this daemon lost the registry, the removal is real and must take effect within the drain time.
         const auto drainEnd = now + state.settings.bounds.drainTime - drainMargin;
         const auto returnDeadline = std::min(drainEnd, (state.registryContact.isReachable ? state.registryContact.since : now) + reregistrationGrace);
-        const bool mayReturn = now < returnDeadline;
+        // An entry that is older than its removal was written late.
+        const bool mayReturn = now < returnDeadline && source != RecordSource::PeerMemory;
         edge::log(LogClass::Decision, "upstream_gone", { { "upstream", id.value }, { "source", nameOf(source) }, { "after_outage", mayReturn } });
         if (mayReturn)
             state.expiredUpstreams.emplace(id, returnDeadline);
--- a/src/edge/beliefs.h
+++ b/src/edge/beliefs.h
@@ -19,6 +19,7 @@
     Log, ///< The store's log: every record since the last one.
     Listing, ///< The store's listing: the newest record of each key.
     Peer, ///< Another daemon, which keeps the newest record of each key.
+    PeerMemory, ///< Another daemon, which remembers removals from before this one started.
 };
 
 void applyOperatorRecords(EdgeState& state, const std::vector<KeyedRecord>& records, RecordSource source);
--- a/src/edge/edge_server.cc
+++ b/src/edge/edge_server.cc
@@ -176,6 +176,7 @@
     spawn(this->feeds.acceptQueries());
     spawn(this->feeds.catchUp());
     spawn(this->feeds.queryReaders());
+    spawn(this->feeds.keepRemovals());
     spawn(this->duty.run());
     if (this->state.usage) {
         spawn(this->duty.usageReports().exchangeCounts());
--- a/src/edge/edge_state.h
+++ b/src/edge/edge_state.h
@@ -24,6 +24,7 @@
 #include "goldcrestwood/part_directory.h"
 #include "goldcrestwood/process_pauses.h"
 #include "goldcrestwood/random.h"
+#include "goldcrestwood/removal_memory.h"
 #include "goldcrestwood/rollout.h"
 #include "goldcrestwood/send_budget.h"
 #include "goldcrestwood/store_outage.h"
@@ -152,6 +153,7 @@
     UpstreamBoard board;
     KeyedFeed operatorFeed { &KeyedFeed::isNeverEquivalent, &platform::operatorRevision };
     KeyedFeed registryFeed { &platform::isEquivalentEntry, &platform::entryRevision };
+    RemovalMemory removalMemory; ///< Of the registry.
     std::map<std::string, WeightTargets> weightTargets; ///< By model.
     std::map<ServiceName, Rollout> rollouts; ///< Newest order of each service.
     bool isOperatorTopicKnown = false; ///< Whether the operator topic was known before the current batch of records.
--- a/src/edge/feed_exchange.cc
+++ b/src/edge/feed_exchange.cc
@@ -36,7 +36,8 @@
         std::vector<FeedRecord> result;
         result.reserve(records.size());
         for (const auto& record : records)
-            result.push_back({ record.key, !record.value.has_value(), record.value.value_or(""), record.offset });
+            result.push_back({ record.key, !record.value.has_value(), record.value.value_or(""), record.offset,
+                record.replaced ? std::optional(FeedRevision { record.replaced->first, record.replaced->second }) : std::nullopt });
         return result;
     }
 
@@ -45,7 +46,8 @@
         std::vector<KeyedRecord> result;
         result.reserve(records.size());
         for (const auto& record : records)
-            result.push_back({ record.key, record.isRemoved ? std::nullopt : std::optional(record.value), record.offset });
+            result.push_back({ record.key, record.isRemoved ? std::nullopt : std::optional(record.value), record.offset,
+                record.replaced ? std::optional(KeyRevision(record.replaced->high, record.replaced->low)) : std::nullopt });
         return result;
     }
 
@@ -169,6 +171,62 @@
     }
 }
 
+Task<> FeedExchange::keepRemovals()
+{
+    constexpr Duration askInterval = std::chrono::milliseconds(100);
+    constexpr Duration forgetInterval = std::chrono::seconds(1);
+    asio::steady_timer timer(this->executor);
+    QueryLink link;
+    auto forgotten = monotonicNow();
+    while (true) {
+        timer.expires_after(this->state.removalMemory.needsPeers(monotonicNow()) || !this->state.registryFeed.isKnown() ? askInterval : forgetInterval);
+        ErrorCode ignored;
+        co_await timer.async_wait(into(ignored));
+        const auto now = monotonicNow();
+        if (this->state.registryFeed.isKnown())
+            this->state.removalMemory.onKnown(this->state.registryFeed.end(), now);
+        if (this->state.removalMemory.needsPeers(now))
+            co_await this->askForRemovals(link);
+        else
+            link.stream = nullptr;
+        if (now - forgotten >= forgetInterval) {
+            forgotten = now;
+            this->state.registryFeed.forgetRemovals(now, RemovalMemory::removalLifetime);
+        }
+    }
+}
+
+Task<> FeedExchange::askForRemovals(QueryLink& link)
+{
+    std::vector<RemovalMemory::Peer> candidates;
+    std::vector<std::string> candidateAddresses;
+    for (const auto* report : this->peers.view().live(monotonicNow())) {
+        const auto& heartbeat = report->heartbeat;
+        const auto& readers = this->state.feedReaders;
+        candidates.push_back({ heartbeat.incarnation, std::find(readers.begin(), readers.end(), heartbeat.instance) != readers.end() });
+        candidateAddresses.push_back(heartbeat.peerAddress);
+    }
+    const auto picked = this->state.removalMemory.pickPeer(candidates);
+    if (!picked)
+        co_return;
+    FeedQuery query;
+    query.acceptsCompressed = query.removalsOnly = true;
+    const auto answer = co_await this->ask(link, candidateAddresses[*picked], query);
+    // A peer that has read less than this daemon may lack a removal, and is asked again.
+    auto& memory = this->state.removalMemory;
+    const bool reachesStart = answer && memory.reachesStart(answer->registryEnd);
+    if (!answer || reachesStart)
+        memory.onAsked(candidates[*picked]);
+    if (!answer)
+        co_return;
+    applyRegistryRecords(this->state, this->state.registryFeed.apply(fromMessage(answer->removals), 0), RecordSource::PeerMemory);
+    memory.onAnswer(fromAgeMs(answer->rememberedMs), answer->registryEnd, monotonicNow());
+    this->queues.dispatchAll();
+    edge::log(edge::LogClass::Decision, "removals_learned",
+        { { "peer", candidateAddresses[*picked] }, { "removals", static_cast<std::int64_t>(answer->removals.size()) }, { "reaches_start", reachesStart },
+            { "remembered_ms", toMs(memory.remembered(monotonicNow())) } });
+}
+
 FeedExchange::AheadPeer FeedExchange::pickAheadPeer(std::uint64_t EdgeHeartbeat::*reportedEnd, std::uint64_t knownEnd, TimePoint now)
 {
     // Picks a random daemon that is ahead, so that daemons that are behind do not all query the same one.
@@ -229,28 +287,37 @@
     co_return co_await readFrame(*link.stream, queryTimeout, maxFrameBytes);
 }
 
-Task<bool> FeedExchange::query(QueryLink& link, std::string address, bool wantsCache)
+Task<std::optional<FeedAnswer>> FeedExchange::ask(QueryLink& link, std::string address, FeedQuery query)
 {
     if (link.address != address || !link.stream) {
         link.address = address;
         link.stream = std::make_unique<beast::tcp_stream>(this->executor);
     }
-    const auto request = framed(encode(FeedQuery { this->hasPeerRecords ? this->state.operatorFeed.end() : 0, this->state.registryFeed.end(), wantsCache, this->cacheSource, this->cacheFrom, this->daemonsSource, this->daemonsFrom, true }));
     const auto asked = monotonicNow();
-    const auto payload = co_await this->exchange(link, request);
+    const auto payload = co_await this->exchange(link, framed(encode(query)));
     if (!payload) {
         edge::log(edge::LogClass::Decision, "peer_query_failed",
             { { "peer", address }, { "reason", payload.error().reason }, { "received_bytes", static_cast<std::int64_t>(payload.error().receivedBytes) },
                 { "after_ms", toMs(monotonicNow() - asked) } });
         link.stream = nullptr;
-        co_return false;
+        co_return std::nullopt;
     }
-    const auto answer = decodeAnswer(*payload);
+    auto answer = decodeAnswer(*payload);
     if (!answer) {
         edge::log(edge::LogClass::Decision, "peer_answer_rejected", { { "peer", address }, { "reason", answer.error().message } });
         link.stream = nullptr;
-        co_return false;
+        co_return std::nullopt;
     }
+    co_return std::move(*answer);
+}
+
+Task<bool> FeedExchange::query(QueryLink& link, std::string address, bool wantsCache)
+{
+    FeedQuery query { this->hasPeerRecords ? this->state.operatorFeed.end() : 0, this->state.registryFeed.end(), wantsCache, this->cacheSource, this->cacheFrom, this->daemonsSource, this->daemonsFrom, true, false };
+    const auto asked = monotonicNow();
+    const auto answer = co_await this->ask(link, std::move(address), std::move(query));
+    if (!answer)
+        co_return false;
     this->hasPeerRecords = true;
     this->applyAnswer(*answer, asked);
     co_return this->isAuthoritative(*answer);
@@ -275,6 +342,13 @@
         applyDutyRecord(this->state, answer.duty->record, now - fromAgeMs(answer.duty->ageMs));
 }
 
+void FeedExchange::applyRegistry(const FeedAnswer& answer)
+{
+    auto& feed = this->state.registryFeed;
+    const auto records = fromMessage(answer.registryRecords);
+    applyRegistryRecords(this->state, answer.isRegistryListing ? feed.applyListing(records, answer.registryEnd) : feed.apply(records, answer.registryEnd), RecordSource::Peer);
+}
+
 void FeedExchange::applyAnswer(const FeedAnswer& answer, TimePoint asked)
 {
     this->applyReaderState(answer, monotonicNow());
@@ -283,7 +357,7 @@
         edge::log(edge::LogClass::Decision, "records_from_peer",
             { { "operator_records", static_cast<std::int64_t>(operatorRecords.size()) }, { "end", static_cast<std::int64_t>(answer.operatorEnd) } });
     applyOperatorRecords(this->state, operatorRecords, RecordSource::Peer);
-    applyRegistryRecords(this->state, this->state.registryFeed.apply(fromMessage(answer.registryRecords), answer.registryEnd), RecordSource::Peer);
+    this->applyRegistry(answer);
     if (answer.cache) {
         const bool follows = this->state.parts.applyChanges(*answer.cache, asked);
         this->cacheSource = answer.cache->source;
@@ -321,11 +395,18 @@
 FeedAnswer FeedExchange::answerTo(const FeedQuery& query) const
 {
     const auto now = monotonicNow();
+    const auto& registry = this->state.registryFeed;
     FeedAnswer answer;
+    answer.registryEnd = registry.end();
+    if (query.removalsOnly) {
+        answer.removals = toMessage(registry.removals());
+        answer.rememberedMs = static_cast<std::uint64_t>(this->state.removalMemory.remembered(now) / std::chrono::milliseconds(1));
+        return answer;
+    }
     answer.operatorRecords = toMessage(this->state.operatorFeed.since(query.operatorFrom));
     answer.operatorEnd = this->state.operatorFeed.end();
-    answer.registryRecords = toMessage(this->state.registryFeed.since(query.registryFrom));
-    answer.registryEnd = this->state.registryFeed.end();
+    answer.isRegistryListing = registry.hasForgotten(query.registryFrom);
+    answer.registryRecords = toMessage(registry.since(answer.isRegistryListing ? 0 : query.registryFrom));
     if (query.wantsCache) {
         answer.cache = this->state.parts.changesSince(query.cacheSource == this->state.incarnation ? query.cacheFrom : 0, now);
         answer.cache->source = this->state.incarnation;
--- a/src/edge/feed_exchange.h
+++ b/src/edge/feed_exchange.h
@@ -29,6 +29,8 @@
     Task<> catchUp();
     /// Polls one of the feed readers for changes.
     Task<> queryReaders();
+    /// Learns from peers which upstreams had left before this daemon started, and forgets old removals.
+    Task<> keepRemovals();
 
     /// @return The connections of the peers that query this daemon.
     const ConnectionLimit& connections() const { return this->peerConnections; }
@@ -42,6 +44,9 @@
         std::unique_ptr<beast::tcp_stream> stream;
     };
 
+    /// @return The peer's answer, which has not been applied; nothing if there is none.
+    Task<std::optional<FeedAnswer>> ask(QueryLink& link, std::string address, FeedQuery query);
+    /// Queries a peer for what is new, and applies its answer.
     /// @return Whether the answer came from an authoritative feed reader.
     Task<bool> query(QueryLink& link, std::string address, bool wantsCache);
     Task<tl::expected<std::string, CallFailure>> exchange(QueryLink& link, const std::string& request);
@@ -50,6 +55,9 @@
     /// @param asked When the answer was requested.
     void applyAnswer(const FeedAnswer& answer, TimePoint asked);
     void applyReaderState(const FeedAnswer& answer, TimePoint now);
+    void applyRegistry(const FeedAnswer& answer);
+    /// Asks the peer that is likely to remember most.
+    Task<> askForRemovals(QueryLink& link);
     /// A daemon that has read further in a topic than this one.
     struct AheadPeer {
         std::string address; ///< Empty if there is none.
--- a/src/keyed_feed.cc
+++ b/src/keyed_feed.cc
@@ -26,10 +26,10 @@
 {
     if (!entry.revision)
         entry.revision = this->revisionIn(entry.record);
-    return *entry.revision ? *entry.revision : entry.replaced;
+    return *entry.revision ? *entry.revision : entry.record.replaced;
 }
 
-bool KeyedFeed::countsAnew(Entry& entry, const KeyedRecord& record, const std::pair<std::uint64_t, std::uint64_t>& revision)
+bool KeyedFeed::countsAnew(Entry& entry, const KeyedRecord& record, const KeyRevision& revision)
 {
     auto& older = entry.older;
     if (record.offset <= std::max(entry.record.offset, older.offset))
@@ -39,27 +39,41 @@
     return older.writes >= minRecountedWrites;
 }
 
+bool KeyedFeed::outlives(const KeyRevision& revision, std::uint64_t offset, const KeyedRecord& removal)
+{
+    if (revision != *removal.replaced)
+        return revision > *removal.replaced;
+    return offset > removal.offset && logEra(offset) == logEra(removal.offset);
+}
+
 bool KeyedFeed::supersedes(Entry& entry, const KeyedRecord& record, const Revision& revision) const
 {
-    const auto last = revision ? this->lastRevision(entry) : std::nullopt;
-    if (!last || *revision == *last)
-        return record.offset > entry.record.offset;
-    return *revision > *last || countsAnew(entry, record, *revision);
+    const auto& held = entry.record;
+    const auto last = this->lastRevision(entry);
+    if (!revision) {
+        const bool isRemovalOfOlder = !record.value && record.replaced && held.value && last && !outlives(*last, held.offset, record);
+        return record.offset > held.offset || isRemovalOfOlder;
+    }
+    if (!last)
+        return record.offset > held.offset;
+    const bool isNewer = held.value ? std::pair(*revision, record.offset) > std::pair(*last, held.offset) : outlives(*revision, record.offset, held);
+    return isNewer || (*revision < *last && countsAnew(entry, record, *revision));
 }
 
 void KeyedFeed::replace(Entry& entry, const KeyedRecord& record, const Revision& revision) const
 {
     // Only a removal or an unreadable value leaves a later record with nothing to be compared to.
-    if (!revision)
-        entry.replaced = this->lastRevision(entry);
+    const auto replaced = revision ? std::nullopt : std::max(this->lastRevision(entry), record.replaced);
     entry.record = record;
+    entry.record.replaced = replaced;
     entry.revision = revision;
     entry.older = {};
+    entry.removalSeen.reset();
 }
 
 std::optional<KeyedRecord> KeyedFeed::merge(const KeyedRecord& record, std::uint64_t forwardFrom)
 {
-    const auto forwarded = std::max(record.offset, forwardFrom);
+    auto forwarded = std::max(record.offset, forwardFrom);
     const auto [position, isNew] = this->newest.try_emplace(record.key, Entry { record, forwarded, 0, {}, {}, {} });
     if (isNew)
         return record.value ? std::optional(record) : std::nullopt;
@@ -74,8 +88,14 @@
         held.older = {};
     } else {
         const auto revision = this->revisionIn(record);
-        if (!this->supersedes(held, record, revision))
+        if (!this->supersedes(held, record, revision)) {
+            if (!record.value && !held.record.value)
+                held.record.replaced = std::max(held.record.replaced, record.replaced);
             return std::nullopt;
+        }
+        // Peers have read beyond the record that this one replaces.
+        if (record.offset < held.record.offset)
+            forwarded = std::max(forwarded, this->nextOffset);
         this->replace(held, record, revision);
     }
     held.confirmations = isSame ? held.confirmations + 1 : 0;
@@ -153,4 +173,26 @@
     return result;
 }
 
+std::vector<KeyedRecord> KeyedFeed::removals() const
+{
+    std::vector<KeyedRecord> result;
+    for (const auto& [key, held] : this->newest)
+        if (!held.record.value)
+            result.push_back(held.record);
+    return result;
+}
+
+void KeyedFeed::forgetRemovals(TimePoint now, Duration lifetime)
+{
+    for (auto position = this->newest.begin(); position != this->newest.end();) {
+        auto& held = position->second;
+        if (!held.record.value && !held.removalSeen)
+            held.removalSeen = now;
+        const bool isForgotten = held.removalSeen && now - *held.removalSeen > lifetime;
+        if (isForgotten)
+            this->forgottenUpTo = std::max(this->forgottenUpTo.value_or(0), held.lastForwarded);
+        position = isForgotten ? this->newest.erase(position) : std::next(position);
+    }
+}
+
 } // namespace goldcrestwood
--- a/test/keyed_feed_test.cc
+++ b/test/keyed_feed_test.cc
@@ -267,3 +267,90 @@
         }
     }
 }
+
+namespace {
+
+KeyedRecord removalOf(const char* key, std::uint64_t offset, std::uint64_t replaced)
+{
+    return { key, std::nullopt, offset, KeyRevision(replaced, 0) };
+}
+
+} // namespace
+
+// DRAIN: a daemon that started after a replica had left knew nothing to compare its late entry with.
+TEST_CASE("a removal that a peer remembers outweighs a late value, whichever comes first")
+{
+    struct LateCase {
+        const char* name;
+        const char* value;
+        std::uint64_t offset;
+        bool isHeld;
+    };
+    // The removal of revision 9 was read at 11.
+    for (const auto& [name, value, offset, isHeld] : {
+             LateCase { "a late write", "8 ready", 12, false },
+             LateCase { "a write from before the removal", "9 ready", 10, false },
+             LateCase { "an upstream that is back", "10 ready", 12, true },
+             LateCase { "another write with the same number", "9 ready", 12, true },
+             LateCase { "the removed value in a restored store", "9 ready", logPosition(1, 5), false },
+             LateCase { "an upstream that is back in a restored store", "10 ready", logPosition(1, 5), true },
+             LateCase { "a value without a number", "?", 12, true } }) {
+        for (const bool isRemovalFirst : { false, true }) {
+            INFO(name << ", removal first: " << isRemovalFirst);
+            KeyedFeed feed(&KeyedFeed::isNeverEquivalent, &revisionOf);
+            const auto read = record("a", value, offset);
+            if (isRemovalFirst)
+                CHECK(feed.apply({ removalOf("a", 11, 9) }, 0).empty());
+            feed.apply({ read }, offset + 1);
+            const auto news = feed.apply({ removalOf("a", 11, 9) }, 0);
+            CHECK(news.empty() == (isRemovalFirst || isHeld));
+            const auto held = feed.since(0);
+            REQUIRE(held.size() == 1);
+            CHECK(held.front().value.has_value() == isHeld);
+            // Peers that have read beyond the late value get the removal.
+            if (!isHeld && !isRemovalFirst)
+                CHECK(feed.since(offset + 1).size() == 1);
+        }
+    }
+}
+
+TEST_CASE("what was removed is handed on with its number, also by a daemon that has only learned of it")
+{
+    KeyedFeed first(&KeyedFeed::isNeverEquivalent, &revisionOf);
+    first.apply({ record("a", "9 ready", 10), { "a", std::nullopt, 11 } }, 12);
+    KeyedFeed second(&KeyedFeed::isNeverEquivalent, &revisionOf);
+    second.applyListing({}, 12);
+    second.apply(first.removals(), 0);
+    KeyedFeed third(&KeyedFeed::isNeverEquivalent, &revisionOf);
+    // It has read the removal, and not what was removed.
+    third.apply({ { "a", std::nullopt, 11 } }, 12);
+    third.apply(second.removals(), 0);
+    for (auto* feed : { &first, &second, &third }) {
+        CHECK(feed->removals() == std::vector { removalOf("a", 11, 9) });
+        CHECK(feed->apply({ record("a", "8 ready", 12) }, 13).empty());
+        CHECK(feed->apply({ record("a", "10 ready", 13) }, 14).size() == 1);
+        CHECK(feed->removals().empty());
+    }
+}
+
+TEST_CASE("removals are forgotten after a while, and a daemon that lacks one gets a listing")
+{
+    using namespace std::chrono_literals;
+    const TimePoint start { 1h };
+    KeyedFeed feed(&KeyedFeed::isNeverEquivalent, &revisionOf);
+    KeyedFeed cutOff(&KeyedFeed::isNeverEquivalent, &revisionOf);
+    feed.apply({ record("a", "9 ready", 10), record("b", "4 ready", 11) }, 12);
+    cutOff.apply(feed.since(0), feed.end());
+    feed.apply({ { "a", std::nullopt, 12 } }, 13);
+    feed.forgetRemovals(start, 60s);
+    feed.forgetRemovals(start + 60s, 60s);
+    CHECK(feed.removals().size() == 1);
+    CHECK_FALSE(feed.hasForgotten(cutOff.end()));
+    feed.forgetRemovals(start + 61s, 60s);
+    CHECK(feed.removals().empty());
+    CHECK(feed.hasForgotten(cutOff.end()));
+    CHECK_FALSE(feed.hasForgotten(feed.end()));
+    const auto news = cutOff.applyListing(feed.since(0), feed.end());
+    REQUIRE(news.size() == 1);
+    CHECK((news.front().key == "a" && !news.front().value));
+}
--- /dev/null
+++ b/test/process/departed_replica_test.py
@@ -0,0 +1,98 @@
+"""Replicas that have left before a daemon starts, and whose entries the platform's store writes late, through real entry daemons."""
+
+import json
+import time
+import unittest
+
+import edge_site as site
+
+# Longer than a daemon takes to hear of an entry.
+WATCH_SECONDS = 1.5
+
+
+class DepartedReplicaTest(unittest.TestCase):
+    def start(self, daemons=2):
+        """Starts a site; returns it with a replica that has renewed its entry."""
+        edge = self.enterContext(site.EdgeSite(daemons=daemons, models=1))
+        replica = edge.plain[0]
+        replica.register("ready", seq=5)
+        # Requests prefer the other replica as soon as that one counts as ready.
+        edge.plain[1].delay = 0.05
+        self.wait_for_all(edge, replica, True)
+        replica.register("ready", seq=9, cold_left_ms=1)
+        return edge, replica
+
+    def wait_for_all(self, edge, replica, is_listed):
+        def states():
+            return [json.loads(site.call(daemon.metrics, "GET", "/state")[2])["upstreams"] for daemon in edge.daemons]
+        site.wait_until(lambda: all((replica.id in state) == is_listed for state in states()), f"{replica.id} is listed: {is_listed}")
+
+    def leave(self, edge, replica):
+        replica.leave()
+        self.wait_for_all(edge, replica, False)
+
+    def restart(self, daemon):
+        daemon.stop()
+        daemon.start()
+        site.wait_until(daemon.is_ready, "the daemon is ready again", check=daemon.process)
+
+    def assert_unused(self, edge, replica):
+        before = len(replica.offers)
+        end = time.monotonic() + WATCH_SECONDS
+        while time.monotonic() < end:
+            for daemon in edge.daemons:
+                self.assertEqual(site.request(daemon, "/once/a", b"order")[1], 200)
+        self.assertEqual(replica.offers[before:], [])
+
+    def check_late_write(self, edge, replica):
+        """A late entry brings the replica back nowhere; its next own entry does everywhere."""
+        time.sleep(0.5)
+        replica.register("ready", seq=8)
+        self.assert_unused(edge, replica)
+        replica.register("ready", seq=10)
+        self.wait_for_all(edge, replica, True)
+
+    # DRAIN: a daemon that started after the removal took the late entry for a new one, and sent orders until the replica's exit.
+    def test_a_daemon_that_is_added_does_not_use_a_late_entry(self):
+        edge, replica = self.start()
+        self.leave(edge, replica)
+        daemon = site.Daemon(3, edge.store, edge.folder, [f"{site.SUBNET}.{number}" for number in (1, 2)]).start()
+        edge.callback(daemon.stop)
+        edge.daemons.append(daemon)
+        site.wait_until(daemon.is_ready, "the added daemon is ready", check=daemon.process)
+        self.check_late_write(edge, replica)
+
+    def test_a_daemon_that_is_killed_and_started_again_does_not_use_a_late_entry(self):
+        edge, replica = self.start()
+        self.leave(edge, replica)
+        self.restart(edge.daemons[1])
+        self.check_late_write(edge, replica)
+
+    def test_a_late_entry_that_comes_before_the_daemon_starts_is_not_used(self):
+        edge, replica = self.start()
+        self.leave(edge, replica)
+        edge.daemons[1].stop()
+        replica.register("ready", seq=8)
+        edge.daemons[1].start()
+        site.wait_until(edge.daemons[1].is_ready, "the daemon is ready again", check=edge.daemons[1].process)
+        time.sleep(0.5)
+        self.assert_unused(edge, replica)
+
+    def test_a_replica_that_drained_first_is_not_used_either(self):
+        edge, replica = self.start()
+        replica.register("draining", seq=9)
+        self.leave(edge, replica)
+        self.restart(edge.daemons[1])
+        self.check_late_write(edge, replica)
+
+    def test_what_was_learned_is_handed_on_when_all_daemons_restart_in_turn(self):
+        edge, replica = self.start(daemons=3)
+        self.leave(edge, replica)
+        for daemon in edge.daemons:
+            self.restart(daemon)
+            time.sleep(0.5)
+        self.check_late_write(edge, replica)
+
+
+if __name__ == "__main__":
+    unittest.main()
