Answers of a peer that started later no longer hide removals

Callers got 502 for orders sent to a replica whose removal a daemon had never read (DRAIN), and a failure domain could stay evacuated after the operator had taken that back.

Cause: an answer between daemons holds the newest record of each key. A daemon that starts with a listing has no record of a key removed before, yet states that its records are complete up to its end, and the asking daemon reads on from there. The other way round, it took any record of a key that it did not hold as new, also from a peer that had read less.

Change: a feed knows from which position on it holds all removals, and answers with a listing to a daemon that has read less; a key that a listing lacked is not taken over from before it.

--- a/include/goldcrestwood/edge_messages.h
+++ b/include/goldcrestwood/edge_messages.h
@@ -535,6 +535,8 @@
     bool acceptsCompressed = false;
     /// Whether the answer needs only the remembered removals, for how long they are known, and the registry's end.
     bool removalsOnly = false;
+    /// Offset up to which the sender has read the operator's topic; it may ask for earlier records as well.
+    std::uint64_t operatorEnd = 0;
 
     bool operator==(const FeedQuery&) const = default;
 };
@@ -577,6 +579,8 @@
     std::optional<CompressedAnswer> compressed;
     /// Request limits of upstreams that the sender saw or heard of.
     std::optional<LimitNotice> limits;
+    /// Whether a key of the operator's topic is gone if it has no record in the answer.
+    bool isOperatorListing = false;
     /// Whether a key of the registry is gone if it has no record in the answer.
     bool isRegistryListing = false;
     /// Remembered removals from the registry, if requested.
--- a/include/goldcrestwood/keyed_feed.h
+++ b/include/goldcrestwood/keyed_feed.h
@@ -83,13 +83,17 @@
     /// Forgets the keys whose removal was first seen here longer ago than @p lifetime.
     void forgetRemovals(TimePoint now, Duration lifetime);
 
-    /// @return Whether since(@p offset) lacks removals that have been forgotten, so that only a listing tells what is gone.
-    bool hasForgotten(std::uint64_t offset) const { return this->forgottenUpTo && offset <= *this->forgottenUpTo; }
+    /// @return Whether since(@p offset) may lack removals: those from before a listing was never seen, or they have been forgotten. Then
+    /// only a listing tells what is gone. Not after a return of the store: the reader's own listing tells what that has lost.
+    bool lacksRemovalsSince(std::uint64_t offset) const;
 
 private:
     /// @param forwardFrom Lowest position at which a change is passed on: peers have read further than a listed record's position.
     std::optional<KeyedRecord> merge(const KeyedRecord& record, std::uint64_t forwardFrom);
     std::vector<KeyedRecord> mergeAll(const std::vector<KeyedRecord>& records, std::uint64_t forwardFrom);
+    /// @return Whether @p record has a key that a later listing lacked, so that it has been removed since. A store that has returned from
+    /// an older copy may have lost the key instead.
+    bool wasGoneWhenListed(const KeyedRecord& record) const;
     /// @return The revision of a record's value, or nothing if it has none.
     Revision revisionIn(const KeyedRecord& record) const;
 
@@ -129,7 +133,8 @@
     RevisionOf revisionOf;
     std::map<std::string, Entry> newest;
     std::uint64_t nextOffset = 0;
-    std::optional<std::uint64_t> forgottenUpTo; ///< Highest position from which a forgotten removal would have been passed on.
+    std::uint64_t removalsFrom = 0; ///< Lowest position from which all removals are held.
+    std::uint64_t lastListing = 0; ///< End of the topic when the last listing began.
     bool known = false;
 };
 
--- a/src/edge/fact_reader.cc
+++ b/src/edge/fact_reader.cc
@@ -46,7 +46,7 @@
             continue;
         }
         this->hadRecords = false;
-        const bool isSettled = this->settlesAt && monotonicNow() >= *this->settlesAt;
+        const bool isSettled = this->settlesAt && !this->isSettling();
         // A peer may have seen the store's return first; its records do not tell which keys the store has lost.
         this->needsListing = this->needsListing || isSettled || logEra(this->feed.end()) > this->listedEra;
         const bool answered = this->needsListing ? co_await this->list() : co_await this->readNext();
@@ -78,6 +78,20 @@
         this->caller.abort();
 }
 
+std::size_t TopicReader::applyPeerRecords(const std::vector<KeyedRecord>& records, std::uint64_t end, bool isListing)
+{
+    auto news = !isListing   ? this->feed.apply(records, end)
+        : this->isSettling() ? this->feed.applyRestoredListing(records, end)
+                             : this->feed.applyListing(records, end);
+    this->applyRecords(this->state, news, RecordSource::Peer);
+    return news.size();
+}
+
+bool TopicReader::isSettling() const
+{
+    return this->settlesAt && monotonicNow() < *this->settlesAt;
+}
+
 void TopicReader::updateContact(bool answered)
 {
     this->failures = answered ? 0 : this->failures + 1;
@@ -122,7 +136,7 @@
             { { "topic", this->topic }, { "era", static_cast<std::int64_t>(era) }, { "end", static_cast<std::int64_t>(logOffset(listedUpTo)) },
                 { "read_to", static_cast<std::int64_t>(logOffset(this->feed.end())) } });
     }
-    if (this->settlesAt && now < *this->settlesAt)
+    if (this->isSettling())
         return this->feed.applyRestoredListing(records, listedUpTo);
     this->settlesAt.reset();
     return this->feed.applyListing(records, listedUpTo);
--- a/src/edge/fact_reader.h
+++ b/src/edge/fact_reader.h
@@ -28,8 +28,16 @@
     /// Aborts a read of which nothing arrives, so that the topic is read again at once on a new connection.
     void refresh();
 
+    /// Applies what a peer has read.
+    /// @param end Position up to which it has read the topic.
+    /// @param isListing Whether a key without a record is gone.
+    /// @return Number of records that were newer than those held, and of removals.
+    std::size_t applyPeerRecords(const std::vector<KeyedRecord>& records, std::uint64_t end, bool isListing);
+
 private:
     Task<> wait(Duration pause);
+    /// @return Whether the writers may not have written again yet what the store has lost.
+    bool isSettling() const;
     Task<bool> list();
     Task<bool> readNext();
     void updateContact(bool answered);
--- a/src/edge/feed_exchange.cc
+++ b/src/edge/feed_exchange.cc
@@ -313,9 +313,9 @@
 
 Task<bool> FeedExchange::query(QueryLink& link, std::string address, bool wantsCache)
 {
-    FeedQuery query { this->hasPeerRecords ? this->state.operatorFeed.end() : 0, this->state.registryFeed.end(), wantsCache, this->cacheSource, this->cacheFrom, this->daemonsSource, this->daemonsFrom, true, false };
+    const FeedQuery query { this->hasPeerRecords ? this->state.operatorFeed.end() : 0, this->state.registryFeed.end(), wantsCache, this->cacheSource, this->cacheFrom, this->daemonsSource, this->daemonsFrom, true, false, this->state.operatorFeed.end() };
     const auto asked = monotonicNow();
-    const auto answer = co_await this->ask(link, std::move(address), std::move(query));
+    const auto answer = co_await this->ask(link, std::move(address), query);
     if (!answer)
         co_return false;
     this->hasPeerRecords = true;
@@ -342,22 +342,13 @@
         applyDutyRecord(this->state, answer.duty->record, now - fromAgeMs(answer.duty->ageMs));
 }
 
-void FeedExchange::applyRegistry(const FeedAnswer& answer)
-{
-    auto& feed = this->state.registryFeed;
-    const auto records = fromMessage(answer.registryRecords);
-    applyRegistryRecords(this->state, answer.isRegistryListing ? feed.applyListing(records, answer.registryEnd) : feed.apply(records, answer.registryEnd), RecordSource::Peer);
-}
-
 void FeedExchange::applyAnswer(const FeedAnswer& answer, TimePoint asked)
 {
     this->applyReaderState(answer, monotonicNow());
-    const auto operatorRecords = this->state.operatorFeed.apply(fromMessage(answer.operatorRecords), answer.operatorEnd);
-    if (!operatorRecords.empty())
+    if (const auto news = this->operatorReader.applyPeerRecords(fromMessage(answer.operatorRecords), answer.operatorEnd, answer.isOperatorListing); news > 0)
         edge::log(edge::LogClass::Decision, "records_from_peer",
-            { { "operator_records", static_cast<std::int64_t>(operatorRecords.size()) }, { "end", static_cast<std::int64_t>(answer.operatorEnd) } });
-    applyOperatorRecords(this->state, operatorRecords, RecordSource::Peer);
-    this->applyRegistry(answer);
+            { { "operator_records", static_cast<std::int64_t>(news) }, { "end", static_cast<std::int64_t>(answer.operatorEnd) }, { "is_listing", answer.isOperatorListing } });
+    this->registryReader.applyPeerRecords(fromMessage(answer.registryRecords), answer.registryEnd, answer.isRegistryListing);
     if (answer.cache) {
         const bool follows = this->state.parts.applyChanges(*answer.cache, asked);
         this->cacheSource = answer.cache->source;
@@ -395,6 +386,7 @@
 FeedAnswer FeedExchange::answerTo(const FeedQuery& query) const
 {
     const auto now = monotonicNow();
+    const auto& operators = this->state.operatorFeed;
     const auto& registry = this->state.registryFeed;
     FeedAnswer answer;
     answer.registryEnd = registry.end();
@@ -403,9 +395,10 @@
         answer.rememberedMs = static_cast<std::uint64_t>(this->state.removalMemory.remembered(now) / std::chrono::milliseconds(1));
         return answer;
     }
-    answer.operatorRecords = toMessage(this->state.operatorFeed.since(query.operatorFrom));
-    answer.operatorEnd = this->state.operatorFeed.end();
-    answer.isRegistryListing = registry.hasForgotten(query.registryFrom);
+    answer.isOperatorListing = operators.lacksRemovalsSince(query.operatorEnd);
+    answer.operatorRecords = toMessage(operators.since(answer.isOperatorListing ? 0 : query.operatorFrom));
+    answer.operatorEnd = operators.end();
+    answer.isRegistryListing = registry.lacksRemovalsSince(query.registryFrom);
     answer.registryRecords = toMessage(registry.since(answer.isRegistryListing ? 0 : query.registryFrom));
     if (query.wantsCache) {
         answer.cache = this->state.parts.changesSince(query.cacheSource == this->state.incarnation ? query.cacheFrom : 0, now);
--- a/src/edge/feed_exchange.h
+++ b/src/edge/feed_exchange.h
@@ -55,7 +55,6 @@
     /// @param asked When the answer was requested.
     void applyAnswer(const FeedAnswer& answer, TimePoint asked);
     void applyReaderState(const FeedAnswer& answer, TimePoint now);
-    void applyRegistry(const FeedAnswer& answer);
     /// Asks the peer that is likely to remember most.
     Task<> askForRemovals(QueryLink& link);
     /// A daemon that has read further in a topic than this one.
--- a/src/keyed_feed.cc
+++ b/src/keyed_feed.cc
@@ -115,7 +115,13 @@
 
 std::vector<KeyedRecord> KeyedFeed::apply(const std::vector<KeyedRecord>& records, std::uint64_t readUpTo)
 {
-    auto news = this->mergeAll(records, 0);
+    std::vector<KeyedRecord> news;
+    for (const auto& record : records)
+        if (!this->wasGoneWhenListed(record))
+            if (auto changed = this->merge(record, 0))
+                news.push_back(std::move(*changed));
+    if (!this->known)
+        this->removalsFrom = readUpTo;
     this->nextOffset = std::max(this->nextOffset, readUpTo);
     this->known = true;
     return news;
@@ -142,6 +148,8 @@
     }
     auto changed = this->mergeAll(records, this->nextOffset);
     this->apply({}, listedUpTo);
+    this->removalsFrom = std::max(this->removalsFrom, listedUpTo);
+    this->lastListing = std::max(this->lastListing, listedUpTo);
     news.insert(news.end(), changed.begin(), changed.end());
     return news;
 }
@@ -154,6 +162,7 @@
             comparable.push_back(record);
     auto news = this->mergeAll(comparable, this->nextOffset);
     this->apply({}, listedUpTo);
+    this->removalsFrom = std::max(this->removalsFrom, listedUpTo);
     return news;
 }
 
@@ -173,6 +182,16 @@
     return result;
 }
 
+bool KeyedFeed::wasGoneWhenListed(const KeyedRecord& record) const
+{
+    return record.value && record.offset < this->lastListing && logEra(record.offset) == logEra(this->lastListing) && !this->newest.contains(record.key);
+}
+
+bool KeyedFeed::lacksRemovalsSince(std::uint64_t offset) const
+{
+    return offset > 0 && offset < this->removalsFrom && logEra(offset) == logEra(this->nextOffset);
+}
+
 std::vector<KeyedRecord> KeyedFeed::removals() const
 {
     std::vector<KeyedRecord> result;
@@ -190,7 +209,7 @@
             held.removalSeen = now;
         const bool isForgotten = held.removalSeen && now - *held.removalSeen > lifetime;
         if (isForgotten)
-            this->forgottenUpTo = std::max(this->forgottenUpTo.value_or(0), held.lastForwarded);
+            this->removalsFrom = std::max(this->removalsFrom, held.lastForwarded + 1);
         position = isForgotten ? this->newest.erase(position) : std::next(position);
     }
 }
--- a/test/keyed_feed_test.cc
+++ b/test/keyed_feed_test.cc
@@ -345,12 +345,53 @@
     feed.forgetRemovals(start, 60s);
     feed.forgetRemovals(start + 60s, 60s);
     CHECK(feed.removals().size() == 1);
-    CHECK_FALSE(feed.hasForgotten(cutOff.end()));
+    CHECK_FALSE(feed.lacksRemovalsSince(cutOff.end()));
     feed.forgetRemovals(start + 61s, 60s);
     CHECK(feed.removals().empty());
-    CHECK(feed.hasForgotten(cutOff.end()));
-    CHECK_FALSE(feed.hasForgotten(feed.end()));
+    CHECK(feed.lacksRemovalsSince(cutOff.end()));
+    CHECK_FALSE(feed.lacksRemovalsSince(feed.end()));
     const auto news = cutOff.applyListing(feed.since(0), feed.end());
     REQUIRE(news.size() == 1);
     CHECK((news.front().key == "a" && !news.front().value));
 }
+
+// DRAIN: a daemon took over the end up to which a peer had read, but not the removals from before that peer's start.
+TEST_CASE("a daemon that has read less than a peer that started later gets a listing from it")
+{
+    KeyedFeed early;
+    early.applyListing({ record("a", "one", 0), record("b", "one", 1) }, 2);
+    KeyedFeed late;
+    for (const bool isListed : { false, true }) {
+        KeyedFeed behind = early;
+        if (isListed)
+            late.applyListing({ record("b", "one", 1), record("c", "one", 3) }, 4);
+        else
+            late.apply({ record("b", "one", 1), record("c", "one", 3) }, 4);
+        REQUIRE(late.lacksRemovalsSince(behind.end()));
+        const auto news = behind.applyListing(late.since(0), late.end());
+        CHECK(news == std::vector { KeyedRecord { "a", std::nullopt, 3 }, record("c", "one", 3) });
+        CHECK(behind.end() == late.end());
+        late = KeyedFeed();
+    }
+    // One that has read as far, or nothing, needs none; after a return of the store its own listing tells what is gone.
+    late.applyListing({ record("b", "one", 1) }, 4);
+    CHECK_FALSE(late.lacksRemovalsSince(4));
+    CHECK_FALSE(late.lacksRemovalsSince(0));
+    late.applyRestoredListing({}, logPosition(1, 2));
+    CHECK_FALSE(late.lacksRemovalsSince(3));
+    CHECK(late.lacksRemovalsSince(logPosition(1, 1)));
+}
+
+// EVAC: a daemon that started after the end of an evacuation took it over from a peer that had not read the end.
+TEST_CASE("a peer that has read less does not bring back a key that a listing lacked")
+{
+    KeyedFeed feed;
+    feed.applyListing({ record("b", "one", 2) }, 4);
+    CHECK(feed.apply({ record("a", "one", 1) }, 2).empty());
+    CHECK(feed.since(0).size() == 1);
+    // What was written after the listing, and what a store may have lost that returned from an older copy, is new.
+    CHECK(feed.apply({ record("a", "two", 4) }, 5).size() == 1);
+    KeyedFeed restored;
+    restored.applyListing({ record("b", "one", logPosition(2, 2)) }, logPosition(2, 4));
+    CHECK(restored.apply({ record("a", "one", logPosition(1, 3)) }, 0).size() == 1);
+}
--- a/test/process/departed_replica_test.py
+++ b/test/process/departed_replica_test.py
@@ -31,6 +31,11 @@
         replica.leave()
         self.wait_for_all(edge, replica, False)
 
+    def lose_store(self, edge, daemon):
+        """Ends the daemon's calls to the store, and refuses further ones."""
+        edge.store.refused.add(daemon.store_address)
+        next(server for server in edge.store.servers if server.address == daemon.store_address).end_connections()
+
     def restart(self, daemon):
         daemon.stop()
         daemon.start()
@@ -93,6 +98,37 @@
             time.sleep(0.5)
         self.check_late_write(edge, replica)
 
+    def check_catching_up(self, edge, change):
+        """One daemon is cut off from the store at a change, and asks the other, which starts after it."""
+        cut_off, restarted = edge.daemons
+        self.lose_store(edge, cut_off)
+        change()
+        self.restart(restarted)
+
+        def ends():
+            states = [json.loads(site.call(daemon.metrics, "GET", "/state")[2]) for daemon in edge.daemons]
+            return [(state["registry_end"], state["operator_end"]) for state in states]
+        site.wait_until(lambda: len(set(ends())) == 1, "the daemon has caught up")
+        edge.store.refused.clear()
+
+    # DRAIN: a removal that a daemon had not read when it asked one that had started later, it never read.
+    def test_a_daemon_learns_of_a_removal_from_one_that_started_after_it(self):
+        edge, replica = self.start()
+        self.check_catching_up(edge, replica.leave)
+        self.wait_for_all(edge, replica, False)
+
+    def test_a_daemon_learns_of_the_end_of_an_evacuation_from_one_that_started_after_it(self):
+        edge, replica = self.start()
+        edge.store.put("keyed.op", f"evacuate/{replica.domain}", {})
+        time.sleep(0.5)
+        self.assert_unused(edge, replica)
+        self.check_catching_up(edge, lambda: edge.store.put("keyed.op", f"evacuate/{replica.domain}", None))
+
+        def is_used():
+            self.assertEqual(site.request(edge.daemons[0], "/once/a", b"order")[1], 200)
+            return replica.offers
+        site.wait_until(is_used, "the daemon that was cut off uses the failure domain again")
+
 
 if __name__ == "__main__":
     unittest.main()
