A peer that cannot help no longer keeps a daemon from asking the others

A daemon that starts asked the same peer for its removals again and again while that one had read less than itself, for example because it is cut off from the store, and then took late writes for new replicas (DRAIN).

Cause: a peer left the choice only once it had answered with enough.

Change: peers are asked in turn; the one that does not help comes last.

--- a/include/goldcrestwood/removal_memory.h
+++ b/include/goldcrestwood/removal_memory.h
@@ -5,8 +5,10 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <vector>
 
 #include "goldcrestwood/time.h"
@@ -62,25 +64,36 @@
     bool needsPeers(TimePoint now) const { return this->firstEnd && this->answers < maxAnswers && this->remembered(now) < maxWriteDelay; }
 
     /// @param peers Daemons that answer.
-    /// @return Index of the one to ask next: of those not asked yet, a feed reader, and the one that has run longest.
+    /// @return Index of the one to ask next: of those whose memory is not known yet the one asked least often, then a feed reader, then
+    /// the one that has run longest.
     std::optional<std::size_t> pickPeer(const std::vector<Peer>& peers) const
     {
         std::optional<std::size_t> best;
-        const auto rank = [&](std::size_t index) { return std::pair(!peers[index].isReader, peers[index].incarnation); };
+        const auto rank = [&](std::size_t index) {
+            const auto& peer = peers[index];
+            const auto found = this->questions.find(peer.incarnation);
+            return std::tuple(found == this->questions.end() ? 0 : found->second, !peer.isReader, peer.incarnation);
+        };
         for (std::size_t index = 0; index < peers.size(); ++index)
-            if (!this->asked.contains(peers[index].incarnation) && (!best || rank(index) < rank(*best)))
+            if (!this->answered.contains(peers[index].incarnation) && (!best || rank(index) < rank(*best)))
                 best = index;
         return best;
     }
 
-    /// Excludes a peer from further questions.
-    void onAsked(const Peer& peer) { this->asked.insert(peer.incarnation); }
+    /// @param isAnswered Whether the peer's memory is known now. Otherwise it is asked again after the others.
+    void onAsked(const Peer& peer, bool isAnswered)
+    {
+        ++this->questions[peer.incarnation];
+        if (isAnswered)
+            this->answered.insert(peer.incarnation);
+    }
 
 private:
     std::optional<std::uint64_t> firstEnd; ///< Position from which on this daemon has read the registry.
     TimePoint rememberedSince {};
     std::size_t answers = 0;
-    std::set<std::uint64_t> asked; ///< Incarnations.
+    std::map<std::uint64_t, std::uint32_t> questions; ///< Number by incarnation.
+    std::set<std::uint64_t> answered; ///< Incarnations.
 };
 
 } // namespace goldcrestwood
--- a/src/edge/feed_exchange.cc
+++ b/src/edge/feed_exchange.cc
@@ -215,8 +215,7 @@
     // A peer that has read less than this daemon may lack a removal, and is asked again.
     auto& memory = this->state.removalMemory;
     const bool reachesStart = answer && memory.reachesStart(answer->registryEnd);
-    if (!answer || reachesStart)
-        memory.onAsked(candidates[*picked]);
+    memory.onAsked(candidates[*picked], reachesStart);
     if (!answer)
         co_return;
     applyRegistryRecords(this->state, this->state.registryFeed.apply(fromMessage(answer->removals), 0), RecordSource::PeerMemory);
--- a/test/removal_memory_test.cc
+++ b/test/removal_memory_test.cc
@@ -37,15 +37,18 @@
     CHECK_FALSE(memory.needsPeers(start + RemovalMemory::maxWriteDelay));
 }
 
-TEST_CASE("feed readers are asked first, then those that have run longest, each once")
+TEST_CASE("feed readers are asked first, then those that have run longest")
 {
     RemovalMemory memory;
     memory.onKnown(100, start);
     const std::vector<RemovalMemory::Peer> peers { { 30, false }, { 20, true }, { 10, false }, { 15, true } };
-    for (const std::size_t expected : { 3, 1, 2, 0 }) {
+    // The first one does not answer, and is asked again after the others.
+    for (const std::size_t expected : { 3, 1, 2, 0, 3 }) {
         REQUIRE(memory.pickPeer(peers) == expected);
-        memory.onAsked(peers[expected]);
+        memory.onAsked(peers[expected], expected != 3);
     }
+    CHECK(memory.pickPeer(peers) == 3);
+    memory.onAsked(peers[3], true);
     CHECK_FALSE(memory.pickPeer(peers));
 }
 
