--- a/test/process/departed_replica_test.py
+++ b/test/process/departed_replica_test.py
@@ -5,12 +5,10 @@
 import unittest
 
 import edge_site as site
+import entry_case
 
-# Longer than a daemon takes to hear of an entry.
-WATCH_SECONDS = 1.5
 
-
-class DepartedReplicaTest(unittest.TestCase):
+class DepartedReplicaTest(entry_case.EntryTest):
     def start(self, daemons=2):
         """Starts a site; returns it with a replica that has renewed its entry."""
         edge = self.enterContext(site.EdgeSite(daemons=daemons, models=1))
@@ -41,14 +39,6 @@
         daemon.start()
         site.wait_until(daemon.is_ready, "the daemon is ready again", check=daemon.process)
 
-    def assert_unused(self, edge, replica):
-        before = len(replica.offers)
-        end = time.monotonic() + WATCH_SECONDS
-        while time.monotonic() < end:
-            for daemon in edge.daemons:
-                self.assertEqual(site.request(daemon, "/once/a", b"order")[1], 200)
-        self.assertEqual(replica.offers[before:], [])
-
     def check_late_write(self, edge, replica):
         """A late entry brings the replica back nowhere; its next own entry does everywhere."""
         time.sleep(0.5)
--- a/test/process/late_write_test.py
+++ b/test/process/late_write_test.py
@@ -5,12 +5,10 @@
 import unittest
 
 import edge_site as site
+import entry_case
 
-# Longer than a daemon takes to hear of an entry.
-WATCH_SECONDS = 1.5
 
-
-class LateWriteTest(unittest.TestCase):
+class LateWriteTest(entry_case.EntryTest):
     def start(self):
         edge = self.enterContext(site.EdgeSite(daemons=2, models=1))
         edge.plain[0].register("ready", seq=5)
@@ -22,14 +20,6 @@
         states = [json.loads(site.call(daemon.metrics, "GET", "/state")[2]) for daemon in edge.daemons]
         return [state["upstreams"].get(replica.id) for state in states]
 
-    def assert_unused(self, edge, replica):
-        before = len(replica.offers)
-        end = time.monotonic() + WATCH_SECONDS
-        while time.monotonic() < end:
-            for daemon in edge.daemons:
-                self.assertEqual(site.request(daemon, "/once/a", b"order")[1], 200)
-        self.assertEqual(replica.offers[before:], [])
-
     def test_a_late_entry_does_not_make_a_draining_replica_ready(self):
         # DRAIN: orders reached it until its next entry.
         edge, replica = self.start()
