The test of copied refusals reaches each connection that owes a copy

Nothing ran twice; the check that the stand-in sent a copy at all failed.

Cause: a copy precedes the next answer on the refused connection, and idle connections are taken from the one used last.

Change: after the three callers, ten requests at once use all idle connections. No check is changed, and the earlier requests stay.

--- a/test/process/copied_refusal_test.py
+++ b/test/process/copied_refusal_test.py
@@ -13,6 +13,8 @@
 # Requests that one drive brings back to the address at which they were refused.
 RETURNS = 6
 DRIVE_SECONDS = 40
+# More than the connections that three callers and their refused requests leave idle.
+CROWD = 10
 # Without parts, which would keep requests at the replica that has them.
 PROMPT = {"X_Goldcrestwood_Model": "m", "X_Goldcrestwood_Token_Usage": "1000,40"}
 
@@ -47,11 +49,13 @@
                 pass  # An answer that breaks off refuses nothing.
 
         end = time.monotonic() + DRIVE_SECONDS
-        with concurrent.futures.ThreadPoolExecutor(3) as callers:
+        with concurrent.futures.ThreadPoolExecutor(3) as callers, concurrent.futures.ThreadPoolExecutor(CROWD) as crowd:
             while time.monotonic() < end and (len(self.returned(replica)) < RETURNS or (replica.copies_refusals and not replica.copies)):
                 earlier = replica.begin_anew()
                 site.wait_until(lambda: {earlier, replica.id} <= set(self.listed(daemon)), "both ids are listed")
                 list(callers.map(ask, range(12)))
+                # Connections that were used last are taken first: only requests at the same time reach those that owe a copy.
+                list(crowd.map(ask, range(CROWD)))
         runs = collections.Counter(request for each in replicas for _, request in each.arrivals)
         figures = f"{len(answers)} answers, {len(replica.misdirected)} sent to an earlier id, {len(self.returned(replica))} of them ran at its address, " \
                   f"{len(replica.copies)} copies"
