A success with an empty signature is not passed on

What callers saw (MIXED): a faulty replica's 200 with the request's id and "X-Goldcrestwood-Response-Seal:" with nothing, or blanks, behind it was the success of an order that no replica had run.

Cause: decodeAnswer took the presence of the field for a signature.

The unit test now builds its heads from header fields, so that it covers the decoding as well; all its cases are kept.

--- a/test/platform/answer_check_test.cc
+++ b/test/platform/answer_check_test.cc
@@ -6,47 +6,56 @@
 
 namespace {
 
+using Fields = std::vector<std::pair<const char*, const char*>>;
+
+constexpr std::pair ownId("X-Goldcrestwood-Request-Id", "r1");
+constexpr std::pair otherId("X-Goldcrestwood-Request-Id", "r0");
+constexpr std::pair signature("X-Goldcrestwood-Response-Seal", "s.r1");
+constexpr std::pair notRun("X-Goldcrestwood-Not-Executed", "1");
+
 struct HeadCase {
     const char* name;
-    const char* requestId;
-    bool isSealed;
-    bool provesNotRun;
     unsigned status;
+    Fields fields;
     HeadVerdict verdict;
 };
 
+/// @return What a head with @p fields is to a request with @p requestId.
+HeadVerdict verdictOf(unsigned status, const Fields& fields, const std::string& requestId)
+{
+    http::response_header<> header;
+    header.result(status);
+    for (const auto& [name, value] : fields)
+        header.insert(name, value);
+    return checkHead(platform::decodeAnswer(header), status, requestId);
+}
+
 } // namespace
 
 // MIXED: bytes of a faulty upstream, the first on their connection, were the success of an order that had not run.
 TEST_CASE("an answer is the upstream's own only with the request's id, and as a success only with the signature")
 {
-    const std::string request = "r1";
-    for (const auto& [name, id, isSealed, provesNotRun, status, verdict] : {
-             HeadCase { "success", "r1", true, false, 200, HeadVerdict::Own },
-             HeadCase { "failure", "r1", true, false, 500, HeadVerdict::Own },
-             HeadCase { "refusal", "r1", false, true, 503, HeadVerdict::Own },
-             HeadCase { "success without id and signature", "", false, false, 200, HeadVerdict::Unidentified },
-             HeadCase { "success with a signature alone", "", true, false, 200, HeadVerdict::Unidentified },
-             HeadCase { "failure without an id", "", false, false, 500, HeadVerdict::Unidentified },
-             HeadCase { "refusal without an id", "", false, true, 503, HeadVerdict::Unidentified },
-             HeadCase { "success without a signature", "r1", false, false, 200, HeadVerdict::Unsigned },
-             HeadCase { "empty success without a signature", "r1", false, false, 204, HeadVerdict::Unsigned },
-             HeadCase { "success that has not run", "r1", true, true, 200, HeadVerdict::Contradictory },
-             HeadCase { "answer to another request", "r0", true, false, 200, HeadVerdict::Stale },
-             HeadCase { "refusal of another request", "r0", false, true, 503, HeadVerdict::Stale } }) {
+    for (const auto& [name, status, fields, verdict] : {
+             HeadCase { "success", 200, { ownId, signature }, HeadVerdict::Own },
+             HeadCase { "failure", 500, { ownId, signature }, HeadVerdict::Own },
+             HeadCase { "refusal", 503, { ownId, notRun }, HeadVerdict::Own },
+             HeadCase { "success without id and signature", 200, {}, HeadVerdict::Unidentified },
+             HeadCase { "success with a signature alone", 200, { signature }, HeadVerdict::Unidentified },
+             HeadCase { "failure without an id", 500, {}, HeadVerdict::Unidentified },
+             HeadCase { "refusal without an id", 503, { notRun }, HeadVerdict::Unidentified },
+             HeadCase { "success without a signature", 200, { ownId }, HeadVerdict::Unsigned },
+             HeadCase { "empty success without a signature", 204, { ownId }, HeadVerdict::Unsigned },
+             HeadCase { "success with an empty signature", 200, { ownId, { signature.first, "" } }, HeadVerdict::Unsigned },
+             HeadCase { "success that has not run", 200, { ownId, signature, notRun }, HeadVerdict::Contradictory },
+             HeadCase { "answer to another request", 200, { otherId, signature }, HeadVerdict::Stale },
+             HeadCase { "refusal of another request", 503, { otherId, notRun }, HeadVerdict::Stale } }) {
         INFO(name);
-        platform::AnswerInfo answer;
-        answer.requestId = id;
-        answer.isSealed = isSealed;
-        answer.provesNotRun = provesNotRun;
-        CHECK(checkHead(answer, status, request) == verdict);
+        CHECK(verdictOf(status, fields, "r1") == verdict);
     }
 }
 
 TEST_CASE("an answer without an id belongs to a request that has none")
 {
-    platform::AnswerInfo refusal;
-    refusal.provesNotRun = true;
-    CHECK(checkHead(refusal, 400, "") == HeadVerdict::Own);
-    CHECK(checkHead({}, 200, "") == HeadVerdict::Unsigned);
+    CHECK(verdictOf(400, { notRun }, "") == HeadVerdict::Own);
+    CHECK(verdictOf(200, {}, "") == HeadVerdict::Unsigned);
 }
