An answer with a content coding is not passed on

PROTOCOL.md, Answers: "Clients request bodies without any encoding. A response that has a `Content-Encoding` is not the replica's body."

Cause: nothing in src/edge read the field.

Change: an answer to the request that has the field, whatever its value or the status, counts as a broken connection and changes nothing that is believed. That includes refusals: if the body is not the replica's, the statement that the request has not run proves nothing, and acting on it could run an order twice. An encoded answer to another request is still skipped.

--- a/src/edge/answer_check.cc
+++ b/src/edge/answer_check.cc
@@ -8,6 +8,8 @@
 {
     if (answer.requestId != requestId)
         return answer.requestId.empty() ? HeadVerdict::Unidentified : HeadVerdict::Stale;
+    if (answer.isEncoded)
+        return HeadVerdict::Encoded;
     if (!isSuccessStatus(status))
         return HeadVerdict::Own;
     if (answer.provesNotRun)
@@ -28,6 +30,8 @@
         return "a success without a signature";
     case HeadVerdict::Contradictory:
         return "a success that states that the request has not run";
+    case HeadVerdict::Encoded:
+        return "an answer with a content coding";
     }
     return "unknown";
 }
--- a/src/edge/answer_check.h
+++ b/src/edge/answer_check.h
@@ -17,6 +17,7 @@
     Unidentified, ///< Names no request.
     Unsigned, ///< A success without the upstream's signature.
     Contradictory, ///< A success that states that the request has not run.
+    Encoded, ///< Begins a body that is not the upstream's: upstreams encode none.
 };
 
 /// A faulty upstream sends bytes that look like an answer, on any connection. An answer names its request, and a success has the
--- a/test/platform/answer_check_test.cc
+++ b/test/platform/answer_check_test.cc
@@ -12,6 +12,7 @@
 constexpr std::pair otherId("X-Goldcrestwood-Request-Id", "r0");
 constexpr std::pair signature("X-Goldcrestwood-Response-Seal", "s.r1");
 constexpr std::pair notRun("X-Goldcrestwood-Not-Executed", "1");
+constexpr std::pair gzip("content-encoding", "gzip");
 
 struct HeadCase {
     const char* name;
@@ -47,6 +48,11 @@
              HeadCase { "empty success without a signature", 204, { ownId }, HeadVerdict::Unsigned },
              HeadCase { "success with an empty signature", 200, { ownId, { signature.first, "" } }, HeadVerdict::Unsigned },
              HeadCase { "success that has not run", 200, { ownId, signature, notRun }, HeadVerdict::Contradictory },
+             HeadCase { "encoded success", 200, { ownId, signature, gzip }, HeadVerdict::Encoded },
+             HeadCase { "success with an empty content coding", 200, { ownId, signature, { gzip.first, "" } }, HeadVerdict::Encoded },
+             HeadCase { "encoded failure", 500, { ownId, signature, gzip }, HeadVerdict::Encoded },
+             HeadCase { "encoded refusal", 503, { ownId, notRun, gzip }, HeadVerdict::Encoded },
+             HeadCase { "encoded answer to another request", 200, { otherId, signature, gzip }, HeadVerdict::Stale },
              HeadCase { "answer to another request", 200, { otherId, signature }, HeadVerdict::Stale },
              HeadCase { "refusal of another request", 503, { otherId, notRun }, HeadVerdict::Stale } }) {
         INFO(name);
--- a/test/process/incomplete_answer_test.py
+++ b/test/process/incomplete_answer_test.py
@@ -23,12 +23,15 @@
 STATUSES = ("000", "099", "1000", "20", "2x0", "101", "600", "999")
 ID, SEAL, NOT_RUN = "X-Goldcrestwood-Request-Id: {request}", "X-Goldcrestwood-Response-Seal: s.{request}", "X-Goldcrestwood-Not-Executed: 1"
 EMPTY_SEALS = ("X-Goldcrestwood-Response-Seal:", "X-Goldcrestwood-Response-Seal: \t ")
+# Sound replicas encode no body, whatever the coding.
+ENCODINGS = ("Content-Encoding: gzip", "Content-Encoding: br", "Content-Encoding: identity", "Content-Encoding:")
 # Heads of answers that are not the replica's, or refuse a request that it has run: the status and the fields.
 FORGED = (
     *((status, ()) for status in (200, 201, 204, 206, 400, 408, 421, 429, 500, 503)),
     (200, (ID,)), (204, (ID,)), (200, (SEAL,)), (200, (ID, SEAL, NOT_RUN)), (503, (NOT_RUN,)), (503, (SEAL, NOT_RUN)),
     *((status, (ID, SEAL)) for status in (408, 429, 503)), (503, (ID,)),
     *((200, (ID, seal)) for seal in EMPTY_SEALS),
+    *((200, (ID, SEAL, encoding)) for encoding in ENCODINGS), (500, (ID, SEAL, ENCODINGS[0])), (503, (ID, NOT_RUN, ENCODINGS[0])),
 )
 # What the sender of a forged head says of itself: nobody may send to it any more.
 CLAIMS = ("Server-Leaving: 1", "Server-Limit: 0.01", "X-Goldcrestwood-Server-Load: 99,99,1", "Retry-After: 60")
