An answer with several ids or signatures is not passed on

What callers saw (MIXED): a head with two request ids or two signatures was passed on as the success of an order, with both lines. A client that joins lines of one name finds a signature that no replica made; one that reads the last line finds another request's id.

Cause: the first line of each field was taken and the others ignored. Either line may be the one that a faulty replica made up, and a sound replica sends one (RFC 9110, 5.3: only lists may have several lines), so the caller is owed no success for it. Equal lines are refused too, as joined they are another value.

Change: such a head is neither own nor stale, but a broken connection. As the request that it answers is in doubt, it is not skipped as stale.

--- a/src/edge/answer_check.cc
+++ b/src/edge/answer_check.cc
@@ -6,6 +6,8 @@
 
 HeadVerdict checkHead(const platform::AnswerInfo& answer, unsigned status, const std::string& requestId)
 {
+    if (answer.isAmbiguous)
+        return HeadVerdict::Ambiguous;
     if (answer.requestId != requestId)
         return answer.requestId.empty() ? HeadVerdict::Unidentified : HeadVerdict::Stale;
     if (answer.isEncoded)
@@ -30,6 +32,8 @@
         return "a success without a signature";
     case HeadVerdict::Contradictory:
         return "a success that states that the request has not run";
+    case HeadVerdict::Ambiguous:
+        return "an answer with several request ids or signatures";
     case HeadVerdict::Encoded:
         return "an answer with a content coding";
     }
--- a/src/edge/answer_check.h
+++ b/src/edge/answer_check.h
@@ -17,6 +17,7 @@
     Unidentified, ///< Names no request.
     Unsigned, ///< A success without the upstream's signature.
     Contradictory, ///< A success that states that the request has not run.
+    Ambiguous, ///< Has several ids or signatures, so that readers may find different ones.
     Encoded, ///< Begins a body that is not the upstream's: upstreams encode none.
 };
 
