Calls refuse answers with a content coding

What was at stake: the answers of the platform's store, of replicas and of cache stores to the daemons' own calls were decoded as they stood if they had a Content-Encoding. A log read holds raw records, so coded bytes may decode to records that nobody wrote.

Cause: as for answers to callers' requests, nothing read the field. PROTOCOL.md: "A response that has a `Content-Encoding` is not the replica's body"; of the store it says that bodies are encoded as those of the system's own interfaces, which are not compressed.

Change: HttpCaller refuses such an answer and closes its connection.

Evidence: the new case of call_answer_test fails for gzip, br, identity and an empty value before the change, and passes with it.

--- a/src/edge/http_call.cc
+++ b/src/edge/http_call.cc
@@ -82,6 +82,8 @@
     // An interim answer is refused too: the final one would be taken for that of the next call.
     if (!isFinalStatus(parser.get().result_int()))
         co_return tl::unexpected(CallFailure { "invalid status", progress.bytes() });
+    if (const auto& fields = parser.get().base(); fields.find(http::field::content_encoding) != fields.end())
+        co_return tl::unexpected(CallFailure { "an answer with a content coding", progress.bytes() });
     link.stream.expires_never();
     auto message = parser.release();
     // The copy of a refusal may come where the next answer is due, and calls have no id that would tell them apart.
--- a/test/platform/call_answer_test.cc
+++ b/test/platform/call_answer_test.cc
@@ -93,6 +93,15 @@
     }
 }
 
+// A faulty upstream's or store's coded bytes were decoded as they stood: raw records may decode to something.
+TEST_CASE("a call refuses an answer with a content coding")
+{
+    for (const auto* coding : { "gzip", "br", "identity", "" }) {
+        INFO(coding);
+        CHECK_FALSE(answerFromHttpCaller("HTTP/1.1 200 OK\r\nContent-Encoding: " + std::string(coding) + "\r\nContent-Length: 4\r\n\r\nbody").has_value());
+    }
+}
+
 // MIXED, DRAIN: a faulty upstream's trailer counted as a field of the head, for example as a notice that the upstream leaves.
 TEST_CASE("a call takes no field from the trailers of its answer")
 {
