A forged answer to a daemon's own call no longer takes a replica out

What callers saw: 503 from a daemon that had sent a replica a call for cache events or a report and got bytes that were no answer to it, but whose head said "Server-Leaving: 1". The replica counted as leaving at that daemon until its next start, and a load in that head moved requests.

The new case of beliefs_test covers reports and orders as well.

Change: a drain notice and a load count only if the answer is a 200 with a body that decodes as a report or as cache events. Answers to orders are a status alone, so only a backoff is taken from them; reports are asked for before and after each order.

A replica that leaves is still learned of from its answers to requests, from reports and events, and from the registry.

--- a/src/edge/beliefs.cc
+++ b/src/edge/beliefs.cc
@@ -199,6 +199,15 @@
     }
 }
 
+void applyCallAnswer(EdgeState& state, const UpstreamId& upstream, std::int64_t born, const HttpAnswer& answer, bool isExpected, const std::string& call)
+{
+    auto decoded = platform::decodeNotice(answer.status, answer.fields);
+    decoded.notice.isLeaving = decoded.notice.isLeaving && isExpected;
+    applyUpstreamNotice(state, upstream, born, decoded, call);
+    if (isExpected)
+        applyServerLoad(state, upstream, born, platform::decodeServerLoad(answer.fields));
+}
+
 void applyRequestLimit(EdgeState& state, const UpstreamId& upstream, std::int64_t born,
     const tl::expected<std::optional<double>, Finding>& limit, TimePoint sent, const std::string& request)
 {
--- a/src/edge/beliefs.h
+++ b/src/edge/beliefs.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "edge/edge_state.h"
+#include "edge/http_call.h"
 #include "platform/headers.h"
 
 namespace goldcrestwood {
@@ -36,6 +37,14 @@
 /// @param source What was answered, for the log: a request's id or the name of a call.
 void applyUpstreamNotice(EdgeState& state, const UpstreamId& upstream, std::int64_t born, const platform::DecodedNotice& decoded, const std::string& source);
 
+/// Applies what the head of an answer to one of the daemon's own calls says about its upstream. Such an answer has no id that shows
+/// whose it is, so only a body of the kind that was asked for makes its drain notice and load credible. A backoff applies at once, as
+/// refusals have no such body.
+/// @param born Start of the incarnation that was called.
+/// @param isExpected Whether the answer has a body of the kind that the call asks for.
+/// @param call Its name, for the log.
+void applyCallAnswer(EdgeState& state, const UpstreamId& upstream, std::int64_t born, const HttpAnswer& answer, bool isExpected, const std::string& call);
+
 /// Applies what an answer says about the request limit of its upstream.
 /// @param born Start of the incarnation that answered.
 /// @param limit As decoded from the answer.
--- a/src/edge/cache_watch.cc
+++ b/src/edge/cache_watch.cc
@@ -145,15 +145,13 @@
     const auto born = entry == nullptr ? 0 : entry->born;
     const auto call = platform::cacheEventsCall(next, engineEventsHold);
     const auto answer = co_await caller.call(call, engineEventsHold + answerTimeout);
-    if (answer) {
-        applyUpstreamNotice(this->state, upstream, born, platform::decodeNotice(answer->status, answer->fields), call.target);
-        applyServerLoad(this->state, upstream, born, platform::decodeServerLoad(answer->fields));
-    }
-    if (!answer || answer->status != 200)
+    if (!answer)
         co_return false;
     const auto events = platform::decodeCacheEvents(answer->body);
+    const bool isExpected = answer->status == 200 && events;
+    applyCallAnswer(this->state, upstream, born, *answer, isExpected, call.target);
     auto* cache = this->state.board.cacheOf(upstream);
-    if (!events || cache == nullptr)
+    if (!isExpected || cache == nullptr)
         co_return false;
     // Wrong contents cost only an extra prefill, so a gap does not justify stalling the engine with a listing.
     if (epoch != 0 && epoch != events->epoch)
--- a/src/edge/duty_runner.cc
+++ b/src/edge/duty_runner.cc
@@ -332,25 +332,37 @@
     co_await timer.async_wait(into(ignored));
 }
 
-Task<tl::expected<HttpAnswer, CallFailure>> DutyRunner::callUpstream(HttpCaller& caller, UpstreamId upstream, OutgoingCall call)
+Task<std::optional<platform::EngineReport>> DutyRunner::readReport(HttpCaller& caller, UpstreamId upstream)
 {
     const auto* entry = this->state.board.find(upstream);
     const auto born = entry == nullptr ? 0 : entry->born;
-    auto answer = co_await caller.call(call, upstreamTimeout);
-    if (answer) {
-        applyUpstreamNotice(this->state, upstream, born, platform::decodeNotice(answer->status, answer->fields), call.target);
-        applyServerLoad(this->state, upstream, born, platform::decodeServerLoad(answer->fields));
-    }
-    co_return answer;
+    const auto call = platform::reportCall();
+    const auto answer = co_await caller.call(call, upstreamTimeout);
+    if (!answer)
+        co_return std::nullopt;
+    auto report = platform::decodeReport(answer->body);
+    const bool isExpected = answer->status == 200 && report;
+    applyCallAnswer(this->state, upstream, born, *answer, isExpected, call.target);
+    co_return isExpected ? std::optional(std::move(*report)) : std::nullopt;
+}
+
+Task<unsigned> DutyRunner::sendOrder(HttpCaller& caller, UpstreamId upstream, platform::WeightOrder order)
+{
+    const auto* entry = this->state.board.find(upstream);
+    const auto born = entry == nullptr ? 0 : entry->born;
+    const auto call = platform::orderCall(order, upstream.value);
+    const auto answer = co_await caller.call(call, upstreamTimeout);
+    if (!answer)
+        co_return 0;
+    // An answer to an order is a status alone.
+    applyCallAnswer(this->state, upstream, born, *answer, false, call.target);
+    co_return answer->status;
 }
 
 Task<> DutyRunner::queryUpstream(HttpCaller& caller, UpstreamId upstream)
 {
-    const auto answer = co_await this->callUpstream(caller, upstream, platform::reportCall());
-    if (!this->plan || !answer || answer->status != 200)
-        co_return;
-    const auto report = platform::decodeReport(answer->body);
-    if (!report)
+    const auto report = co_await this->readReport(caller, upstream);
+    if (!this->plan || !report)
         co_return;
     const auto target = this->plan->weights();
     const auto version = report->weights.find(target.model);
@@ -359,11 +371,10 @@
         co_return;
     this->plan->onOrderSent(upstream, monotonicNow());
     const platform::WeightOrder order { target, platform::WeightStrategy::Retain, this->state.settings.instance.value, this->lease.fence(), report->acceptedOrders };
-    const auto call = platform::orderCall(order, upstream.value);
-    const auto accepted = co_await this->callUpstream(caller, upstream, call);
+    const auto status = co_await this->sendOrder(caller, upstream, order);
     edge::log(LogClass::Decision, "weights_ordered",
         { { "upstream", upstream.value }, { "model", target.model }, { "version", static_cast<std::int64_t>(target.version) },
-            { "fence", static_cast<std::int64_t>(order.fence) }, { "status", static_cast<std::int64_t>(accepted ? accepted->status : 0) },
+            { "fence", static_cast<std::int64_t>(order.fence) }, { "status", static_cast<std::int64_t>(status) },
             { "orders_seen", static_cast<std::int64_t>(report->acceptedOrders) } });
 }
 
--- a/src/edge/duty_runner.h
+++ b/src/edge/duty_runner.h
@@ -15,6 +15,7 @@
 #include "edge/usage_runner.h"
 #include "goldcrestwood/duty_lease.h"
 #include "goldcrestwood/weight_plan.h"
+#include "platform/decode.h"
 
 namespace goldcrestwood {
 
@@ -44,8 +45,10 @@
     Task<bool> append(const DutyRecord& record);
     Task<bool> readTopic(Duration hold);
     Task<> updateUpstream(UpstreamId upstream);
-    /// Calls an upstream and applies the notices in its answer.
-    Task<tl::expected<HttpAnswer, CallFailure>> callUpstream(HttpCaller& caller, UpstreamId upstream, OutgoingCall call);
+    /// @return The upstream's report, or nothing without a valid one.
+    Task<std::optional<platform::EngineReport>> readReport(HttpCaller& caller, UpstreamId upstream);
+    /// @return The status of the answer, or 0 without one.
+    Task<unsigned> sendOrder(HttpCaller& caller, UpstreamId upstream, platform::WeightOrder order);
     /// Queries an upstream's progress and sends its order if that is due.
     Task<> queryUpstream(HttpCaller& caller, UpstreamId upstream);
     void applyRecord(const DutyRecord& record);
--- a/test/platform/beliefs_test.cc
+++ b/test/platform/beliefs_test.cc
@@ -123,6 +123,26 @@
     CHECK_FALSE(pauses.lastBegan(start + 5s, start + 5s));
 }
 
+// A faulty upstream's bytes in the place of an answer to a call took the upstream out and shifted load.
+TEST_CASE("the head of an answer to a call counts only with a body of the kind that was asked for, apart from a backoff")
+{
+    for (const bool isExpected : { false, true }) {
+        INFO(isExpected);
+        EdgeState state({}, 1);
+        state.registryContact = { true, monotonicNow() - 10s };
+        applyRegistryRecords(state, { registered }, RecordSource::Log);
+        const auto born = state.board.find(upstream)->born;
+        HttpAnswer answer { isExpected ? 200U : 503U, {}, {} };
+        answer.fields.set("Server-Leaving", "1");
+        answer.fields.set("X-Goldcrestwood-Server-Load", "1,0,1,250");
+        answer.fields.set("Retry-After", "2");
+        applyCallAnswer(state, upstream, born, answer, isExpected, "/report");
+        CHECK(state.board.isLeaving(upstream) == isExpected);
+        CHECK(state.board.recentPaces([](const UpstreamId&) { return true; }, false, monotonicNow()).size() == (isExpected ? 1 : 0));
+        CHECK((state.board.backoffRemaining(upstream, monotonicNow()) > 1s) == !isExpected);
+    }
+}
+
 TEST_CASE("a load report that cannot be read leaves the pace unchanged and is reported once for each upstream")
 {
     EdgeState state({}, 1);
--- a/test/process/incomplete_answer_test.py
+++ b/test/process/incomplete_answer_test.py
@@ -38,15 +38,23 @@
 )
 # Behind the body they say nothing of it, and end no connection.
 TRAILERS = {"Content-Encoding": "gzip", "X-Goldcrestwood-Response-Seal": "other", "Server-Leaving": "1", "X-Trailer": "1"}
+DRAIN_SECONDS = 2  # A replica that leaves still serves for this long.
 # What the sender of a forged head says of itself: nobody may send to it any more.
 CLAIMS = ("Server-Leaving: 1", "Server-Limit: 0.01", "X-Goldcrestwood-Server-Load: 99,99,1", "Retry-After: 60")
 
 
 class FaultyHandler(site.ReplicaHandler):
-    """Gives requests with the replica's `fault` to that function of the handler and the request's id."""
+    """Gives requests with the replica's `fault` to that function of the handler and the request's id, and forges answers to calls."""
 
     calls = 0
 
+    def do_GET(self):
+        replica = self.server.owner
+        if not replica.forges_calls or not self.path.startswith(("/kv-", "/report")):
+            return super().do_GET()
+        replica.forged_calls += 1
+        return self.answer(200, b"ok\n", [claim.split(": ") for claim in CLAIMS])
+
     def do_POST(self):
         replica = self.server.owner
         self.calls += 1
@@ -131,6 +139,7 @@
         self.replicas = [*self.edge.models, *self.edge.plain]
         for replica in self.replicas:
             replica.fault = None
+            replica.forges_calls, replica.forged_calls = False, 0
             replica.server.RequestHandlerClass = FaultyHandler
 
     def outcome(self, path, body):
@@ -184,7 +193,7 @@
     def test_a_forged_answer_moves_what_may_be_repeated_to_another_replica(self):
         for kind, replicas, path in (("plain", self.edge.plain, "/safe/a"), ("streaming", self.edge.models, "/stream/a")):
             other = site.Replica(self.edge.store, 7, replicas[0].service, kind, "zone-0")
-            other.fault = None
+            other.fault, other.forges_calls = None, False
             other.server.RequestHandlerClass = FaultyHandler
             site.wait_until(lambda: other.id.encode() in site.call(self.edge.daemons[0].metrics, "GET", "/state")[2], "the other replica is listed")
             for status, fields in FORGED:
@@ -208,6 +217,15 @@
                 self.assertEqual(headers.get_all("X-Goldcrestwood-Response-Seal"), [f"{replica.id}.{identifier}"])
                 self.assertEqual(TRAILERS.keys() & headers.keys(), {"X-Goldcrestwood-Response-Seal"})
 
+    def test_the_claims_of_a_forged_answer_to_a_call_count_for_nothing(self):
+        # Its head took the replica out, though its body was no answer to the call.
+        replica = self.edge.models[0]
+        replica.forges_calls = True
+        site.wait_until(lambda: replica.forged_calls, "a call gets a forged answer")
+        time.sleep(DRAIN_SECONDS)
+        for path in ("/stream/a", "/whole/a"):
+            self.assertEqual(self.outcome(path, b"")[0], 200, path)
+
     @staticmethod
     def fault_once(faults, handler, request):
         if faults:
