A 204 that announces a body is not passed on

What callers saw (MIXED): a replica's 204 with a length or in chunks came as a 204 without its body, and the next request on that connection of the daemon could find these bytes in the place of its answer and get 502.

Cause: the HTTP library reads no body after a 204, whatever its head says, so the end of the answer was taken to be that of the head.

Change: such a head is ambiguous, as two lengths are, for the pipeline and for calls. A length of 0 says what the status says and is accepted. A 304 may name a length without having a body (RFC 9110, 15.4.5).

--- a/src/daemon/framing.h
+++ b/src/daemon/framing.h
@@ -21,6 +21,11 @@
 /// @param isChunked Whether the library reads the body in chunks.
 FramingFault framingFault(const boost::beast::http::fields& fields, unsigned version, bool isChunked);
 
+/// @param status Of the answer. One without content that announces a body is ambiguous too: a reader that takes the status for it finds
+/// the next answer in that body (RFC 9110, 15.3.5).
+/// @return The fault of an answer.
+FramingFault answerFramingFault(const boost::beast::http::fields& fields, unsigned version, bool isChunked, unsigned status);
+
 /// @return The fault in words, for logs and error messages.
 const char* toString(FramingFault fault);
 
--- a/src/edge/http_call.cc
+++ b/src/edge/http_call.cc
@@ -77,7 +77,7 @@
     }
     if (error)
         co_return tl::unexpected(CallFailure { "no whole answer: " + error.message(), progress.bytes() });
-    if (const auto fault = framingFault(parser.get(), parser.get().version(), parser.chunked()); fault != FramingFault::None)
+    if (const auto fault = answerFramingFault(parser.get(), parser.get().version(), parser.chunked(), parser.get().result_int()); fault != FramingFault::None)
         co_return tl::unexpected(CallFailure { toString(fault), progress.bytes() });
     // An interim answer is refused too: the final one would be taken for that of the next call.
     if (!isFinalStatus(parser.get().result_int()))
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -85,7 +85,7 @@
             co_return false;
         }
         const auto& head = attempt.parser->get();
-        if (const auto fault = framingFault(head, head.version(), attempt.parser->chunked()); fault != FramingFault::None) {
+        if (const auto fault = answerFramingFault(head, head.version(), attempt.parser->chunked(), attempt.status); fault != FramingFault::None) {
             attempt.result = AttemptResult::Unreachable;
             attempt.failure = toString(fault);
             co_return false;
--- a/test/platform/framing_test.cc
+++ b/test/platform/framing_test.cc
@@ -65,3 +65,21 @@
         CHECK(readHead<false>(fields) == FramingFault::UnsupportedCoding);
     }
 }
+
+// MIXED: the body that such an answer announces was left out, and its bytes were read as the next answer.
+TEST_CASE("an answer without content that announces a body is refused")
+{
+    for (const unsigned status : { 200U, 204U, 304U }) {
+        INFO(status);
+        const auto faultOf = [&](http::field name, const char* value) {
+            http::fields fields;
+            fields.set(name, value);
+            return answerFramingFault(fields, 11, name == http::field::transfer_encoding, status);
+        };
+        const auto expected = status == 204 ? FramingFault::Ambiguous : FramingFault::None;
+        CHECK(faultOf(http::field::content_length, "5") == expected);
+        CHECK(faultOf(http::field::transfer_encoding, "chunked") == expected);
+        CHECK(faultOf(http::field::content_length, "0") == FramingFault::None);
+        CHECK(answerFramingFault({}, 11, false, status) == FramingFault::None);
+    }
+}
--- a/test/process/framing_test.py
+++ b/test/process/framing_test.py
@@ -36,6 +36,11 @@
     (("Host: site.example", "X-Goldcrestwood-Key: key-one"), ("Transfer-Encoding: chunked",), 400),
     (("Host: site.example", "X-Goldcrestwood-Key: key-one"), ("Content-Length: 5",), 400),
 )
+# Status of an answer and the field that says where its body ends.
+ANSWER_FRAMINGS = (
+    *((200, f"Transfer-Encoding: {coding}") for coding in ("gzip", "chunked, identity", "identity")),
+    (204, "Content-Length: 5"), (204, "Transfer-Encoding: chunked"),
+)
 
 
 def head(identifier, *fields, version="1.1"):
@@ -89,16 +94,16 @@
         sent = [fields for replica in edge.plain for _, fields, _ in replica.requests]
         self.assertNotIn("X-Other", {name for fields in sent for name in fields})
 
-    def test_an_answer_under_an_unknown_transfer_coding_is_not_passed_on(self):
-        # MIXED: its coded bytes reached the caller as a whole body.
+    def test_an_answer_whose_body_is_in_doubt_is_not_passed_on(self):
+        # MIXED: coded bytes reached the caller as a whole body; the body of a status without content was left out.
         edge = self.enterContext(site.EdgeSite(daemons=1, models=1))
-        for coding in ("gzip", "chunked, identity", "identity"):
-            with self.subTest(coding=coding):
+        for status, framing in ANSWER_FRAMINGS:
+            with self.subTest(status=status, framing=framing):
                 script = []
                 for replica in edge.plain:
                     replica.script = script
                 request = "%016x" % next(site.request_numbers)
-                script.append(f"HTTP/1.1 200 OK\r\nTransfer-Encoding: {coding}\r\nX-Goldcrestwood-Response-Seal: s.{request}\r\n"
+                script.append(f"HTTP/1.1 {status} Some\r\n{framing}\r\nX-Goldcrestwood-Response-Seal: s.{request}\r\n"
                               f"X-Goldcrestwood-Request-Id: {request}\r\n\r\nbytes")
                 data = head(request, "Content-Length: 0", "Connection: close")
                 self.assertIn(b" 502 ", self.exchange(edge.daemons[0], data).split(b"\r\n")[0])
