HEAD requests are answered instead of waiting for a body

Cause: the method of the request was not taken into account where the length of an answer is decided (RFC 9112, 6.3).

Evidence: the new case of process_framing_test on: 504 for HEAD on routes of all three kinds.

Change: an answer to HEAD ends with its head, keeps the replica's Content-Length and is never a stream; rejections leave out their body. A connection carries a HEAD request alone: an answer that comes late to it, or to another request before it, would be read with the wrong length. As answers to HEAD, 304 keeps its length, and 204 no longer gets one (RFC 9110, 8.6).

--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -36,6 +36,13 @@
     /// @return Whether the caller disconnected or the deadline passed.
     bool isOver() const { return this->hasClientLeft() || this->timedOut; }
 
+    /// @return Whether the answer has no body, whatever its head says of one.
+    bool asksForHead() const { return this->request.method() == http::verb::head; }
+
+    /// An answer that comes too late on a used connection cannot be told from the own one if the request has no id, and its end cannot
+    /// be found if only one of the two has a body.
+    bool needsOwnConnection() const { return this->info.id.empty() || this->asksForHead(); }
+
     bool hasClientLeft() const { return this->clientLeftAt.has_value(); }
 
     beast::tcp_stream& client;
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -69,6 +69,8 @@
     response.keep_alive(exchange.clientKeepAlive && !this->state.isStopping);
     exchange.clientKeepAlive = response.keep_alive();
     response.prepare_payload();
+    if (exchange.asksForHead())
+        response.body().clear();
     edge::log(LogClass::Decision, "request_rejected",
         { { "request", exchange.info.id }, { "status", static_cast<std::int64_t>(status) }, { "reason", reason },
             { "after_ms", toMs(monotonicNow() - exchange.received) }, { "sends", static_cast<std::int64_t>(exchange.sends) },
@@ -389,9 +391,8 @@
 Task<ConnectionPtr> Pipeline::openConnection(ClientExchange& exchange, const PlacementChoice& choice)
 {
     const auto& address = choice.address;
-    // On a connection that carried the request, a copy of its earlier answer cannot be told from the answer to this send; nor can any
-    // answer on a used connection if the request has no id.
-    if (!exchange.sentTo.contains(address) && !exchange.info.id.empty())
+    // On a connection that carried the request, a copy of its earlier answer cannot be told from the answer to this send.
+    if (!exchange.sentTo.contains(address) && !exchange.needsOwnConnection())
         if (auto idle = this->pool.takeIdle(address, monotonicNow()))
             co_return idle;
     auto connection = this->pool.create(address);
@@ -467,7 +468,7 @@
         if (exchange.info.promptTokens > 0 && !attempt.answer.provesNotRun)
             this->state.reportPace.onFirstToken(attempt.choice.expectedWait, attempt.firstByte, exchange.route->objective, attempt.answerBegan);
         this->countRun(exchange, attempt);
-        if (exchange.route->kind == RequestKind::Stream && isSuccessStatus(attempt.status))
+        if (exchange.route->kind == RequestKind::Stream && isSuccessStatus(attempt.status) && !exchange.asksForHead())
             co_await this->relayStream(exchange, attempt);
         else
             co_await this->relayBuffered(exchange, attempt);
@@ -477,7 +478,7 @@
     if (!attempt.bufferedAnswer)
         attempt.memory.reset();
     const bool isWhole = hasHead && attempt.parser->is_done() && !attempt.parser->need_eof();
-    if (attempt.connection && isWhole && attempt.parser->keep_alive() && !exchange.info.id.empty())
+    if (attempt.connection && isWhole && attempt.parser->keep_alive() && !exchange.needsOwnConnection())
         this->keepConnection(attempt);
     attempt.connection = nullptr;
     attempt.parser = nullptr;
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -25,6 +25,8 @@
     constexpr std::uint64_t unlimitedBody = std::uint64_t { 1 } << 50U;
     constexpr std::size_t pieceBytes = 16384;
     constexpr unsigned misdirected = 421;
+    constexpr unsigned noContent = 204;
+    constexpr unsigned notModified = 304;
     constexpr const char* brokenWrite = "the connection broke while the request was written, before an answer that ended with it";
     constexpr const char* unconfirmedEnd = "the upstream was gone after an answer that ended with its connection";
 
@@ -66,6 +68,7 @@
         attempt.parser = std::make_unique<AnswerParser<http::buffer_body>>();
         // Boost 1.74 rejects every body if the limit is none.
         attempt.parser->body_limit(unlimitedBody);
+        attempt.parser->skip(exchange.asksForHead());
         ErrorCode error;
         co_await http::async_read_header(link.stream, link.buffer, *attempt.parser, into(error));
         if (error) {
@@ -229,9 +232,14 @@
         co_return;
     }
     http::response<http::string_body> response;
-    response.base() = relayedHead(attempt.parser->get().base());
+    const auto& head = attempt.parser->get().base();
+    response.base() = relayedHead(head);
     response.body() = std::move(body);
-    response.content_length(response.body().size());
+    const bool hasContent = !exchange.asksForHead() && attempt.status != noContent && attempt.status != notModified;
+    if (hasContent)
+        response.content_length(response.body().size());
+    else if (const auto length = head.find(http::field::content_length); length != head.end() && attempt.status != noContent)
+        response.set(http::field::content_length, length->value()); // Of the body that it would have.
     response.keep_alive(true);
     attempt.bufferedAnswer = std::move(response);
     attempt.result = attempt.status < 500 ? AttemptResult::Answered : AttemptResult::FailureAnswer;
--- a/support/edge_site.py
+++ b/support/edge_site.py
@@ -79,7 +79,8 @@
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
-        self.wfile.write(body)
+        if self.command != "HEAD":
+            self.wfile.write(body)
         self.wfile.flush()
 
 
@@ -257,6 +258,9 @@
             return self.answer(404)
         return self.serve()
 
+    def do_HEAD(self):
+        return self.serve()
+
     def do_POST(self):
         if self.path == "/order":
             return self.answer(self.server.owner.order(json.loads(self.body())))
@@ -324,7 +328,7 @@
             else:
                 self.wfile.write(replica.id.encode() + b":" + body)
             return None
-        if replica.kind != "streaming":
+        if replica.kind != "streaming" or self.command == "HEAD":
             return self.answer(200, replica.id.encode() + b":" + body, headers)
         return self.stream(replica, headers)
 
--- a/test/process/framing_test.py
+++ b/test/process/framing_test.py
@@ -1,6 +1,7 @@
 """Requests and answers whose body has no certain length, through real entry daemons."""
 
 import contextlib
+import http.client
 import itertools
 import socket
 import time
@@ -108,6 +109,22 @@
                 data = head(request, "Content-Length: 0", "Connection: close")
                 self.assertIn(b" 502 ", self.exchange(edge.daemons[0], data).split(b"\r\n")[0])
 
+    def test_a_request_for_a_head_gets_that_of_the_answer(self):
+        # It waited for a body until its deadline, and a rejection's body was read as the next answer.
+        edge = self.enterContext(site.EdgeSite(daemons=1, models=1))
+        host, _, port = edge.daemons[0].front.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=CLOSE_SECONDS)
+        self.addCleanup(connection.close)
+        for path, method, status in (("/once/a", "HEAD", 200), ("/safe/a", "HEAD", 200), ("/stream/a", "HEAD", 200), ("/none/a", "HEAD", 404), ("/once/a", "POST", 200)):
+            with self.subTest(path=path, method=method):
+                request = "%016x" % next(site.request_numbers)
+                connection.request(method, path, headers={"Host": "site.example", "X-Goldcrestwood-Request-Id": request, "X-Goldcrestwood-Key": "key-one",
+                                                          "X-Goldcrestwood-Deadline-Ms": "1000"})
+                response = connection.getresponse()
+                body = response.read()
+                self.assertEqual((response.status, body == b""), (status, method == "HEAD"))
+                self.assertGreater(int(response.headers["Content-Length"]), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
