An answer without content no longer completes a stream

What callers saw (ORDER): a stream that broke off and went on at another replica ended as complete, without its last events, if that replica answered with a signed 204. As a first answer, a 204 was passed on as a stream in chunks, which a 204 cannot have.

Cause: each success on a streaming route was relayed as a stream; one without a body is at its end at once and has no event that could be incomplete.

Evidence: process_incomplete_answer_test, a forged answer does not resume a stream, with 204 before the change: 200 with 3 of 5 events and a regular end.

Change: only an answer that has a body is relayed as a stream. Another does not resume one, as it has been for failures.

--- a/src/daemon/framing.cc
+++ b/src/daemon/framing.cc
@@ -37,10 +37,9 @@
 
 FramingFault answerFramingFault(const http::fields& fields, unsigned version, bool isChunked, unsigned status)
 {
-    constexpr unsigned noContent = 204;
     const auto hasBody = fields.find(http::field::transfer_encoding) != fields.end()
         || fields[http::field::content_length].find_first_not_of('0') != beast::string_view::npos;
-    if (status == noContent && hasBody)
+    if (status == noContentStatus && hasBody)
         return FramingFault::Ambiguous;
     return framingFault(fields, version, isChunked);
 }
--- a/src/daemon/framing.h
+++ b/src/daemon/framing.h
@@ -43,6 +43,16 @@
     return status >= 200 && status < 600;
 }
 
+/// An answer with this status names no length either.
+inline constexpr unsigned noContentStatus = 204;
+
+/// @return Whether an answer with the final @p status has a body, which may be empty (RFC 9110, 6.4.1).
+constexpr bool hasContent(unsigned status)
+{
+    constexpr unsigned notModified = 304;
+    return status != noContentStatus && status != notModified;
+}
+
 constexpr bool isSuccessStatus(unsigned status)
 {
     return status >= 200 && status < 300;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "daemon/framing.h"
 #include "edge/net.h"
 #include "edge/upstream_pool.h"
 #include "goldcrestwood/traffic.h"
@@ -39,6 +40,9 @@
     /// @return Whether the answer has no body, whatever its head says of one.
     bool asksForHead() const { return this->request.method() == http::verb::head; }
 
+    /// @return Whether an answer with @p status has a body, which may be empty.
+    bool expectsContent(unsigned status) const { return !this->asksForHead() && hasContent(status); }
+
     /// An answer that comes too late on a used connection cannot be told from the own one if the request has no id, and its end cannot
     /// be found if only one of the two has a body.
     bool needsOwnConnection() const { return this->info.id.empty() || this->asksForHead(); }
--- a/src/edge/pipeline.cc
+++ b/src/edge/pipeline.cc
@@ -468,7 +468,7 @@
         if (exchange.info.promptTokens > 0 && !attempt.answer.provesNotRun)
             this->state.reportPace.onFirstToken(attempt.choice.expectedWait, attempt.firstByte, exchange.route->objective, attempt.answerBegan);
         this->countRun(exchange, attempt);
-        if (exchange.route->kind == RequestKind::Stream && isSuccessStatus(attempt.status) && !exchange.asksForHead())
+        if (exchange.route->kind == RequestKind::Stream && isSuccessStatus(attempt.status) && exchange.expectsContent(attempt.status))
             co_await this->relayStream(exchange, attempt);
         else
             co_await this->relayBuffered(exchange, attempt);
--- a/src/edge/pipeline_relay.cc
+++ b/src/edge/pipeline_relay.cc
@@ -25,8 +25,6 @@
     constexpr std::uint64_t unlimitedBody = std::uint64_t { 1 } << 50U;
     constexpr std::size_t pieceBytes = 16384;
     constexpr unsigned misdirected = 421;
-    constexpr unsigned noContent = 204;
-    constexpr unsigned notModified = 304;
     constexpr const char* brokenWrite = "the connection broke while the request was written, before an answer that ended with it";
     constexpr const char* unconfirmedEnd = "the upstream was gone after an answer that ended with its connection";
 
@@ -235,10 +233,9 @@
     const auto& head = attempt.parser->get().base();
     response.base() = relayedHead(head);
     response.body() = std::move(body);
-    const bool hasContent = !exchange.asksForHead() && attempt.status != noContent && attempt.status != notModified;
-    if (hasContent)
+    if (exchange.expectsContent(attempt.status))
         response.content_length(response.body().size());
-    else if (const auto length = head.find(http::field::content_length); length != head.end() && attempt.status != noContent)
+    else if (const auto length = head.find(http::field::content_length); length != head.end() && attempt.status != noContentStatus)
         response.set(http::field::content_length, length->value()); // Of the body that it would have.
     response.keep_alive(true);
     attempt.bufferedAnswer = std::move(response);
--- a/test/process/incomplete_answer_test.py
+++ b/test/process/incomplete_answer_test.py
@@ -200,9 +200,10 @@
                     self.assertNotIn(b"fake", answer)
 
     def test_a_forged_answer_does_not_resume_a_stream(self):
-        # MIXED: the head at which a stream goes on is not relayed, so the caller could not tell that it was forged.
+        # MIXED, ORDER: the head at which a stream goes on is not relayed, so the caller could not tell that it was forged, or that there
+        # was no stream.
         replicas = (self.edge.models[0], self.add_replica("model", "streaming"))
-        for status, fields in FORGED:
+        for status, fields in (*FORGED, (204, (ID, SEAL))):
             with self.subTest(status=status, fields=fields):
                 # The route allows two sends, so the stream breaks off.
                 seen, answer, left = self.outcome_of_faults(replicas, "/stream/a", [reset_after(len(b"order"), 0.02), forged(status, fields, "length")])
